process, version, connection: Add the types that the parts share

Cause: the entry host, the control host and the tools are built at the same time against the same interfaces.

--- /dev/null
+++ b/src/connection/httpclient.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "process/eventloop.h"
+#include "process/settings.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace cassiaroad {
+
+/** A request to send. */
+struct HttpRequest
+{
+    std::string method;
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers; // without Host and Content-Length
+    std::string body;
+
+    bool operator==(const HttpRequest &) const = default;
+};
+
+/** A whole answer. */
+struct HttpAnswer
+{
+    int status = 0;
+    std::vector<std::pair<std::string, std::string>> headers; // names in lower case
+    std::string body;
+
+    bool operator==(const HttpAnswer &) const = default;
+};
+
+/** How an exchange failed. */
+struct HttpFailure
+{
+    enum class Stage {
+        Connect, // no byte of the request was written
+        Sent, // bytes may have reached the server; no answer
+        AnswerCut, // the answer began and was not whole
+    };
+
+    Stage stage = Stage::Connect;
+    std::string reason;
+    bool reusedConnection = false; // the connection had carried an earlier request
+
+    bool operator==(const HttpFailure &) const = default;
+};
+
+using HttpResult = std::variant<HttpAnswer, HttpFailure>;
+
+/** HTTP/1.1 client on h2o with one connection pool per server address. Loop thread only. */
+class HttpClient
+{
+public:
+    /** A request in flight. Destroying it cancels the request and closes its connection. */
+    class Call
+    {
+    public:
+        virtual ~Call() = default;
+        /** Time of the last byte read or written on the connection of this call. */
+        virtual TimePoint lastProgress() const = 0;
+        /** Whether a byte of the request may have been written. */
+        virtual bool isSent() const = 0;
+    };
+
+    explicit HttpClient(EventLoop &loop);
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    HttpClient &operator=(const HttpClient &) = delete;
+
+    /**
+     * Sends @p request to @p server; @p done is called once, unless the call is destroyed before.
+     * Answers above @p maxAnswerBytes fail with AnswerCut.
+     */
+    [[nodiscard]] std::unique_ptr<Call> send(const HostAddress &server, HttpRequest request,
+                                             std::size_t maxAnswerBytes,
+                                             std::function<void(HttpResult)> done);
+
+    /** Closes idle connections to @p server that were opened before @p openedBefore. */
+    void closeIdle(const HostAddress &server, TimePoint openedBefore);
+
+    /** Closes idle connections that have carried nothing for @p idle. */
+    void closeIdleLongerThan(Milliseconds idle);
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/process/clock.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace cassiaroad {
+
+/** A span of time in milliseconds. */
+struct Milliseconds
+{
+    std::int64_t count = 0;
+
+    auto operator<=>(const Milliseconds &) const = default;
+    Milliseconds operator+(Milliseconds other) const { return { this->count + other.count }; }
+    Milliseconds operator-(Milliseconds other) const { return { this->count - other.count }; }
+    Milliseconds operator*(std::int64_t factor) const { return { this->count * factor }; }
+    Milliseconds operator/(std::int64_t divisor) const { return { this->count / divisor }; }
+};
+
+/** A point on a monotonic clock, in milliseconds since an arbitrary origin. */
+struct TimePoint
+{
+    std::int64_t sinceOrigin = 0;
+
+    auto operator<=>(const TimePoint &) const = default;
+    TimePoint operator+(Milliseconds span) const { return { this->sinceOrigin + span.count }; }
+    TimePoint operator-(Milliseconds span) const { return { this->sinceOrigin - span.count }; }
+    Milliseconds operator-(TimePoint other) const
+    {
+        return { this->sinceOrigin - other.sinceOrigin };
+    }
+};
+
+/** Reads the system's clocks. Stateless; safe to use from any thread. */
+class Clock
+{
+public:
+    /** Returns the monotonic time, which includes time spent suspended (CLOCK_BOOTTIME). */
+    static TimePoint now();
+
+    /** Returns the wall clock in milliseconds since 1970; for records that people read only. */
+    static std::int64_t wallMilliseconds();
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/process/settings.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "process/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cassiaroad {
+
+/** An IP address and a port; text form "ip:port". */
+struct HostAddress
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const HostAddress &) const = default;
+    std::string toString() const { return this->ip + ":" + std::to_string(this->port); }
+};
+
+/** Order in which waiting requests are served. */
+enum class Priority { Critical, Normal, Bulk };
+
+/** One service: requests for "/<name>/<key>/..." go to its upstreams. */
+struct ServiceSettings
+{
+    std::string name;
+    std::uint32_t shards = 1024; // a power of two
+    Priority writePriority = Priority::Normal; // POST, PUT, PATCH, DELETE
+    Priority readPriority = Priority::Normal;
+
+    bool operator==(const ServiceSettings &) const = default;
+};
+
+/** Durations of leases, elections and stops; section [timing]. */
+struct TimingSettings
+{
+    Milliseconds heartbeat { 60 };
+    Milliseconds electionMin { 300 };
+    Milliseconds electionMax { 500 };
+    Milliseconds leaderLease { 270 };
+    Milliseconds upstreamLease { 1000 };
+    Milliseconds entryLease { 1000 };
+    Milliseconds announceInterval { 150 };
+    Milliseconds watchHold { 150 }; // longest time a watch call waits for a change
+    Milliseconds initialAssignment { 2000 };
+    Milliseconds drainWait { 2000 };
+    Milliseconds silence { 2000 }; // longest time without progress on a connection
+    Milliseconds poolIdle { 5000 };
+    Milliseconds defaultDeadline { 10000 };
+
+    bool operator==(const TimingSettings &) const = default;
+};
+
+/** Sizes and shares; section [limits]. */
+struct LimitSettings
+{
+    std::uint32_t maxBodyKib = 4096;
+    std::uint32_t maxConnections = 20000;
+    std::uint32_t queueLength = 256; // requests waiting for one upstream
+    Milliseconds queueTime { 1500 };
+    std::uint32_t retryPercent = 10;
+    std::uint32_t ejectPercent = 20;
+    std::uint32_t ledgerRecords = 100000;
+    Milliseconds ledgerRetention { 24 * 3600 * 1000 };
+    std::uint32_t movedKeys = 1024;
+
+    bool operator==(const LimitSettings &) const = default;
+};
+
+/** Weights of the placement policy; section [placement]. */
+struct PlacementSettings
+{
+    double imbalanceWeight = 1.0;
+    double churnWeight = 1.0;
+    double unavailabilityWeight = 1.0;
+
+    bool operator==(const PlacementSettings &) const = default;
+};
+
+/** One member of a control group; section [member.<number>]. */
+struct MemberSettings
+{
+    std::uint32_t number = 0;
+    std::string region;
+    std::string zone;
+    HostAddress rpc;
+    HostAddress operators;
+
+    bool operator==(const MemberSettings &) const = default;
+};
+
+/** A region of the site; section [region.<name>]. */
+struct RegionSettings
+{
+    std::string name;
+    std::vector<std::string> zones;
+    std::vector<HostAddress> gateways; // caller addresses of its entry hosts
+
+    bool operator==(const RegionSettings &) const = default;
+};
+
+/** Section [entry]; only for the role entry. */
+struct EntrySettings
+{
+    HostAddress callers;
+    HostAddress announce;
+    HostAddress admin;
+    std::string announceToken; // read from announce-token-file
+    std::string traceFile; // empty: no traces
+
+    bool operator==(const EntrySettings &) const = default;
+};
+
+/** Section [control]; only for the role control. */
+struct ControlSettings
+{
+    std::uint32_t member = 0; // number of the own [member.<number>] section
+    std::string dataFolder;
+    std::string operatorToken; // read from operator-token-file
+
+    bool operator==(const ControlSettings &) const = default;
+};
+
+/** Section [operator]; only for the role operator. */
+struct OperatorSettings
+{
+    std::string operatorToken; // read from operator-token-file
+
+    bool operator==(const OperatorSettings &) const = default;
+};
+
+/** The settings of one process, checked. Immutable after parsing. */
+struct Settings
+{
+    std::string site;
+    std::string host;
+    std::string region;
+    std::string zone;
+    std::string group; // the control group of the region; its name is the region's name
+    std::vector<RegionSettings> regions; // in the order that decides a shard's home region
+    std::vector<ServiceSettings> services;
+    std::vector<MemberSettings> members; // of the group
+    std::variant<OperatorSettings, EntrySettings, ControlSettings> role;
+    TimingSettings timing;
+    LimitSettings limits;
+    PlacementSettings placement;
+
+    bool operator==(const Settings &) const = default;
+};
+
+/** One fault in a settings file. */
+struct SettingsError
+{
+    std::string file;
+    int line = 0; // 0: the key is missing
+    std::string key; // "section.key"
+    std::string value; // what was read
+    std::string allowed; // what would be accepted
+
+    auto operator<=>(const SettingsError &) const = default;
+    /** Returns "file:line: section.key: read \"value\", allowed: ...". */
+    std::string toString() const;
+};
+
+/**
+ * Reads and checks a settings file: syntax, unknown and missing keys, types, ranges, two hosts with
+ * one address. Returns every error found, not only the first. Safe to use from any thread.
+ */
+std::variant<Settings, std::vector<SettingsError>> readSettings(const std::string &path);
+
+} // namespace cassiaroad
--- /dev/null
+++ b/tests/request/test_requestoutcome.cpp
@@ -0,0 +1,13 @@
+#include "request/requestoutcome.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+// Guards against a refusal that a caller could read as an answer (P4).
+TEST(RequestOutcome, namesEachOutcomeDifferently)
+{
+    EXPECT_STREQ(outcomeHeaderValue(Answered { 200 }), "answered");
+    EXPECT_STREQ(outcomeHeaderValue(RefusedNotRun { 503, "queue full" }), "not-run");
+    EXPECT_STREQ(outcomeHeaderValue(OutcomeUnknown { 502, "connection lost" }), "unknown");
+}
