--- a/src/version/command.h
+++ b/src/version/command.h
@@ -64,6 +64,7 @@
     RouteSubject subject;
     Epoch epoch = 0; // epoch of the owner; for a key without a route: 0
     std::string to; // empty: chosen at completion
+    std::uint32_t shard = 0; // of a key without a route: the shard it belongs to by its hash
     bool operator==(const ReleaseStart &) const = default;
 };
 
--- a/src/version/controlstate.h
+++ b/src/version/controlstate.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace cassiaroad {
 
@@ -75,6 +76,8 @@
     bool operator==(const ControlState &other) const;
 
 private:
+    friend class ControlStateCodec;
+
     CommandResult applyBody(const RegisterUpstream &body, const Command &command);
     CommandResult applyBody(const ChangeUpstream &body, const Command &command);
     CommandResult applyBody(const RemoveUpstream &body, const Command &command);
@@ -89,6 +92,7 @@
     CommandResult applyBody(const LedgerFinish &body, const Command &command);
     CommandResult applyBody(const LedgerAbandon &body, const Command &command);
     CommandResult applyBody(const ExpireRecords &body, const Command &command);
+    std::vector<RouteSubject> startedOf(const StartMove &body) const;
     void carryOut(const Plan &plan);
 
     ControlLimits bounds;
--- /dev/null
+++ b/src/version/leasetable.cpp
@@ -0,0 +1,92 @@
+#include "version/leasetable.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+LeaseTable::LeaseTable(Milliseconds upstreamLease, Milliseconds entryLease)
+    : upstreamLease(upstreamLease)
+    , entryLease(entryLease)
+{ }
+
+void LeaseTable::reset(TimePoint now)
+{
+    this->electedAt = now;
+    this->upstreamIssued.clear();
+    this->entries.clear();
+}
+
+bool LeaseTable::takeoverPassed(TimePoint now) const
+{
+    const Milliseconds longest = std::max(this->upstreamLease, this->entryLease);
+    return now >= this->electedAt + longest + longest / 10;
+}
+
+void LeaseTable::renewUpstream(const UpstreamId &id, TimePoint now)
+{
+    this->upstreamIssued[id] = now;
+}
+
+TimePoint LeaseTable::upstreamLapse(const UpstreamId &id) const
+{
+    const auto found = this->upstreamIssued.find(id);
+    const TimePoint issued = found == this->upstreamIssued.end() ? this->electedAt : found->second;
+    return issued + this->upstreamLease;
+}
+
+void LeaseTable::reportEntry(const EntryWatched &watch)
+{
+    EntryLease &entry = this->entries[watch.host];
+    entry.zone = watch.zone;
+    // Calls may be handled out of order; what an entry host has seen and drained only grows.
+    entry.seenRevision = std::max(entry.seenRevision, watch.seenRevision);
+    entry.drainedRevision = std::max(entry.drainedRevision, watch.drainedRevision);
+}
+
+void LeaseTable::renewEntry(const EntryHostId &host, TimePoint now)
+{
+    const auto found = this->entries.find(host);
+    if (found != this->entries.end()) {
+        found->second.until = now + this->entryLease;
+    }
+}
+
+bool LeaseTable::entryLive(const EntryHostId &host, TimePoint now) const
+{
+    const auto found = this->entries.find(host);
+    return found != this->entries.end() && now < found->second.until;
+}
+
+std::vector<EntryHostId> LeaseTable::liveEntries(TimePoint now) const
+{
+    std::vector<EntryHostId> live;
+    for (const auto &[host, entry] : this->entries) {
+        if (now < entry.until) {
+            live.push_back(host);
+        }
+    }
+    return live;
+}
+
+bool LeaseTable::allDrained(Revision revision, TimePoint now) const
+{
+    return std::all_of(this->entries.begin(), this->entries.end(), [&](const auto &item) {
+        return now >= item.second.until || item.second.drainedRevision >= revision;
+    });
+}
+
+bool LeaseTable::allSeen(Revision revision, TimePoint now) const
+{
+    return std::all_of(this->entries.begin(), this->entries.end(), [&](const auto &item) {
+        return now >= item.second.until || item.second.seenRevision >= revision;
+    });
+}
+
+void LeaseTable::prune(TimePoint now)
+{
+    std::erase_if(this->entries, [now, this](const auto &item) {
+        return now >= item.second.until + this->entryLease;
+    });
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/loadtable.cpp
@@ -0,0 +1,78 @@
+#include "version/loadtable.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr Milliseconds period { 1000 };
+constexpr double smoothing = 0.2; // share of the newest second
+constexpr double negligible = 0.01; // requests per second
+constexpr std::size_t maxKeys = 4096;
+
+void smooth(auto &loads)
+{
+    for (auto &[ref, load] : loads) {
+        load.smoothed += smoothing * (static_cast<double>(load.added) - load.smoothed);
+        load.added = 0;
+    }
+    std::erase_if(loads, [](const auto &item) { return item.second.smoothed < negligible; });
+}
+
+} // namespace
+
+void LoadTable::reset(TimePoint now)
+{
+    this->shardLoads.clear();
+    this->keyLoads.clear();
+    this->periodStart = now;
+}
+
+void LoadTable::addShard(const ShardRef &shard, std::uint32_t requests)
+{
+    this->shardLoads[shard].added += requests;
+}
+
+void LoadTable::addKey(const KeyRef &key, std::uint32_t requests)
+{
+    if (this->keyLoads.size() < maxKeys || this->keyLoads.contains(key)) {
+        this->keyLoads[key].added += requests;
+    }
+}
+
+void LoadTable::advance(TimePoint now)
+{
+    while (now - this->periodStart >= period) {
+        smooth(this->shardLoads);
+        smooth(this->keyLoads);
+        this->periodStart = this->periodStart + period;
+        if (this->shardLoads.empty() && this->keyLoads.empty()) {
+            this->periodStart = std::max(this->periodStart, now - period);
+        }
+    }
+}
+
+double LoadTable::shardLoad(const ShardRef &shard) const
+{
+    const auto found = this->shardLoads.find(shard);
+    return found == this->shardLoads.end() ? 0.0 : found->second.smoothed;
+}
+
+double LoadTable::keyLoad(const KeyRef &key) const
+{
+    const auto found = this->keyLoads.find(key);
+    return found == this->keyLoads.end() ? 0.0 : found->second.smoothed;
+}
+
+std::uint64_t LoadTable::keysSeen(const ShardRef &shard, std::uint32_t shards) const
+{
+    std::uint64_t count = 0;
+    const auto first = this->keyLoads.lower_bound({ shard.service, "" });
+    for (auto it = first; it != this->keyLoads.end() && it->first.service == shard.service; ++it) {
+        count += shardOfKey(it->first.key, shards) == shard.shard ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace cassiaroad
--- a/src/version/planbook.h
+++ b/src/version/planbook.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
     Plan plan;
     PlanState state = PlanState::Proposed;
     ConfirmationId confirmation; // valid unless proposed
+    std::set<RouteSubject> remaining; // subjects whose release has not started
+    Revision startedRevision = 0; // routing revision of the last step of the plan
 
     bool operator==(const PlanEntry &) const = default;
 };
@@ -47,6 +50,9 @@
      */
     Confirmation confirm(const Confirm &command, GroupTime now, WallTime wall, bool &isNew);
 
+    /** Records that the releases of @p subjects, a part of a plan, started at @p revision. */
+    void markStarted(PlanNumber plan, const std::vector<RouteSubject> &subjects, Revision revision);
+
     bool markInForce(const MarkInForce &command, GroupTime now, WallTime wall);
     bool markCompleted(PlanNumber plan, GroupTime now, WallTime wall);
 
@@ -71,13 +77,18 @@
     friend class ControlStateCodec;
 
     Confirmation refuse(const Confirm &command, ConfirmStatus status, std::string detail) const;
+    Confirmation accept(const Confirm &command, PlanEntry &entry);
+    Confirmation conflict(const Confirm &command, const PlanEntry &entry) const;
     bool makeRoom(GroupTime now);
+    void trimPlans();
     RecordEntry *recordOf(PlanNumber plan);
 
     Revision placement = 1;
     std::string lastCause;
-    ConfirmationId lastWinner; // confirmation that made the present placement; who empty: none
-    PlanNumber lastPlan = 0;
+    ConfirmationId lastWinner; // the confirmation accepted last; `who` is empty: none
+    PlanNumber lastPlan = 0; // the plan it accepted
+    Revision lastWinnerPlacement = 0; // the placement revision it made
+    PlanNumber planCounter = 0;
     std::map<PlanNumber, PlanEntry> plans;
     std::map<ConfirmationId, Confirmation> results;
     std::deque<RecordEntry> record; // by plan number
--- a/src/version/requestledger.h
+++ b/src/version/requestledger.h
@@ -108,7 +108,10 @@
     /** Resolves every record in flight of a lost entry host to unknown; returns their number. */
     std::size_t abandon(const EntryHostId &host);
 
-    /** Removes records older than @p retention and returns their number. In flight: see expiry. */
+    /**
+     * Removes records older than @p retention, and resolves records in flight for longer than
+     * an hour to unknown. Returns the number of records removed or resolved.
+     */
     std::size_t expire(GroupTime now, Milliseconds retention);
 
     std::size_t size() const { return this->records.size(); }
--- /dev/null
+++ b/src/version/routingstate.cpp
@@ -0,0 +1,424 @@
+#include "version/routingstate.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr std::size_t maxHistory = 1024; // revisions an entry host may lag behind without a copy
+constexpr std::size_t maxFormerInstances = 8;
+const std::string zoneOutPrefix = "zone-out.";
+
+auto findRoute(auto &shards, auto &keys, const RouteSubject &subject)
+{
+    if (const auto *shard = std::get_if<ShardRef>(&subject)) {
+        const auto found = shards.find(*shard);
+        return found == shards.end() ? nullptr : &found->second;
+    }
+    const auto found = keys.find(std::get<KeyRef>(subject));
+    return found == keys.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+bool RoutingState::commitChange()
+{
+    if (this->pending.empty()) {
+        return false;
+    }
+    ++this->currentRevision;
+    this->history.emplace_back(this->currentRevision, std::move(this->pending));
+    this->pending.clear();
+    if (this->history.size() > maxHistory) {
+        this->history.pop_front();
+    }
+    return true;
+}
+
+bool RoutingState::registerUpstream(const Upstream &upstream, GroupTime now)
+{
+    if (this->upstreamMap.contains(upstream.id)) {
+        return false;
+    }
+    UpstreamEntry entry;
+    entry.upstream = upstream;
+    entry.upSince = now;
+    entry.grantVersion = this->currentRevision + 1;
+    this->upstreamMap.emplace(upstream.id, std::move(entry));
+    this->changed(upstream.id);
+    return this->commitChange();
+}
+
+bool RoutingState::changeUpstream(const Upstream &upstream, UpstreamState state, GroupTime now)
+{
+    const auto found = this->upstreamMap.find(upstream.id);
+    if (found == this->upstreamMap.end()) {
+        return false;
+    }
+    UpstreamEntry &entry = found->second;
+    const auto &former = entry.formerInstances;
+    const bool superseded
+            = std::find(former.begin(), former.end(), upstream.instance) != former.end();
+    if (superseded || (entry.upstream == upstream && entry.state == state)) {
+        return false;
+    }
+    const bool restarted = entry.upstream.instance != upstream.instance;
+    if (restarted || (state == UpstreamState::Up && entry.state != UpstreamState::Up)) {
+        entry.upSince = now;
+    }
+    if (restarted) {
+        this->replaceInstance(entry, upstream.instance);
+    }
+    entry.upstream = upstream;
+    entry.state = state;
+    this->changed(upstream.id);
+    return this->commitChange();
+}
+
+void RoutingState::replaceInstance(UpstreamEntry &entry, const std::string &instance)
+{
+    entry.formerInstances.push_back(entry.upstream.instance);
+    if (entry.formerInstances.size() > maxFormerInstances) {
+        entry.formerInstances.erase(entry.formerInstances.begin());
+    }
+    entry.upstream.instance = instance;
+    entry.grantVersion = this->currentRevision + 1;
+    this->releaseAll(entry.upstream.id);
+}
+
+void RoutingState::releaseAll(const UpstreamId &owner)
+{
+    const auto releaseOwned = [this, &owner](auto &routes) {
+        for (auto &[ref, entry] : routes) {
+            if (ref.service == owner.service && entry.route.upstream == owner.name
+                && entry.route.state != RouteState::Unassigned) {
+                // The new instance of the same upstream is the nearest new owner.
+                entry.to = entry.to.empty() ? owner.name : entry.to;
+                this->release(ref, entry, MoveReason::Loss);
+            }
+        }
+    };
+    releaseOwned(this->shardMap);
+    releaseOwned(this->keyMap);
+}
+
+void RoutingState::release(const RouteSubject &subject, RouteEntry &entry, MoveReason reason)
+{
+    entry.route.state = RouteState::Releasing;
+    entry.route.reason = reason;
+    entry.releaseRevision = this->currentRevision + 1;
+    this->releasingSet.insert(subject);
+    this->touchGrants(subject, entry.route.upstream);
+    std::visit([this](const auto &ref) { this->changed(ref); }, subject);
+}
+
+bool RoutingState::removeUpstream(const UpstreamId &id)
+{
+    if (!this->upstreamMap.contains(id) || this->inUse(id)) {
+        return false;
+    }
+    this->upstreamMap.erase(id);
+    this->changed(id);
+    return this->commitChange();
+}
+
+bool RoutingState::setDrained(const UpstreamId &id, bool drained, GroupTime now)
+{
+    const auto found = this->upstreamMap.find(id);
+    if (found == this->upstreamMap.end() || found->second.drained == drained) {
+        return false;
+    }
+    found->second.drained = drained;
+    if (!drained) {
+        found->second.upSince = now;
+    }
+    this->changed(id);
+    return this->commitChange();
+}
+
+bool RoutingState::setZoneOut(const std::string &zone, bool out)
+{
+    return this->setOverride(zoneOutPrefix + zone, out ? "true" : "");
+}
+
+bool RoutingState::setOverride(const std::string &name, const std::string &value)
+{
+    const auto found = this->settingMap.find(name);
+    const bool present = found != this->settingMap.end();
+    if (value.empty() ? !present : (present && found->second == value)) {
+        return false;
+    }
+    if (value.empty()) {
+        this->settingMap.erase(found);
+    } else {
+        this->settingMap.insert_or_assign(name, value);
+    }
+    this->changed(UpstreamId {}); // overrides are part of every difference
+    return this->commitChange();
+}
+
+bool RoutingState::assign(const AssignShards &command)
+{
+    for (const ShardAssignment &assignment : command.shards) {
+        const ShardRef shard { command.service, assignment.shard };
+        if (this->shardMap.contains(shard)
+            || !this->upstreamMap.contains({ command.service, assignment.upstream })) {
+            continue;
+        }
+        RouteEntry entry;
+        entry.route = { RouteState::Owned, assignment.upstream, 1, MoveReason::Planned };
+        this->shardMap.emplace(shard, std::move(entry));
+        this->touchGrants(shard, assignment.upstream);
+        this->changed(shard);
+    }
+    return this->commitChange();
+}
+
+bool RoutingState::startMove(const StartMove &command, std::size_t movedKeyLimit)
+{
+    for (const ReleaseStart &move : command.moves) {
+        this->startOne(command, move, movedKeyLimit);
+    }
+    return this->commitChange();
+}
+
+bool RoutingState::startOne(const StartMove &command, const ReleaseStart &move,
+                            std::size_t movedKeyLimit)
+{
+    const auto *key = std::get_if<KeyRef>(&move.subject);
+    if (key != nullptr && move.epoch == 0 && !this->splitKey(*key, move.shard, movedKeyLimit)) {
+        return false;
+    }
+    RouteEntry *entry = this->mutableRoute(move.subject);
+    if (entry == nullptr || (move.epoch != 0 && entry->route.epoch != move.epoch)) {
+        return false;
+    }
+    const bool owned = entry->route.state == RouteState::Owned;
+    const bool becomesLoss = entry->route.state == RouteState::Releasing
+                             && entry->route.reason == MoveReason::Planned
+                             && command.reason == MoveReason::Loss;
+    if (!owned && !becomesLoss) {
+        return false;
+    }
+    if (owned) {
+        entry->plan = command.plan;
+    }
+    entry->to = move.to;
+    this->release(move.subject, *entry, command.reason);
+    return true;
+}
+
+bool RoutingState::splitKey(const KeyRef &key, std::uint32_t shard, std::size_t movedKeyLimit)
+{
+    if (this->keyMap.contains(key) || this->keyMap.size() >= movedKeyLimit) {
+        return false;
+    }
+    const auto found = this->shardMap.find({ key.service, shard });
+    if (found == this->shardMap.end() || found->second.route.state != RouteState::Owned) {
+        return false;
+    }
+    RouteEntry entry;
+    entry.route = found->second.route;
+    entry.route.epoch = this->keyEpochFloor + 1;
+    entry.shard = shard;
+    this->keyMap.emplace(key, std::move(entry));
+    return true;
+}
+
+bool RoutingState::completeMove(const CompleteMove &command)
+{
+    for (const OwnerChange &move : command.moves) {
+        this->completeOne(move);
+    }
+    return this->commitChange();
+}
+
+bool RoutingState::completeOne(const OwnerChange &move)
+{
+    RouteEntry *entry = this->mutableRoute(move.subject);
+    const std::string &service = serviceOf(move.subject);
+    if (entry == nullptr || entry->route.state != RouteState::Releasing
+        || entry->route.epoch != move.epoch || !this->upstreamMap.contains({ service, move.to })) {
+        return false;
+    }
+    this->touchGrants(move.subject, entry->route.upstream);
+    entry->route = { RouteState::Owned, move.to, move.epoch + 1, MoveReason::Planned };
+    entry->to.clear();
+    entry->plan = 0;
+    this->releasingSet.erase(move.subject);
+    this->touchGrants(move.subject, move.to);
+    std::visit([this](const auto &ref) { this->changed(ref); }, move.subject);
+    if (const auto *key = std::get_if<KeyRef>(&move.subject)) {
+        this->mergeKey(*key);
+    } else {
+        this->mergeKeys(std::get<ShardRef>(move.subject));
+    }
+    return true;
+}
+
+void RoutingState::mergeKeys(const ShardRef &shard)
+{
+    std::vector<KeyRef> candidates;
+    for (const auto &[key, entry] : this->keyMap) {
+        if (key.service == shard.service && entry.shard == shard.shard) {
+            candidates.push_back(key);
+        }
+    }
+    for (const KeyRef &key : candidates) {
+        this->mergeKey(key);
+    }
+}
+
+// A moved key whose shard has the same owner needs no route of its own; this frees its place in
+// the bounded table. Its epoch is kept as a floor, so that a later move never repeats an epoch.
+bool RoutingState::mergeKey(const KeyRef &key)
+{
+    const auto entry = this->keyMap.find(key);
+    const auto shard = this->shardMap.find({ key.service, entry->second.shard });
+    if (shard == this->shardMap.end() || shard->second.route.state != RouteState::Owned
+        || entry->second.route.state != RouteState::Owned
+        || shard->second.route.upstream != entry->second.route.upstream) {
+        return false;
+    }
+    this->keyEpochFloor = std::max(this->keyEpochFloor, entry->second.route.epoch);
+    this->keyMap.erase(entry);
+    this->touchService(key.service);
+    this->changed(key);
+    return true;
+}
+
+void RoutingState::touchGrants(const RouteSubject &subject, const std::string &owner)
+{
+    // Every upstream of the service may hold the shard of a key and so lists it as moved away.
+    if (std::holds_alternative<KeyRef>(subject)) {
+        this->touchService(serviceOf(subject));
+        return;
+    }
+    const auto found = this->upstreamMap.find({ serviceOf(subject), owner });
+    if (found != this->upstreamMap.end()) {
+        found->second.grantVersion = this->currentRevision + 1;
+    }
+}
+
+void RoutingState::touchService(const std::string &service)
+{
+    for (auto &[id, entry] : this->upstreamMap) {
+        if (id.service == service) {
+            entry.grantVersion = this->currentRevision + 1;
+        }
+    }
+}
+
+RouteEntry *RoutingState::mutableRoute(const RouteSubject &subject)
+{
+    return findRoute(this->shardMap, this->keyMap, subject);
+}
+
+const RouteEntry *RoutingState::route(const RouteSubject &subject) const
+{
+    return findRoute(this->shardMap, this->keyMap, subject);
+}
+
+const UpstreamEntry *RoutingState::upstream(const UpstreamId &id) const
+{
+    const auto found = this->upstreamMap.find(id);
+    return found == this->upstreamMap.end() ? nullptr : &found->second;
+}
+
+bool RoutingState::zoneOut(const std::string &zone) const
+{
+    return this->settingMap.contains(zoneOutPrefix + zone);
+}
+
+bool RoutingState::accepts(const UpstreamEntry &entry) const
+{
+    return entry.state == UpstreamState::Up && !entry.drained && !entry.upstream.draining
+           && !this->zoneOut(entry.upstream.zone);
+}
+
+bool RoutingState::inUse(const UpstreamId &id) const
+{
+    const auto uses = [&id](const auto &routes) {
+        return std::any_of(routes.begin(), routes.end(), [&id](const auto &item) {
+            return item.first.service == id.service
+                   && (item.second.route.upstream == id.name || item.second.to == id.name);
+        });
+    };
+    return uses(this->shardMap) || uses(this->keyMap);
+}
+
+RouteDelta RoutingState::completeTable() const
+{
+    RouteDelta delta;
+    delta.toRevision = this->currentRevision;
+    for (const auto &[id, entry] : this->upstreamMap) {
+        delta.upstreams.push_back(entry.upstream);
+    }
+    for (const auto &[shard, entry] : this->shardMap) {
+        delta.shards.emplace_back(shard, entry.route);
+    }
+    for (const auto &[key, entry] : this->keyMap) {
+        delta.keys.emplace_back(key, entry.route);
+    }
+    delta.settings = this->settingMap;
+    return delta;
+}
+
+RouteDelta RoutingState::deltaSince(Revision since) const
+{
+    const Revision oldest
+            = this->history.empty() ? this->currentRevision + 1 : this->history.front().first;
+    const bool known = since + 1 >= oldest || since == this->currentRevision;
+    if (since == 0 || since > this->currentRevision || !known) {
+        return this->completeTable();
+    }
+    std::set<Change> changes;
+    for (auto it = this->history.rbegin(); it != this->history.rend() && it->first > since; ++it) {
+        changes.insert(it->second.begin(), it->second.end());
+    }
+    RouteDelta delta;
+    delta.fromRevision = since;
+    delta.toRevision = this->currentRevision;
+    delta.settings = this->settingMap;
+    for (const Change &change : changes) {
+        this->addChange(delta, change);
+    }
+    return delta;
+}
+
+void RoutingState::addChange(RouteDelta &delta, const Change &change) const
+{
+    if (const auto *shard = std::get_if<ShardRef>(&change)) {
+        delta.shards.emplace_back(*shard, this->shardMap.at(*shard).route);
+    } else if (const auto *key = std::get_if<KeyRef>(&change)) {
+        const RouteEntry *entry = this->route(*key);
+        if (entry != nullptr) {
+            delta.keys.emplace_back(*key, entry->route);
+        } else {
+            delta.removedKeys.push_back(*key);
+        }
+    } else if (const auto &id = std::get<UpstreamId>(change); !id.name.empty()) {
+        const UpstreamEntry *entry = this->upstream(id);
+        if (entry != nullptr) {
+            delta.upstreams.push_back(entry->upstream);
+        } else {
+            delta.removedUpstreams.push_back(id);
+        }
+    }
+}
+
+void RoutingState::collectReleasing()
+{
+    const auto collect = [this](const auto &routes) {
+        for (const auto &[ref, entry] : routes) {
+            if (entry.route.state == RouteState::Releasing) {
+                this->releasingSet.insert(ref);
+            }
+        }
+    };
+    collect(this->shardMap);
+    collect(this->keyMap);
+}
+
+} // namespace cassiaroad
--- a/src/version/routingstate.h
+++ b/src/version/routingstate.h
@@ -31,6 +31,7 @@
     std::string to; // new owner while releasing; empty: chosen at completion
     PlanNumber plan = 0; // plan that started the release; 0: none
     Revision releaseRevision = 0; // revision at which the release, or its present reason, began
+    std::uint32_t shard = 0; // of a moved key: the shard it belongs to by its hash
 
     bool operator==(const RouteEntry &) const = default;
 };
@@ -86,13 +87,21 @@
     friend class ControlStateCodec;
     using Change = std::variant<ShardRef, KeyRef, UpstreamId>;
 
+    void collectReleasing();
+    void addChange(RouteDelta &delta, const Change &change) const;
     RouteEntry *mutableRoute(const RouteSubject &subject);
     void touchGrants(const RouteSubject &subject, const std::string &owner);
+    void touchService(const std::string &service);
     void changed(const Change &change) { this->pending.push_back(change); }
     bool commitChange();
     void replaceInstance(UpstreamEntry &entry, const std::string &instance);
     bool startOne(const StartMove &command, const ReleaseStart &move, std::size_t movedKeyLimit);
-    bool splitKey(const KeyRef &key, std::size_t movedKeyLimit);
+    bool splitKey(const KeyRef &key, std::uint32_t shard, std::size_t movedKeyLimit);
+    bool completeOne(const OwnerChange &move);
+    void mergeKeys(const ShardRef &shard);
+    bool mergeKey(const KeyRef &key);
+    void release(const RouteSubject &subject, RouteEntry &entry, MoveReason reason);
+    void releaseAll(const UpstreamId &owner);
     RouteDelta completeTable() const;
 
     Revision currentRevision = 0;
@@ -101,6 +110,7 @@
     std::map<KeyRef, RouteEntry> keyMap;
     std::map<std::string, std::string> settingMap;
     std::set<RouteSubject> releasingSet;
+    Epoch keyEpochFloor = 0; // highest epoch of a key that is no longer moved
     std::vector<Change> pending;
     std::deque<std::pair<Revision, std::vector<Change>>> history; // for deltas; not in snapshots
 };
