--- /dev/null
+++ b/src/version/entrysupervisor.cpp
@@ -0,0 +1,118 @@
+#include "version/entrysupervisor.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+// A host that still has requests in flight on releasing shards reports again after this time.
+constexpr Milliseconds drainingHold { 20 };
+
+} // namespace
+
+EntrySupervisor::EntrySupervisor(LeaderContext &leaderContext)
+    : context(leaderContext)
+{ }
+
+void EntrySupervisor::watched(const EntryWatched &event)
+{
+    const auto earlier = this->held.find(event.host);
+    if (earlier != this->held.end()) {
+        const Held watch = earlier->second;
+        this->held.erase(earlier);
+        this->answer(event.host, watch);
+    }
+    this->noteReports(event);
+    if (event.stopping) {
+        this->context.leases.endEntry(event.host);
+        this->context.actions.emplace_back(ReplyWatch { event.call, {}, { 0 }, 0 });
+        return;
+    }
+    this->context.leases.reportEntry(event);
+    const Held watch { event.call, event.seenRevision, this->context.now };
+    if (event.seenRevision == 0 || this->due(event.host, watch)) {
+        this->answer(event.host, watch);
+    } else {
+        this->held.emplace(event.host, watch);
+    }
+}
+
+void EntrySupervisor::noteReports(const EntryWatched &event)
+{
+    for (const UpstreamHealth &health : event.health) {
+        if (this->context.state.routing().upstream(health.upstream) != nullptr) {
+            this->context.health.report(event.host, health, this->context.now);
+        }
+    }
+    for (const ShardRequests &load : event.shardLoad) {
+        const ServiceShards *service = this->context.service(load.shard.service);
+        if (service != nullptr && load.shard.shard < service->shards) {
+            this->context.loads.addShard(load.shard, load.requests);
+        }
+    }
+    for (const KeyRequests &load : event.keyLoad) {
+        this->context.loads.addKey(load.key, load.requests);
+    }
+}
+
+bool EntrySupervisor::due(const EntryHostId &host, const Held &watch) const
+{
+    if (this->context.state.revision() > watch.seenRevision) {
+        return true;
+    }
+    const auto lease = this->context.leases.all().find(host);
+    const bool draining = lease != this->context.leases.all().end()
+                          && lease->second.drainedRevision < watch.seenRevision
+                          && !this->context.state.routing().releasing().empty();
+    const Milliseconds hold = draining ? std::min(drainingHold, this->context.config.watchHold)
+                                       : this->context.config.watchHold;
+    return this->context.now - watch.since >= hold;
+}
+
+void EntrySupervisor::answer(const EntryHostId &host, const Held &watch)
+{
+    this->context.leases.renewEntry(host, this->context.now);
+    const auto hosts = this->context.leases.liveEntries(this->context.now).size();
+    this->context.actions.emplace_back(
+            ReplyWatch { watch.call, this->context.state.deltaSince(watch.seenRevision),
+                         this->context.config.entryLease, static_cast<std::uint32_t>(hosts) });
+}
+
+void EntrySupervisor::step()
+{
+    for (auto it = this->held.begin(); it != this->held.end();) {
+        if (this->due(it->first, it->second)) {
+            this->answer(it->first, it->second);
+            it = this->held.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    this->abandonLost();
+    this->context.leases.prune(this->context.now);
+}
+
+void EntrySupervisor::abandonLost()
+{
+    if (!this->context.leases.takeoverPassed(this->context.now)) {
+        return;
+    }
+    for (const auto &[host, count] : this->context.state.ledger().hostsInFlight()) {
+        if (!this->context.leases.entryLive(host, this->context.now)
+            && !this->context.proposals.inFlight(host)) {
+            this->context.propose(LedgerAbandon { host }, { host });
+        }
+    }
+}
+
+std::vector<CallId> EntrySupervisor::waitingCalls() const
+{
+    std::vector<CallId> calls;
+    for (const auto &[host, watch] : this->held) {
+        calls.push_back(watch.call);
+    }
+    return calls;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/leadercontext.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "version/controlstate.h"
+#include "version/healthtable.h"
+#include "version/leasetable.h"
+#include "version/loadtable.h"
+#include "version/ownershipconfig.h"
+#include "version/placementpolicy.h"
+#include "version/proposaltable.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace cassiaroad {
+
+/**
+ * What the parts of the ownership manager share while this member leads: the replicated state,
+ * the leader's memory, the present time and the actions of the event being handled.
+ */
+struct LeaderContext
+{
+    LeaderContext(const ControlState &controlState, OwnershipConfig ownershipConfig)
+        : state(controlState)
+        , config(std::move(ownershipConfig))
+        , leases(this->config.upstreamLease, this->config.entryLease)
+    { }
+
+    void propose(CommandBody body, std::vector<ProposalSubject> about, CallId call = 0)
+    {
+        this->actions.emplace_back(
+                this->proposals.propose(std::move(body), std::move(about), call, this->now));
+    }
+
+    /** Returns the settings of a service, or nullptr if it is not served. */
+    const ServiceShards *service(const std::string &name) const
+    {
+        for (const ServiceShards &candidate : this->config.services) {
+            if (candidate.name == name) {
+                return &candidate;
+            }
+        }
+        return nullptr;
+    }
+
+    const ControlState &state;
+    const OwnershipConfig config;
+    LeaseTable leases;
+    HealthTable health;
+    LoadTable loads;
+    ProposalTable proposals;
+    TimePoint now;
+    std::vector<OwnershipAction> actions;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/movesupervisor.cpp
@@ -0,0 +1,322 @@
+#include "version/movesupervisor.h"
+
+#include "version/grantbuilder.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr std::size_t assignBatch = 1024;
+constexpr std::size_t moveBatch = 256;
+
+std::string assignSubject(const std::string &service)
+{
+    return "assign " + service;
+}
+
+} // namespace
+
+MoveSupervisor::MoveSupervisor(LeaderContext &leaderContext,
+                               const UpstreamSupervisor &upstreamSupervisor)
+    : context(leaderContext)
+    , upstreams(upstreamSupervisor)
+{ }
+
+void MoveSupervisor::reset()
+{
+    this->lapses.clear();
+    this->unassigned.clear();
+    this->syncedRevision.reset();
+    this->scannedRevision.reset();
+}
+
+void MoveSupervisor::sync()
+{
+    const RoutingState &routing = this->context.state.routing();
+    if (this->syncedRevision == routing.revision()) {
+        return;
+    }
+    this->syncedRevision = routing.revision();
+    std::erase_if(this->lapses, [&routing](const auto &item) {
+        return !routing.releasing().contains(item.first);
+    });
+    for (const RouteSubject &subject : routing.releasing()) {
+        const RouteEntry &entry = *routing.route(subject);
+        const UpstreamId id { serviceOf(subject), entry.route.upstream };
+        const UpstreamEntry *owner = routing.upstream(id);
+        if (owner != nullptr && GrantBuilder::contains(entry, *owner)) {
+            this->lapses.erase(subject);
+            continue;
+        }
+        const auto known = this->lapses.find(subject);
+        if (known == this->lapses.end() || known->second.epoch != entry.route.epoch) {
+            this->lapses[subject] = { entry.route.epoch, this->context.leases.upstreamLapse(id) };
+        }
+    }
+}
+
+bool MoveSupervisor::assignDue() const
+{
+    return std::any_of(this->unassigned.begin(), this->unassigned.end(),
+                       [this](const std::string &service) {
+                           return this->upstreams.assignmentDue(service)
+                                  && !this->context.proposals.inFlight(assignSubject(service));
+                       });
+}
+
+void MoveSupervisor::step()
+{
+    this->targets.clear();
+    const Revision revision = this->context.state.revision();
+    if (this->scannedRevision != revision || this->assignDue()) {
+        this->scannedRevision = revision;
+        this->scan();
+    }
+    this->startPlans();
+    this->complete();
+}
+
+void MoveSupervisor::scan()
+{
+    for (const ServiceShards &service : this->context.config.services) {
+        this->assignShards(service);
+        this->releaseService(service);
+    }
+}
+
+void MoveSupervisor::assignShards(const ServiceShards &service)
+{
+    const RoutingState &routing = this->context.state.routing();
+    AssignShards command { service.name, {} };
+    for (std::uint32_t shard = this->context.config.regionIndex; shard < service.shards;
+         shard += this->context.config.regionCount) {
+        if (routing.route(ShardRef { service.name, shard }) == nullptr) {
+            command.shards.push_back({ shard, "" });
+        }
+    }
+    if (command.shards.empty()) {
+        this->unassigned.erase(service.name);
+        return;
+    }
+    this->unassigned.insert(service.name);
+    if (!this->upstreams.assignmentDue(service.name)
+        || this->context.proposals.inFlight(assignSubject(service.name))) {
+        return;
+    }
+    command.shards.resize(std::min(command.shards.size(), assignBatch));
+    const Targets &chosen = this->targetsOf(service.name);
+    for (ShardAssignment &assignment : command.shards) {
+        const auto target = chosen.find(assignment.shard);
+        assignment.upstream = target == chosen.end() ? "" : target->second;
+    }
+    std::erase_if(command.shards, [](const auto &item) { return item.upstream.empty(); });
+    if (!command.shards.empty()) {
+        this->context.propose(std::move(command), { assignSubject(service.name) });
+    }
+}
+
+std::optional<MoveReason> MoveSupervisor::reasonToMove(const UpstreamId &owner,
+                                                       const RouteEntry &entry) const
+{
+    const UpstreamEntry *upstream = this->context.state.routing().upstream(owner);
+    const bool owned = entry.route.state == RouteState::Owned;
+    if (upstream == nullptr || upstream->state != UpstreamState::Up) {
+        const bool lossKnown = !owned && entry.route.reason == MoveReason::Loss;
+        return lossKnown ? std::nullopt : std::optional(MoveReason::Loss);
+    }
+    const bool leaves = upstream->upstream.draining && owned;
+    return leaves ? std::optional(MoveReason::Planned) : std::nullopt;
+}
+
+void MoveSupervisor::releaseService(const ServiceShards &service)
+{
+    std::map<MoveReason, std::vector<ReleaseStart>> starts;
+    const auto collect = [&](const auto &routes) {
+        for (const auto &[ref, entry] : routes) {
+            if (ref.service != service.name
+                || this->context.proposals.inFlight(RouteSubject(ref))) {
+                continue;
+            }
+            const auto reason = this->reasonToMove({ ref.service, entry.route.upstream }, entry);
+            if (!reason) {
+                continue;
+            }
+            const std::string to = this->targetFor(ref, entry);
+            // A draining owner still serves; without another upstream it keeps the subject.
+            if (*reason == MoveReason::Loss || !to.empty()) {
+                starts[*reason].push_back({ ref, entry.route.epoch, to, 0 });
+            }
+        }
+    };
+    collect(this->context.state.routing().shards());
+    collect(this->context.state.routing().keys());
+    for (auto &[reason, moves] : starts) {
+        this->proposeStart(reason, 0, std::move(moves));
+    }
+}
+
+const MoveSupervisor::Targets &MoveSupervisor::targetsOf(const std::string &service)
+{
+    const auto found = this->targets.find(service);
+    if (found != this->targets.end()) {
+        return found->second;
+    }
+    Targets &chosen = this->targets[service];
+    const ServiceShards *settings = this->context.service(service);
+    if (settings == nullptr) {
+        return chosen;
+    }
+    const PlacementInput input = PlacementInput::read(this->context.state, this->context.loads,
+                                                      this->context.config, *settings);
+    const PlacementPolicy policy(
+            PlacementInput::weights(this->context.state, this->context.config));
+    for (const PlacementMove &move : policy.placeUnserved(input.servers, input.shards)) {
+        chosen[move.shard] = move.to;
+    }
+    return chosen;
+}
+
+bool MoveSupervisor::accepts(const std::string &service, const std::string &upstream) const
+{
+    const RoutingState &routing = this->context.state.routing();
+    const UpstreamEntry *entry = routing.upstream({ service, upstream });
+    return entry != nullptr && routing.accepts(*entry);
+}
+
+std::string MoveSupervisor::targetFor(const RouteSubject &subject, const RouteEntry &entry)
+{
+    const std::string &service = serviceOf(subject);
+    if (!entry.to.empty() && this->accepts(service, entry.to)) {
+        return entry.to;
+    }
+    const auto *shard = std::get_if<ShardRef>(&subject);
+    const Targets &chosen = this->targetsOf(service);
+    const auto found = chosen.find(shard != nullptr ? shard->shard : entry.shard);
+    if (found != chosen.end()) {
+        return found->second;
+    }
+    // A moved key goes back to the owner of its shard, which needs no new placement.
+    const RouteEntry *home
+            = shard != nullptr
+                      ? nullptr
+                      : this->context.state.routing().route(ShardRef { service, entry.shard });
+    if (home == nullptr) {
+        return "";
+    }
+    const std::string &owner
+            = home->route.state == RouteState::Releasing ? home->to : home->route.upstream;
+    return this->accepts(service, owner) ? owner : "";
+}
+
+void MoveSupervisor::proposeStart(MoveReason reason, PlanNumber plan,
+                                  std::vector<ReleaseStart> moves)
+{
+    for (std::size_t first = 0; first < moves.size(); first += moveBatch) {
+        const std::size_t last = std::min(moves.size(), first + moveBatch);
+        StartMove command { reason, plan, {} };
+        std::vector<ProposalSubject> about;
+        for (std::size_t i = first; i < last; ++i) {
+            about.emplace_back(moves[i].subject);
+            command.moves.push_back(std::move(moves[i]));
+        }
+        this->context.propose(std::move(command), std::move(about));
+    }
+}
+
+void MoveSupervisor::startPlans()
+{
+    for (const PlanNumber number : this->context.state.plans().active()) {
+        const PlanEntry *entry = this->context.state.plans().find(number);
+        if (!entry->remaining.empty()) {
+            this->startPlan(*entry);
+        }
+    }
+}
+
+void MoveSupervisor::startPlan(const PlanEntry &entry)
+{
+    std::vector<ReleaseStart> starts;
+    for (const PlannedMove &move : entry.plan.moves) {
+        if (!entry.remaining.contains(move.subject)
+            || this->context.proposals.inFlight(move.subject)) {
+            continue;
+        }
+        if (auto start = this->planStart(move)) {
+            starts.push_back(std::move(*start));
+        }
+    }
+    this->proposeStart(MoveReason::Planned, entry.plan.number, std::move(starts));
+}
+
+std::optional<ReleaseStart> MoveSupervisor::planStart(const PlannedMove &move) const
+{
+    const RoutingState &routing = this->context.state.routing();
+    const RouteEntry *route = routing.route(move.subject);
+    if (route != nullptr) {
+        const bool waits = route->route.state == RouteState::Releasing
+                           && route->route.reason == MoveReason::Planned;
+        return waits ? std::nullopt
+                     : std::optional(ReleaseStart { move.subject, route->route.epoch, move.to, 0 });
+    }
+    const auto *key = std::get_if<KeyRef>(&move.subject);
+    if (key == nullptr) {
+        return std::nullopt;
+    }
+    const std::uint32_t shard = shardOfKey(key->key, this->context.service(key->service)->shards);
+    const RouteEntry *home = routing.route(ShardRef { key->service, shard });
+    if (home == nullptr || home->route.state != RouteState::Owned) {
+        return std::nullopt;
+    }
+    return ReleaseStart { move.subject, 0, move.to, shard };
+}
+
+bool MoveSupervisor::mayComplete(const RouteSubject &subject, const RouteEntry &entry) const
+{
+    if (!this->context.leases.allDrained(entry.releaseRevision, this->context.now)) {
+        return false;
+    }
+    const auto lapse = this->lapses.find(subject);
+    if (lapse != this->lapses.end() && this->context.now >= lapse->second.at) {
+        return true;
+    }
+    const UpstreamId owner { serviceOf(subject), entry.route.upstream };
+    if (entry.route.reason == MoveReason::Loss) {
+        return false;
+    }
+    return this->upstreams.released(subject, entry.route.epoch)
+           || this->context.now >= this->context.leases.upstreamLapse(owner);
+}
+
+void MoveSupervisor::complete()
+{
+    if (!this->context.leases.takeoverPassed(this->context.now)) {
+        return;
+    }
+    CompleteMove command;
+    std::vector<ProposalSubject> about;
+    for (const RouteSubject &subject : this->context.state.routing().releasing()) {
+        const RouteEntry &entry = *this->context.state.routing().route(subject);
+        if (this->context.proposals.inFlight(subject) || !this->mayComplete(subject, entry)) {
+            continue;
+        }
+        std::string to = this->targetFor(subject, entry);
+        if (to.empty() && entry.route.reason == MoveReason::Planned) {
+            to = entry.route.upstream; // no other upstream is left; the owner still serves
+        }
+        if (to.empty()) {
+            continue;
+        }
+        command.moves.push_back({ subject, entry.route.epoch, std::move(to) });
+        about.emplace_back(subject);
+        if (command.moves.size() == moveBatch) {
+            this->context.propose(std::exchange(command, {}), std::exchange(about, {}));
+        }
+    }
+    if (!command.moves.empty()) {
+        this->context.propose(std::move(command), std::move(about));
+    }
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/ownershipconfig.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "process/clock.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cassiaroad {
+
+/** A service as the control group sees it. */
+struct ServiceShards
+{
+    std::string name;
+    std::uint32_t shards = 1024;
+};
+
+/** Settings of the ownership manager. */
+struct OwnershipConfig
+{
+    std::string zone; // of this member
+    std::uint32_t regionIndex = 0; // of the group's region among the regions
+    std::uint32_t regionCount = 1;
+    std::vector<ServiceShards> services;
+    Milliseconds upstreamLease { 1000 };
+    Milliseconds entryLease { 1000 };
+    Milliseconds announceInterval { 150 };
+    Milliseconds watchHold { 150 };
+    Milliseconds initialAssignment { 2000 };
+    std::uint32_t ejectPercent = 20;
+    double imbalanceWeight = 1.0;
+    double churnWeight = 1.0;
+    double unavailabilityWeight = 1.0;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/ownershipmanager.cpp
@@ -0,0 +1,247 @@
+#include "version/ownershipmanager.h"
+
+#include "version/entrysupervisor.h"
+#include "version/leadercontext.h"
+#include "version/movesupervisor.h"
+#include "version/plansupervisor.h"
+#include "version/upstreamsupervisor.h"
+
+#include <optional>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr Milliseconds expireInterval { 60000 };
+const std::string expireSubject = "expire";
+
+/** The call of an event that a caller waits for; 0: none. */
+template <typename Event>
+CallId callOf(const Event &event)
+{
+    if constexpr (requires { event.call; }) {
+        return event.call;
+    }
+    return 0;
+}
+
+} // namespace
+
+struct OwnershipManager::Private
+{
+    Private(const ControlState &state, OwnershipConfig config)
+        : context(state, std::move(config))
+        , upstreams(context)
+        , entries(context)
+        , moves(context, upstreams)
+        , plans(context)
+    { }
+
+    void on(const LeadershipGained &event);
+    void on(const LeadershipLost &event);
+    void on(const Tick &event);
+    void on(const EntryWatched &event) { this->entries.watched(event); }
+    void on(const Announced &event) { this->upstreams.announced(event); }
+    void on(const BeginRequested &event);
+    void on(const FinishRequested &event);
+    void on(const PlanRequested &event) { this->plans.planRequested(event); }
+    void on(const ConfirmRequested &event) { this->plans.confirmRequested(event); }
+    void on(const CommandCommitted &event);
+    void on(const ProposalFailed &event);
+
+    void dispatch(const OwnershipEvent &event, bool hasLeaderLease);
+    void answerCommitted(CallId call, const CommandResult &result);
+    void step();
+    void forgetLeadership();
+    void expire();
+
+    LeaderContext context;
+    UpstreamSupervisor upstreams;
+    EntrySupervisor entries;
+    MoveSupervisor moves;
+    PlanSupervisor plans;
+    bool leading = false;
+    std::optional<Revision> steppedRevision;
+    TimePoint lastExpiry;
+};
+
+OwnershipManager::OwnershipManager(const ControlState &state, OwnershipConfig config)
+    : d(std::make_unique<Private>(state, std::move(config)))
+{ }
+
+OwnershipManager::~OwnershipManager() = default;
+
+std::vector<OwnershipAction> OwnershipManager::handle(const OwnershipEvent &event, TimePoint now,
+                                                      bool hasLeaderLease)
+{
+    this->d->context.now = now;
+    if (this->d->leading) {
+        this->d->moves.sync();
+    }
+    this->d->dispatch(event, hasLeaderLease);
+    const bool ticked = std::holds_alternative<Tick>(event);
+    const bool changed = this->d->steppedRevision != this->d->context.state.revision();
+    if (this->d->leading && hasLeaderLease && (ticked || changed)) {
+        this->d->step();
+    }
+    return std::exchange(this->d->context.actions, {});
+}
+
+bool OwnershipManager::mayCompleteMoves(TimePoint now) const
+{
+    return this->d->leading && this->d->context.leases.takeoverPassed(now);
+}
+
+std::vector<EntryHostStatus> OwnershipManager::entryHosts(TimePoint now) const
+{
+    std::vector<EntryHostStatus> hosts;
+    for (const auto &[host, lease] : this->d->context.leases.all()) {
+        if (now < lease.until) {
+            hosts.push_back({ host, lease.zone, lease.seenRevision, lease.drainedRevision });
+        }
+    }
+    return hosts;
+}
+
+void OwnershipManager::Private::dispatch(const OwnershipEvent &event, bool hasLeaderLease)
+{
+    std::visit(
+            [this, hasLeaderLease](const auto &value) {
+                const CallId call = callOf(value);
+                if (call != 0 && !(this->leading && hasLeaderLease)) {
+                    this->context.actions.emplace_back(ReplyNotLeader { call });
+                    return;
+                }
+                this->on(value);
+            },
+            event);
+}
+
+void OwnershipManager::Private::on(const LeadershipGained &)
+{
+    this->forgetLeadership();
+    this->leading = true;
+    this->context.leases.reset(this->context.now);
+    this->context.health.reset();
+    this->context.loads.reset(this->context.now);
+    this->lastExpiry = this->context.now;
+    this->moves.sync();
+}
+
+void OwnershipManager::Private::on(const LeadershipLost &)
+{
+    this->forgetLeadership();
+    this->leading = false;
+}
+
+void OwnershipManager::Private::forgetLeadership()
+{
+    for (const auto &calls : { this->context.proposals.waitingCalls(), this->plans.waitingCalls(),
+                               this->entries.waitingCalls() }) {
+        for (const CallId call : calls) {
+            this->context.actions.emplace_back(ReplyNotLeader { call });
+        }
+    }
+    this->context.proposals.reset(this->context.state.groupTime(), this->context.now);
+    this->upstreams.reset();
+    this->entries.reset();
+    this->moves.reset();
+    this->plans.reset();
+    this->steppedRevision.reset();
+}
+
+void OwnershipManager::Private::on(const Tick &event)
+{
+    this->context.proposals.setWall(event.wall, this->context.now);
+    this->context.loads.advance(this->context.now);
+}
+
+void OwnershipManager::Private::on(const BeginRequested &event)
+{
+    const LedgerBegin &request = event.request;
+    const bool hostLost = this->context.leases.takeoverPassed(this->context.now)
+                          && !this->context.leases.entryLive(request.host, this->context.now);
+    if (hostLost) {
+        this->context.actions.emplace_back(
+                ReplyFailed { event.call, "the entry host has no lease" });
+        return;
+    }
+    const LedgerRecord *record = this->context.state.ledger().find(request.key);
+    const GroupTime age
+            = record == nullptr ? 0 : this->context.state.groupTime() - record->startedAt;
+    const bool answerable = record != nullptr && record->digest == request.digest
+                            && age < this->context.state.limits().ledgerRetention.count;
+    if (answerable) {
+        LedgerBeginResult result = std::visit(
+                [](const auto &value) -> LedgerBeginResult { return value; }, record->state);
+        this->context.actions.emplace_back(ReplyBegin { event.call, std::move(result) });
+        return;
+    }
+    this->context.propose(request, {}, event.call);
+}
+
+void OwnershipManager::Private::on(const FinishRequested &event)
+{
+    this->context.propose(event.request, {}, event.call);
+}
+
+void OwnershipManager::Private::on(const CommandCommitted &event)
+{
+    const std::optional<PendingProposal> proposal = this->context.proposals.take(event.proposal);
+    if (proposal && proposal->call != 0) {
+        this->answerCommitted(proposal->call, event.result);
+    }
+    if (std::holds_alternative<CommandIgnored>(event.result)) {
+        this->moves.rescan();
+    }
+}
+
+void OwnershipManager::Private::answerCommitted(CallId call, const CommandResult &result)
+{
+    if (const auto *begin = std::get_if<LedgerBeginResult>(&result)) {
+        this->context.actions.emplace_back(ReplyBegin { call, *begin });
+    } else if (const auto *finish = std::get_if<LedgerFinishResult>(&result)) {
+        this->context.actions.emplace_back(ReplyFinish { call, *finish });
+    } else if (const auto *plan = std::get_if<Plan>(&result)) {
+        this->context.actions.emplace_back(ReplyPlan { call, "", *plan });
+    } else if (const auto *confirmation = std::get_if<Confirmation>(&result)) {
+        this->plans.confirmed(call, *confirmation);
+    } else {
+        this->context.actions.emplace_back(ReplyFailed { call, "the command was ignored" });
+    }
+}
+
+void OwnershipManager::Private::on(const ProposalFailed &event)
+{
+    const std::optional<PendingProposal> proposal = this->context.proposals.take(event.proposal);
+    if (proposal && proposal->call != 0) {
+        this->context.actions.emplace_back(
+                ReplyFailed { proposal->call, "the log did not accept the change" });
+    }
+    this->moves.rescan();
+}
+
+void OwnershipManager::Private::step()
+{
+    this->steppedRevision = this->context.state.revision();
+    this->upstreams.step();
+    this->moves.step();
+    this->plans.step();
+    this->entries.step();
+    this->expire();
+}
+
+void OwnershipManager::Private::expire()
+{
+    const bool anything = this->context.state.ledger().size() > 0
+                          || this->context.state.plans().placementRevision() > 1;
+    if (!anything || this->context.now - this->lastExpiry < expireInterval
+        || this->context.proposals.inFlight(expireSubject)) {
+        return;
+    }
+    this->lastExpiry = this->context.now;
+    this->context.propose(ExpireRecords {}, { expireSubject });
+}
+
+} // namespace cassiaroad
--- a/src/version/ownershipmanager.h
+++ b/src/version/ownershipmanager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "version/ownershipconfig.h"
 #include "version/ownershipevent.h"
 
 #include <cstdint>
@@ -9,31 +10,6 @@
 
 namespace cassiaroad {
 
-/** A service as the control group sees it. */
-struct ServiceShards
-{
-    std::string name;
-    std::uint32_t shards = 1024;
-};
-
-/** Settings of the ownership manager. */
-struct OwnershipConfig
-{
-    std::string zone; // of this member
-    std::uint32_t regionIndex = 0; // of the group's region among the regions
-    std::uint32_t regionCount = 1;
-    std::vector<ServiceShards> services;
-    Milliseconds upstreamLease { 1000 };
-    Milliseconds entryLease { 1000 };
-    Milliseconds announceInterval { 150 };
-    Milliseconds watchHold { 150 };
-    Milliseconds initialAssignment { 2000 };
-    std::uint32_t ejectPercent = 20;
-    double imbalanceWeight = 1.0;
-    double churnWeight = 1.0;
-    double unavailabilityWeight = 1.0;
-};
-
 /** Entry host with a live lease, for status pages. */
 struct EntryHostStatus
 {
--- a/src/version/routingstate.cpp
+++ b/src/version/routingstate.cpp
@@ -70,6 +70,9 @@
     if (restarted) {
         this->replaceInstance(entry, upstream.instance);
     }
+    if (entry.upstream.checksGrants != upstream.checksGrants) {
+        entry.grantVersion = this->currentRevision + 1;
+    }
     entry.upstream = upstream;
     entry.state = state;
     this->changed(upstream.id);
@@ -198,7 +201,9 @@
     const bool becomesLoss = entry->route.state == RouteState::Releasing
                              && entry->route.reason == MoveReason::Planned
                              && command.reason == MoveReason::Loss;
-    if (!owned && !becomesLoss) {
+    const bool there
+            = owned && command.reason == MoveReason::Planned && entry->route.upstream == move.to;
+    if ((!owned && !becomesLoss) || there) {
         return false;
     }
     if (owned) {
