--- a/src/version/entrysupervisor.cpp
+++ b/src/version/entrysupervisor.cpp
@@ -29,7 +29,7 @@
         this->context.actions.emplace_back(ReplyWatch { event.call, {}, { 0 }, 0 });
         return;
     }
-    this->context.leases.reportEntry(event);
+    this->context.leases.reportEntry(event, this->context.now);
     const Held watch { event.call, event.seenRevision, this->context.now };
     if (event.seenRevision == 0 || this->due(event.host, watch)) {
         this->answer(event.host, watch);
--- a/src/version/leasetable.cpp
+++ b/src/version/leasetable.cpp
@@ -34,9 +34,11 @@
     return issued + this->upstreamLease;
 }
 
-void LeaseTable::reportEntry(const EntryWatched &watch)
+void LeaseTable::reportEntry(const EntryWatched &watch, TimePoint now)
 {
     EntryLease &entry = this->entries[watch.host];
+    // Not a lease yet, but it keeps the report from being pruned before the call is answered.
+    entry.until = std::max(entry.until, now);
     entry.zone = watch.zone;
     // Calls may be handled out of order; what an entry host has seen and drained only grows.
     entry.seenRevision = std::max(entry.seenRevision, watch.seenRevision);
@@ -45,10 +47,7 @@
 
 void LeaseTable::renewEntry(const EntryHostId &host, TimePoint now)
 {
-    const auto found = this->entries.find(host);
-    if (found != this->entries.end()) {
-        found->second.until = now + this->entryLease;
-    }
+    this->entries[host].until = now + this->entryLease;
 }
 
 bool LeaseTable::entryLive(const EntryHostId &host, TimePoint now) const
--- a/src/version/leasetable.h
+++ b/src/version/leasetable.h
@@ -43,9 +43,9 @@
     void forgetUpstream(const UpstreamId &id) { this->upstreamIssued.erase(id); }
 
     /** Records what an entry host reported. */
-    void reportEntry(const EntryWatched &watch);
+    void reportEntry(const EntryWatched &watch, TimePoint now);
 
-    /** Issues a lease to an entry host that has reported. */
+    /** Issues a lease to an entry host. */
     void renewEntry(const EntryHostId &host, TimePoint now);
 
     void endEntry(const EntryHostId &host) { this->entries.erase(host); }
