--- a/src/version/planner.cpp
+++ b/src/version/planner.cpp
@@ -103,7 +103,7 @@
             server.cold = true;
         }
     }
-    this->spread(plan, *service, std::move(input));
+    this->spread(plan, *service, input);
     return plan;
 }
 
@@ -195,7 +195,7 @@
                 server.cold = true;
             }
         }
-        this->spread(plan, service, std::move(input));
+        this->spread(plan, service, input);
     }
     return plan;
 }
@@ -280,7 +280,7 @@
     }
 }
 
-void Planner::spread(Plan &plan, const ServiceShards &service, PlacementInput input) const
+void Planner::spread(Plan &plan, const ServiceShards &service, const PlacementInput &input) const
 {
     const PlacementPolicy policy(PlacementInput::weights(this->state, this->config));
     for (const PlacementMove &move : policy.rebalance(input.servers, input.shards)) {
--- a/src/version/planner.h
+++ b/src/version/planner.h
@@ -47,7 +47,7 @@
                const std::string &why) const;
     void leaveKeys(Plan &plan, const ServiceShards &service, const PlacementInput &input,
                    const std::vector<std::string> &leaving, const std::string &why) const;
-    void spread(Plan &plan, const ServiceShards &service, PlacementInput input) const;
+    void spread(Plan &plan, const ServiceShards &service, const PlacementInput &input) const;
     void addEffects(Plan &plan) const;
     PlacementInput read(const ServiceShards &service) const;
     const ServiceShards *service(const std::string &name) const;
--- a/src/version/requestledger.cpp
+++ b/src/version/requestledger.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // An entry host that lives but never finishes a request would otherwise hold its record for ever.
-constexpr GroupTime maxInFlight = 3600 * 1000;
+constexpr GroupTime maxInFlight = 3600LL * 1000;
 
 LedgerBeginResult standing(const LedgerRecordState &state)
 {
--- a/src/version/routingstate.cpp
+++ b/src/version/routingstate.cpp
@@ -1,12 +1,14 @@
 #include "version/routingstate.h"
 
+#include "version/routedeltabuilder.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace cassiaroad {
 
 namespace {
 
-constexpr std::size_t maxHistory = 1024; // revisions an entry host may lag behind without a copy
 constexpr std::size_t maxFormerInstances = 8;
 const std::string zoneOutPrefix = "zone-out.";
 
@@ -28,11 +30,7 @@
         return false;
     }
     ++this->currentRevision;
-    this->history.emplace_back(this->currentRevision, std::move(this->pending));
-    this->pending.clear();
-    if (this->history.size() > maxHistory) {
-        this->history.pop_front();
-    }
+    this->history.add(this->currentRevision, std::exchange(this->pending, {}));
     return true;
 }
 
@@ -353,64 +351,13 @@
     return uses(this->shardMap) || uses(this->keyMap);
 }
 
-RouteDelta RoutingState::completeTable() const
-{
-    RouteDelta delta;
-    delta.toRevision = this->currentRevision;
-    for (const auto &[id, entry] : this->upstreamMap) {
-        delta.upstreams.push_back(entry.upstream);
-    }
-    for (const auto &[shard, entry] : this->shardMap) {
-        delta.shards.emplace_back(shard, entry.route);
-    }
-    for (const auto &[key, entry] : this->keyMap) {
-        delta.keys.emplace_back(key, entry.route);
-    }
-    delta.settings = this->settingMap;
-    return delta;
-}
-
 RouteDelta RoutingState::deltaSince(Revision since) const
 {
-    const Revision oldest
-            = this->history.empty() ? this->currentRevision + 1 : this->history.front().first;
-    const bool known = since + 1 >= oldest || since == this->currentRevision;
-    if (since == 0 || since > this->currentRevision || !known) {
-        return this->completeTable();
-    }
-    std::set<Change> changes;
-    for (auto it = this->history.rbegin(); it != this->history.rend() && it->first > since; ++it) {
-        changes.insert(it->second.begin(), it->second.end());
-    }
-    RouteDelta delta;
-    delta.fromRevision = since;
-    delta.toRevision = this->currentRevision;
-    delta.settings = this->settingMap;
-    for (const Change &change : changes) {
-        this->addChange(delta, change);
-    }
-    return delta;
-}
-
-void RoutingState::addChange(RouteDelta &delta, const Change &change) const
-{
-    if (const auto *shard = std::get_if<ShardRef>(&change)) {
-        delta.shards.emplace_back(*shard, this->shardMap.at(*shard).route);
-    } else if (const auto *key = std::get_if<KeyRef>(&change)) {
-        const RouteEntry *entry = this->route(*key);
-        if (entry != nullptr) {
-            delta.keys.emplace_back(*key, entry->route);
-        } else {
-            delta.removedKeys.push_back(*key);
-        }
-    } else if (const auto &id = std::get<UpstreamId>(change); !id.name.empty()) {
-        const UpstreamEntry *entry = this->upstream(id);
-        if (entry != nullptr) {
-            delta.upstreams.push_back(entry->upstream);
-        } else {
-            delta.removedUpstreams.push_back(id);
-        }
+    const auto changes = this->history.changesSince(since, this->currentRevision);
+    if (since == 0 || !changes) {
+        return RouteDeltaBuilder::complete(*this);
     }
+    return RouteDeltaBuilder::difference(*this, since, *changes);
 }
 
 void RoutingState::collectReleasing()
--- a/src/version/routingstate.h
+++ b/src/version/routingstate.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "version/command.h"
+#include "version/routehistory.h"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace cassiaroad {
@@ -85,14 +84,12 @@
 
 private:
     friend class ControlStateCodec;
-    using Change = std::variant<ShardRef, KeyRef, UpstreamId>;
 
     void collectReleasing();
-    void addChange(RouteDelta &delta, const Change &change) const;
     RouteEntry *mutableRoute(const RouteSubject &subject);
     void touchGrants(const RouteSubject &subject, const std::string &owner);
     void touchService(const std::string &service);
-    void changed(const Change &change) { this->pending.push_back(change); }
+    void changed(const RouteChange &change) { this->pending.push_back(change); }
     bool commitChange();
     void replaceInstance(UpstreamEntry &entry, const std::string &instance);
     bool startOne(const StartMove &command, const ReleaseStart &move, std::size_t movedKeyLimit);
@@ -102,7 +99,6 @@
     bool mergeKey(const KeyRef &key);
     void release(const RouteSubject &subject, RouteEntry &entry, MoveReason reason);
     void releaseAll(const UpstreamId &owner);
-    RouteDelta completeTable() const;
 
     Revision currentRevision = 0;
     std::map<UpstreamId, UpstreamEntry> upstreamMap;
@@ -111,8 +107,8 @@
     std::map<std::string, std::string> settingMap;
     std::set<RouteSubject> releasingSet;
     Epoch keyEpochFloor = 0; // highest epoch of a key that is no longer moved
-    std::vector<Change> pending;
-    std::deque<std::pair<Revision, std::vector<Change>>> history; // for deltas; not in snapshots
+    std::vector<RouteChange> pending;
+    RouteHistory history;
 };
 
 } // namespace cassiaroad
