--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -64,7 +64,7 @@
     std::uint32_t retryPercent = 10;
     std::uint32_t ejectPercent = 20;
     std::uint32_t ledgerRecords = 100000;
-    Milliseconds ledgerRetention { 24 * 3600 * 1000 };
+    Milliseconds ledgerRetention { 24LL * 3600 * 1000 };
     std::uint32_t movedKeys = 1024;
 
     bool operator==(const LimitSettings &) const = default;
@@ -114,7 +114,10 @@
     bool operator==(const EntrySettings &) const = default;
 };
 
-/** Section [control]; only for the role control. */
+/**
+ * Section [control]; only for the role control. Its key "group" names the region whose group the
+ * member belongs to; only the tie-breaking member, which stands in another region, needs it.
+ */
 struct ControlSettings
 {
     std::uint32_t member = 0; // number of the own [member.<number>] section
@@ -139,7 +142,7 @@
     std::string host;
     std::string region;
     std::string zone;
-    std::string group; // the control group of the region; its name is the region's name
+    std::string group; // name of the region whose control group this process talks to or serves
     std::vector<RegionSettings> regions; // in the order that decides a shard's home region
     std::vector<ServiceSettings> services;
     std::vector<MemberSettings> members; // of the group
@@ -167,7 +170,8 @@
 
 /**
  * Reads and checks a settings file: syntax, unknown and missing keys, types, ranges, two hosts with
- * one address. Returns every error found, not only the first. Safe to use from any thread.
+ * one address, and durations that do not fit together. Relative paths start at the folder of the
+ * file. Returns every error found, in the order of the lines. Safe to use from any thread.
  */
 std::variant<Settings, std::vector<SettingsError>> readSettings(const std::string &path);
 
