--- /dev/null
+++ b/src/process/progress.cpp
@@ -0,0 +1,178 @@
+#include "process/progress.h"
+
+namespace cassiaroad {
+
+namespace {
+
+// A chunk of 128 KiB takes 35 ms on the slow link, plus 40 ms there and back.
+constexpr std::int64_t heartbeatsUntilChunkIsSentAgain = 4;
+
+} // namespace
+
+Progress::Progress(const MemberId &id, LogIndex lastIndex)
+    : id(id)
+    , nextIndex(lastIndex + 1)
+{ }
+
+void Progress::heartbeat(ReplicaState &state)
+{
+    if (this->needsSnapshot(state)) {
+        const Milliseconds patience = state.options.heartbeat * heartbeatsUntilChunkIsSentAgain;
+        if (state.now - this->chunkSentAt >= patience) {
+            this->sendChunk(state);
+        } else {
+            this->sendPing(state);
+        }
+        return;
+    }
+    this->sendAppend(state, this->mayTakeEntries(state));
+}
+
+bool Progress::mayTakeEntries(const ReplicaState &state) const
+{
+    return this->mode == Mode::Probe ? !this->probeSent
+                                     : this->inFlight.size() < state.options.maxBatchesInFlight;
+}
+
+void Progress::sendEntries(ReplicaState &state)
+{
+    if (this->needsSnapshot(state)) {
+        if (!this->snapshot) {
+            this->sendChunk(state);
+        }
+        return;
+    }
+    while (this->nextIndex <= state.log.lastIndex() && this->mayTakeEntries(state)) {
+        this->sendAppend(state, true);
+    }
+}
+
+bool Progress::needsSnapshot(const ReplicaState &state) const
+{
+    return this->mode == Mode::Snapshot || !state.log.termAt(this->nextIndex - 1);
+}
+
+void Progress::sendAppend(ReplicaState &state, bool withEntries)
+{
+    AppendRequest request;
+    request.term = state.hard.term;
+    request.prevIndex = this->nextIndex - 1;
+    request.prevTerm = *state.log.termAt(request.prevIndex);
+    request.commitIndex = state.commitIndex;
+    request.sentAt = state.now;
+    request.runs = state.hard.runs;
+    if (withEntries) {
+        request.entries = state.log.slice(this->nextIndex, state.options.maxBatchBytes);
+    }
+    if (!request.entries.empty() && this->mode == Mode::Probe) {
+        this->probeSent = true;
+    } else if (!request.entries.empty()) {
+        this->nextIndex = request.entries.back().index + 1;
+        this->inFlight.push_back(request.entries.back().index);
+    }
+    state.outbox.send(this->id, std::move(request));
+}
+
+void Progress::sendPing(ReplicaState &state)
+{
+    AppendRequest request; // agrees with every log
+    request.term = state.hard.term;
+    request.sentAt = state.now;
+    request.runs = state.hard.runs;
+    state.outbox.send(this->id, std::move(request));
+}
+
+void Progress::sendChunk(ReplicaState &state)
+{
+    if (!this->snapshot) {
+        this->mode = Mode::Snapshot;
+        this->snapshot = state.snapshot;
+        this->offset = 0;
+        this->inFlight.clear();
+    }
+    const std::string &data = *this->snapshot->data;
+    SnapshotChunk chunk { state.hard.term,
+                          this->snapshot->meta,
+                          this->offset,
+                          data.size(),
+                          data.substr(this->offset, state.options.snapshotChunkBytes),
+                          state.now };
+    this->chunkSentAt = state.now;
+    state.outbox.send(this->id, std::move(chunk));
+}
+
+void Progress::noteAnswer(ReplicaState &state, TimePoint sentAt)
+{
+    this->probeSent = false;
+    this->replied = state.now;
+    this->answered = std::max(this->answered.value_or(sentAt), sentAt);
+}
+
+bool Progress::onAppendReply(ReplicaState &state, const MemberRun &from, const AppendReply &reply)
+{
+    this->memberRun = from;
+    this->noteAnswer(state, reply.sentAt);
+    if (!reply.success) {
+        this->reject(state, reply);
+        return false;
+    }
+    const bool rose = reply.matchIndex > this->matchIndex;
+    this->matchIndex = std::max(this->matchIndex, reply.matchIndex);
+    this->nextIndex = std::max(this->nextIndex, this->matchIndex + 1);
+    while (!this->inFlight.empty() && this->inFlight.front() <= this->matchIndex) {
+        this->inFlight.pop_front();
+    }
+    if (this->mode == Mode::Snapshot) {
+        if (reply.matchIndex < this->snapshot->meta.index) {
+            return rose;
+        }
+        this->snapshot.reset();
+        this->nextIndex = this->matchIndex + 1;
+    }
+    this->mode = Mode::Replicate;
+    return rose;
+}
+
+void Progress::reject(ReplicaState &state, const AppendReply &reply)
+{
+    // Answers to requests before the latest correction, and those of a member that installs a
+    // snapshot, say nothing new.
+    const bool current
+            = reply.rejectedIndex > this->matchIndex && reply.rejectedIndex < this->nextIndex;
+    if (this->mode == Mode::Snapshot || !current) {
+        return;
+    }
+    const LogIndex agreeing = state.log.lastIndexWithTermUpTo(reply.hintIndex, reply.hintTerm);
+    const LogIndex previous = std::min(agreeing, reply.rejectedIndex - 1);
+    // Nothing that agrees is left in the log: only the snapshot helps.
+    const bool compacted = reply.hintIndex < state.log.baseIndex();
+    this->nextIndex = std::max(compacted ? reply.hintIndex : previous, this->matchIndex) + 1;
+    this->mode = Mode::Probe;
+    this->inFlight.clear();
+    this->sendEntries(state);
+}
+
+void Progress::onSnapshotReply(ReplicaState &state, const SnapshotReply &reply)
+{
+    this->noteAnswer(state, reply.sentAt);
+    if (this->mode != Mode::Snapshot || reply.index != this->snapshot->meta.index
+        || reply.nextOffset > this->snapshot->data->size() || reply.nextOffset == this->offset) {
+        return;
+    }
+    this->offset = reply.nextOffset;
+    if (this->offset < this->snapshot->data->size()) {
+        this->sendChunk(state);
+    }
+}
+
+void Progress::restarted(const MemberRun &newRun, LogIndex lastIndex)
+{
+    this->memberRun = newRun;
+    this->mode = Mode::Probe;
+    this->probeSent = false;
+    this->nextIndex = std::max(this->matchIndex, lastIndex) + 1;
+    this->inFlight.clear();
+    this->snapshot.reset();
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/process/startcheck.cpp
@@ -0,0 +1,165 @@
+#include "process/startcheck.h"
+
+namespace cassiaroad {
+
+namespace {
+
+// A running member repeats its report to a silent peer rarely; one that waits, at each heartbeat.
+constexpr std::int64_t heartbeatsBetweenLateReports = 10;
+
+} // namespace
+
+StartCheck::StartCheck(ReplicaState &state, Leadership &leadership)
+    : state(state)
+    , leadership(leadership)
+    , reportAt(state.now)
+{
+    const Configuration &configuration = state.log.configuration();
+    if (state.isVoter() && configuration.majority() == 1) {
+        this->finish({});
+    }
+}
+
+bool StartCheck::isSettled() const
+{
+    // A new leader may not know a learner, and only a leader can tell a voter that it was replaced.
+    return this->state.role == ReplicaRole::Leader
+           || (this->state.role != ReplicaRole::Starting && this->state.leaderHeardRecently());
+}
+
+void StartCheck::tick()
+{
+    if (this->state.now < this->reportAt) {
+        return;
+    }
+    const bool settled = this->isSettled();
+    const bool waits = this->state.role == ReplicaRole::Starting
+                       || (this->state.role == ReplicaRole::Learner && !settled);
+    this->reportAt = this->state.now
+                     + this->state.options.heartbeat * (waits ? 1 : heartbeatsBetweenLateReports);
+    for (const std::uint32_t number : this->state.options.members) {
+        const bool recorded
+                = std::any_of(this->recordedBy.begin(), this->recordedBy.end(),
+                              [&](const MemberId &peer) { return peer.number == number; });
+        if (number != this->state.self.member.number && !(recorded && settled)) {
+            this->report({ number, 0 });
+        }
+    }
+}
+
+void StartCheck::report(const MemberId &to)
+{
+    this->state.outbox.sendWhenSynced(to, StartReport { this->state.hard.term,
+                                                        this->state.log.lastIndex(),
+                                                        this->state.isVoter() });
+}
+
+bool StartCheck::admits(const MemberRun &run)
+{
+    const MemberRun *known = this->state.knownRun(run.member);
+    if (known == nullptr) {
+        this->state.recordRun(run);
+        return true;
+    }
+    return *known == run;
+}
+
+bool StartCheck::isReplaced(const MemberRun &run, const StartReport &report) const
+{
+    const Configuration &committed = this->state.log.configurationAt(this->state.commitIndex);
+    if (!report.voter || committed.contains(run.member)) {
+        return false;
+    }
+    // Otherwise the member may have been added by an entry that this one has not seen yet.
+    return this->state.commitIndex > report.lastIndex
+           || (this->leadership.hasLease(this->state.now) && !this->state.isVoter(run.member));
+}
+
+bool StartCheck::isOld(const MemberRun &run, const StartReport &report) const
+{
+    const MemberRun *known = this->state.knownRun(run.member);
+    if (known != nullptr && run != *known && run.startCounter <= known->startCounter) {
+        return true;
+    }
+    return this->isReplaced(run, report) || this->leadership.hasAcknowledgedMore(run, report);
+}
+
+StartVerdict StartCheck::judge(const MemberRun &run, const StartReport &report)
+{
+    if (report.term > this->state.hard.term && this->state.role != ReplicaRole::Starting) {
+        this->state.follow(report.term, std::nullopt);
+    }
+    if (this->isOld(run, report)) {
+        return StartVerdict::Old;
+    }
+    const MemberRun *known = this->state.knownRun(run.member);
+    const bool firstReport = known == nullptr || *known != run;
+    this->state.recordRun(run);
+    if (this->state.role == ReplicaRole::Leader) {
+        this->leadership.memberStarted(run, report.lastIndex);
+        return StartVerdict::Accepted;
+    }
+    if (firstReport && this->state.leader == run.member) {
+        this->state.leader.reset();
+    }
+    return this->state.leader && this->state.leaderHeardRecently() ? StartVerdict::AskLeader
+                                                                   : StartVerdict::Accepted;
+}
+
+void StartCheck::onReport(const MemberRun &from, const StartReport &report)
+{
+    const std::vector<std::uint32_t> &members = this->state.options.members;
+    if (from.member.number == this->state.self.member.number
+        || std::find(members.begin(), members.end(), from.member.number) == members.end()) {
+        return;
+    }
+    const StartVerdict verdict = this->judge(from, report);
+    const bool leads = this->state.role == ReplicaRole::Leader;
+    this->state.outbox.sendWhenSynced(from.member,
+                                      StartReply { from, verdict, this->state.hard.term, leads });
+    if (!this->recordedBy.contains(from.member)) {
+        this->report(from.member);
+    }
+}
+
+bool StartCheck::onReply(const MemberRun &from, const StartReply &reply)
+{
+    if (reply.run != this->state.self) {
+        return false;
+    }
+    if (reply.verdict == StartVerdict::Old) {
+        return true;
+    }
+    this->recordedBy.insert(from.member);
+    if (this->state.role != ReplicaRole::Starting || reply.verdict != StartVerdict::Accepted) {
+        return false;
+    }
+    this->acceptedBy.insert(from.member);
+    const Configuration &configuration = this->state.log.configuration();
+    const auto accepted
+            = 1
+              + std::count_if(this->acceptedBy.begin(), this->acceptedBy.end(),
+                              [&](const MemberId &peer) { return this->state.isVoter(peer); });
+    const bool done = this->state.isVoter()
+                              ? static_cast<std::size_t>(accepted) >= configuration.majority()
+                              : reply.leader;
+    if (done) {
+        this->finish(reply);
+    }
+    return false;
+}
+
+void StartCheck::finish(const StartReply &reply)
+{
+    // A vote given before the folder was copied is unknown here. Voting for itself keeps the member
+    // from voting a second time in a term that a peer has reached.
+    const Term term = std::max(reply.term, this->state.hard.term);
+    if (term > this->state.hard.term || !this->state.hard.vote) {
+        this->state.setVote(term, this->state.self.member);
+    }
+    this->state.role = ReplicaRole::Follower;
+    this->state.updateRole();
+    this->state.resetElectionTimer();
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/tests/process/replicagroup.cpp
@@ -0,0 +1,459 @@
+#include "replicagroup.h"
+
+#include <stdexcept>
+#include <xxhash.h>
+
+namespace cassiaroad::test {
+
+namespace {
+
+void require(bool condition, const std::string &invariant)
+{
+    if (!condition) {
+        throw std::logic_error(invariant);
+    }
+}
+
+std::uint64_t advance(std::uint64_t machine, const LogEntry &entry)
+{
+    const auto *command = std::get_if<CommandBytes>(&entry.payload);
+    return command == nullptr
+                   ? machine
+                   : XXH3_64bits_withSeed(command->bytes.data(), command->bytes.size(), machine);
+}
+
+// Padding makes the snapshot span several chunks.
+std::string encodeMachine(std::uint64_t machine)
+{
+    return std::to_string(machine) + std::string(300, ' ');
+}
+
+} // namespace
+
+void FakeFolder::apply(const Persist &persist)
+{
+    if (persist.hardState) {
+        this->hardState = *persist.hardState;
+    }
+    if (!persist.entries.empty()) {
+        const LogIndex first = persist.entries.front().index;
+        std::erase_if(this->entries, [&](const LogEntry &entry) { return entry.index >= first; });
+        this->entries.insert(this->entries.end(), persist.entries.begin(), persist.entries.end());
+    }
+    std::erase_if(this->entries,
+                  [&](const LogEntry &entry) { return entry.index < persist.compactBefore; });
+}
+
+void FakeFolder::install(const Snapshot &received)
+{
+    this->snapshot = received;
+    this->entries.clear();
+}
+
+bool FakeFolder::stores(const LogEntry &entry) const
+{
+    return (this->snapshot && this->snapshot->meta.index >= entry.index)
+           || std::find(this->entries.begin(), this->entries.end(), entry) != this->entries.end();
+}
+
+ReplicaOptions ReplicaGroup::defaults()
+{
+    ReplicaOptions options;
+    options.members = { 1, 2, 3 };
+    options.maxBatchBytes = 400;
+    options.snapshotChunkBytes = 100;
+    options.entriesKeptBehindSnapshot = 3;
+    return options;
+}
+
+ReplicaGroup::ReplicaGroup(const Weather &weather, const ReplicaOptions &options)
+    : options(options)
+    , weather(weather)
+    , random(weather.seed)
+{
+    for (int slot = 0; slot < size; ++slot) {
+        this->start(slot);
+    }
+    const bool complete = this->runUntil([&] { return this->isRepaired(); }, 60000);
+    require(complete, "the members join after the bootstrap");
+}
+
+bool ReplicaGroup::chance(int percent)
+{
+    return this->between(1, 100) <= percent;
+}
+
+int ReplicaGroup::between(int low, int high)
+{
+    return std::uniform_int_distribution<int>(low, high)(this->random);
+}
+
+TimePoint ReplicaGroup::localTime(int slot) const
+{
+    return { this->now * this->weather.clockPermille[slot] / 1000 + slot * 1000000 };
+}
+
+void ReplicaGroup::start(int slot)
+{
+    Host &host = this->hosts[slot];
+    if (host.replica) {
+        return;
+    }
+    const bool bootstrap = slot == 0 && this->nextIncarnation == 100;
+    if (!host.folder) {
+        host.folder = FakeFolder {};
+        host.folder->id = { static_cast<std::uint32_t>(slot + 1), this->nextIncarnation++ };
+    }
+    ++host.folder->startCounter;
+    const FakeFolder &folder = *host.folder;
+    host.paused = false;
+    host.applied = folder.snapshot ? folder.snapshot->meta.index : 0;
+    host.machine = folder.snapshot ? std::stoull(*folder.snapshot->data) : 0;
+    host.replica = std::make_unique<Replica>(this->options,
+                                             RecoveredState { folder.id, folder.startCounter,
+                                                              folder.hardState, folder.snapshot,
+                                                              folder.entries },
+                                             this->random(), this->localTime(slot), bootstrap);
+}
+
+void ReplicaGroup::crash(int slot)
+{
+    Host &host = this->hosts[slot];
+    if (!host.replica) {
+        return;
+    }
+    // Some of the writes that were not synced may have reached the disk.
+    const int kept = this->between(0, static_cast<int>(host.unsynced.size()));
+    for (int i = 0; i < kept && !host.diskFull; ++i) {
+        host.folder->apply(host.unsynced[i]);
+    }
+    host.unsynced.clear();
+    host.replica.reset();
+}
+
+void ReplicaGroup::isolate(int slot)
+{
+    for (int other = 0; other < size; ++other) {
+        if (other != slot) {
+            this->cut(slot, other);
+        }
+    }
+}
+
+bool ReplicaGroup::isRepaired() const
+{
+    const LogEntry *latest = nullptr;
+    for (const auto &[index, entry] : this->committed) {
+        latest = std::holds_alternative<Configuration>(entry.payload) ? &entry : latest;
+    }
+    if (latest == nullptr || std::get<Configuration>(latest->payload).voters.size() != size) {
+        return false;
+    }
+    return std::all_of(this->hosts.begin(), this->hosts.end(), [&](const Host &host) {
+        return host.folder && std::get<Configuration>(latest->payload).contains(host.folder->id);
+    });
+}
+
+bool ReplicaGroup::loseFolder(int slot)
+{
+    if (!this->isRepaired()) {
+        return false;
+    }
+    this->crash(slot);
+    this->hosts[slot].folder.reset();
+    return true;
+}
+
+bool ReplicaGroup::restoreCopy(int slot)
+{
+    if (!this->copies[slot] || !this->isRepaired()) {
+        return false;
+    }
+    const FakeFolder &current = *this->hosts[slot].folder;
+    if (this->copies[slot]->id == current.id) {
+        // Copies of the present run are noticed only while its leader leads; see the design page.
+        if (this->copies[slot]->startCounter == current.startCounter) {
+            return false;
+        }
+        for (int peer = 0; peer < size; ++peer) {
+            const std::vector<MemberRun> &runs = this->hosts[peer].folder->hardState.runs;
+            const bool knows = std::any_of(runs.begin(), runs.end(), [&](const MemberRun &run) {
+                return run.member == current.id && run.startCounter == current.startCounter;
+            });
+            if (peer != slot && !knows) {
+                return false;
+            }
+        }
+    }
+    this->forceCopy(slot);
+    return true;
+}
+
+void ReplicaGroup::forceCopy(int slot)
+{
+    this->crash(slot);
+    this->hosts[slot].folder = this->copies[slot];
+}
+
+std::optional<ProposalResult> ReplicaGroup::propose(int slot, const std::string &command)
+{
+    Host &host = this->hosts[slot];
+    if (!host.replica || host.paused) {
+        return std::nullopt;
+    }
+    const Configuration before = host.replica->configuration();
+    Actions actions = host.replica->step(Propose { { command } }, this->localTime(slot));
+    const std::optional<ProposalResult> result = actions.proposal;
+    this->perform(slot, actions, before);
+    return result;
+}
+
+void ReplicaGroup::saveSnapshot(int slot)
+{
+    Host &host = this->hosts[slot];
+    if (!host.replica || host.paused || host.applied <= host.replica->snapshotIndex()) {
+        return;
+    }
+    const Snapshot snapshot { host.replica->snapshotMetaAt(host.applied),
+                              std::make_shared<const std::string>(encodeMachine(host.machine)) };
+    this->sync(slot);
+    if (host.replica) {
+        host.folder->snapshot = snapshot;
+        this->step(slot, SnapshotSaved { snapshot });
+    }
+}
+
+void ReplicaGroup::transfer(int slot)
+{
+    if (this->hosts[slot].replica && !this->hosts[slot].paused) {
+        this->step(slot, TransferLeadership {});
+    }
+}
+
+int ReplicaGroup::leader() const
+{
+    int found = -1;
+    for (int slot = 0; slot < size; ++slot) {
+        const Replica *replica = this->hosts[slot].replica.get();
+        if (replica != nullptr && replica->role() == ReplicaRole::Leader
+            && (found < 0 || replica->term() > this->hosts[found].replica->term())) {
+            found = slot;
+        }
+    }
+    return found;
+}
+
+bool ReplicaGroup::isCommitted(const std::string &command) const
+{
+    return this->commands.contains(command);
+}
+
+void ReplicaGroup::run(int milliseconds)
+{
+    for (int i = 0; i < milliseconds; ++i) {
+        ++this->now;
+        this->deliver();
+        for (int slot = 0; slot < size; ++slot) {
+            Host &host = this->hosts[slot];
+            if (host.replica && !host.paused && !host.unsynced.empty()
+                && this->now >= host.syncAt) {
+                this->sync(slot);
+            }
+            if (host.replica && !host.paused
+                && this->localTime(slot) >= host.replica->nextDeadline()) {
+                this->step(slot, Tick {});
+            }
+        }
+        this->checkLeases();
+    }
+}
+
+bool ReplicaGroup::runUntil(const std::function<bool()> &condition, int milliseconds)
+{
+    for (int i = 0; i < milliseconds && !condition(); ++i) {
+        this->run(1);
+    }
+    return condition();
+}
+
+void ReplicaGroup::deliver()
+{
+    std::vector<Flight> due;
+    for (std::size_t i = 0; i < this->flights.size();) {
+        if (this->flights[i].at <= this->now && !this->hosts[this->flights[i].to].paused) {
+            due.push_back(std::move(this->flights[i]));
+            std::swap(this->flights[i], this->flights.back());
+            this->flights.pop_back();
+        } else {
+            ++i;
+        }
+    }
+    for (Flight &flight : due) {
+        if (this->hosts[flight.to].replica) {
+            this->step(flight.to, MessageReceived { std::move(flight.message) });
+        }
+    }
+}
+
+void ReplicaGroup::send(const ReplicaMessage &message)
+{
+    const int from = static_cast<int>(message.from.member.number) - 1;
+    const int to = static_cast<int>(message.to.number) - 1;
+    ++this->sentCount;
+    const int copies = this->chance(this->weather.duplicatePercent) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        if (!this->cutLinks.contains({ std::min(from, to), std::max(from, to) })
+            && !this->chance(this->weather.lossPercent)) {
+            const int delay = this->between(1, std::max(1, this->weather.maxDelay));
+            this->flights.push_back({ this->now + delay, to, message });
+        }
+    }
+}
+
+void ReplicaGroup::step(int slot, const ReplicaEvent &event)
+{
+    Host &host = this->hosts[slot];
+    const Configuration before = host.replica->configuration();
+    Actions actions = host.replica->step(event, this->localTime(slot));
+    this->perform(slot, actions, before);
+}
+
+void ReplicaGroup::perform(int slot, Actions &actions, const Configuration &before)
+{
+    if (actions.dropFolder) {
+        this->restartDropped(slot);
+        return;
+    }
+    Host &host = this->hosts[slot];
+    if (host.replica->role() == ReplicaRole::Leader) {
+        this->checkNewLeader(slot);
+    }
+    for (const ReplicaMessage &message : actions.messages) {
+        this->send(message);
+    }
+    for (const LogEntry &entry : actions.committed) {
+        this->apply(slot, entry, before);
+    }
+    if (actions.install) {
+        this->install(slot, *actions.install);
+    }
+    if (host.replica && actions.persist) {
+        this->persist(slot, *actions.persist);
+    }
+}
+
+void ReplicaGroup::restartDropped(int slot)
+{
+    this->hosts[slot].replica.reset();
+    this->hosts[slot].unsynced.clear();
+    this->hosts[slot].folder.reset();
+    this->start(slot);
+}
+
+void ReplicaGroup::install(int slot, const Snapshot &snapshot)
+{
+    this->sync(slot);
+    Host &host = this->hosts[slot];
+    if (!host.replica || host.diskFull) {
+        return;
+    }
+    host.folder->install(snapshot);
+    host.applied = snapshot.meta.index;
+    host.machine = std::stoull(*snapshot.data);
+    require(host.machine == this->machines.at(host.applied), "state machines agree");
+    this->step(slot, SnapshotInstalled { snapshot.meta.index });
+}
+
+void ReplicaGroup::persist(int slot, const Persist &persist)
+{
+    Host &host = this->hosts[slot];
+    if (host.unsynced.empty()) {
+        host.syncAt = this->now + this->between(0, std::max(0, this->weather.maxSyncDelay));
+    }
+    host.unsynced.push_back(persist);
+}
+
+void ReplicaGroup::sync(int slot)
+{
+    Host &host = this->hosts[slot];
+    if (host.unsynced.empty()) {
+        return;
+    }
+    if (host.diskFull) {
+        host.unsynced.clear();
+        this->step(slot, AppendFailed {});
+        return;
+    }
+    for (const Persist &persist : host.unsynced) {
+        host.folder->apply(persist);
+        for (const LogEntry &entry : persist.entries) {
+            this->storedBy[{ entry.index, entry.term }].insert(host.folder->id);
+        }
+    }
+    const std::uint64_t sequence = host.unsynced.back().sequence;
+    host.unsynced.clear();
+    this->step(slot, LogSynced { sequence });
+}
+
+void ReplicaGroup::apply(int slot, const LogEntry &entry, const Configuration &before)
+{
+    Host &host = this->hosts[slot];
+    require(entry.index == host.applied + 1, "committed entries come in order");
+    this->checkCommitted(slot, entry, before);
+    host.applied = entry.index;
+    host.machine = advance(host.machine, entry);
+    const auto known = this->machines.emplace(entry.index, host.machine);
+    require(known.first->second == host.machine, "state machines agree");
+    if (const auto *command = std::get_if<CommandBytes>(&entry.payload)) {
+        this->commands.insert(command->bytes);
+    }
+}
+
+void ReplicaGroup::checkCommitted(int slot, const LogEntry &entry, const Configuration &before)
+{
+    const auto [known, first] = this->committed.emplace(entry.index, entry);
+    require(known->second == entry, "committed entries do not change");
+    const Replica &replica = *this->hosts[slot].replica;
+    if (!first || replica.role() != ReplicaRole::Leader) {
+        return;
+    }
+    // A learner or an unsynced entry must not count.
+    const auto storedByMajority = [&](const Configuration &configuration) {
+        const auto count = std::count_if(
+                configuration.voters.begin(), configuration.voters.end(),
+                [&](const MemberId &voter) {
+                    const auto &folder = this->hosts[voter.number - 1].folder;
+                    return this->storedBy[{ entry.index, entry.term }].contains(voter)
+                           || (folder && folder->id == voter && folder->stores(entry));
+                });
+        return static_cast<std::size_t>(count) >= configuration.majority();
+    };
+    require(storedByMajority(before) || storedByMajority(replica.configuration()),
+            "committed entries are synced on a majority of voters");
+}
+
+void ReplicaGroup::checkNewLeader(int slot)
+{
+    const Replica &replica = *this->hosts[slot].replica;
+    const auto [known, first] = this->leaders.emplace(replica.term(), replica.id());
+    require(known->second == replica.id(), "at most one leader per term");
+    if (!first) {
+        return;
+    }
+    for (const auto &[index, entry] : this->committed) {
+        require(entry.term >= replica.term() || this->hosts[slot].folder->stores(entry),
+                "a new leader has every committed entry");
+    }
+}
+
+void ReplicaGroup::checkLeases() const
+{
+    int holders = 0;
+    for (int slot = 0; slot < size; ++slot) {
+        const Replica *replica = this->hosts[slot].replica.get();
+        holders += replica != nullptr && replica->hasLeaderLease(this->localTime(slot)) ? 1 : 0;
+    }
+    require(holders <= 1, "at most one member has a valid leader lease");
+}
+
+} // namespace cassiaroad::test
--- /dev/null
+++ b/tests/process/replicagroup.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "process/replica.h"
+
+#include <array>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+
+namespace cassiaroad::test {
+
+/** Content of a data folder, as it would be after a loss of power. */
+struct FakeFolder
+{
+    MemberId id;
+    std::uint64_t startCounter = 0;
+    HardState hardState;
+    std::optional<Snapshot> snapshot;
+    std::vector<LogEntry> entries;
+
+    void apply(const Persist &persist);
+    void install(const Snapshot &received);
+    bool stores(const LogEntry &entry) const;
+};
+
+/** How messages between members fare. */
+struct Weather
+{
+    std::uint64_t seed = 1;
+    int lossPercent = 0;
+    int duplicatePercent = 0;
+    int maxDelay = 3; // milliseconds
+    int maxSyncDelay = 3; // milliseconds
+    std::array<int, 3> clockPermille { 1000, 1000, 1000 };
+};
+
+/** Three pure Replicas with fake folders and links at virtual time, checked after every step. */
+class ReplicaGroup
+{
+public:
+    static constexpr int size = 3;
+
+    explicit ReplicaGroup(const Weather &weather, const ReplicaOptions &options = defaults());
+
+    static ReplicaOptions defaults();
+
+    /** Lets @p milliseconds pass. Throws std::logic_error when an invariant is broken. */
+    void run(int milliseconds);
+    /** Runs until @p condition holds, at most @p milliseconds; returns whether it holds. */
+    bool runUntil(const std::function<bool()> &condition, int milliseconds = 5000);
+
+    void crash(int slot);
+    void start(int slot);
+    void pause(int slot) { this->hosts[slot].paused = true; }
+    void resume(int slot) { this->hosts[slot].paused = false; }
+    void cut(int a, int b) { this->cutLinks.insert({ std::min(a, b), std::max(a, b) }); }
+    void isolate(int slot);
+    void heal() { this->cutLinks.clear(); }
+    /** Crashes the member and deletes its folder, if that is the only loss; else does nothing. */
+    bool loseFolder(int slot);
+    void copyFolder(int slot) { this->copies[slot] = this->hosts[slot].folder; }
+    /** Crashes the member and puts the copy back, if the start check is to notice it. */
+    bool restoreCopy(int slot);
+    /** The same without conditions. */
+    void forceCopy(int slot);
+    void fillDisk(int slot) { this->hosts[slot].diskFull = true; }
+    void freeDisk(int slot) { this->hosts[slot].diskFull = false; }
+    std::optional<ProposalResult> propose(int slot, const std::string &command);
+    void saveSnapshot(int slot);
+    void transfer(int slot);
+
+    /** Member with the highest term among those that lead, -1 if none does. */
+    int leader() const;
+    bool isRepaired() const;
+    bool isCommitted(const std::string &command) const;
+    const Replica *replica(int slot) const { return this->hosts[slot].replica.get(); }
+    const FakeFolder &folder(int slot) const { return *this->hosts[slot].folder; }
+    TimePoint localTime(int slot) const;
+    /** Messages handed to the links so far. */
+    std::uint64_t sent() const { return this->sentCount; }
+
+private:
+    struct Host
+    {
+        std::optional<FakeFolder> folder;
+        std::unique_ptr<Replica> replica;
+        std::vector<Persist> unsynced;
+        std::int64_t syncAt = 0;
+        bool paused = false;
+        bool diskFull = false;
+        LogIndex applied = 0;
+        std::uint64_t machine = 0;
+    };
+    struct Flight
+    {
+        std::int64_t at = 0;
+        int to = 0;
+        ReplicaMessage message;
+    };
+
+    bool chance(int percent);
+    int between(int low, int high);
+    void step(int slot, const ReplicaEvent &event);
+    void perform(int slot, Actions &actions, const Configuration &before);
+    void install(int slot, const Snapshot &snapshot);
+    void persist(int slot, const Persist &persist);
+    void sync(int slot);
+    void send(const ReplicaMessage &message);
+    void deliver();
+    void apply(int slot, const LogEntry &entry, const Configuration &before);
+    void restartDropped(int slot);
+    void checkCommitted(int slot, const LogEntry &entry, const Configuration &before);
+    void checkNewLeader(int slot);
+    void checkLeases() const;
+
+    ReplicaOptions options;
+    Weather weather;
+    std::mt19937_64 random;
+    std::int64_t now = 1000;
+    std::array<Host, size> hosts;
+    std::array<std::optional<FakeFolder>, size> copies;
+    std::vector<Flight> flights;
+    std::set<std::pair<int, int>> cutLinks;
+    std::uint64_t nextIncarnation = 100;
+    std::uint64_t sentCount = 0;
+
+    std::map<Term, MemberId> leaders;
+    std::map<LogIndex, LogEntry> committed;
+    std::map<LogIndex, std::uint64_t> machines; // state machine after each entry
+    std::map<std::pair<LogIndex, Term>, std::set<MemberId>> storedBy;
+    std::set<std::string> commands; // committed
+};
+
+} // namespace cassiaroad::test
