replica: Let a new voter vote and confirm starts before it has its own entry

Cause: the property test lost a folder right after a repair. Change: a candidate's request is proof that its receiver is a voter; start replies carry whether the answering member is a voter; a learner starts once a voter accepted it.

--- a/src/process/election.cpp
+++ b/src/process/election.cpp
@@ -103,9 +103,6 @@
 
 void Election::onVoteRequest(const MemberId &from, const VoteRequest &request)
 {
-    if (!this->state.isVoter()) {
-        return;
-    }
     // A member that was cut off must not depose a leader that the others still hear, and the
     // leader's lease depends on nobody else being elected meanwhile.
     if (this->state.leaderHeardRecently() && !request.transfer) {
@@ -120,7 +117,10 @@
         this->state.follow(request.term, std::nullopt);
     }
     const bool free = !this->state.hard.vote || this->state.hard.vote == from;
-    const bool following = this->state.role == ReplicaRole::Follower;
+    // The candidate asks the voters of its own log. A learner that has not received the entry that
+    // made it a voter is one of them and may be needed, if another member was lost just then.
+    const bool following
+            = this->state.role == ReplicaRole::Follower || this->state.role == ReplicaRole::Learner;
     if (request.term < this->state.hard.term || !free || !following || !this->isUpToDate(request)) {
         this->refuse(from, false);
         return;
--- a/src/process/replicamessage.h
+++ b/src/process/replicamessage.h
@@ -106,6 +106,7 @@
     StartVerdict verdict = StartVerdict::Accepted;
     Term term = 0;
     bool leader = false; // the answering member leads
+    bool voter = false; // the answering member's log says that it is a voter
 
     bool operator==(const StartReply &) const = default;
 };
--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -115,8 +115,9 @@
     }
     const StartVerdict verdict = this->judge(from, report);
     const bool leads = this->state.role == ReplicaRole::Leader;
-    this->state.outbox.sendWhenSynced(from.member,
-                                      StartReply { from, verdict, this->state.hard.term, leads });
+    this->state.outbox.sendWhenSynced(
+            from.member,
+            StartReply { from, verdict, this->state.hard.term, leads, this->state.isVoter() });
     if (!this->recordedBy.contains(from.member)) {
         this->report(from.member);
     }
@@ -134,15 +135,14 @@
     if (this->state.role != ReplicaRole::Starting || reply.verdict != StartVerdict::Accepted) {
         return false;
     }
-    this->acceptedBy.insert(from.member);
-    const Configuration &configuration = this->state.log.configuration();
-    const auto accepted
-            = 1
-              + std::count_if(this->acceptedBy.begin(), this->acceptedBy.end(),
-                              [&](const MemberId &peer) { return this->state.isVoter(peer); });
-    const bool done = this->state.isVoter()
-                              ? static_cast<std::size_t>(accepted) >= configuration.majority()
-                              : reply.leader;
+    // The own log may lack the entry that made the peer a voter. A peer that is none has not
+    // caught up with the group and may not know the latest runs.
+    if (reply.voter || this->state.isVoter(from.member)) {
+        this->acceptedBy.insert(from.member);
+    }
+    const std::size_t needed
+            = this->state.isVoter() ? this->state.log.configuration().majority() : 2;
+    const bool done = 1 + this->acceptedBy.size() >= needed;
     if (done) {
         this->finish(reply);
     }
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -35,7 +35,7 @@
     ReplicaState &state;
     Leadership &leadership;
     std::set<MemberId> recordedBy; // peers that have stored this run
-    std::set<MemberId> acceptedBy;
+    std::set<MemberId> acceptedBy; // those of them that are voters and found no fault
     TimePoint reportAt;
 };
 
--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -150,7 +150,8 @@
         return false;
     }
     return std::all_of(this->hosts.begin(), this->hosts.end(), [&](const Host &host) {
-        return host.folder && std::get<Configuration>(latest->payload).contains(host.folder->id);
+        return host.folder && !host.oldCopy
+               && std::get<Configuration>(latest->payload).contains(host.folder->id);
     });
 }
 
@@ -186,6 +187,7 @@
         }
     }
     this->forceCopy(slot);
+    this->hosts[slot].oldCopy = true;
     return true;
 }
 
@@ -347,6 +349,7 @@
     this->hosts[slot].replica.reset();
     this->hosts[slot].unsynced.clear();
     this->hosts[slot].folder.reset();
+    this->hosts[slot].oldCopy = false;
     this->start(slot);
 }
 
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -89,6 +89,7 @@
         std::int64_t syncAt = 0;
         bool paused = false;
         bool diskFull = false;
+        bool oldCopy = false; // the start check must notice it
         LogIndex applied = 0;
         std::uint64_t machine = 0;
     };
