--- a/src/version/valuecodec.h
+++ b/src/version/valuecodec.h
@@ -266,7 +266,6 @@
 template <cassiaroad::HasFields T>
 struct adl_serializer<T, void>
 {
-    // NOLINTNEXTLINE(readability-identifier-naming): the library looks for this name
     static void to_json(json &out, const T &value)
     {
         out = json::array();
@@ -274,7 +273,6 @@
                    cassiaroad::fields(value));
     }
 
-    // NOLINTNEXTLINE(readability-identifier-naming): the library looks for this name
     static void from_json(const json &in, T &value)
     {
         std::size_t index = 0;
@@ -289,7 +287,6 @@
 {
     using Variant = std::variant<Types...>;
 
-    // NOLINTNEXTLINE(readability-identifier-naming): the library looks for this name
     static void to_json(json &out, const Variant &value)
     {
         json content;
@@ -299,7 +296,6 @@
         out.push_back(std::move(content));
     }
 
-    // NOLINTNEXTLINE(readability-identifier-naming): the library looks for this name
     static void from_json(const json &in, Variant &value)
     {
         read(in.at(0).get<std::size_t>(), in.at(1), value, std::index_sequence_for<Types...> {});
