connection: Add RPC streams, the control client and the replica link

Entry hosts and members had no way to talk to each other. Cap'n Proto RPC now runs over h2o sockets on the one loop. A call without a reply within its bound drops its connection and the next one opens a new one; a begin that may have run is not sent again. Replica messages are dropped, not queued, above 256 messages or 8 MiB on the way to a member.

--- a/schema/cassiaroad.capnp
+++ b/schema/cassiaroad.capnp
@@ -205,3 +205,7 @@
   # Messages of the replication protocol; encoded by process/replicacodec.h.
   deliver @0 (group :Text, fromMember :UInt32, message :Data) -> ();
 }
+
+interface Member extends(Control, ReplicaPeer) {
+  # What a control member offers on its RPC address.
+}
--- a/schema/cassiaroad.capnp.h
+++ b/schema/cassiaroad.capnp.h
@@ -67,6 +67,7 @@
 CAPNP_DECLARE_SCHEMA(a026f7c74550b182);
 CAPNP_DECLARE_SCHEMA(f8a6f0e82b6d22d8);
 CAPNP_DECLARE_SCHEMA(ced3c2b20a91c799);
+CAPNP_DECLARE_SCHEMA(d33628a636cc1f36);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -647,6 +648,23 @@
   };
 };
 
+struct Member {
+  Member() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(d33628a636cc1f36)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
 // =======================================================================================
 
 class Upstream::Reader {
@@ -4075,6 +4093,57 @@
 };
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+class Member::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::cassiaroad::rpc::Control::Client,
+      public virtual  ::cassiaroad::rpc::ReplicaPeer::Client {
+public:
+  typedef Member Calls;
+  typedef Member Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+
+protected:
+  Client() = default;
+};
+
+class Member::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::cassiaroad::rpc::Control::Server,
+      public virtual  ::cassiaroad::rpc::ReplicaPeer::Server {
+public:
+  typedef Member Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+
+  inline  ::cassiaroad::rpc::Member::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::cassiaroad::rpc::Member>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Upstream::Reader::hasService() const {
@@ -7426,6 +7495,30 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+#if !CAPNP_LITE
+inline Member::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Member::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Member::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Member::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Member::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::cassiaroad::rpc::Member::Client& Member::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::cassiaroad::rpc::Member::Client& Member::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
 }  // namespace
 }  // namespace
 
--- a/src/connection/controlclient.h
+++ b/src/connection/controlclient.h
@@ -22,7 +22,7 @@
 {
 public:
     /** @p members are the RPC addresses of the group's members. */
-    ControlClient(EventLoop &loop, std::vector<HostAddress> members);
+    ControlClient(EventLoop &loop, const std::vector<HostAddress> &members);
     ~ControlClient();
     ControlClient(const ControlClient &) = delete;
     ControlClient &operator=(const ControlClient &) = delete;
--- /dev/null
+++ b/src/connection/rpcconnection.cpp
@@ -0,0 +1,38 @@
+#include "connection/rpcconnection.h"
+
+namespace cassiaroad {
+
+RpcConnection::RpcConnection(EventLoop &loop, HostAddress address, Milliseconds connectTimeout,
+                             std::shared_ptr<ByteCounters> counters)
+    : loop(loop)
+    , address(std::move(address))
+    , connectTimeout(connectTimeout)
+    , counters(std::move(counters))
+{ }
+
+kj::Own<RpcSession> RpcConnection::openSession()
+{
+    if (this->session.get() == nullptr || this->session->isClosed()) {
+        this->session = kj::refcounted<RpcSession>(this->loop, this->address, this->connectTimeout,
+                                                   this->counters);
+    }
+    return kj::addRef(*this->session);
+}
+
+kj::Promise<void> RpcConnection::connected(RpcSession &session)
+{
+    return session.whenConnected().catch_([](kj::Exception &&exception) {
+        kj::throwFatalException(kj::Exception(kj::Exception::Type::OVERLOADED, __FILE__, __LINE__,
+                                              kj::str(exception.getDescription())));
+    });
+}
+
+kj::Exception RpcConnection::closeSilent(RpcSession &session)
+{
+    const bool sent = session.isConnected();
+    session.close("no reply within the bound of a call");
+    const auto type = sent ? kj::Exception::Type::DISCONNECTED : kj::Exception::Type::OVERLOADED;
+    return { type, __FILE__, __LINE__, kj::heapString("no reply within the bound of the call") };
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/rpcserver.cpp
@@ -0,0 +1,138 @@
+#include "connection/rpcserver.h"
+
+#include "connection/socketaddress.h"
+
+#include <cerrno>
+#include <cstring>
+
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <capnp/rpc-twoparty.h>
+#include <h2o.h>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr Milliseconds cleanUpInterval { 200 };
+constexpr int backlog = 128;
+
+/** Returns a bound and listening descriptor, or -1 with errno set. */
+int openListener(const HostAddress &address)
+{
+    SocketAddress socketAddress = toSocketAddress(address);
+    const int fd = ::socket(socketAddress.storage.ss_family,
+                            SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return -1;
+    }
+    const int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    if (bind(fd, socketAddress.data(), socketAddress.length) != 0 || ::listen(fd, backlog) != 0) {
+        const int error = errno;
+        close(fd);
+        errno = error;
+        return -1;
+    }
+    return fd;
+}
+
+} // namespace
+
+/** One client; the RPC session ends when this object does. */
+class RpcServer::Connection
+{
+public:
+    Connection(EventLoop &loop, h2o_socket_t *socket, std::shared_ptr<ByteCounters> counters,
+               capnp::Capability::Client bootstrap)
+        : stream(loop, socket, std::move(counters))
+        , network(this->stream, capnp::rpc::twoparty::Side::SERVER)
+        , system(capnp::makeRpcServer(this->network, kj::mv(bootstrap)))
+        , ended(this->network.onDisconnect()
+                        .then([this] { this->disconnected = true; })
+                        .eagerlyEvaluate(
+                                [this](const kj::Exception &) { this->disconnected = true; }))
+    { }
+
+    bool isClosed() const { return this->disconnected || this->stream.isClosed(); }
+    TimePoint lastReceived() const { return this->stream.lastReceived(); }
+
+private:
+    RpcStream stream;
+    capnp::TwoPartyVatNetwork network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> system;
+    bool disconnected = false;
+    kj::Promise<void> ended;
+};
+
+RpcServer::RpcServer(EventLoop &loop, RpcServerLimits limits, capnp::Capability::Client bootstrap)
+    : loop(loop)
+    , limits(limits)
+    , bootstrap(kj::mv(bootstrap))
+    , counters(std::make_shared<ByteCounters>())
+    , cleanUpTimer(loop.callEvery(cleanUpInterval, [this] { this->removeClosed(); }))
+{ }
+
+RpcServer::~RpcServer()
+{
+    if (this->listener != nullptr) {
+        h2o_socket_close(this->listener);
+    }
+}
+
+std::string RpcServer::listen(const HostAddress &address)
+{
+    const int fd = openListener(address);
+    if (fd < 0) {
+        return address.toString() + ": " + std::strerror(errno);
+    }
+    this->listener = h2o_evloop_socket_create(this->loop.h2oLoop(), fd, H2O_SOCKET_FLAG_DONT_READ);
+    this->listener->data = this;
+    h2o_socket_read_start(this->listener, &RpcServer::onAcceptable);
+    return {};
+}
+
+std::uint16_t RpcServer::port() const
+{
+    if (this->listener == nullptr) {
+        return 0;
+    }
+    sockaddr_storage storage {};
+    h2o_socket_getsockname(this->listener, reinterpret_cast<sockaddr *>(&storage));
+    return static_cast<std::uint16_t>(h2o_socket_getport(reinterpret_cast<sockaddr *>(&storage)));
+}
+
+void RpcServer::onAcceptable(h2o_socket_t *listener, const char *error)
+{
+    if (error != nullptr) {
+        return;
+    }
+    auto *self = static_cast<RpcServer *>(listener->data);
+    while (h2o_socket_t *socket = h2o_evloop_socket_accept(listener)) {
+        self->accept(socket);
+    }
+}
+
+void RpcServer::accept(h2o_socket_t *socket)
+{
+    if (this->connections.size() >= this->limits.maxConnections) {
+        this->removeClosed();
+    }
+    if (this->connections.size() >= this->limits.maxConnections) {
+        h2o_socket_close(socket);
+        return;
+    }
+    this->connections.push_back(
+            std::make_unique<Connection>(this->loop, socket, this->counters, this->bootstrap));
+}
+
+void RpcServer::removeClosed()
+{
+    const TimePoint oldest = this->loop.now() - this->limits.idle;
+    std::erase_if(this->connections, [oldest](const std::unique_ptr<Connection> &connection) {
+        return connection->isClosed() || connection->lastReceived() < oldest;
+    });
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/rpcsession.cpp
@@ -0,0 +1,39 @@
+#include "connection/rpcsession.h"
+
+namespace cassiaroad {
+
+RpcSession::RpcSession(EventLoop &loop, const HostAddress &address, Milliseconds connectTimeout,
+                       std::shared_ptr<ByteCounters> counters)
+    : connected(RpcStream::connect(loop, address, connectTimeout, std::move(counters))
+                        .then(
+                                [this](kj::Own<RpcStream> &&stream) {
+                                    this->stream = kj::mv(stream);
+                                    this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
+                                },
+                                [this](kj::Exception &&exception) {
+                                    this->closed = true;
+                                    kj::throwFatalException(kj::mv(exception));
+                                })
+                        .fork())
+{ }
+
+bool RpcSession::isClosed() const
+{
+    return this->closed || (this->isConnected() && this->stream->isClosed());
+}
+
+rpc::Member::Client RpcSession::member()
+{
+    KJ_REQUIRE(this->isConnected(), "the session is not connected");
+    return this->client->bootstrap().castAs<rpc::Member>();
+}
+
+void RpcSession::close(const std::string &reason)
+{
+    this->closed = true;
+    if (this->isConnected()) {
+        this->stream->close(reason);
+    }
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/rpcstream.cpp
@@ -0,0 +1,326 @@
+#include "connection/rpcstream.h"
+
+#include "connection/socketaddress.h"
+
+#include <algorithm>
+#include <cstring>
+#include <vector>
+
+#include <h2o.h>
+#include <kj/debug.h>
+
+namespace cassiaroad {
+
+namespace {
+
+kj::Exception disconnectedException(const std::string &reason)
+{
+    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::heapString(reason) };
+}
+
+/** A connection attempt; closes the socket if the promise is dropped. */
+class ConnectAdapter
+{
+public:
+    ConnectAdapter(kj::PromiseFulfiller<kj::Own<RpcStream>> &fulfiller, EventLoop &loop,
+                   const HostAddress &address, Milliseconds timeout,
+                   std::shared_ptr<ByteCounters> counters)
+        : fulfiller(fulfiller)
+        , loop(loop)
+        , address(address)
+        , counters(std::move(counters))
+        , timer(loop.callAfter(timeout, [this] { this->fail("connect timed out"); }))
+    {
+        SocketAddress socketAddress = toSocketAddress(address);
+        if (socketAddress.length > 0) {
+            this->socket = h2o_socket_connect(loop.h2oLoop(), socketAddress.data(),
+                                              socketAddress.length, &ConnectAdapter::onConnected);
+        }
+        if (this->socket == nullptr) {
+            this->fail("cannot connect");
+            return;
+        }
+        this->socket->data = this;
+    }
+
+    ~ConnectAdapter()
+    {
+        if (this->socket != nullptr) {
+            h2o_socket_close(this->socket);
+        }
+    }
+
+    ConnectAdapter(const ConnectAdapter &) = delete;
+    ConnectAdapter &operator=(const ConnectAdapter &) = delete;
+
+private:
+    static void onConnected(h2o_socket_t *socket, const char *error)
+    {
+        auto *self = static_cast<ConnectAdapter *>(socket->data);
+        if (error != nullptr) {
+            self->fail(error);
+            return;
+        }
+        self->timer = EventLoop::Timer();
+        self->socket = nullptr;
+        self->fulfiller.fulfill(kj::heap<RpcStream>(self->loop, socket, self->counters));
+    }
+
+    void fail(const std::string &reason)
+    {
+        if (this->socket != nullptr) {
+            h2o_socket_close(this->socket);
+            this->socket = nullptr;
+        }
+        this->fulfiller.reject(disconnectedException(this->address.toString() + ": " + reason));
+    }
+
+    kj::PromiseFulfiller<kj::Own<RpcStream>> &fulfiller;
+    EventLoop &loop;
+    HostAddress address;
+    std::shared_ptr<ByteCounters> counters;
+    EventLoop::Timer timer;
+    h2o_socket_t *socket = nullptr;
+};
+
+} // namespace
+
+/** A read in progress; unregisters itself when the promise is dropped, as its buffer goes too. */
+class RpcStream::PendingRead
+{
+public:
+    PendingRead(kj::PromiseFulfiller<size_t> &fulfiller, RpcStream &stream, void *buffer,
+                size_t minBytes, size_t maxBytes)
+        : fulfiller(fulfiller)
+        , stream(stream)
+        , buffer(static_cast<char *>(buffer))
+        , minBytes(minBytes)
+        , maxBytes(maxBytes)
+    {
+        stream.pendingRead = this;
+        this->advance();
+        if (stream.pendingRead == this) {
+            h2o_socket_read_start(stream.socket, &RpcStream::onReadable);
+        }
+    }
+
+    ~PendingRead() { this->unregister(); }
+    PendingRead(const PendingRead &) = delete;
+    PendingRead &operator=(const PendingRead &) = delete;
+
+    /** Takes what has arrived; resolves if that suffices or nothing more can come. */
+    void advance()
+    {
+        this->filled += this->stream.takeInput(this->buffer + this->filled,
+                                               this->maxBytes - this->filled);
+        if (this->filled >= this->minBytes || this->stream.endOfInput) {
+            this->unregister();
+            this->fulfiller.fulfill(size_t(this->filled));
+        } else if (this->stream.isClosed()) {
+            this->reject(disconnectedException("connection is closed"));
+        }
+    }
+
+    void reject(kj::Exception &&exception)
+    {
+        this->unregister();
+        this->fulfiller.reject(kj::mv(exception));
+    }
+
+private:
+    void unregister()
+    {
+        if (this->stream.pendingRead != this) {
+            return;
+        }
+        this->stream.pendingRead = nullptr;
+        if (this->stream.socket != nullptr) {
+            h2o_socket_read_stop(this->stream.socket);
+        }
+    }
+
+    kj::PromiseFulfiller<size_t> &fulfiller;
+    RpcStream &stream;
+    char *buffer;
+    size_t minBytes;
+    size_t maxBytes;
+    size_t filled = 0;
+};
+
+/** A write in progress; h2o refers to the caller's bytes, so dropping it closes the connection. */
+class RpcStream::PendingWrite
+{
+public:
+    PendingWrite(kj::PromiseFulfiller<void> &fulfiller, RpcStream &stream,
+                 std::vector<h2o_iovec_t> pieces)
+        : fulfiller(fulfiller)
+        , stream(stream)
+    {
+        if (stream.isClosed()) {
+            fulfiller.reject(disconnectedException("connection is closed"));
+            return;
+        }
+        stream.pendingWrite = this;
+        h2o_socket_write(stream.socket, pieces.data(), pieces.size(), &RpcStream::onWritten);
+    }
+
+    ~PendingWrite()
+    {
+        if (this->stream.pendingWrite == this) {
+            this->stream.pendingWrite = nullptr;
+            this->stream.close("write was cancelled");
+        }
+    }
+
+    PendingWrite(const PendingWrite &) = delete;
+    PendingWrite &operator=(const PendingWrite &) = delete;
+
+    void finish()
+    {
+        this->stream.pendingWrite = nullptr;
+        this->fulfiller.fulfill();
+    }
+
+    void reject(kj::Exception &&exception)
+    {
+        this->stream.pendingWrite = nullptr;
+        this->fulfiller.reject(kj::mv(exception));
+    }
+
+private:
+    kj::PromiseFulfiller<void> &fulfiller;
+    RpcStream &stream;
+};
+
+RpcStream::RpcStream(EventLoop &loop, h2o_socket_t *socket, std::shared_ptr<ByteCounters> counters)
+    : loop(loop)
+    , socket(socket)
+    , counters(std::move(counters))
+    , receivedAt(loop.now())
+{
+    socket->data = this;
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    this->disconnected = kj::mv(paf.fulfiller);
+    this->whenDisconnected = paf.promise.fork();
+}
+
+RpcStream::~RpcStream() noexcept(false)
+{
+    this->close("connection is closed");
+}
+
+kj::Promise<kj::Own<RpcStream>> RpcStream::connect(EventLoop &loop, const HostAddress &address,
+                                                   Milliseconds timeout,
+                                                   std::shared_ptr<ByteCounters> counters)
+{
+    return kj::newAdaptedPromise<kj::Own<RpcStream>, ConnectAdapter>(loop, address, timeout,
+                                                                     std::move(counters));
+}
+
+kj::Promise<size_t> RpcStream::tryRead(void *buffer, size_t minBytes, size_t maxBytes)
+{
+    KJ_REQUIRE(this->pendingRead == nullptr, "a read is in progress");
+    return kj::newAdaptedPromise<size_t, PendingRead>(*this, buffer, minBytes, maxBytes);
+}
+
+kj::Promise<void> RpcStream::write(const void *buffer, size_t size)
+{
+    const kj::ArrayPtr<const kj::byte> piece(static_cast<const kj::byte *>(buffer), size);
+    return this->write(kj::arrayPtr(&piece, 1));
+}
+
+kj::Promise<void> RpcStream::write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces)
+{
+    KJ_REQUIRE(this->pendingWrite == nullptr, "a write is in progress");
+    std::vector<h2o_iovec_t> vectors;
+    vectors.reserve(pieces.size());
+    for (const auto &piece : pieces) {
+        if (piece.size() > 0) {
+            vectors.push_back(h2o_iovec_init(piece.begin(), piece.size()));
+            this->counters->sent += piece.size();
+        }
+    }
+    return kj::newAdaptedPromise<void, PendingWrite>(*this, kj::mv(vectors));
+}
+
+kj::Promise<void> RpcStream::whenWriteDisconnected()
+{
+    return this->whenDisconnected.addBranch();
+}
+
+void RpcStream::shutdownWrite()
+{
+    if (this->socket != nullptr) {
+        ::shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
+    }
+}
+
+void RpcStream::abortRead()
+{
+    this->close("reading was aborted");
+}
+
+void RpcStream::close(const std::string &reason)
+{
+    this->closeSocket();
+    if (this->pendingWrite != nullptr) {
+        this->pendingWrite->reject(disconnectedException(reason));
+    }
+    if (this->pendingRead != nullptr) {
+        this->pendingRead->reject(disconnectedException(reason));
+    }
+}
+
+void RpcStream::closeSocket()
+{
+    if (this->socket == nullptr) {
+        return;
+    }
+    this->unreadInput.assign(this->socket->input->bytes, this->socket->input->size);
+    h2o_socket_close(this->socket);
+    this->socket = nullptr;
+    this->disconnected->fulfill();
+}
+
+size_t RpcStream::takeInput(void *buffer, size_t size)
+{
+    if (this->socket == nullptr) {
+        const size_t count = std::min(size, this->unreadInput.size());
+        std::memcpy(buffer, this->unreadInput.data(), count);
+        this->unreadInput.erase(0, count);
+        return count;
+    }
+    const size_t count = std::min(size, this->socket->input->size);
+    std::memcpy(buffer, this->socket->input->bytes, count);
+    h2o_buffer_consume(&this->socket->input, count);
+    this->counters->received += count;
+    return count;
+}
+
+void RpcStream::onReadable(h2o_socket_t *socket, const char *error)
+{
+    auto *self = static_cast<RpcStream *>(socket->data);
+    self->receivedAt = self->loop.now();
+    if (error != nullptr) {
+        self->endOfInput = error == h2o_socket_error_closed;
+        self->closeSocket();
+        if (self->pendingWrite != nullptr) {
+            self->pendingWrite->reject(disconnectedException("peer closed the connection"));
+        }
+    }
+    if (self->pendingRead != nullptr) {
+        self->pendingRead->advance();
+    }
+}
+
+void RpcStream::onWritten(h2o_socket_t *socket, const char *error)
+{
+    auto *self = static_cast<RpcStream *>(socket->data);
+    if (error != nullptr) {
+        self->close(error);
+    } else if (self->pendingWrite != nullptr) {
+        self->pendingWrite->finish();
+    }
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/rpcstream.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "process/eventloop.h"
+#include "process/settings.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include <kj/async-io.h>
+
+typedef struct st_h2o_socket_t h2o_socket_t;
+
+namespace cassiaroad {
+
+/** Bytes that passed over a set of connections. */
+struct ByteCounters
+{
+    std::uint64_t sent = 0;
+    std::uint64_t received = 0;
+
+    bool operator==(const ByteCounters &) const = default;
+};
+
+/**
+ * Byte stream of Cap'n Proto over a socket of h2o's loop. The end of the peer's stream closes the
+ * connection: a pending or later write is rejected. Loop thread only.
+ */
+class RpcStream : public kj::AsyncIoStream
+{
+public:
+    /** Takes over the connected @p socket. */
+    RpcStream(EventLoop &loop, h2o_socket_t *socket, std::shared_ptr<ByteCounters> counters);
+    ~RpcStream() noexcept(false);
+    RpcStream(const RpcStream &) = delete;
+    RpcStream &operator=(const RpcStream &) = delete;
+
+    /** Connects to @p address; rejects after @p timeout. */
+    static kj::Promise<kj::Own<RpcStream>> connect(EventLoop &loop, const HostAddress &address,
+                                                   Milliseconds timeout,
+                                                   std::shared_ptr<ByteCounters> counters);
+
+    kj::Promise<size_t> tryRead(void *buffer, size_t minBytes, size_t maxBytes) override;
+    kj::Promise<void> write(const void *buffer, size_t size) override;
+    kj::Promise<void> write(kj::ArrayPtr<const kj::ArrayPtr<const kj::byte>> pieces) override;
+    kj::Promise<void> whenWriteDisconnected() override;
+    void shutdownWrite() override;
+    void abortRead() override;
+
+    /** Closes the connection; pending reads and writes are rejected with @p reason. */
+    void close(const std::string &reason);
+
+    bool isClosed() const { return this->socket == nullptr; }
+
+    /** Time of the last byte received, or of the connection's start. */
+    TimePoint lastReceived() const { return this->receivedAt; }
+
+private:
+    class PendingRead;
+    class PendingWrite;
+
+    static void onReadable(h2o_socket_t *socket, const char *error);
+    static void onWritten(h2o_socket_t *socket, const char *error);
+    size_t takeInput(void *buffer, size_t size);
+    void closeSocket();
+
+    EventLoop &loop;
+    h2o_socket_t *socket; // null once closed
+    std::shared_ptr<ByteCounters> counters;
+    TimePoint receivedAt;
+    std::string unreadInput; // received before the end, not yet read
+    bool endOfInput = false;
+    PendingRead *pendingRead = nullptr;
+    PendingWrite *pendingWrite = nullptr;
+    kj::Own<kj::PromiseFulfiller<void>> disconnected;
+    kj::ForkedPromise<void> whenDisconnected = nullptr;
+};
+
+} // namespace cassiaroad
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -64,7 +64,7 @@
     std::uint32_t retryPercent = 10;
     std::uint32_t ejectPercent = 20;
     std::uint32_t ledgerRecords = 100000;
-    Milliseconds ledgerRetention { 24 * 3600 * 1000 };
+    Milliseconds ledgerRetention { 24LL * 3600 * 1000 };
     std::uint32_t movedKeys = 1024;
 
     bool operator==(const LimitSettings &) const = default;
--- /dev/null
+++ b/tests/connection/test_replicalink.cpp
@@ -0,0 +1,81 @@
+#include "connection/replicalink.h"
+
+#include "connection/fakemember.h"
+#include "connection/silentpeer.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+/** Runs the loop until @p condition holds, for at most 5 s. */
+bool waitFor(EventLoop &loop, const std::function<bool()> &condition)
+{
+    const TimePoint end = loop.now() + Milliseconds { 5000 };
+    while (!condition() && loop.now() < end) {
+        loop.wait(rpcDelay(loop, { 5 }));
+    }
+    return condition();
+}
+
+} // namespace
+
+// Guards against lost or swapped messages on a working connection.
+TEST(ReplicaLink, deliversInOrder)
+{
+    EventLoop loop;
+    ListeningMember peer(loop);
+    ReplicaLink link(loop, "etela", 1, { { 2, peer.address() } });
+    EXPECT_TRUE(link.send(2, "a"));
+    EXPECT_TRUE(link.send(2, std::string(100000, 'b')));
+    EXPECT_TRUE(link.send(2, "c"));
+    ASSERT_TRUE(waitFor(loop, [&] { return peer.behaviour.delivered.size() == 3; }));
+    EXPECT_EQ(peer.behaviour.delivered[0], "a");
+    EXPECT_EQ(peer.behaviour.delivered[2], "c");
+    EXPECT_GT(link.bytes().sent, 100000U);
+    EXPECT_FALSE(link.send(3, "no such member"));
+}
+
+// Guards against memory that grows without bound while a member does not answer.
+TEST(ReplicaLink, dropsWhatExceedsItsBuffers)
+{
+    EventLoop loop;
+    SilentPeer peer;
+    ReplicaLink link(loop, "etela", 1, { { 2, { "127.0.0.1", peer.port() } } });
+    int accepted = 0;
+    for (int i = 0; i < 100; ++i) {
+        accepted += link.send(2, std::string(1024 * 1024, 'x')) ? 1 : 0;
+    }
+    EXPECT_LE(accepted, 8);
+    EXPECT_EQ(link.droppedCount(), static_cast<std::uint64_t>(100 - accepted));
+}
+
+// Guards against a member that is cut off for good by one connection that went silent.
+TEST(ReplicaLink, replacesASilentConnection)
+{
+    EventLoop loop;
+    SilentPeer peer;
+    ReplicaLink link(loop, "etela", 1, { { 2, { "127.0.0.1", peer.port() } } });
+    EXPECT_TRUE(waitFor(loop, [&] {
+        link.send(2, "heartbeat");
+        return peer.acceptWaiting() >= 2;
+    }));
+}
+
+// Guards against clients that vanished without closing and use up the connections of a server.
+TEST(RpcServer, bearsNoMoreThanItsLimitAndForgetsIdleClients)
+{
+    EventLoop loop;
+    RpcServerLimits limits;
+    limits.maxConnections = 2;
+    limits.idle = { 100 };
+    ListeningMember peer(loop, limits);
+    const auto counters = std::make_shared<ByteCounters>();
+    std::vector<kj::Own<RpcStream>> streams;
+    for (int i = 0; i < 4; ++i) {
+        streams.push_back(loop.wait(RpcStream::connect(loop, peer.address(), { 1000 }, counters)));
+    }
+    EXPECT_LE(peer.server.connectionCount(), 2U);
+    EXPECT_TRUE(waitFor(loop, [&] { return peer.server.connectionCount() == 0; }));
+}
