version: Rename events and actions that clash with those of the replica

Tick, Propose and TransferLeadership were defined twice in one namespace with different members, so the control process could not include both headers. The ones of the ownership manager are now TimePassed, ProposeCommand and LeaveZone. Before: redefinition errors in any file that needs both. After: both headers compile in one file.

--- a/src/version/ownershipevent.h
+++ b/src/version/ownershipevent.h
@@ -26,7 +26,7 @@
 { };
 
 /** Time passes. Expected at least every 20 ms. */
-struct Tick
+struct TimePassed
 {
     WallTime wall = 0;
 };
@@ -125,12 +125,12 @@
     ProposalId proposal = 0;
 };
 
-using OwnershipEvent = std::variant<LeadershipGained, LeadershipLost, Tick, EntryWatched, Announced,
-                                    BeginRequested, FinishRequested, PlanRequested,
+using OwnershipEvent = std::variant<LeadershipGained, LeadershipLost, TimePassed, EntryWatched,
+                                    Announced, BeginRequested, FinishRequested, PlanRequested,
                                     ConfirmRequested, CommandCommitted, ProposalFailed>;
 
 /** Append this command to the log. Answer with CommandCommitted or ProposalFailed. */
-struct Propose
+struct ProposeCommand
 {
     ProposalId proposal = 0;
     Command command;
@@ -215,13 +215,13 @@
 };
 
 /** Leadership should go to a member outside @p zone. Repeated until it does. */
-struct TransferLeadership
+struct LeaveZone
 {
     std::string zone;
 };
 
 using OwnershipAction
-        = std::variant<Propose, ReplyNotLeader, ReplyFailed, ReplyAnnounce, ReplyWatch, ReplyBegin,
-                       ReplyFinish, ReplyPlan, ReplyConfirm, TransferLeadership>;
+        = std::variant<ProposeCommand, ReplyNotLeader, ReplyFailed, ReplyAnnounce, ReplyWatch,
+                       ReplyBegin, ReplyFinish, ReplyPlan, ReplyConfirm, LeaveZone>;
 
 } // namespace cassiaroad
--- a/src/version/proposaltable.cpp
+++ b/src/version/proposaltable.cpp
@@ -20,10 +20,10 @@
     this->wallAt = now;
 }
 
-Propose ProposalTable::propose(CommandBody body, std::vector<ProposalSubject> about, CallId call,
-                               TimePoint now)
+ProposeCommand ProposalTable::propose(CommandBody body, std::vector<ProposalSubject> about,
+                                      CallId call, TimePoint now)
 {
-    Propose action;
+    ProposeCommand action;
     action.proposal = ++this->lastId;
     this->lastTime = std::max(this->lastTime, this->baseTime + (now - this->baseAt).count);
     action.command.time = this->lastTime;
--- a/src/version/proposaltable.h
+++ b/src/version/proposaltable.h
@@ -34,8 +34,8 @@
     bool inFlight(const ProposalSubject &subject) const { return this->subjects.contains(subject); }
 
     /** Returns the action that proposes @p body. Group time never goes back. */
-    Propose propose(CommandBody body, std::vector<ProposalSubject> about, CallId call,
-                    TimePoint now);
+    ProposeCommand propose(CommandBody body, std::vector<ProposalSubject> about, CallId call,
+                           TimePoint now);
 
     /** Removes and returns an answered proposal, or nothing if it is not of this leadership. */
     std::optional<PendingProposal> take(ProposalId proposal);
