--- /dev/null
+++ b/src/connection/connectionstore.cpp
@@ -0,0 +1,140 @@
+#include "connection/connectionstore.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <h2o.h>
+
+namespace cassiaroad {
+
+namespace {
+
+// h2o's timers follow the wall clock; the owners of calls set the time limits.
+constexpr std::uint64_t noTimeout = 365ULL * 24 * 3600 * 1000;
+constexpr std::size_t unlimited = 1U << 20U;
+
+} // namespace
+
+struct ConnectionStore::H2oContext
+{
+    h2o_timeout_t timeout {};
+    h2o_http1client_ctx_t client {};
+};
+
+struct ConnectionStore::Idle
+{
+    Server *server;
+    h2o_socket_t *socket;
+    TimePoint openedAt;
+    TimePoint idleSince;
+};
+
+struct ConnectionStore::Server
+{
+    h2o_socketpool_t handover {};
+    std::vector<std::unique_ptr<Idle>> idle; // in the order in which they became idle
+
+    template <typename Predicate>
+    void closeIf(Predicate predicate)
+    {
+        std::erase_if(this->idle, [&](const std::unique_ptr<Idle> &entry) {
+            if (!predicate(*entry)) {
+                return false;
+            }
+            h2o_socket_close(entry->socket);
+            return true;
+        });
+    }
+};
+
+ConnectionStore::ConnectionStore(EventLoop &loop)
+    : loop(loop)
+    , context(std::make_unique<H2oContext>())
+{
+    h2o_timeout_init(loop.h2oLoop(), &this->context->timeout, noTimeout);
+    this->context->client.loop = loop.h2oLoop();
+    this->context->client.io_timeout = &this->context->timeout;
+}
+
+ConnectionStore::~ConnectionStore()
+{
+    for (auto &[address, server] : this->servers) {
+        server->closeIf([](const Idle &) { return true; });
+        h2o_socketpool_dispose(&server->handover);
+    }
+    h2o_timeout_dispose(this->loop.h2oLoop(), &this->context->timeout);
+}
+
+h2o_http1client_ctx_t *ConnectionStore::clientContext() const
+{
+    return &this->context->client;
+}
+
+ConnectionStore::Server &ConnectionStore::serverOf(const HostAddress &address)
+{
+    std::unique_ptr<Server> &server = this->servers[address];
+    if (!server) {
+        server = std::make_unique<Server>();
+        sockaddr_in target {};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(address.port);
+        inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
+        h2o_socketpool_init_by_address(&server->handover, reinterpret_cast<sockaddr *>(&target),
+                                       sizeof(target), 0, unlimited);
+        h2o_socketpool_set_timeout(&server->handover, this->loop.h2oLoop(), noTimeout);
+    }
+    return *server;
+}
+
+h2o_socketpool_t *ConnectionStore::offerConnection(const HostAddress &server, TimePoint &openedAt)
+{
+    Server &entry = this->serverOf(server);
+    if (!entry.idle.empty()) {
+        const std::unique_ptr<Idle> idle = std::move(entry.idle.back());
+        entry.idle.pop_back();
+        h2o_socket_read_stop(idle->socket);
+        openedAt = idle->openedAt;
+        h2o_socketpool_return(&entry.handover, idle->socket);
+    }
+    return &entry.handover;
+}
+
+void ConnectionStore::keep(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt)
+{
+    Server &entry = this->serverOf(server);
+    auto idle = std::make_unique<Idle>(Idle { &entry, socket, openedAt, this->loop.now() });
+    socket->data = idle.get();
+    h2o_socket_read_start(socket, &ConnectionStore::closeIfUsed);
+    entry.idle.push_back(std::move(idle));
+}
+
+void ConnectionStore::closeIfUsed(h2o_socket_t *socket, const char * /*error*/)
+{
+    const auto *used = static_cast<Idle *>(socket->data);
+    used->server->closeIf([&](const Idle &entry) { return &entry == used; });
+}
+
+void ConnectionStore::closeIdle(const HostAddress &server, TimePoint openedBefore)
+{
+    const auto found = this->servers.find(server);
+    if (found != this->servers.end()) {
+        found->second->closeIf([&](const Idle &idle) { return idle.openedAt < openedBefore; });
+    }
+}
+
+void ConnectionStore::closeIdleLongerThan(Milliseconds idle)
+{
+    const TimePoint limit = this->loop.now() - idle;
+    for (auto &[address, server] : this->servers) {
+        server->closeIf([&](const Idle &entry) { return entry.idleSince <= limit; });
+    }
+}
+
+std::size_t ConnectionStore::idleCount(const HostAddress &server) const
+{
+    const auto found = this->servers.find(server);
+    return found == this->servers.end() ? 0 : found->second->idle.size();
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/h2oexchange.cpp
@@ -0,0 +1,281 @@
+#include "connection/h2oexchange.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include <h2o.h>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr int http2Version = 0x200;
+
+// Headers that belong to one connection or that h2o writes itself.
+constexpr std::array<std::string_view, 11> connectionHeaders {
+    "connection", "content-length",   "transfer-encoding", "keep-alive",
+    "date",       "server",           "upgrade",           "te",
+    "trailer",    "proxy-connection", "http2-settings",
+};
+
+struct Reason
+{
+    int status;
+    const char *text;
+};
+
+constexpr std::array<Reason, 24> reasons { {
+        { 200, "OK" },
+        { 201, "Created" },
+        { 202, "Accepted" },
+        { 204, "No Content" },
+        { 206, "Partial Content" },
+        { 301, "Moved Permanently" },
+        { 302, "Found" },
+        { 304, "Not Modified" },
+        { 307, "Temporary Redirect" },
+        { 400, "Bad Request" },
+        { 401, "Unauthorized" },
+        { 403, "Forbidden" },
+        { 404, "Not Found" },
+        { 405, "Method Not Allowed" },
+        { 409, "Conflict" },
+        { 412, "Precondition Failed" },
+        { 413, "Content Too Large" },
+        { 422, "Unprocessable Content" },
+        { 431, "Request Header Fields Too Large" },
+        { 500, "Internal Server Error" },
+        { 502, "Bad Gateway" },
+        { 503, "Service Unavailable" },
+        { 504, "Gateway Timeout" },
+        { 508, "Loop Detected" },
+} };
+
+const char *reasonOf(int status)
+{
+    const auto *found = std::find_if(reasons.begin(), reasons.end(),
+                                     [&](const Reason &reason) { return reason.status == status; });
+    return found == reasons.end() ? "" : found->text;
+}
+
+std::string_view view(const h2o_iovec_t &bytes)
+{
+    return { bytes.base, bytes.len };
+}
+
+bool hasBody(int status, std::string_view method)
+{
+    return status != 204 && status != 304 && method != "HEAD";
+}
+
+// Answer that lives in the request's memory until h2o has written it.
+struct StoredAnswer
+{
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+void destroyStoredAnswer(void *memory)
+{
+    static_cast<StoredAnswer *>(memory)->~StoredAnswer();
+}
+
+void setContentLength(h2o_req_t *request, const StoredAnswer &answer, bool withBody)
+{
+    if (withBody) {
+        request->res.content_length = answer.body.size();
+        return;
+    }
+    for (const auto &[name, value] : answer.headers) {
+        std::size_t length = 0;
+        if (name == "content-length"
+            && std::from_chars(value.data(), value.data() + value.size(), length).ec
+                       == std::errc()) {
+            request->res.content_length = length;
+        }
+    }
+}
+
+} // namespace
+
+bool H2oExchange::answering = false;
+
+H2oExchange::H2oExchange(st_h2o_req_t *request, std::shared_ptr<ServerConnection> connection)
+    : request(request)
+    , connection(std::move(connection))
+{
+    ++this->connection->openExchanges;
+}
+
+std::string_view H2oExchange::method() const
+{
+    return this->request != nullptr ? view(this->request->input.method) : std::string_view();
+}
+
+std::string_view H2oExchange::path() const
+{
+    return this->request != nullptr ? view(this->request->input.path) : std::string_view();
+}
+
+std::string_view H2oExchange::header(std::string_view lowerCaseName) const
+{
+    if (this->request == nullptr) {
+        return {};
+    }
+    if (lowerCaseName == "host") {
+        return view(this->request->input.authority);
+    }
+    const ssize_t index = h2o_find_header_by_str(&this->request->headers, lowerCaseName.data(),
+                                                 lowerCaseName.size(), -1);
+    return index >= 0 ? view(this->request->headers.entries[index].value) : std::string_view();
+}
+
+std::vector<std::pair<std::string_view, std::string_view>> H2oExchange::headers() const
+{
+    std::vector<std::pair<std::string_view, std::string_view>> result;
+    if (this->request == nullptr) {
+        return result;
+    }
+    result.reserve(this->request->headers.size);
+    for (std::size_t i = 0; i < this->request->headers.size; ++i) {
+        const h2o_header_t &header = this->request->headers.entries[i];
+        result.emplace_back(view(*header.name), view(header.value));
+    }
+    return result;
+}
+
+std::string_view H2oExchange::body() const
+{
+    return this->request != nullptr ? view(this->request->entity) : std::string_view();
+}
+
+void H2oExchange::answer(int status, std::vector<std::pair<std::string, std::string>> headers,
+                         std::string body)
+{
+    if (this->request == nullptr || this->answered) {
+        return;
+    }
+    this->stopWatching();
+    this->goneCallback = nullptr;
+    this->send(status, std::move(headers), std::move(body));
+}
+
+void H2oExchange::send(int status, std::vector<std::pair<std::string, std::string>> headers,
+                       std::string body)
+{
+    h2o_req_t *target = this->request;
+    this->answered = true;
+    void *memory = h2o_mem_alloc_shared(&target->pool, sizeof(StoredAnswer), &destroyStoredAnswer);
+    auto *stored = new (memory) StoredAnswer { std::move(headers), std::move(body) };
+    const bool withBody = hasBody(status, this->method());
+    target->res.status = status;
+    target->res.reason = reasonOf(status);
+    setContentLength(target, *stored, withBody);
+    for (const auto &[name, value] : stored->headers) {
+        if (std::find(connectionHeaders.begin(), connectionHeaders.end(), name)
+            == connectionHeaders.end()) {
+            h2o_add_header_by_str(&target->pool, &target->res.headers, name.data(), name.size(), 1,
+                                  nullptr, value.data(), value.size());
+        }
+    }
+    static h2o_generator_t generator { nullptr, nullptr };
+    h2o_iovec_t bytes = h2o_iovec_init(stored->body.data(), stored->body.size());
+    answering = true;
+    h2o_start_response(target, &generator);
+    answering = false;
+    h2o_send(target, &bytes, withBody && bytes.len > 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
+}
+
+void H2oExchange::onClientGone(std::function<void()> callback)
+{
+    if (this->request == nullptr || this->answered) {
+        return;
+    }
+    this->goneCallback = std::move(callback);
+    this->startWatching();
+}
+
+// h2o does not read from an HTTP/1.1 connection while its request is handled, so the end of the
+// connection would go unnoticed. Readiness is watched without reading, because h2o's buffer holds
+// the request.
+void H2oExchange::startWatching()
+{
+    if (this->request->version >= http2Version || this->connection->watched == this) {
+        return;
+    }
+    this->connection->watched = this;
+    this->connection->watchedByPoll = false;
+    h2o_socket_dont_read(this->connection->socket, 1);
+    h2o_socket_read_start(this->connection->socket, [](h2o_socket_t *socket, const char *error) {
+        auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
+        char byte = 0;
+        const ssize_t count = recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (error == nullptr && count < 0 && (errno == EAGAIN || errno == EINTR)) {
+            return;
+        }
+        if (error != nullptr || count <= 0) {
+            connection->watched->abandon();
+            return;
+        }
+        h2o_socket_read_stop(socket);
+        connection->watchedByPoll = true;
+    });
+}
+
+void H2oExchange::stopWatching()
+{
+    if (this->connection->watched != this) {
+        return;
+    }
+    this->connection->watched = nullptr;
+    this->connection->watchedByPoll = false;
+    h2o_socket_read_stop(this->connection->socket);
+    h2o_socket_dont_read(this->connection->socket, 0);
+}
+
+void H2oExchange::abandon()
+{
+    this->stopWatching();
+    this->clientGone = true;
+    // h2o frees the request only after an answer; on a closed socket the answer goes nowhere.
+    shutdown(h2o_socket_get_fd(this->connection->socket), SHUT_RDWR);
+    this->request->http1_is_persistent = 0;
+    const std::function<void()> callback = std::exchange(this->goneCallback, nullptr);
+    this->send(499, {}, {});
+    if (callback) {
+        callback();
+    }
+}
+
+void H2oExchange::attach(const std::shared_ptr<H2oExchange> &exchange)
+{
+    using Holder = std::shared_ptr<H2oExchange>;
+    void *memory = h2o_mem_alloc_shared(&exchange->request->pool, sizeof(Holder), [](void *holder) {
+        auto *held = static_cast<Holder *>(holder);
+        const Holder kept = std::move(*held);
+        held->~Holder();
+        kept->detach();
+    });
+    new (memory) Holder(exchange);
+}
+
+void H2oExchange::detach()
+{
+    if (this->connection->watched == this) {
+        this->connection->watched = nullptr;
+    }
+    --this->connection->openExchanges;
+    this->connection->idleSince = Clock::now();
+    this->connection->receiving = false;
+    this->request = nullptr;
+    if (this->answered) {
+        return;
+    }
+    this->clientGone = true;
+    if (const std::function<void()> callback = std::exchange(this->goneCallback, nullptr)) {
+        callback();
+    }
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/httpclient.cpp
@@ -0,0 +1,48 @@
+#include "connection/httpclient.h"
+
+#include "connection/httpcall.h"
+
+namespace cassiaroad {
+
+struct HttpClient::Private
+{
+    explicit Private(EventLoop &loop)
+        : connections(std::make_shared<ConnectionStore>(loop))
+    { }
+
+    std::shared_ptr<ConnectionStore> connections;
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : d(std::make_unique<Private>(loop))
+{ }
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpClient::Call> HttpClient::send(const HostAddress &server, HttpRequest request,
+                                                   std::size_t maxAnswerBytes,
+                                                   std::function<void(HttpResult)> done,
+                                                   std::function<bool()> mayWrite)
+{
+    auto call = std::make_unique<HttpCall>(this->d->connections, server, std::move(request),
+                                           maxAnswerBytes);
+    call->start(std::move(done), std::move(mayWrite));
+    return call;
+}
+
+void HttpClient::closeIdle(const HostAddress &server, TimePoint openedBefore)
+{
+    this->d->connections->closeIdle(server, openedBefore);
+}
+
+void HttpClient::closeIdleLongerThan(Milliseconds idle)
+{
+    this->d->connections->closeIdleLongerThan(idle);
+}
+
+std::size_t HttpClient::idleCount(const HostAddress &server) const
+{
+    return this->d->connections->idleCount(server);
+}
+
+} // namespace cassiaroad
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -65,6 +65,8 @@
         virtual TimePoint lastProgress() const = 0;
         /** Whether a byte of the request may have been written. */
         virtual bool isSent() const = 0;
+        /** Time at which the connection of this call was opened. */
+        virtual TimePoint connectionOpenedAt() const = 0;
     };
 
     explicit HttpClient(EventLoop &loop);
@@ -74,11 +76,15 @@
 
     /**
      * Sends @p request to @p server; @p done is called once, unless the call is destroyed before.
-     * Answers above @p maxAnswerBytes fail with AnswerCut.
+     * It is never called before send() returns. @p mayWrite, if given, is asked in the loop turn in
+     * which the first byte is about to be written; false fails the call at stage Connect. Answers
+     * above @p maxAnswerBytes fail with AnswerCut, as do answers whose end cannot be proven
+     * (neither Content-Length nor chunked). There is no time limit: the owner of the call sets one.
      */
     [[nodiscard]] std::unique_ptr<Call> send(const HostAddress &server, HttpRequest request,
                                              std::size_t maxAnswerBytes,
-                                             std::function<void(HttpResult)> done);
+                                             std::function<void(HttpResult)> done,
+                                             std::function<bool()> mayWrite = nullptr);
 
     /** Closes idle connections to @p server that were opened before @p openedBefore. */
     void closeIdle(const HostAddress &server, TimePoint openedBefore);
@@ -86,6 +92,9 @@
     /** Closes idle connections that have carried nothing for @p idle. */
     void closeIdleLongerThan(Milliseconds idle);
 
+    /** Number of idle connections to @p server. */
+    std::size_t idleCount(const HostAddress &server) const;
+
 private:
     struct Private;
     std::unique_ptr<Private> d;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -14,7 +14,8 @@
 
 /**
  * One request of an HTTP client and the way to answer it. Kept alive by whoever holds it; the
- * server holds it until the answer is sent or the client has gone. Loop thread only.
+ * server holds it until the answer is sent or the client has gone. The returned views are valid
+ * until then; afterwards the methods return empty values. Loop thread only.
  */
 class HttpExchange
 {
@@ -32,7 +33,7 @@
                         std::string body)
             = 0;
 
-    /** Whether the client has closed its connection or cancelled the request. */
+    /** Whether the client closed its connection or cancelled the request before it was answered. */
     virtual bool isClientGone() const = 0;
 
     /** Calls @p callback once if the client goes before it is answered. */
@@ -42,8 +43,12 @@
 /** Limits of one listener. */
 struct HttpServerLimits
 {
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxBodyBytes = 4UL * 1024 * 1024;
     std::uint32_t maxConnections = 20000;
+    // After this time a request must have arrived at 1 KiB/s on average; slower senders are cut off
+    // so that they cannot hold connections and buffers.
+    Milliseconds receiveGrace { 10000 };
+    Milliseconds idle { 60000 }; // longest time without a request on an open connection
 
     bool operator==(const HttpServerLimits &) const = default;
 };
@@ -67,9 +72,12 @@
 
     std::size_t connectionCount() const;
 
+    /** Returns the port that was bound; differs from the requested one if that was 0. */
+    std::uint16_t port() const;
+
 private:
     struct Private;
-    std::unique_ptr<Private> d;
+    Private *d; // outlives this object until its last connection is closed
 };
 
 } // namespace cassiaroad
--- /dev/null
+++ b/tests/connection/test_httpclient.cpp
@@ -0,0 +1,236 @@
+#include "connection/httpclient.h"
+
+#include "support/fakepeer.h"
+#include "support/loopwait.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+constexpr std::size_t maxAnswer = 1 << 20;
+
+class HttpClientTest : public testing::Test
+{
+protected:
+    void serve(FakePeer::Script script)
+    {
+        this->peer = std::make_unique<FakePeer>(this->loop, std::move(script));
+        this->address = { "127.0.0.1", this->peer->port };
+    }
+
+    // A peer that answers every request with the same bytes.
+    void serveText(std::string answer)
+    {
+        this->serve([answer](FakePeer::Connection &connection) {
+            if (connection.received.find("\r\n\r\n") != std::string::npos) {
+                connection.received.clear();
+                connection.write(answer);
+            }
+        });
+    }
+
+    HttpResult exchange(HttpRequest request = { "GET", "/k", {}, {} })
+    {
+        std::optional<HttpResult> result;
+        const auto call = this->client.send(this->address, std::move(request), maxAnswer,
+                                            [&](HttpResult value) { result = std::move(value); });
+        if (!waitUntil(this->loop, [&] { return result.has_value(); })) {
+            return HttpFailure { HttpFailure::Stage::Sent, "test timeout" };
+        }
+        return *result;
+    }
+
+    static std::string bodyOf(const HttpResult &result)
+    {
+        const auto *answer = std::get_if<HttpAnswer>(&result);
+        return answer != nullptr ? answer->body : "failed: " + std::get<HttpFailure>(result).reason;
+    }
+
+    static std::optional<HttpFailure::Stage> stageOf(const HttpResult &result)
+    {
+        const auto *failure = std::get_if<HttpFailure>(&result);
+        return failure != nullptr ? std::optional(failure->stage) : std::nullopt;
+    }
+
+    EventLoop loop;
+    HttpClient client { loop };
+    std::unique_ptr<FakePeer> peer;
+    HostAddress address;
+};
+
+} // namespace
+
+TEST_F(HttpClientTest, reusesAConnection)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\nX-A: b\r\n\r\nhi");
+    const HttpResult first = this->exchange();
+    EXPECT_EQ(bodyOf(first), "hi");
+    EXPECT_EQ(std::get<HttpAnswer>(first).headers[1],
+              (std::pair<std::string, std::string>("x-a", "b")));
+    EXPECT_EQ(this->client.idleCount(this->address), 1U);
+    EXPECT_EQ(bodyOf(this->exchange()), "hi");
+    EXPECT_EQ(this->peer->connections.size(), 1U);
+}
+
+TEST_F(HttpClientTest, sendsMethodHeadersAndBody)
+{
+    std::string seen;
+    this->serve([&](FakePeer::Connection &connection) {
+        seen = connection.received;
+        if (seen.ends_with("order")) {
+            connection.write("HTTP/1.1 204 No Content\r\n\r\n");
+        }
+    });
+    const HttpResult result = this->exchange({ "POST", "/s/k?x", { { "a", "b" } }, "order" });
+    EXPECT_EQ(std::get<HttpAnswer>(result).status, 204);
+    EXPECT_EQ(seen, "POST /s/k?x HTTP/1.1\r\nhost: " + this->address.toString()
+                            + "\r\na: b\r\ncontent-length: 5\r\n\r\norder");
+}
+
+TEST_F(HttpClientTest, readsChunkedAnswers)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    EXPECT_EQ(bodyOf(this->exchange()), "hi");
+    EXPECT_EQ(bodyOf(this->exchange()), "hi");
+}
+
+// Guards against reporting "not run" wrongly: only a refused connection is Stage::Connect (P4).
+TEST_F(HttpClientTest, tellsAnUnreachableServerFromALostAnswer)
+{
+    this->serve([](FakePeer::Connection &connection) { connection.disconnect(); });
+    EXPECT_EQ(stageOf(this->exchange()), HttpFailure::Stage::Sent);
+    this->peer.reset();
+    EXPECT_EQ(stageOf(this->exchange()), HttpFailure::Stage::Connect);
+}
+
+// Guards against a cut answer that is passed on as whole (P3).
+TEST_F(HttpClientTest, refusesCutAnswers)
+{
+    for (const std::string cut :
+         { "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhi",
+           "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi\r\n",
+           "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhi",
+           "HTTP/1.1 200 OK\r\n\r\nno end", "HTTP/1.1 200 OK\r\ncontent-le",
+           "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 5\r\n\r\nhi...",
+           "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: "
+           "chunked\r\n\r\n0\r\n\r\n" }) {
+        this->serve([cut](FakePeer::Connection &connection) {
+            connection.write(cut);
+            connection.disconnect();
+        });
+        EXPECT_EQ(stageOf(this->exchange()), HttpFailure::Stage::AnswerCut) << cut;
+    }
+}
+
+// Guards against a second answer that reaches the next request (P3).
+TEST_F(HttpClientTest, discardsConnectionsWithTwoAnswers)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+    const std::string wrong = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong";
+    const std::string empty = "HTTP/1.1 204 No Content\r\n\r\n";
+    const std::string chunked
+            = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nfirst\r\n0\r\n\r\n";
+    for (const std::string &first : { answer, empty, chunked }) {
+        for (const std::size_t split : { std::size_t(0), std::size_t(10), wrong.size() }) {
+            this->serve([&](FakePeer::Connection &connection) {
+                if (connection.number == 1 && connection.received.ends_with("\r\n\r\n")) {
+                    connection.received.clear();
+                    connection.write(first + wrong.substr(0, split));
+                    connection.write(wrong.substr(split));
+                } else if (connection.number > 1) {
+                    connection.write(answer);
+                }
+            });
+            this->exchange();
+            EXPECT_EQ(bodyOf(this->exchange()), "first") << first << split;
+            EXPECT_EQ(this->peer->connections.size(), 2U) << first << split;
+        }
+    }
+}
+
+// Guards against a late second answer on an idle connection (P3).
+TEST_F(HttpClientTest, closesIdleConnectionOnWhichBytesArrive)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
+    this->exchange();
+    ASSERT_EQ(this->client.idleCount(this->address), 1U);
+    this->peer->connections[0]->write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong");
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return this->client.idleCount(this->address) == 0; }));
+    EXPECT_EQ(bodyOf(this->exchange()), "hi");
+}
+
+// Guards against bytes that are written after the lease check failed (section 4).
+TEST_F(HttpClientTest, asksBeforeTheFirstByteIsWritten)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
+    for (int round = 0; round < 2; ++round) {
+        std::optional<HttpResult> result;
+        const auto call = this->client.send(
+                this->address, { "POST", "/k", {}, "x" }, maxAnswer,
+                [&](HttpResult value) { result = std::move(value); }, [] { return false; });
+        EXPECT_FALSE(result.has_value());
+        ASSERT_TRUE(waitUntil(this->loop, [&] { return result.has_value(); }));
+        EXPECT_EQ(stageOf(*result), HttpFailure::Stage::Connect);
+        EXPECT_FALSE(call->isSent());
+        if (round == 0) {
+            this->exchange(); // the next round gets a connection that is already open
+        }
+    }
+    for (const auto &connection : this->peer->connections) {
+        EXPECT_EQ(connection->received, "");
+    }
+}
+
+TEST_F(HttpClientTest, closesTheConnectionOfACancelledCall)
+{
+    this->serve([](FakePeer::Connection &) {});
+    auto call = this->client.send(this->address, { "GET", "/k", {}, {} }, maxAnswer,
+                                  [](HttpResult) { FAIL() << "answered after it was cancelled"; });
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return call->isSent(); }));
+    call.reset();
+    EXPECT_TRUE(waitUntil(this->loop, [&] {
+        return this->peer->connections.size() == 1 && this->peer->connections[0]->closedByClient;
+    }));
+}
+
+TEST_F(HttpClientTest, closesIdleConnectionsByAge)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
+    this->exchange();
+    const TimePoint opened = this->loop.now();
+    this->client.closeIdle(this->address, opened - Milliseconds { 60000 });
+    EXPECT_EQ(this->client.idleCount(this->address), 1U);
+    this->client.closeIdle(this->address, opened + Milliseconds { 1 });
+    EXPECT_EQ(this->client.idleCount(this->address), 0U);
+    this->exchange();
+    this->client.closeIdleLongerThan({ 60000 });
+    EXPECT_EQ(this->client.idleCount(this->address), 1U);
+    this->client.closeIdleLongerThan({ 0 });
+    EXPECT_EQ(this->client.idleCount(this->address), 0U);
+}
+
+// Guards against unbounded memory for the answer of a faulty upstream.
+TEST_F(HttpClientTest, boundsTheSizeOfAnAnswer)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2000000\r\n\r\n"
+                    + std::string(1200000, 'x'));
+    EXPECT_EQ(stageOf(this->exchange()), HttpFailure::Stage::AnswerCut);
+}
+
+// Guards against a silent connection that counts as making progress (section 6.3).
+TEST_F(HttpClientTest, reportsTheTimeOfTheLastProgress)
+{
+    this->serve([](FakePeer::Connection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\npart");
+    });
+    const auto call = this->client.send(this->address, { "GET", "/k", {}, {} }, maxAnswer,
+                                        [](HttpResult) {});
+    runFor(this->loop, { 50 });
+    const TimePoint last = call->lastProgress();
+    runFor(this->loop, { 50 });
+    EXPECT_EQ(call->lastProgress(), last);
+    this->peer->connections[0]->write("more");
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return call->lastProgress() > last; }));
+}
--- /dev/null
+++ b/tests/connection/test_httpserver.cpp
@@ -0,0 +1,260 @@
+#include "connection/httpserver.h"
+
+#include "support/loopwait.h"
+#include "support/rawclient.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+class HttpServerTest : public testing::Test
+{
+protected:
+    void start(HttpServerLimits limits = { 1024, 100 })
+    {
+        this->server = std::make_unique<HttpServer>(
+                this->loop, limits, [this](std::shared_ptr<HttpExchange> exchange) {
+                    this->requests.push_back(std::string(exchange->method()) + " "
+                                             + std::string(exchange->path()) + " "
+                                             + std::string(exchange->body()));
+                    if (this->answersAtOnce) {
+                        exchange->answer(200, { { "x-test", "1" } },
+                                         "echo:" + std::string(exchange->body()));
+                    } else {
+                        this->open.push_back(std::move(exchange));
+                    }
+                });
+        ASSERT_EQ(this->server->listen({ "127.0.0.1", 0 }), "");
+    }
+
+    bool receives(RawClient &client, const std::string &text)
+    {
+        return waitUntil(this->loop,
+                         [&] { return client.received().find(text) != std::string::npos; });
+    }
+
+    EventLoop loop;
+    std::unique_ptr<HttpServer> server;
+    std::vector<std::string> requests;
+    std::vector<std::shared_ptr<HttpExchange>> open;
+    bool answersAtOnce = true;
+};
+
+} // namespace
+
+// Guards against answers that mix or lose requests of one connection (P3).
+TEST_F(HttpServerTest, answersPipelinedRequestsInOrder)
+{
+    this->start();
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
+                 "POST /b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nxyz"
+                 "POST /c HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+                 "2\r\nuv\r\n0\r\n\r\n");
+    ASSERT_TRUE(this->receives(client, "echo:uv"));
+    EXPECT_EQ(this->requests,
+              (std::vector<std::string> { "GET /a ", "POST /b xyz", "POST /c uv" }));
+    EXPECT_LT(client.received().find("echo:xyz"), client.received().find("echo:uv"));
+}
+
+// Guards against reading an upload that is refused anyway (section 6.4).
+TEST_F(HttpServerTest, refusesLargeBodyBeforeReadingIt)
+{
+    this->start();
+    RawClient client(this->server->port());
+    client.write("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1025\r\n\r\n");
+    ASSERT_TRUE(this->receives(client, "\r\n\r\n"));
+    EXPECT_NE(client.received().find(" 413 "), std::string::npos);
+    EXPECT_NE(client.received().find("cassiaroad-outcome: not-run"), std::string::npos);
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(HttpServerTest, refusesChunkedBodyAboveTheLimit)
+{
+    this->start();
+    RawClient client(this->server->port());
+    client.write("POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n800\r\n"
+                 + std::string(2048, 'x') + "\r\n");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); }));
+    EXPECT_TRUE(this->requests.empty());
+}
+
+// Guards against request smuggling: two ways to find the end of one request (P3, P4).
+TEST_F(HttpServerTest, refusesAmbiguousLength)
+{
+    this->start();
+    for (const std::string framing :
+         { "content-length: 3\r\ntransfer-encoding: chunked\r\n",
+           "transfer-encoding: chunked\r\nContent-Length: 3\r\n",
+           "content-length: 3\r\ncontent-length: 4\r\n",
+           "content-length : 3\r\nContent-length: 5\r\n",
+           "transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n" }) {
+        RawClient client(this->server->port());
+        client.write("POST /a HTTP/1.1\r\nhost: x\r\n" + framing + "\r\n0\r\n\r\nGET /evil");
+        ASSERT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); })) << framing;
+        EXPECT_EQ(client.received().find(" 200 "), std::string::npos) << framing;
+    }
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(HttpServerTest, refusesLongHeaders)
+{
+    this->start();
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\nx: " + std::string(40000, 'y') + "\r\n\r\n");
+    ASSERT_TRUE(this->receives(client, " 431 "));
+    RawClient endless(this->server->port());
+    endless.write("GET /a HTTP/1.1\r\nhost: x\r\nx: " + std::string(40000, 'y'));
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return endless.isClosedByServer(); }));
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(HttpServerTest, boundsTheNumberOfConnections)
+{
+    this->start({ 1024, 2 });
+    RawClient first(this->server->port());
+    RawClient second(this->server->port());
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->server->connectionCount() == 2; }));
+    RawClient third(this->server->port());
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return third.isClosedByServer(); }));
+    second.disconnect();
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->server->connectionCount() == 1; }));
+    first.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    EXPECT_TRUE(this->receives(first, "echo:"));
+}
+
+// Guards against connections held by clients that send almost nothing.
+TEST_F(HttpServerTest, closesConnectionsOfSlowSenders)
+{
+    this->start({ 1024, 100, { 300 }, { 60000 } });
+    RawClient slowHead(this->server->port());
+    slowHead.write("GET /a HTT");
+    RawClient slowBody(this->server->port());
+    slowBody.write("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 1000000\r\n\r\n12");
+    EXPECT_TRUE(waitUntil(this->loop,
+                          [&] {
+                              slowBody.write("3");
+                              return slowHead.isClosedByServer() && slowBody.isClosedByServer();
+                          },
+                          { 4000 }));
+    EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(HttpServerTest, closesIdleConnections)
+{
+    this->start({ 1024, 100, { 60000 }, { 300 } });
+    RawClient client(this->server->port());
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->server->connectionCount() == 1; }));
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); }, { 4000 }));
+}
+
+// Guards against work for callers that have left (section 6.3).
+TEST_F(HttpServerTest, noticesThatTheClientHasGone)
+{
+    this->answersAtOnce = false;
+    this->start();
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 1; }));
+    int gone = 0;
+    this->open[0]->onClientGone([&] { ++gone; });
+    runFor(this->loop, { 20 });
+    EXPECT_EQ(gone, 0);
+    client.disconnect();
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return gone == 1; }));
+    EXPECT_TRUE(this->open[0]->isClientGone());
+    this->open[0]->answer(200, {}, "late");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->server->connectionCount() == 0; }));
+    this->open[0]->answer(200, {}, "later still");
+    EXPECT_EQ(gone, 1);
+}
+
+// Guards against a client that hides its end behind a pipelined request.
+TEST_F(HttpServerTest, noticesThatAPipeliningClientHasGone)
+{
+    this->answersAtOnce = false;
+    this->start();
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 1; }));
+    int gone = 0;
+    this->open[0]->onClientGone([&] { ++gone; });
+    client.write("GET /b HTTP/1.1\r\nhost: x\r\n\r\n");
+    runFor(this->loop, { 20 });
+    client.disconnect();
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return gone == 1; }));
+}
+
+// Guards against a watched connection that loses the next pipelined request.
+TEST_F(HttpServerTest, keepsPipelinedRequestWhileWatching)
+{
+    this->answersAtOnce = false;
+    this->start();
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 1; }));
+    this->open[0]->onClientGone([] {});
+    client.write("GET /b HTTP/1.1\r\nhost: x\r\n\r\n");
+    runFor(this->loop, { 20 });
+    EXPECT_EQ(this->open[0]->path(), "/a");
+    this->open[0]->answer(200, {}, "answer-a");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 2; }));
+    this->open[1]->answer(200, {}, "answer-b");
+    EXPECT_TRUE(this->receives(client, "answer-b"));
+}
+
+// Guards against a planned stop that cuts a request (P7).
+TEST_F(HttpServerTest, finishesRequestsBeforeItShutsDown)
+{
+    this->answersAtOnce = false;
+    this->start();
+    RawClient busy(this->server->port());
+    busy.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    RawClient idle(this->server->port());
+    RawClient uploading(this->server->port());
+    uploading.write("POST /u HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\nab");
+    ASSERT_TRUE(waitUntil(this->loop, [&] {
+        return this->open.size() == 1 && this->server->connectionCount() == 3;
+    }));
+    bool done = false;
+    this->server->shutDown([&] { done = true; });
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return idle.isClosedByServer(); }));
+    uploading.write("cd");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 2; }));
+    EXPECT_FALSE(done);
+    this->open[1]->answer(200, {}, "uploaded");
+    this->open[0]->answer(200, {}, "complete");
+    EXPECT_TRUE(this->receives(uploading, "uploaded"));
+    EXPECT_TRUE(this->receives(busy, "complete"));
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return done && busy.isClosedByServer(); }));
+    EXPECT_FALSE(RawClient(this->server->port()).connected);
+}
+
+// Guards against a HEAD answer with a body, which a client would read as the next answer (P3).
+TEST_F(HttpServerTest, sendsNoBodyForHead)
+{
+    this->answersAtOnce = false;
+    this->start();
+    RawClient client(this->server->port());
+    client.write("HEAD /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 1; }));
+    this->open[0]->answer(200, { { "content-length", "77" } }, "");
+    ASSERT_TRUE(this->receives(client, "\r\n\r\n"));
+    EXPECT_NE(client.received().find("ontent-Length: 77\r\n"), std::string::npos)
+            << client.received();
+    EXPECT_TRUE(client.received().ends_with("\r\n\r\n"));
+}
+
+// Guards against losing HTTP/2 clients; the first frame after the preface is an empty SETTINGS.
+TEST_F(HttpServerTest, speaksHttp2ByPriorKnowledge)
+{
+    this->start();
+    RawClient client(this->server->port());
+    client.write(std::string_view("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0", 33));
+    // HEADERS, END_STREAM and END_HEADERS, stream 1: GET, http, /, authority "x".
+    client.write(std::string_view("\0\0\6\1\5\0\0\0\1\x82\x86\x84\x41\1x", 15));
+    EXPECT_TRUE(this->receives(client, "echo:"));
+    EXPECT_EQ(this->requests, (std::vector<std::string> { "GET / " }));
+}
