control: Add the member process of a control group

The replica, the control state and the ownership manager need a process that drives them. ReplicaDriver runs the replica over its data folder and sends messages before it syncs; proposals of one loop turn share one sync. MemberService and OperatorService offer them over RPC and HTTP.

--- /dev/null
+++ b/src/cassiaroad/controlprocess.cpp
@@ -0,0 +1,109 @@
+#include "cassiaroad/controlprocess.h"
+
+#include "process/log.h"
+
+#include <csignal>
+
+namespace cassiaroad {
+
+namespace {
+
+const Log controlLog("control");
+
+// A transfer takes one election without a timeout; a second covers a lost message.
+constexpr Milliseconds transferBound { 1000 };
+constexpr Milliseconds transferCheck { 20 };
+
+const MemberSettings &ownMember(const Settings &settings)
+{
+    const std::uint32_t number = std::get<ControlSettings>(settings.role).member;
+    for (const MemberSettings &member : settings.members) {
+        if (member.number == number) {
+            return member;
+        }
+    }
+    KJ_FAIL_REQUIRE("the own member is not in the settings");
+}
+
+} // namespace
+
+ControlProcess::ControlProcess(EventLoop &loop, const Settings &settings,
+                               std::function<void(const std::string &reason)> ended)
+    : loop(loop)
+    , settings(settings)
+    , ended(std::move(ended))
+    , engine(loop, settings, this->metrics,
+             [this](const std::string &reason) { this->finish(reason); })
+    , rpcServer(loop, {}, kj::heap<MemberService>(this->engine))
+    , operatorService(loop, this->engine, this->metrics,
+                      std::get<ControlSettings>(settings.role).operatorToken)
+{ }
+
+ControlProcess::~ControlProcess() = default;
+
+std::string ControlProcess::start(bool bootstrap)
+{
+    const MemberSettings &member = ownMember(this->settings);
+    std::string reason = this->rpcServer.listen(member.rpc);
+    if (reason.empty()) {
+        reason = this->operatorService.listen(member.operators);
+    }
+    if (reason.empty()) {
+        reason = this->engine.start(bootstrap);
+    }
+    if (reason.empty()) {
+        controlLog.info("member " + std::to_string(member.number) + " of group "
+                        + this->settings.group + " serves members and entry hosts on "
+                        + member.rpc.toString() + ", operators on " + member.operators.toString());
+    }
+    return reason;
+}
+
+void ControlProcess::stop()
+{
+    controlLog.info("stops; hands leadership over");
+    this->stopUntil = this->loop.now() + transferBound;
+    this->engine.leaveLeadership();
+    this->waitForSuccessor();
+}
+
+void ControlProcess::waitForSuccessor()
+{
+    const ReplicaDriver &replica = this->engine.replica();
+    if (!replica.isLeading() || this->loop.now() >= this->stopUntil) {
+        this->finish({});
+        return;
+    }
+    this->stopTimer = this->loop.callAfter(transferCheck, [this] { this->waitForSuccessor(); });
+}
+
+void ControlProcess::finish(const std::string &reason)
+{
+    // The owner may destroy this object, so it is told from the loop.
+    this->endTimer = this->loop.callAfter({}, [ended = this->ended, reason] { ended(reason); });
+}
+
+int runControlProcess(const Settings &settings, bool bootstrap)
+{
+    EventLoop loop;
+    int status = 0;
+    ControlProcess process(loop, settings, [&](const std::string &reason) {
+        if (!reason.empty()) {
+            controlLog.error(reason);
+            status = 1;
+        }
+        loop.stop();
+    });
+    const std::string reason = process.start(bootstrap);
+    if (!reason.empty()) {
+        controlLog.error("cannot start: " + reason);
+        return 1;
+    }
+    loop.onSignal(SIGTERM, [&process] { process.stop(); });
+    loop.onSignal(SIGINT, [&process] { process.stop(); });
+    loop.run();
+    controlLog.info("ended");
+    return status;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/cassiaroad/replicadriver.cpp
@@ -0,0 +1,432 @@
+#include "cassiaroad/replicadriver.h"
+
+#include "process/log.h"
+#include "process/replicacodec.h"
+
+#include <algorithm>
+#include <random>
+
+namespace cassiaroad {
+
+namespace {
+
+const Log replicaLog("replica");
+const Log storageLog("storage");
+
+// A snapshot encodes the whole state, so it is due when the log outgrows the last one.
+constexpr std::size_t minBytesBetweenSnapshots = std::size_t(4) * 1024 * 1024;
+constexpr Milliseconds reopenInterval { 1000 };
+const std::vector<double> syncBuckets { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5 };
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+ReplicaOptions replicaOptions(const Settings &settings)
+{
+    ReplicaOptions options;
+    for (const MemberSettings &member : settings.members) {
+        options.members.push_back(member.number);
+    }
+    options.heartbeat = settings.timing.heartbeat;
+    options.electionMin = settings.timing.electionMin;
+    options.electionMax = settings.timing.electionMax;
+    options.leaderLease = settings.timing.leaderLease;
+    return options;
+}
+
+std::uint32_t ownNumber(const Settings &settings)
+{
+    return std::get<ControlSettings>(settings.role).member;
+}
+
+std::map<std::uint32_t, HostAddress> peerAddresses(const Settings &settings)
+{
+    std::map<std::uint32_t, HostAddress> peers;
+    for (const MemberSettings &member : settings.members) {
+        if (member.number != ownNumber(settings)) {
+            peers.emplace(member.number, member.rpc);
+        }
+    }
+    return peers;
+}
+
+const char *roleName(ReplicaRole role)
+{
+    switch (role) {
+    case ReplicaRole::Starting:
+        return "starting";
+    case ReplicaRole::Learner:
+        return "learner";
+    case ReplicaRole::Follower:
+        return "follower";
+    case ReplicaRole::Candidate:
+        return "candidate";
+    case ReplicaRole::Leader:
+        return "leader";
+    case ReplicaRole::Failed:
+        return "failed";
+    case ReplicaRole::Dropped:
+        return "dropped";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+ReplicaDriver::ReplicaDriver(EventLoop &loop, const Settings &settings, Metrics &metrics,
+                             ReplicaHandlers handlers)
+    : loop(loop)
+    , settings(settings)
+    , options(replicaOptions(settings))
+    , handlers(std::move(handlers))
+    , replicaLink(loop, settings.group, ownNumber(settings), peerAddresses(settings))
+    , syncSeconds(metrics.histogram("cassiaroad_control_sync_seconds",
+                                    "Duration of writing and syncing the log.", syncBuckets))
+    , appliedCount(metrics.counter("cassiaroad_control_applied_total", "Applied log commands."))
+    , snapshotCount(metrics.counter("cassiaroad_control_snapshots_total", "Saved snapshots."))
+    , turns(*this)
+{
+    this->storage.folder = std::get<ControlSettings>(settings.role).dataFolder;
+}
+
+ReplicaDriver::~ReplicaDriver() = default;
+
+std::string ReplicaDriver::start(bool bootstrap)
+{
+    return this->openFolder(bootstrap);
+}
+
+std::string ReplicaDriver::openFolder(bool bootstrap)
+{
+    FolderOpenResult result = DataFolder::open(this->storage, ownNumber(this->settings));
+    if (std::holds_alternative<FolderEmpty>(result)) {
+        return this->createFolder(bootstrap);
+    }
+    if (bootstrap && std::holds_alternative<FolderOpened>(result)) {
+        return "the data folder already holds a member; start without --bootstrap";
+    }
+    return this->use(std::move(result), false);
+}
+
+std::string ReplicaDriver::createFolder(bool bootstrap)
+{
+    const MemberId id { ownNumber(this->settings), randomNumber() };
+    replicaLog.info("creates data folder of member " + std::to_string(id.number)
+                    + (bootstrap ? ", founds the group" : ", joins as learner"));
+    return this->use(DataFolder::create(this->storage, id), bootstrap);
+}
+
+std::string ReplicaDriver::use(FolderOpenResult result, bool bootstrap)
+{
+    if (const auto *corruption = std::get_if<Corruption>(&result)) {
+        return "data folder is damaged: " + corruption->toString();
+    }
+    if (const auto *error = std::get_if<StorageError>(&result)) {
+        return error->toString();
+    }
+    if (std::holds_alternative<FolderEmpty>(result)) {
+        return "the data folder could not be created";
+    }
+    this->run(std::move(std::get<FolderOpened>(result)), bootstrap);
+    return {};
+}
+
+void ReplicaDriver::run(FolderOpened opened, bool bootstrap)
+{
+    if (opened.tornTail) {
+        storageLog.warning("cut an incomplete write off " + opened.tornTail->file + " at byte "
+                           + std::to_string(opened.tornTail->offset));
+    }
+    this->folder = std::move(opened.folder);
+    const std::optional<Snapshot> snapshot = opened.recovered.snapshot;
+    this->appliedIndex = snapshot ? snapshot->meta.index : 0;
+    this->appliedTerm = snapshot ? snapshot->meta.term : 0;
+    this->snapshotBytes = snapshot ? snapshot->data->size() : 0;
+    this->bytesSinceSnapshot = 0;
+    this->unsynced.clear();
+    this->pendingProposals.clear();
+    this->handlers.restore(snapshot);
+    this->member.emplace(this->options, std::move(opened.recovered), randomNumber(),
+                         this->loop.now(), bootstrap);
+    this->feed(Tick {});
+}
+
+void ReplicaDriver::propose(std::uint64_t proposal, std::string command)
+{
+    this->proposals.emplace_back(proposal, std::move(command));
+    this->scheduleTurn();
+}
+
+void ReplicaDriver::receive(std::string_view message)
+{
+    std::optional<ReplicaMessage> decoded = decodeReplicaMessage(message);
+    if (!decoded) {
+        replicaLog.warning("ignores a message that cannot be decoded");
+        return;
+    }
+    this->feed(MessageReceived { std::move(*decoded) });
+}
+
+void ReplicaDriver::transferLeadership(std::optional<std::uint32_t> to)
+{
+    this->feed(TransferLeadership { to });
+}
+
+bool ReplicaDriver::isLeading() const
+{
+    return this->member && this->member->role() == ReplicaRole::Leader
+           && this->appliedTerm == this->member->term();
+}
+
+bool ReplicaDriver::hasLeaderLease() const
+{
+    return this->member && this->member->hasLeaderLease(this->loop.now());
+}
+
+std::optional<std::uint32_t> ReplicaDriver::leader() const
+{
+    if (!this->member || !this->member->leader()) {
+        return std::nullopt;
+    }
+    return this->member->leader()->number;
+}
+
+void ReplicaDriver::feed(ReplicaEvent event, std::vector<std::uint64_t> proposals)
+{
+    this->queue.push_back({ std::move(event), std::move(proposals) });
+    if (this->stepping) {
+        return;
+    }
+    this->stepping = true;
+    while (!this->queue.empty() && this->member) {
+        const QueuedEvent next = std::move(this->queue.front());
+        this->queue.pop_front();
+        this->take(next);
+    }
+    this->queue.clear();
+    this->stepping = false;
+    this->scheduleTick();
+    this->handlers.stepped();
+}
+
+void ReplicaDriver::take(const QueuedEvent &queued)
+{
+    Actions actions = this->member->step(queued.event, this->loop.now());
+    if (actions.roleChange) {
+        this->logRole(*actions.roleChange);
+    }
+    if (actions.proposal) {
+        this->noteProposals(queued.proposals, *actions.proposal);
+    }
+    if (actions.dropFolder) {
+        this->dropFolder();
+        return;
+    }
+    if (actions.install) {
+        this->install(*actions.install);
+    }
+    if (actions.persist) {
+        this->unsynced.push_back(std::move(*actions.persist));
+        this->scheduleTurn();
+    }
+    for (const ReplicaMessage &message : actions.messages) {
+        this->send(message);
+    }
+    for (const LogEntry &entry : actions.committed) {
+        this->apply(entry);
+    }
+    this->saveSnapshotIfDue();
+}
+
+void ReplicaDriver::noteProposals(const std::vector<std::uint64_t> &proposals,
+                                  const ProposalResult &result)
+{
+    const auto *accepted = std::get_if<ProposalAccepted>(&result);
+    for (std::size_t i = 0; i < proposals.size(); ++i) {
+        if (accepted != nullptr) {
+            this->pendingProposals[accepted->firstIndex + i] = { accepted->term, proposals[i] };
+        } else {
+            this->handlers.proposalFailed(proposals[i]);
+        }
+    }
+}
+
+void ReplicaDriver::apply(const LogEntry &entry)
+{
+    std::uint64_t proposal = 0;
+    std::uint64_t replaced = 0;
+    const auto pending = this->pendingProposals.find(entry.index);
+    if (pending != this->pendingProposals.end()) {
+        const bool same = pending->second.term == entry.term;
+        (same ? proposal : replaced) = pending->second.proposal;
+        this->pendingProposals.erase(pending);
+    }
+    this->appliedIndex = entry.index;
+    this->appliedTerm = entry.term;
+    if (const auto *command = std::get_if<CommandBytes>(&entry.payload)) {
+        this->bytesSinceSnapshot += command->bytes.size();
+        this->appliedCount.Increment();
+        this->handlers.apply(command->bytes, proposal);
+    }
+    if (replaced != 0) {
+        this->handlers.proposalFailed(replaced);
+    }
+}
+
+void ReplicaDriver::install(const Snapshot &snapshot)
+{
+    this->sync();
+    if (!this->folder) {
+        return;
+    }
+    if (const auto error = this->folder->installSnapshot(snapshot)) {
+        this->storageFailed(*error);
+        return;
+    }
+    replicaLog.info("installed the leader's snapshot at index "
+                    + std::to_string(snapshot.meta.index));
+    this->appliedIndex = snapshot.meta.index;
+    this->appliedTerm = snapshot.meta.term;
+    this->snapshotBytes = snapshot.data->size();
+    this->bytesSinceSnapshot = 0;
+    this->pendingProposals.clear();
+    this->handlers.restore(snapshot);
+    this->feed(SnapshotInstalled { snapshot.meta.index });
+}
+
+void ReplicaDriver::send(const ReplicaMessage &message)
+{
+    this->replicaLink.send(message.to.number, encodeReplicaMessage(message));
+}
+
+void ReplicaDriver::scheduleTurn()
+{
+    if (this->turnScheduled) {
+        return;
+    }
+    this->turnScheduled = true;
+    // Runs when no other kj event is ready: all calls that arrived together share one sync, and
+    // messages to other members leave before this member blocks in its own sync.
+    this->turns.add(kj::evalLast([this] { this->runTurn(); }));
+}
+
+void ReplicaDriver::runTurn()
+{
+    this->turnScheduled = false;
+    this->sync();
+    if (this->proposals.empty()) {
+        return;
+    }
+    Propose event;
+    std::vector<std::uint64_t> numbers;
+    for (auto &[number, command] : std::exchange(this->proposals, {})) {
+        numbers.push_back(number);
+        event.commands.push_back(std::move(command));
+    }
+    if (!this->member) {
+        for (const std::uint64_t number : numbers) {
+            this->handlers.proposalFailed(number);
+        }
+        return;
+    }
+    this->feed(std::move(event), std::move(numbers));
+}
+
+void ReplicaDriver::sync()
+{
+    if (this->unsynced.empty() || !this->folder) {
+        return;
+    }
+    const std::vector<Persist> batch = std::exchange(this->unsynced, {});
+    const TimePoint start = this->loop.now();
+    const auto error = this->folder->persist(batch);
+    this->syncSeconds.Observe(static_cast<double>((this->loop.now() - start).count) / 1000.0);
+    if (error) {
+        this->storageFailed(*error);
+        return;
+    }
+    this->feed(LogSynced { batch.back().sequence });
+}
+
+void ReplicaDriver::saveSnapshotIfDue()
+{
+    const std::size_t due = std::max(minBytesBetweenSnapshots, this->snapshotBytes);
+    if (this->bytesSinceSnapshot < due || !this->folder) {
+        return;
+    }
+    Snapshot snapshot { this->member->snapshotMetaAt(this->appliedIndex),
+                        std::make_shared<const std::string>(this->handlers.encodeState()) };
+    if (const auto error = this->folder->saveSnapshot(snapshot)) {
+        this->storageFailed(*error);
+        return;
+    }
+    this->snapshotBytes = snapshot.data->size();
+    this->bytesSinceSnapshot = 0;
+    this->snapshotCount.Increment();
+    this->feed(SnapshotSaved { std::move(snapshot) });
+}
+
+void ReplicaDriver::storageFailed(const StorageError &error)
+{
+    storageLog.error("stops acknowledging changes: " + error.toString());
+    this->folder.reset();
+    this->unsynced.clear();
+    this->feed(AppendFailed {});
+    this->reopenTimer = this->loop.callAfter(reopenInterval, [this] { this->reopen(); });
+}
+
+void ReplicaDriver::reopen()
+{
+    FolderOpenResult result = DataFolder::open(this->storage, ownNumber(this->settings));
+    if (const auto *error = std::get_if<StorageError>(&result)) {
+        storageLog.error("cannot open the data folder again: " + error->toString());
+        this->reopenTimer = this->loop.callAfter(reopenInterval, [this] { this->reopen(); });
+        return;
+    }
+    const std::string reason = std::holds_alternative<FolderEmpty>(result)
+                                       ? this->createFolder(false)
+                                       : this->use(std::move(result), false);
+    if (!reason.empty()) {
+        this->handlers.failed(reason);
+    }
+}
+
+void ReplicaDriver::dropFolder()
+{
+    replicaLog.warning("the data folder is an old copy; drops it and joins as a new member");
+    this->folder.reset();
+    this->queue.clear();
+    const std::string reason = this->createFolder(false);
+    if (!reason.empty()) {
+        this->handlers.failed(reason);
+    }
+}
+
+void ReplicaDriver::scheduleTick()
+{
+    if (!this->member || this->member->role() == ReplicaRole::Failed) {
+        this->tickTimer = EventLoop::Timer();
+        return;
+    }
+    const Milliseconds delay = this->member->nextDeadline() - this->loop.now();
+    this->tickTimer = this->loop.callAfter({ std::max<std::int64_t>(delay.count, 1) },
+                                           [this] { this->feed(Tick {}); });
+}
+
+void ReplicaDriver::logRole(const RoleChange &change) const
+{
+    replicaLog.info(std::string("is ") + roleName(change.role) + " in term "
+                    + std::to_string(change.term)
+                    + (change.leader ? ", leader is member " + std::to_string(change.leader->number)
+                                     : ", no leader"));
+}
+
+void ReplicaDriver::taskFailed(kj::Exception &&exception)
+{
+    this->handlers.failed(kj::str(exception).cStr());
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/ownershipcodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "schema/cassiaroad.capnp.h"
+#include "version/ownershipevent.h"
+
+#include <string>
+
+namespace cassiaroad {
+
+/** Reads calls of entry hosts into events; `call` is left 0. Thread-safe. */
+EntryWatched decode(rpc::WatchRequest::Reader reader);
+Announced decode(rpc::AnnounceRequest::Reader reader);
+BeginRequested decode(rpc::BeginRequest::Reader reader);
+FinishRequested decode(rpc::FinishRequest::Reader reader);
+
+/** Writes the replies to entry hosts. Thread-safe. */
+void encode(const ReplyWatch &reply, const std::string &group, rpc::WatchReply::Builder builder);
+void encode(const ReplyAnnounce &reply, rpc::AnnounceReply::Builder builder);
+void encode(const ReplyBegin &reply, rpc::BeginReply::Builder builder);
+void encode(const ReplyFinish &reply, rpc::FinishReply::Builder builder);
+
+} // namespace cassiaroad
