--- /dev/null
+++ b/src/cassiaroad/operatorclient.cpp
@@ -0,0 +1,106 @@
+#include "cassiaroad/operatorclient.h"
+
+#include "connection/rpcdelay.h"
+#include "connection/socketaddress.h"
+
+#include <optional>
+
+namespace cassiaroad {
+
+namespace {
+
+// A leader answers a confirmation after 5 s at the latest.
+constexpr Milliseconds attemptBound { 6000 };
+constexpr Milliseconds retryPause { 100 };
+constexpr std::size_t maxAnswerBytes = std::size_t(32) * 1024 * 1024;
+
+std::string header(const HttpAnswer &answer, const std::string &name)
+{
+    for (const auto &[key, value] : answer.headers) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+/** Address in a Location of the form "http://ip:port/path". */
+HostAddress locationAddress(const HttpAnswer &answer)
+{
+    const std::string scheme = "http://";
+    const std::string location = header(answer, "location");
+    if (!location.starts_with(scheme)) {
+        return {};
+    }
+    const std::size_t end = location.find('/', scheme.size());
+    return parseHostAddress(location.substr(scheme.size(), end - scheme.size()));
+}
+
+std::string errorOf(const HttpAnswer &answer)
+{
+    const nlohmann::json body = nlohmann::json::parse(answer.body, nullptr, false);
+    return body.is_object() ? body.value("error", "") : "";
+}
+
+} // namespace
+
+OperatorClient::OperatorClient(EventLoop &loop, std::vector<HostAddress> members, std::string token,
+                               Milliseconds timeout)
+    : loop(loop)
+    , members(std::move(members))
+    , token(std::move(token))
+    , timeout(timeout)
+    , client(loop)
+{ }
+
+OperatorResult OperatorClient::request(const std::string &method, const std::string &path,
+                                       const nlohmann::json &body)
+{
+    HttpRequest request { method, path, { { "authorization", "Bearer " + this->token } }, {} };
+    if (!body.is_null()) {
+        request.headers.emplace_back("content-type", "application/json");
+        request.body = body.dump();
+    }
+    const TimePoint end = this->loop.now() + this->timeout;
+    std::string reason = "no member is known";
+    std::size_t next = 0;
+    std::optional<HostAddress> named; // leader that a member named
+    while (this->loop.now() < end && !this->members.empty()) {
+        const HostAddress member = named ? *named : this->members[next++ % this->members.size()];
+        const bool wasNamed = named.has_value();
+        named.reset();
+        const HttpResult result = this->attempt(member, request);
+        const auto *answer = std::get_if<HttpAnswer>(&result);
+        if (answer == nullptr) {
+            reason = member.toString() + ": " + std::get<HttpFailure>(result).reason;
+        } else if (answer->status == 307) {
+            const HostAddress leader = locationAddress(*answer);
+            named = leader.port != 0 ? std::optional(leader) : std::nullopt;
+            reason = member.toString() + ": names " + leader.toString() + " as the leader";
+        } else if (answer->status == 503) {
+            reason = member.toString() + ": " + errorOf(*answer);
+        } else {
+            return OperatorAnswer { answer->status,
+                                    nlohmann::json::parse(answer->body, nullptr, false) };
+        }
+        if (wasNamed || !named) {
+            this->loop.wait(rpcDelay(this->loop, retryPause));
+        }
+    }
+    return OperatorFailure { reason };
+}
+
+HttpResult OperatorClient::attempt(const HostAddress &member, const HttpRequest &request)
+{
+    auto paf = kj::newPromiseAndFulfiller<HttpResult>();
+    const auto call = this->client.send(member, request, maxAnswerBytes,
+                                        [&fulfiller = *paf.fulfiller](HttpResult result) {
+                                            fulfiller.fulfill(std::move(result));
+                                        });
+    auto late = rpcDelay(this->loop, attemptBound).then([]() -> HttpResult {
+        return HttpFailure { HttpFailure::Stage::Sent, "no answer in time" };
+    });
+    return this->loop.wait(paf.promise.exclusiveJoin(kj::mv(late)));
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/cassiaroad/operatorcommands.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "cassiaroad/commandline.h"
+
+namespace cassiaroad {
+
+/**
+ * The commands of operators. Each reads the settings file, asks the control group, prints the
+ * answer to standard output and errors to standard error. Precondition: the thread has no
+ * EventLoop.
+ */
+ExitStatus runIntentCommand(const CommandLine &line);
+ExitStatus runPlanCommand(const CommandLine &line);
+ExitStatus runConfirmCommand(const CommandLine &line);
+ExitStatus runRecordCommand(const CommandLine &line);
+ExitStatus runStatusCommand(const CommandLine &line);
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/cassiaroad/operatorformat.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace cassiaroad {
+
+/** Readable text of the answers to operators, ended by a newline. Thread-safe. */
+std::string formatPlan(const nlohmann::json &plan);
+std::string formatConfirmation(const nlohmann::json &confirmation);
+std::string formatRecord(const nlohmann::json &record);
+std::string formatStatus(const nlohmann::json &status);
+
+} // namespace cassiaroad
