replica: Detect old folders that start several times; send runs rarely

Cause: the property test put an old copy back and started it twice. Change: a folder remembers its runs since the last confirmed one, and a start report carries them. A peer refuses a folder that does not remember the run the peer knows. Known runs are sent once a second or when they change instead of in each heartbeat. The test's check of new leaders compares with the term in which an entry was committed, since a paused candidate may win a lower term late.

--- a/src/process/logentry.h
+++ b/src/process/logentry.h
@@ -63,6 +63,7 @@
     Term term = 0;
     std::optional<MemberId> vote; // in this term
     std::vector<MemberRun> runs; // latest known run of each peer, ascending
+    std::vector<MemberRun> ownRuns; // the last one that a peer confirmed, and those since
 
     bool operator==(const HardState &) const = default;
 };
--- a/src/process/progress.cpp
+++ b/src/process/progress.cpp
@@ -7,6 +7,9 @@
 // A chunk of 128 KiB takes 35 ms on the slow link, plus 40 ms there and back.
 constexpr std::int64_t heartbeatsUntilChunkIsSentAgain = 4;
 
+// Repeats the latest runs in case the message that told a change was lost.
+constexpr Milliseconds runsInterval { 1000 };
+
 } // namespace
 
 Progress::Progress(const MemberId &id, LogIndex lastIndex)
@@ -60,7 +63,7 @@
     request.prevTerm = *state.log.termAt(request.prevIndex);
     request.commitIndex = state.commitIndex;
     request.sentAt = state.now;
-    request.runs = state.hard.runs;
+    this->addRuns(state, request);
     if (withEntries) {
         request.entries = state.log.slice(this->nextIndex, state.options.maxBatchBytes);
     }
@@ -73,12 +76,23 @@
     state.outbox.send(this->id, std::move(request));
 }
 
+void Progress::addRuns(const ReplicaState &state, AppendRequest &request)
+{
+    // Runs change rarely. Repeating them in each heartbeat would double its size.
+    const bool due = !this->runsSentAt || state.now - *this->runsSentAt >= runsInterval;
+    if (due || this->runsSent != state.hard.runs) {
+        request.runs = state.hard.runs;
+        this->runsSent = state.hard.runs;
+        this->runsSentAt = state.now;
+    }
+}
+
 void Progress::sendPing(ReplicaState &state)
 {
     AppendRequest request; // agrees with every log
     request.term = state.hard.term;
     request.sentAt = state.now;
-    request.runs = state.hard.runs;
+    this->addRuns(state, request);
     state.outbox.send(this->id, std::move(request));
 }
 
--- a/src/process/progress.h
+++ b/src/process/progress.h
@@ -36,6 +36,7 @@
         Snapshot,
     };
 
+    void addRuns(const ReplicaState &state, AppendRequest &request);
     void noteAnswer(ReplicaState &state, TimePoint sentAt);
     void reject(ReplicaState &state, const AppendReply &reply);
     void sendAppend(ReplicaState &state, bool withEntries);
@@ -53,6 +54,8 @@
     std::deque<LogIndex> inFlight; // last index of each unanswered request with entries
     std::optional<TimePoint> answered;
     std::optional<TimePoint> replied;
+    std::vector<MemberRun> runsSent;
+    std::optional<TimePoint> runsSentAt;
     std::optional<Snapshot> snapshot; // in transfer
     std::uint64_t offset = 0; // bytes of it that were answered
     TimePoint chunkSentAt;
--- a/src/process/replicamessage.h
+++ b/src/process/replicamessage.h
@@ -90,6 +90,7 @@
     Term term = 0;
     LogIndex lastIndex = 0;
     bool voter = false; // the own log says that this member is a voter
+    std::vector<MemberRun> earlierRuns; // that the folder remembers: HardState::ownRuns
 
     bool operator==(const StartReport &) const = default;
 };
--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -7,19 +7,43 @@
 // A running member repeats its report to a silent peer rarely; one that waits, at each heartbeat.
 constexpr std::int64_t heartbeatsBetweenLateReports = 10;
 
+// Bounds the hard state of a member that starts over and over without reaching a peer.
+constexpr std::size_t maxRememberedRuns = 64;
+
+/** Whether a folder that remembers @p earlier may be the one that started @p known. */
+bool mayFollow(const MemberRun &known, const std::vector<MemberRun> &earlier)
+{
+    // A peer that was away knows a run from before the first remembered one.
+    return std::find(earlier.begin(), earlier.end(), known) != earlier.end()
+           || (!earlier.empty() && known.startCounter < earlier.front().startCounter);
+}
+
 } // namespace
 
 StartCheck::StartCheck(ReplicaState &state, Leadership &leadership)
     : state(state)
     , leadership(leadership)
+    , earlierRuns(state.hard.ownRuns)
     , reportAt(state.now)
 {
+    this->rememberRun();
     const Configuration &configuration = state.log.configuration();
     if (state.isVoter() && configuration.majority() == 1) {
         this->finish({});
     }
 }
 
+void StartCheck::rememberRun()
+{
+    // The counter alone does not do: an old copy that starts several times catches up with it.
+    std::vector<MemberRun> &runs = this->state.hard.ownRuns;
+    if (runs.size() == maxRememberedRuns) {
+        runs.erase(runs.begin() + 1);
+    }
+    runs.push_back(this->state.self);
+    this->state.persistHardState();
+}
+
 bool StartCheck::isSettled() const
 {
     // A new leader may not know a learner, and only a leader can tell a voter that it was replaced.
@@ -51,7 +75,7 @@
 {
     this->state.outbox.sendWhenSynced(to, StartReport { this->state.hard.term,
                                                         this->state.log.lastIndex(),
-                                                        this->state.isVoter() });
+                                                        this->state.isVoter(), this->earlierRuns });
 }
 
 bool StartCheck::admits(const MemberRun &run)
@@ -78,7 +102,8 @@
 bool StartCheck::isOld(const MemberRun &run, const StartReport &report) const
 {
     const MemberRun *known = this->state.knownRun(run.member);
-    if (known != nullptr && run != *known && run.startCounter <= known->startCounter) {
+    if (known != nullptr && run != *known
+        && (run.startCounter <= known->startCounter || !mayFollow(*known, report.earlierRuns))) {
         return true;
     }
     return this->isReplaced(run, report) || this->leadership.hasAcknowledgedMore(run, report);
@@ -151,6 +176,8 @@
 
 void StartCheck::finish(const StartReply &reply)
 {
+    this->state.hard.ownRuns = { this->state.self };
+    this->state.persistHardState();
     // A vote given before the folder was copied is unknown here. Voting for itself keeps the member
     // from voting a second time in a term that a peer has reached.
     const Term term = std::max(reply.term, this->state.hard.term);
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -27,6 +27,7 @@
 private:
     void report(const MemberId &to);
     bool isSettled() const;
+    void rememberRun();
     bool isOld(const MemberRun &run, const StartReport &report) const;
     bool isReplaced(const MemberRun &run, const StartReport &report) const;
     StartVerdict judge(const MemberRun &run, const StartReport &report);
@@ -34,6 +35,7 @@
 
     ReplicaState &state;
     Leadership &leadership;
+    std::vector<MemberRun> earlierRuns; // as of the start
     std::set<MemberId> recordedBy; // peers that have stored this run
     std::set<MemberId> acceptedBy; // those of them that are voters and found no fault
     TimePoint reportAt;
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -21,6 +21,7 @@
 
     void apply(const Persist &persist);
     void install(const Snapshot &received);
+    bool isVoter() const;
     bool stores(const LogEntry &entry) const;
 };
 
@@ -128,6 +129,7 @@
 
     std::map<Term, MemberId> leaders;
     std::map<LogIndex, LogEntry> committed;
+    std::map<LogIndex, Term> committedIn; // term of the leader that committed it
     std::map<LogIndex, std::uint64_t> machines; // state machine after each entry
     std::map<std::pair<LogIndex, Term>, std::set<MemberId>> storedBy;
     std::set<std::string> commands; // committed
