--- a/src/process/datafolder.h
+++ b/src/process/datafolder.h
@@ -45,6 +45,8 @@
     std::optional<StorageError> installSnapshot(const Snapshot &snapshot);
 
 private:
+    static FolderOpenResult load(const StorageOptions &options, const MemberId &member);
+
     DataFolder(LogStore log, SnapshotStore snapshots);
 
     LogStore log;
--- a/src/process/snapshotstore.h
+++ b/src/process/snapshotstore.h
@@ -16,10 +16,15 @@
     /** Reads the latest snapshot and deletes leftovers of interrupted saves. */
     LoadResult load();
 
-    /** Writes to a temporary name, syncs, renames, syncs the folder, deletes the older one. */
+    /**
+     * Writes to a temporary name, syncs, renames, syncs the folder, deletes the older one. The
+     * older one stays if that fails.
+     */
     std::optional<StorageError> save(const Snapshot &snapshot);
 
 private:
+    std::optional<StorageError> removeExcept(const std::string &kept);
+
     StorageOptions options;
 };
 
