connection: Add the upstream pool and tell withdrawn calls from failed ones

A connection that an intermediary has forgotten stays silent for ever. The pool probes the upstream on a new connection once a call makes no progress for the silence time: if the probe is answered, the call fails and idle connections of the same age are closed; if not, the upstream counts as failing and the call goes on, because a frozen upstream may still answer.

A call whose mayWrite refused now fails at the stage Withdrawn instead of Connect, so that an expired lease does not count against the upstream.

--- a/src/connection/connectionstore.cpp
+++ b/src/connection/connectionstore.cpp
@@ -100,6 +100,11 @@
     return &entry.handover;
 }
 
+h2o_socketpool_t *ConnectionStore::emptyPool(const HostAddress &server)
+{
+    return &this->serverOf(server).handover;
+}
+
 void ConnectionStore::keep(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt)
 {
     Server &entry = this->serverOf(server);
--- a/src/connection/connectionstore.h
+++ b/src/connection/connectionstore.h
@@ -36,6 +36,9 @@
      */
     h2o_socketpool_t *offerConnection(const HostAddress &server, TimePoint &openedAt);
 
+    /** Returns h2o's pool of @p server without a connection in it. */
+    h2o_socketpool_t *emptyPool(const HostAddress &server);
+
     /** Takes a connection that has carried a whole answer and nothing after it. */
     void keep(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt);
 
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -12,6 +12,8 @@
 class HttpCall : public HttpClient::Call
 {
 public:
+    enum class Reuse { Allowed, Never };
+
     HttpCall(std::shared_ptr<ConnectionStore> store, HostAddress server, HttpRequest request,
              std::size_t maxAnswerBytes);
     ~HttpCall() override;
@@ -19,7 +21,7 @@
     HttpCall &operator=(const HttpCall &) = delete;
 
     /** Starts the call. Precondition: not started. */
-    void start(std::function<void(HttpResult)> done, std::function<bool()> mayWrite);
+    void start(std::function<void(HttpResult)> done, std::function<bool()> mayWrite, Reuse reuse);
 
     TimePoint lastProgress() const override;
     bool isSent() const override { return this->sent; }
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -26,7 +26,17 @@
 {
     auto call = std::make_unique<HttpCall>(this->d->connections, server, std::move(request),
                                            maxAnswerBytes);
-    call->start(std::move(done), std::move(mayWrite));
+    call->start(std::move(done), std::move(mayWrite), HttpCall::Reuse::Allowed);
+    return call;
+}
+
+std::unique_ptr<HttpClient::Call> HttpClient::sendOnNewConnection(
+        const HostAddress &server, HttpRequest request, std::size_t maxAnswerBytes,
+        std::function<void(HttpResult)> done)
+{
+    auto call = std::make_unique<HttpCall>(this->d->connections, server, std::move(request),
+                                           maxAnswerBytes);
+    call->start(std::move(done), nullptr, HttpCall::Reuse::Never);
     return call;
 }
 
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -38,7 +38,8 @@
 struct HttpFailure
 {
     enum class Stage {
-        Connect, // no byte of the request was written
+        Connect, // the connection could not be opened; no byte of the request was written
+        Withdrawn, // mayWrite refused; no byte of the request was written
         Sent, // bytes may have reached the server; no answer
         AnswerCut, // the answer began and was not whole
     };
@@ -77,7 +78,7 @@
     /**
      * Sends @p request to @p server; @p done is called once, unless the call is destroyed before.
      * It is never called before send() returns. @p mayWrite, if given, is asked in the loop turn in
-     * which the first byte is about to be written; false fails the call at stage Connect. Answers
+     * which the first byte is about to be written; false fails the call at stage Withdrawn. Answers
      * above @p maxAnswerBytes fail with AnswerCut, as do answers whose end cannot be proven
      * (neither Content-Length nor chunked). There is no time limit: the owner of the call sets one.
      */
@@ -86,6 +87,12 @@
                                              std::function<void(HttpResult)> done,
                                              std::function<bool()> mayWrite = nullptr);
 
+    /** As send(), but opens a connection of its own, to find out whether the server answers. */
+    [[nodiscard]] std::unique_ptr<Call> sendOnNewConnection(const HostAddress &server,
+                                                            HttpRequest request,
+                                                            std::size_t maxAnswerBytes,
+                                                            std::function<void(HttpResult)> done);
+
     /** Closes idle connections to @p server that were opened before @p openedBefore. */
     void closeIdle(const HostAddress &server, TimePoint openedBefore);
 
--- /dev/null
+++ b/src/connection/upstreampool.cpp
@@ -0,0 +1,212 @@
+#include "connection/upstreampool.h"
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr Milliseconds checkInterval { 100 };
+constexpr Milliseconds probeTimeout { 1000 };
+constexpr std::size_t maxProbeAnswer = 65536;
+
+} // namespace
+
+struct UpstreamPool::Private : public std::enable_shared_from_this<UpstreamPool::Private>
+{
+    Private(EventLoop &loop, HttpClient &client, HostAddress address, Milliseconds silence)
+        : loop(loop)
+        , client(client)
+        , address(std::move(address))
+        , silence(silence)
+    { }
+
+    void check();
+    void startProbe();
+    void endProbe(const HttpResult &result);
+    void cutOffSilent(TimePoint silentSince, bool alsoSent);
+    void count(const HttpResult &result);
+
+    EventLoop &loop;
+    HttpClient &client;
+    HostAddress address;
+    Milliseconds silence;
+    std::set<PooledCall *> calls;
+    UpstreamObservation observation;
+    std::uint64_t silentConnections = 0;
+    std::unique_ptr<HttpClient::Call> probe;
+    TimePoint probeStarted;
+    EventLoop::Timer checkTimer;
+};
+
+class UpstreamPool::PooledCall : public UpstreamPool::Call
+{
+public:
+    explicit PooledCall(std::shared_ptr<Private> pool)
+        : pool(std::move(pool))
+    { }
+    ~PooledCall() override { this->pool->calls.erase(this); }
+    PooledCall(const PooledCall &) = delete;
+    PooledCall &operator=(const PooledCall &) = delete;
+
+    void start(HttpRequest request, std::size_t maxAnswerBytes,
+               std::function<void(HttpResult)> callback, std::function<bool()> mayWrite)
+    {
+        this->done = std::move(callback);
+        this->pool->calls.insert(this);
+        this->call = this->pool->client.send(
+                this->pool->address, std::move(request), maxAnswerBytes,
+                [this](HttpResult result) { this->finish(std::move(result)); },
+                std::move(mayWrite));
+    }
+
+    bool isSent() const override { return this->sent || (this->call && this->call->isSent()); }
+    TimePoint lastProgress() const { return this->call->lastProgress(); }
+
+    /** Ends a call whose connection is silent. */
+    void cutOff()
+    {
+        const bool wasSent = this->call->isSent();
+        this->sent = wasSent;
+        this->call.reset();
+        this->finish(HttpFailure { wasSent ? HttpFailure::Stage::Sent : HttpFailure::Stage::Connect,
+                                   "the connection made no progress", false });
+    }
+
+private:
+    void finish(HttpResult result)
+    {
+        this->sent = this->sent || (this->call && this->call->isSent());
+        this->pool->calls.erase(this);
+        this->pool->count(result);
+        // The callback may destroy this call.
+        const auto callback = std::exchange(this->done, nullptr);
+        callback(std::move(result));
+    }
+
+    std::shared_ptr<Private> pool;
+    std::unique_ptr<HttpClient::Call> call;
+    std::function<void(HttpResult)> done;
+    bool sent = false;
+};
+
+// A request that was withdrawn or lost with its connection says nothing about the upstream; a
+// connection that cannot be opened does.
+void UpstreamPool::Private::count(const HttpResult &result)
+{
+    if (std::holds_alternative<HttpAnswer>(result)) {
+        ++this->observation.requests;
+        return;
+    }
+    const auto &failure = std::get<HttpFailure>(result);
+    if (failure.stage == HttpFailure::Stage::Connect) {
+        ++this->observation.requests;
+        ++this->observation.failures;
+    }
+}
+
+void UpstreamPool::Private::check()
+{
+    const TimePoint now = this->loop.now();
+    if (this->probe) {
+        if (now - this->probeStarted > probeTimeout) {
+            this->endProbe(HttpFailure { HttpFailure::Stage::Sent, "probe timed out", false });
+        }
+        return;
+    }
+    const bool anySilent
+            = std::any_of(this->calls.begin(), this->calls.end(), [&](const PooledCall *call) {
+                  return now - call->lastProgress() >= this->silence;
+              });
+    // While the upstream fails its probes, it is probed once per silence time.
+    if (anySilent && now - this->probeStarted >= this->silence) {
+        this->startProbe();
+    }
+}
+
+void UpstreamPool::Private::startProbe()
+{
+    this->probeStarted = this->loop.now();
+    this->probe = this->client.sendOnNewConnection(
+            this->address, { "GET", "/healthz", {}, {} }, maxProbeAnswer,
+            [this](const HttpResult &result) { this->endProbe(result); });
+}
+
+void UpstreamPool::Private::endProbe(const HttpResult &result)
+{
+    const std::unique_ptr<HttpClient::Call> ended = std::move(this->probe);
+    const std::shared_ptr<Private> kept = this->shared_from_this();
+    ++this->observation.requests;
+    if (!std::holds_alternative<HttpAnswer>(result)) {
+        ++this->observation.failures;
+        // A request that was sent may still be answered when the upstream resumes.
+        this->cutOffSilent(this->probeStarted - this->silence, false);
+        return;
+    }
+    this->client.closeIdle(this->address, ended->connectionOpenedAt());
+    this->cutOffSilent(this->probeStarted - this->silence, true);
+}
+
+void UpstreamPool::Private::cutOffSilent(TimePoint silentSince, bool alsoSent)
+{
+    // A callback may start or destroy other calls.
+    const std::set<PooledCall *> snapshot = this->calls;
+    for (PooledCall *call : snapshot) {
+        if (!this->calls.contains(call) || call->lastProgress() > silentSince
+            || (call->isSent() && !alsoSent)) {
+            continue;
+        }
+        ++this->silentConnections;
+        call->cutOff();
+    }
+}
+
+UpstreamPool::UpstreamPool(EventLoop &loop, HttpClient &client, HostAddress address,
+                           Milliseconds silence)
+    : d(std::make_shared<Private>(loop, client, std::move(address), silence))
+{
+    this->d->checkTimer = loop.callEvery(checkInterval, [d = this->d.get()] { d->check(); });
+}
+
+UpstreamPool::~UpstreamPool() = default;
+
+std::unique_ptr<UpstreamPool::Call> UpstreamPool::send(HttpRequest request,
+                                                       std::size_t maxAnswerBytes,
+                                                       std::function<void(HttpResult)> done,
+                                                       std::function<bool()> mayWrite)
+{
+    auto call = std::make_unique<PooledCall>(this->d);
+    call->start(std::move(request), maxAnswerBytes, std::move(done), std::move(mayWrite));
+    return call;
+}
+
+void UpstreamPool::countShed()
+{
+    ++this->d->observation.shed;
+}
+
+UpstreamObservation UpstreamPool::takeObservation()
+{
+    return std::exchange(this->d->observation, {});
+}
+
+void UpstreamPool::returnObservation(const UpstreamObservation &observation)
+{
+    this->d->observation.requests += observation.requests;
+    this->d->observation.failures += observation.failures;
+    this->d->observation.shed += observation.shed;
+}
+
+void UpstreamPool::setSilence(Milliseconds silence)
+{
+    this->d->silence = silence;
+}
+
+std::uint64_t UpstreamPool::silentConnections() const
+{
+    return this->d->silentConnections;
+}
+
+} // namespace cassiaroad
