request: Add the decisions about a request

RefusedNotRun can now only be made by SendProgress, which knows whether a byte may have been written; the test of the outcome names makes its refusal there.

--- /dev/null
+++ b/src/request/admissionqueue.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "process/settings.h"
+#include "request/deadline.h"
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cassiaroad {
+
+using RequestId = std::uint64_t;
+
+/** The request waits. */
+struct Waiting
+{
+    bool operator==(const Waiting &) const = default;
+};
+
+/** The request waits in place of @p displaced, a less important one, which is refused. */
+struct Displaced
+{
+    RequestId displaced = 0;
+
+    bool operator==(const Displaced &) const = default;
+};
+
+/** The request is refused at once. */
+struct Refused
+{
+    std::string reason;
+
+    bool operator==(const Refused &) const = default;
+};
+
+using Admission = std::variant<Waiting, Displaced, Refused>;
+
+/**
+ * Requests that wait for one upstream: more important ones first, and first come, first served
+ * within a priority. Bounded in length and time. Not thread-safe.
+ */
+class AdmissionQueue
+{
+public:
+    AdmissionQueue(std::uint32_t length, Milliseconds time);
+
+    /**
+     * Adds a request. @p perRequest is the expected time between two starts, @p duration the
+     * expected time of the request itself; a request that would miss its deadline is refused.
+     */
+    Admission add(RequestId id, Priority priority, const Deadline &deadline,
+                  Milliseconds perRequest, Milliseconds duration, TimePoint now);
+
+    /** Removes and returns the request to start next. */
+    std::optional<RequestId> takeNext();
+
+    /** Removes and returns the requests whose time in the queue or deadline has passed. */
+    std::vector<RequestId> takeExpired(TimePoint now);
+
+    /** Removes a request; does nothing if it does not wait. */
+    void remove(RequestId id);
+
+    std::size_t size() const;
+    void setBounds(std::uint32_t newLength, Milliseconds newTime);
+
+private:
+    struct Entry
+    {
+        RequestId id;
+        Deadline deadline;
+        TimePoint since;
+    };
+
+    std::size_t aheadOf(Priority priority) const;
+    std::optional<RequestId> takeLessImportant(Priority priority);
+
+    std::uint32_t length;
+    Milliseconds time;
+    std::array<std::deque<Entry>, 3> lanes; // by priority
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/request/hopheaders.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "request/deadline.h"
+#include "request/router.h"
+#include "request/tracecontext.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace cassiaroad {
+
+using HeaderViews = std::vector<std::pair<std::string_view, std::string_view>>;
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+/** Headers of one hop of a request. Pure; thread-safe. */
+class HopHeaders
+{
+public:
+    /**
+     * Returns the end-to-end headers of a caller's request (lower-case names): without hop-by-hop
+     * headers, those named by Connection, traceparent and all Cassiaroad-* headers. Returns nothing
+     * if a name or value contains characters that could start another header or request.
+     */
+    static std::optional<Headers> endToEnd(const HeaderViews &received);
+
+    /** Adds what an upstream gets: grant, key, deadline and trace. */
+    static void addForUpstream(Headers &headers, const Target &target, const Owner &owner,
+                               Milliseconds left, const TraceContext &trace);
+
+    /** Adds what an entry host of another region gets: hop mark, deadline and trace. */
+    static void addForRegion(Headers &headers, const Deadline &deadline, TimePoint now,
+                             const TraceContext &trace);
+
+    /**
+     * Returns the headers of an answer that the caller gets: without hop-by-hop headers and without
+     * Cassiaroad-* headers, which only entry hosts set.
+     */
+    static Headers ofAnswer(const Headers &received);
+
+    /** Returns the first value of a header, or "". @p lowerCaseName as stored. */
+    static std::string_view find(const Headers &headers, std::string_view lowerCaseName);
+};
+
+} // namespace cassiaroad
--- a/src/request/requestoutcome.h
+++ b/src/request/requestoutcome.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include <string>
+#include <utility>
 #include <variant>
 
 namespace cassiaroad {
 
+class SendProgress;
+
 /** The upstream answered; the caller gets that answer. */
 struct Answered
 {
@@ -13,13 +16,27 @@
     bool operator==(const Answered &) const = default;
 };
 
-/** Refused; no byte reached an upstream that may run the request, or the upstream said so. */
-struct RefusedNotRun
+/**
+ * Refused; no byte reached an upstream that may run the request, or the upstream said so. Only
+ * SendProgress creates it, because only SendProgress knows what was written.
+ */
+class RefusedNotRun
 {
-    int status = 503;
-    std::string reason;
+public:
+    int status() const { return this->statusCode; }
+    const std::string &reason() const { return this->text; }
 
     bool operator==(const RefusedNotRun &) const = default;
+
+private:
+    friend class SendProgress;
+    RefusedNotRun(int status, std::string reason)
+        : statusCode(status)
+        , text(std::move(reason))
+    { }
+
+    int statusCode;
+    std::string text;
 };
 
 /** The request may have run; the system never sends it again unless it is idempotent. */
--- /dev/null
+++ b/src/request/routefollower.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "process/clock.h"
+#include "version/routetable.h"
+
+#include <memory>
+
+namespace cassiaroad {
+
+/**
+ * Route table and lease of an entry host, as the replies to its watch calls leave them. Never goes
+ * back to an older revision, whichever member answers. Pure; not thread-safe.
+ */
+class RouteFollower
+{
+public:
+    enum class Result {
+        Changed, // a newer table is in force
+        Unchanged, // the lease was renewed
+        Refused, // the reply is older than the table or does not fit it; nothing changed
+    };
+
+    /** Applies a reply. The lease counts from @p sentAt, the time at which the call was sent. */
+    Result apply(const RouteDelta &delta, TimePoint sentAt, Milliseconds lease);
+
+    /** Whether requests may be routed at @p now. */
+    bool hasLease(TimePoint now) const { return now < this->leaseEnd; }
+
+    const std::shared_ptr<const RouteTable> &table() const { return this->current; }
+
+    /** Revision to ask changes from; 0 asks for a complete table after a reply that did not fit. */
+    Revision seenRevision() const { return this->needsComplete ? 0 : this->current->revision(); }
+
+private:
+    std::shared_ptr<const RouteTable> current = std::make_shared<RouteTable>();
+    TimePoint leaseEnd;
+    bool needsComplete = true;
+};
+
+} // namespace cassiaroad
--- a/tests/request/test_requestoutcome.cpp
+++ b/tests/request/test_requestoutcome.cpp
@@ -1,4 +1,4 @@
-#include "request/requestoutcome.h"
+#include "request/sendprogress.h"
 
 #include <gtest/gtest.h>
 
@@ -8,6 +8,6 @@
 TEST(RequestOutcome, namesEachOutcomeDifferently)
 {
     EXPECT_STREQ(outcomeHeaderValue(Answered { 200 }), "answered");
-    EXPECT_STREQ(outcomeHeaderValue(RefusedNotRun { 503, "queue full" }), "not-run");
+    EXPECT_STREQ(outcomeHeaderValue(SendProgress().refuse(503, "queue full")), "not-run");
     EXPECT_STREQ(outcomeHeaderValue(OutcomeUnknown { 502, "connection lost" }), "unknown");
 }
