cassiaroad: Add the entry host

Request path, watch loop, announcements, ledger runs, forwarding between regions, metrics and tracing of an entry host.

--- /dev/null
+++ b/src/cassiaroad/entryhost.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "process/eventloop.h"
+#include "process/settings.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cassiaroad {
+
+/** An entry host: listeners, route watcher and request parts on one loop. Loop thread only. */
+class EntryHost
+{
+public:
+    /** Precondition: the role of @p settings is entry. @p loop must outlive the host. */
+    EntryHost(EventLoop &loop, Settings settings);
+    ~EntryHost();
+    EntryHost(const EntryHost &) = delete;
+    EntryHost &operator=(const EntryHost &) = delete;
+
+    /** Opens the listeners and starts to follow the control group. Returns "" or the failure. */
+    std::string start();
+
+    /**
+     * Stops gracefully: the health answer is 503 at once; after drain-wait the listeners close and
+     * connections end after their current request; then @p done is called.
+     */
+    void stop(std::function<void()> done);
+
+    /** Ports that were bound; they differ from the settings if those are 0. */
+    std::uint16_t callersPort() const;
+    std::uint16_t announcePort() const;
+    std::uint16_t adminPort() const;
+
+private:
+    struct Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/cassiaroad/regionforwarder.cpp
@@ -0,0 +1,183 @@
+#include "cassiaroad/regionforwarder.h"
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+const std::string linkBytes = "cassiaroad_link_bytes_total";
+const std::string linkHelp = "Bytes of requests and answers between regions, by cause";
+
+std::size_t sizeOf(const Headers &headers)
+{
+    std::size_t size = 0;
+    for (const auto &[name, value] : headers) {
+        size += name.size() + value.size() + 4; // ": " and the line end
+    }
+    return size;
+}
+
+// An entry host of the home region may itself wait for a silent connection and then for its queue.
+Milliseconds gatewaySilence(const Settings &settings)
+{
+    return settings.timing.silence * 2 + settings.limits.queueTime;
+}
+
+} // namespace
+
+struct RegionForwarder::Gateway
+{
+    Gateway(EventLoop &loop, HttpClient &client, const HostAddress &address, Milliseconds silence)
+        : pool(loop, client, address, silence)
+    { }
+
+    UpstreamPool pool;
+};
+
+RegionForwarder::RegionForwarder(EventLoop &loop, HttpClient &client, const Settings &settings,
+                                 Metrics &metrics, std::size_t maxAnswerBytes)
+    : loop(loop)
+    , maxAnswerBytes(maxAnswerBytes)
+    , requestBytesSent(metrics.counter(linkBytes, linkHelp,
+                                       { { "cause", "request" }, { "direction", "sent" } }))
+    , requestBytesReceived(metrics.counter(linkBytes, linkHelp,
+                                           { { "cause", "request" }, { "direction", "received" } }))
+    , uploadBytesSent(metrics.counter(linkBytes, linkHelp,
+                                      { { "cause", "upload" }, { "direction", "sent" } }))
+    , uploadBytesReceived(metrics.counter(linkBytes, linkHelp,
+                                          { { "cause", "upload" }, { "direction", "received" } }))
+{
+    for (const RegionSettings &region : settings.regions) {
+        std::vector<std::unique_ptr<Gateway>> gateways;
+        for (const HostAddress &address : region.gateways) {
+            gateways.push_back(std::make_unique<Gateway>(loop, client, address,
+                                                         gatewaySilence(settings)));
+        }
+        this->regions.push_back(std::move(gateways));
+    }
+}
+
+RegionForwarder::~RegionForwarder()
+{
+    for (const auto &[id, request] : this->running) {
+        request->call.reset();
+        request->done = nullptr;
+    }
+}
+
+void RegionForwarder::run(const RequestPtr &request, std::function<void(RequestEnd)> done)
+{
+    request->done = std::move(done);
+    this->running.emplace(request->id, request);
+    this->requests.emplace(request->id, 0);
+    this->send(request);
+}
+
+void RegionForwarder::send(const RequestPtr &request)
+{
+    const auto &gateways = this->regions.at(request->target.region);
+    std::size_t &attempts = this->requests.at(request->id);
+    if (attempts >= gateways.size()) {
+        this->end(request,
+                  { request->progress.refuse(unavailable, "the home region cannot be reached"),
+                    {},
+                    {} });
+        return;
+    }
+    ++attempts;
+    Gateway &gateway = *gateways[this->next++ % gateways.size()];
+    HttpRequest forwarded { request->method, request->path, request->headers,
+                            std::string(request->exchange->body()) };
+    HopHeaders::addForRegion(forwarded.headers, request->deadline, this->loop.now(),
+                             request->trace);
+    this->countBytes(*request, forwarded);
+    request->place = RequestPlace::InFlight;
+    EntryRequest *raw = request.get();
+    request->call = gateway.pool.send(
+            std::move(forwarded), this->maxAnswerBytes,
+            [this, raw](HttpResult result) {
+                const RequestPtr kept = this->running.at(raw->id);
+                this->onResult(kept, std::move(result));
+            },
+            [raw] {
+                raw->progress.markWritten();
+                return true;
+            });
+}
+
+void RegionForwarder::onResult(const RequestPtr &request, HttpResult result)
+{
+    request->call.reset();
+    request->place = RequestPlace::Nowhere;
+    if (auto *answer = std::get_if<HttpAnswer>(&result)) {
+        this->countBytes(*request, *answer);
+        this->onAnswer(request, std::move(*answer));
+        return;
+    }
+    const auto &failure = std::get<HttpFailure>(result);
+    request->progress.markLost();
+    if (!request->progress.mayHaveRun() || request->idempotent) {
+        this->send(request);
+        return;
+    }
+    this->end(request, { request->progress.refuse(badGateway, failure.reason), {}, {} });
+}
+
+// The entry host of the home region has decided the outcome; it is passed on.
+void RegionForwarder::onAnswer(const RequestPtr &request, HttpAnswer answer)
+{
+    const std::string_view outcome = HopHeaders::find(answer.headers, "cassiaroad-outcome");
+    const std::string reason = answer.body.substr(0, answer.body.find('\n'));
+    if (outcome == "not-run") {
+        request->progress.markRefusedByUpstream();
+        this->end(request, { request->progress.refuse(answer.status, reason), {}, {} });
+        return;
+    }
+    if (outcome != "answered") {
+        request->progress.markLost();
+        this->end(request, { OutcomeUnknown { answer.status, reason }, {}, {} });
+        return;
+    }
+    Headers extra;
+    for (const auto &[name, value] : answer.headers) {
+        if (name == "cassiaroad-replayed" || name == "cassiaroad-answer-truncated") {
+            extra.emplace_back(name, value);
+        }
+    }
+    const int status = answer.status;
+    answer.headers = HopHeaders::ofAnswer(answer.headers);
+    this->end(request, { Answered { status }, std::move(answer), std::move(extra) });
+}
+
+void RegionForwarder::end(const RequestPtr &request, RequestEnd end)
+{
+    const RequestPtr kept = request;
+    kept->call.reset();
+    this->requests.erase(kept->id);
+    this->running.erase(kept->id);
+    const auto done = std::exchange(kept->done, nullptr);
+    done(std::move(end));
+}
+
+void RegionForwarder::stop(const RequestPtr &request, int status, const std::string &reason)
+{
+    if (this->running.contains(request->id)) {
+        this->end(request, { request->progress.refuse(status, reason), {}, {} });
+    }
+}
+
+void RegionForwarder::countBytes(const EntryRequest &request, const HttpRequest &sent)
+{
+    const auto size = static_cast<double>(sent.method.size() + sent.path.size()
+                                          + sizeOf(sent.headers) + sent.body.size());
+    (request.upload ? this->uploadBytesSent : this->requestBytesSent).Increment(size);
+}
+
+void RegionForwarder::countBytes(const EntryRequest &request, const HttpAnswer &received)
+{
+    const auto size = static_cast<double>(sizeOf(received.headers) + received.body.size());
+    (request.upload ? this->uploadBytesReceived : this->requestBytesReceived).Increment(size);
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/cassiaroad/regionforwarder.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "cassiaroad/entryrequest.h"
+#include "process/metrics.h"
+
+#include <map>
+#include <vector>
+
+namespace cassiaroad {
+
+/** Forwards requests to entry hosts of their home region and counts the bytes on the link. */
+class RegionForwarder
+{
+public:
+    /** All references must outlive the forwarder. Loop thread only. */
+    RegionForwarder(EventLoop &loop, HttpClient &client, const Settings &settings,
+                    Metrics &metrics, std::size_t maxAnswerBytes);
+    ~RegionForwarder();
+    RegionForwarder(const RegionForwarder &) = delete;
+    RegionForwarder &operator=(const RegionForwarder &) = delete;
+
+    /** Forwards a request; @p done is called once, unless the forwarder is destroyed. */
+    void run(const RequestPtr &request, std::function<void(RequestEnd)> done);
+
+    /** Ends a request as refused or unknown, whichever is true. Does nothing if it has ended. */
+    void stop(const RequestPtr &request, int status, const std::string &reason);
+
+    std::size_t inFlightCount() const { return this->requests.size(); }
+
+private:
+    struct Gateway;
+
+    void send(const RequestPtr &request);
+    void onResult(const RequestPtr &request, HttpResult result);
+    void onAnswer(const RequestPtr &request, HttpAnswer answer);
+    void end(const RequestPtr &request, RequestEnd end);
+    void countBytes(const EntryRequest &request, const HttpRequest &sent);
+    void countBytes(const EntryRequest &request, const HttpAnswer &received);
+
+    EventLoop &loop;
+    std::size_t maxAnswerBytes;
+    std::vector<std::vector<std::unique_ptr<Gateway>>> regions;
+    std::map<RequestId, std::size_t> requests; // attempts so far
+    std::map<RequestId, RequestPtr> running;
+    std::size_t next = 0;
+    prometheus::Counter &requestBytesSent;
+    prometheus::Counter &requestBytesReceived;
+    prometheus::Counter &uploadBytesSent;
+    prometheus::Counter &uploadBytesReceived;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/cassiaroad/upstreamgate.cpp
@@ -0,0 +1,61 @@
+#include "cassiaroad/upstreamgate.h"
+
+#include "connection/socketaddress.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+std::uint32_t share(std::uint32_t total, std::uint32_t entryHosts)
+{
+    return std::max<std::uint32_t>(1, total / entryHosts);
+}
+
+} // namespace
+
+UpstreamGate::UpstreamGate(EventLoop &loop, HttpClient &client, Upstream announced,
+                           std::uint32_t entryHosts, const GateSettings &settings, bool cold)
+    : announced(std::move(announced))
+    , queue(settings.queueLength, settings.queueTime)
+    , concurrency(cold ? 1 : share(this->announced.slots, entryHosts),
+                  share(this->announced.connections, entryHosts))
+    , connections(loop, client, parseHostAddress(this->announced.address), settings.silence)
+{ }
+
+GateDecision UpstreamGate::enter(RequestId id, Priority priority, const Deadline &deadline,
+                                 TimePoint now)
+{
+    if (this->queue.size() == 0 && this->concurrency.hasRoom()) {
+        this->concurrency.start();
+        return StartNow {};
+    }
+    const Milliseconds duration = this->concurrency.typicalDuration();
+    const Milliseconds perRequest = duration / this->concurrency.limit();
+    return std::visit([](auto &&decision) -> GateDecision { return std::move(decision); },
+                      this->queue.add(id, priority, deadline, perRequest, duration, now));
+}
+
+std::optional<RequestId> UpstreamGate::takeStartable()
+{
+    if (!this->concurrency.hasRoom()) {
+        return std::nullopt;
+    }
+    const std::optional<RequestId> next = this->queue.takeNext();
+    if (next.has_value()) {
+        this->concurrency.start();
+    }
+    return next;
+}
+
+void UpstreamGate::update(const Upstream &upstream, std::uint32_t entryHosts,
+                          const GateSettings &settings)
+{
+    this->announced = upstream;
+    this->queue.setBounds(settings.queueLength, settings.queueTime);
+    this->concurrency.setHighest(share(upstream.connections, entryHosts));
+    this->connections.setSilence(settings.silence);
+}
+
+} // namespace cassiaroad
--- a/src/request/keyedrequest.cpp
+++ b/src/request/keyedrequest.cpp
@@ -96,6 +96,7 @@
 
 KeyedAction KeyedRequest::onFinished()
 {
+    this->resolved = true;
     if (this->concluded) {
         return NothingToDo {};
     }
--- a/src/request/keyedrequest.h
+++ b/src/request/keyedrequest.h
@@ -31,6 +31,7 @@
 /** Commit the outcome; call onFinished or onFinishFailed. */
 struct CallFinish
 {
+    bool resolved = false;
     std::uint64_t ticket = 0;
     LedgerOutcome outcome;
     bool operator==(const CallFinish &) const = default;
@@ -99,6 +100,9 @@
 
     bool isRunning() const { return this->state == State::Running; }
 
+    /** Whether the request may have run and its record could not be resolved. */
+    bool isUnresolved() const { return this->outcome.has_value() && !this->resolved; }
+
 private:
     enum class State { Beginning, Running, Finishing };
 
@@ -110,6 +114,7 @@
     bool concluded = false; // the caller has its answer
     bool seenInProgress = false;
     bool beginLost = false; // a begin without a reply may have been executed
+    bool resolved = false;
     std::uint64_t ticket = 0;
     std::optional<LedgerOutcome> outcome;
     std::uint32_t cleanUpAttempts = 0;
