--- a/tests/version/simulation.cpp
+++ b/tests/version/simulation.cpp
@@ -154,7 +154,7 @@
     this->deliverAnswers();
     for (const auto &member : this->members) {
         if (member->leading) {
-            this->give(*member, Tick { this->now.sinceOrigin });
+            this->give(*member, TimePassed { this->now.sinceOrigin });
         }
     }
     for (FakeEntry &entry : this->entries) {
@@ -260,7 +260,7 @@
         return;
     }
     std::map<std::size_t, ProposalId> ids;
-    for (const Propose &proposal : std::exchange(member.proposals, {})) {
+    for (const ProposeCommand &proposal : std::exchange(member.proposals, {})) {
         ids.emplace(this->log.size(), proposal.proposal);
         this->log.push_back(encodeCommand(proposal.command));
     }
@@ -286,7 +286,7 @@
 {
     const bool hasLease = member.leading && this->now < member.leaderLeaseUntil;
     for (OwnershipAction &action : member.manager->handle(event, this->now, hasLease)) {
-        if (auto *proposal = std::get_if<Propose>(&action)) {
+        if (auto *proposal = std::get_if<ProposeCommand>(&action)) {
             member.proposals.push_back(std::move(*proposal));
             continue;
         }
