--- a/src/version/controlstate.cpp
+++ b/src/version/controlstate.cpp
@@ -96,20 +96,28 @@
     return outcome(done, "no owner and epoch fit");
 }
 
+bool ControlState::hasStarted(const ReleaseStart &move, PlanNumber plan) const
+{
+    const RouteEntry *entry = this->routingPart.route(move.subject);
+    if (entry == nullptr) {
+        // A key without a route of its own has the owner of its shard. If there is no room for a
+        // route, the move is given up; the plan would otherwise try it for ever.
+        const RouteEntry *home
+                = this->routingPart.route(ShardRef { serviceOf(move.subject), move.shard });
+        const bool full = this->routingPart.keys().size() >= this->bounds.movedKeys;
+        return full || (home != nullptr && home->route.upstream == move.to);
+    }
+    const bool released = entry->route.state == RouteState::Releasing
+                          && (entry->plan == plan || entry->route.reason == MoveReason::Loss);
+    const bool there = entry->route.state == RouteState::Owned && entry->route.upstream == move.to;
+    return released || there;
+}
+
 std::vector<RouteSubject> ControlState::startedOf(const StartMove &body) const
 {
     std::vector<RouteSubject> started;
     for (const ReleaseStart &move : body.moves) {
-        const RouteEntry *entry = this->routingPart.route(move.subject);
-        if (entry == nullptr) {
-            continue;
-        }
-        const bool released
-                = entry->route.state == RouteState::Releasing
-                  && (entry->plan == body.plan || entry->route.reason == MoveReason::Loss);
-        const bool there
-                = entry->route.state == RouteState::Owned && entry->route.upstream == move.to;
-        if (released || there) {
+        if (this->hasStarted(move, body.plan)) {
             started.push_back(move.subject);
         }
     }
--- a/src/version/controlstate.h
+++ b/src/version/controlstate.h
@@ -92,6 +92,7 @@
     CommandResult applyBody(const LedgerFinish &body, const Command &command);
     CommandResult applyBody(const LedgerAbandon &body, const Command &command);
     CommandResult applyBody(const ExpireRecords &body, const Command &command);
+    bool hasStarted(const ReleaseStart &move, PlanNumber plan) const;
     std::vector<RouteSubject> startedOf(const StartMove &body) const;
     void carryOut(const Plan &plan);
 
--- a/src/version/routingstate.cpp
+++ b/src/version/routingstate.cpp
@@ -188,7 +188,7 @@
                             std::size_t movedKeyLimit)
 {
     const auto *key = std::get_if<KeyRef>(&move.subject);
-    if (key != nullptr && move.epoch == 0 && !this->splitKey(*key, move.shard, movedKeyLimit)) {
+    if (key != nullptr && move.epoch == 0 && !this->splitKey(*key, move, movedKeyLimit)) {
         return false;
     }
     RouteEntry *entry = this->mutableRoute(move.subject);
@@ -212,19 +212,20 @@
     return true;
 }
 
-bool RoutingState::splitKey(const KeyRef &key, std::uint32_t shard, std::size_t movedKeyLimit)
+bool RoutingState::splitKey(const KeyRef &key, const ReleaseStart &move, std::size_t movedKeyLimit)
 {
     if (this->keyMap.contains(key) || this->keyMap.size() >= movedKeyLimit) {
         return false;
     }
-    const auto found = this->shardMap.find({ key.service, shard });
-    if (found == this->shardMap.end() || found->second.route.state != RouteState::Owned) {
+    const auto found = this->shardMap.find({ key.service, move.shard });
+    if (found == this->shardMap.end() || found->second.route.state != RouteState::Owned
+        || found->second.route.upstream == move.to) {
         return false;
     }
     RouteEntry entry;
     entry.route = found->second.route;
     entry.route.epoch = this->keyEpochFloor + 1;
-    entry.shard = shard;
+    entry.shard = move.shard;
     this->keyMap.emplace(key, std::move(entry));
     return true;
 }
--- a/src/version/routingstate.h
+++ b/src/version/routingstate.h
@@ -93,7 +93,7 @@
     bool commitChange();
     void replaceInstance(UpstreamEntry &entry, const std::string &instance);
     bool startOne(const StartMove &command, const ReleaseStart &move, std::size_t movedKeyLimit);
-    bool splitKey(const KeyRef &key, std::uint32_t shard, std::size_t movedKeyLimit);
+    bool splitKey(const KeyRef &key, const ReleaseStart &move, std::size_t movedKeyLimit);
     bool completeOne(const OwnerChange &move);
     void mergeKeys(const ShardRef &shard);
     bool mergeKey(const KeyRef &key);
--- /dev/null
+++ b/tests/version/test_requestledger.cpp
@@ -0,0 +1,73 @@
+#include "version/requestledger.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const LedgerKey key { "orders", "k", "once" };
+const EntryHostId host { "e1", 1 };
+constexpr GroupTime hour = 3600 * 1000;
+constexpr Milliseconds retention { 24 * hour };
+
+std::uint64_t start(RequestLedger &ledger, GroupTime now = 0)
+{
+    return std::get<LedgerStarted>(ledger.begin(key, 7, host, now, 10)).ticket;
+}
+
+} // namespace
+
+// Guards P5: a request that was started is not started again, whatever became of it.
+TEST(RequestLedger, startsARequestOnce)
+{
+    RequestLedger ledger;
+    const std::uint64_t ticket = start(ledger);
+    EXPECT_EQ(ledger.begin(key, 7, { "e2", 2 }, 0, 10), LedgerBeginResult(LedgerInProgress {}));
+    EXPECT_EQ(ledger.begin(key, 8, host, 0, 10), LedgerBeginResult(LedgerMismatch {}));
+    const StoredAnswer answer { 201, "text/plain", "done", false };
+    EXPECT_EQ(ledger.finish(key, ticket, answer), LedgerFinishResult::Done);
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10), LedgerBeginResult(answer));
+    EXPECT_EQ(ledger.finish(key, ticket, LedgerNotRun {}), LedgerFinishResult::Superseded);
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10), LedgerBeginResult(answer));
+}
+
+// Guards against a lost entry host whose request is run again, by itself or by another one.
+TEST(RequestLedger, resolvesRequestsOfALostHostToUnknown)
+{
+    RequestLedger ledger;
+    const std::uint64_t ticket = start(ledger);
+    EXPECT_EQ(ledger.abandon({ "e1", 2 }), 0U); // a later run of the host
+    EXPECT_EQ(ledger.abandon(host), 1U);
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10), LedgerBeginResult(LedgerUnknown {}));
+    EXPECT_EQ(ledger.finish(key, ticket, LedgerNotRun {}), LedgerFinishResult::Superseded);
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10), LedgerBeginResult(LedgerUnknown {}));
+    EXPECT_TRUE(ledger.hostsInFlight().empty());
+}
+
+// Guards against a late answer for a former run of the same request.
+TEST(RequestLedger, runsAgainOnlyAfterNotRun)
+{
+    RequestLedger ledger;
+    const std::uint64_t first = start(ledger);
+    EXPECT_EQ(ledger.finish(key, first, LedgerNotRun {}), LedgerFinishResult::Done);
+    const std::uint64_t second = start(ledger);
+    EXPECT_NE(first, second);
+    EXPECT_EQ(ledger.finish(key, first, StoredAnswer {}), LedgerFinishResult::Superseded);
+    EXPECT_EQ(ledger.finish(key, second, LedgerUnknown {}), LedgerFinishResult::Done);
+}
+
+// Guards the bound: a full ledger refuses instead of forgetting, until records are old enough.
+TEST(RequestLedger, refusesWhenFullAndExpiresOldRecords)
+{
+    RequestLedger ledger;
+    const std::uint64_t ticket = start(ledger);
+    const LedgerKey other { "orders", "k", "other" };
+    EXPECT_EQ(ledger.begin(other, 7, host, 0, 1), LedgerBeginResult(LedgerFull {}));
+    EXPECT_EQ(ledger.expire(hour - 1, retention), 0U);
+    EXPECT_EQ(ledger.expire(hour, retention), 1U); // in flight for an hour: unknown
+    EXPECT_EQ(ledger.begin(key, 7, host, hour, 1), LedgerBeginResult(LedgerUnknown {}));
+    EXPECT_EQ(ledger.finish(key, ticket, LedgerNotRun {}), LedgerFinishResult::Superseded);
+    EXPECT_EQ(ledger.expire(24 * hour, retention), 1U);
+    EXPECT_EQ(ledger.size(), 0U);
+}
