--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -109,7 +109,7 @@
     return this->isReplaced(run, report) || this->leadership.hasAcknowledgedMore(run, report);
 }
 
-StartVerdict StartCheck::judge(const MemberRun &run, const StartReport &report)
+std::optional<StartVerdict> StartCheck::judge(const MemberRun &run, const StartReport &report)
 {
     if (report.term > this->state.hard.term && this->state.role != ReplicaRole::Starting) {
         this->state.follow(report.term, std::nullopt);
@@ -117,10 +117,14 @@
     if (this->isOld(run, report)) {
         return StartVerdict::Old;
     }
+    const bool leads = this->state.role == ReplicaRole::Leader;
+    if (leads && report.voter && !this->state.isVoter(run.member)) {
+        return std::nullopt;
+    }
     const MemberRun *known = this->state.knownRun(run.member);
     const bool firstReport = known == nullptr || *known != run;
     this->state.recordRun(run);
-    if (this->state.role == ReplicaRole::Leader) {
+    if (leads) {
         this->leadership.memberStarted(run, report.lastIndex);
         return StartVerdict::Accepted;
     }
@@ -138,11 +142,14 @@
         || std::find(members.begin(), members.end(), from.member.number) == members.end()) {
         return;
     }
-    const StartVerdict verdict = this->judge(from, report);
+    const std::optional<StartVerdict> verdict = this->judge(from, report);
+    if (!verdict) {
+        return;
+    }
     const bool leads = this->state.role == ReplicaRole::Leader;
     this->state.outbox.sendWhenSynced(
             from.member,
-            StartReply { from, verdict, this->state.hard.term, leads, this->state.isVoter() });
+            StartReply { from, *verdict, this->state.hard.term, leads, this->state.isVoter() });
     if (!this->recordedBy.contains(from.member)) {
         this->report(from.member);
     }
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -30,7 +30,8 @@
     void rememberRun();
     bool isOld(const MemberRun &run, const StartReport &report) const;
     bool isReplaced(const MemberRun &run, const StartReport &report) const;
-    StartVerdict judge(const MemberRun &run, const StartReport &report);
+    /** Nothing if this member leads but cannot tell yet; the report will come again. */
+    std::optional<StartVerdict> judge(const MemberRun &run, const StartReport &report);
     void finish(const StartReply &reply);
 
     ReplicaState &state;
--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -50,6 +50,15 @@
     this->entries.clear();
 }
 
+void FakeFolder::dropStaleLog()
+{
+    // The snapshot may hold entries whose own sync was interrupted.
+    if (this->snapshot && !this->entries.empty()
+        && this->entries.back().index < this->snapshot->meta.index) {
+        this->entries.clear();
+    }
+}
+
 bool FakeFolder::isVoter() const
 {
     Configuration latest = this->snapshot ? this->snapshot->meta.configuration : Configuration {};
@@ -116,6 +125,7 @@
         host.folder->id = { static_cast<std::uint32_t>(slot + 1), this->nextIncarnation++ };
     }
     ++host.folder->startCounter;
+    host.folder->dropStaleLog();
     const FakeFolder &folder = *host.folder;
     host.paused = false;
     host.applied = folder.snapshot ? folder.snapshot->meta.index : 0;
@@ -231,11 +241,12 @@
     }
     const Snapshot snapshot { host.replica->snapshotMetaAt(host.applied),
                               std::make_shared<const std::string>(encodeMachine(host.machine)) };
-    this->sync(slot);
-    if (host.replica) {
-        host.folder->snapshot = snapshot;
-        this->step(slot, SnapshotSaved { snapshot });
+    if (host.diskFull) {
+        this->step(slot, AppendFailed {});
+        return;
     }
+    host.folder->snapshot = snapshot;
+    this->step(slot, SnapshotSaved { snapshot });
 }
 
 void ReplicaGroup::transfer(int slot)
@@ -349,12 +360,13 @@
     for (const LogEntry &entry : actions.committed) {
         this->apply(slot, entry, before);
     }
-    if (actions.install) {
-        this->install(slot, *actions.install);
-    }
+    const bool installed = actions.install && this->install(slot, *actions.install);
     if (host.replica && actions.persist) {
         this->persist(slot, *actions.persist);
     }
+    if (installed) {
+        this->step(slot, SnapshotInstalled { actions.install->meta.index });
+    }
 }
 
 void ReplicaGroup::restartDropped(int slot)
@@ -366,22 +378,22 @@
     this->start(slot);
 }
 
-void ReplicaGroup::install(int slot, const Snapshot &snapshot)
+bool ReplicaGroup::install(int slot, const Snapshot &snapshot)
 {
     this->sync(slot);
     Host &host = this->hosts[slot];
     if (!host.replica) {
-        return;
+        return false;
     }
     if (host.diskFull) {
         this->step(slot, AppendFailed {});
-        return;
+        return false;
     }
     host.folder->install(snapshot);
     host.applied = snapshot.meta.index;
     host.machine = std::stoull(*snapshot.data);
     require(host.machine == this->machines.at(host.applied), "state machines agree");
-    this->step(slot, SnapshotInstalled { snapshot.meta.index });
+    return true;
 }
 
 void ReplicaGroup::persist(int slot, const Persist &persist)
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -21,6 +21,8 @@
 
     void apply(const Persist &persist);
     void install(const Snapshot &received);
+    /** What DataFolder::open() does with a log that ends before the snapshot. */
+    void dropStaleLog();
     bool isVoter() const;
     bool stores(const LogEntry &entry) const;
 };
@@ -105,7 +107,7 @@
     int between(int low, int high);
     void step(int slot, const ReplicaEvent &event);
     void perform(int slot, Actions &actions, const Configuration &before);
-    void install(int slot, const Snapshot &snapshot);
+    bool install(int slot, const Snapshot &snapshot);
     void persist(int slot, const Persist &persist);
     void sync(int slot);
     void send(const ReplicaMessage &message);
