--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -220,14 +220,15 @@
     this->hosts[slot].folder = this->copies[slot];
 }
 
-std::optional<ProposalResult> ReplicaGroup::propose(int slot, const std::string &command)
+std::optional<ProposalResult> ReplicaGroup::propose(int slot,
+                                                    const std::vector<std::string> &commands)
 {
     Host &host = this->hosts[slot];
     if (!host.replica || host.paused) {
         return std::nullopt;
     }
     const Configuration before = host.replica->configuration();
-    Actions actions = host.replica->step(Propose { { command } }, this->localTime(slot));
+    Actions actions = host.replica->step(Propose { commands }, this->localTime(slot));
     const std::optional<ProposalResult> result = actions.proposal;
     this->perform(slot, actions, before);
     return result;
@@ -416,6 +417,7 @@
         this->step(slot, AppendFailed {});
         return;
     }
+    ++host.syncs;
     for (const Persist &persist : host.unsynced) {
         host.folder->apply(persist);
         for (const LogEntry &entry : persist.entries) {
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -69,7 +69,11 @@
     void forceCopy(int slot);
     void fillDisk(int slot) { this->hosts[slot].diskFull = true; }
     void freeDisk(int slot) { this->hosts[slot].diskFull = false; }
-    std::optional<ProposalResult> propose(int slot, const std::string &command);
+    std::optional<ProposalResult> propose(int slot, const std::vector<std::string> &commands);
+    std::optional<ProposalResult> propose(int slot, const std::string &command)
+    {
+        return this->propose(slot, std::vector { command });
+    }
     void saveSnapshot(int slot);
     void transfer(int slot);
 
@@ -82,6 +86,8 @@
     TimePoint localTime(int slot) const;
     /** Messages handed to the links so far. */
     std::uint64_t sent() const { return this->sentCount; }
+    /** Syncs of the member so far. */
+    std::uint64_t syncs(int slot) const { return this->hosts[slot].syncs; }
 
 private:
     struct Host
@@ -90,6 +96,7 @@
         std::unique_ptr<Replica> replica;
         std::vector<Persist> unsynced;
         std::int64_t syncAt = 0;
+        std::uint64_t syncs = 0;
         bool paused = false;
         bool diskFull = false;
         bool oldCopy = false; // the start check must notice it
