--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -27,13 +27,16 @@
 private:
     void report(const MemberId &to);
     bool isSettled() const;
+    void rememberRun();
     bool isOld(const MemberRun &run, const StartReport &report) const;
     bool isReplaced(const MemberRun &run, const StartReport &report) const;
-    StartVerdict judge(const MemberRun &run, const StartReport &report);
+    /** Nothing if this member leads but cannot tell yet; the report will come again. */
+    std::optional<StartVerdict> judge(const MemberRun &run, const StartReport &report);
     void finish(const StartReply &reply);
 
     ReplicaState &state;
     Leadership &leadership;
+    std::vector<MemberRun> earlierRuns; // as of the start
     std::set<MemberId> recordedBy; // peers that have stored this run
     std::set<MemberId> acceptedBy; // those of them that are voters and found no fault
     TimePoint reportAt;
