--- a/src/version/ownershipmanager.cpp
+++ b/src/version/ownershipmanager.cpp
@@ -40,7 +40,7 @@
 
     void on(const LeadershipGained &event);
     void on(const LeadershipLost &event);
-    void on(const Tick &event);
+    void on(const TimePassed &event);
     void on(const EntryWatched &event) { this->entries.watched(event); }
     void on(const Announced &event) { this->upstreams.announced(event); }
     void on(const BeginRequested &event);
@@ -80,7 +80,7 @@
         this->d->moves.sync();
     }
     this->d->dispatch(event, hasLeaderLease);
-    const bool ticked = std::holds_alternative<Tick>(event);
+    const bool ticked = std::holds_alternative<TimePassed>(event);
     const bool changed = this->d->steppedRevision != this->d->context.state.revision();
     if (this->d->leading && hasLeaderLease && (ticked || changed)) {
         this->d->step();
@@ -151,7 +151,7 @@
     this->steppedRevision.reset();
 }
 
-void OwnershipManager::Private::on(const Tick &event)
+void OwnershipManager::Private::on(const TimePassed &event)
 {
     this->context.proposals.setWall(event.wall, this->context.now);
     this->context.loads.advance(this->context.now);
--- a/src/version/plansupervisor.cpp
+++ b/src/version/plansupervisor.cpp
@@ -153,7 +153,7 @@
         return;
     }
     this->lastTransfer = this->context.now;
-    this->context.actions.emplace_back(TransferLeadership { zone });
+    this->context.actions.emplace_back(LeaveZone { zone });
 }
 
 std::vector<CallId> PlanSupervisor::waitingCalls() const
--- a/tests/version/simulation.h
+++ b/tests/version/simulation.h
@@ -96,7 +96,7 @@
     std::size_t applied = 0;
     TimePoint leaderLeaseUntil;
     bool leading = false;
-    std::vector<Propose> proposals; // not yet committed
+    std::vector<ProposeCommand> proposals; // not yet committed
 };
 
 /**
