--- a/src/cassiaroad/ledgercodec.cpp
+++ b/src/cassiaroad/ledgercodec.cpp
@@ -1,5 +1,6 @@
 #include "cassiaroad/ledgercodec.h"
 
+#define XXH_STATIC_LINKING_ONLY
 #include <xxhash.h>
 
 namespace cassiaroad {
--- a/src/cassiaroad/upstreamgate.h
+++ b/src/cassiaroad/upstreamgate.h
@@ -3,6 +3,7 @@
 #include "connection/upstreampool.h"
 #include "request/admissionqueue.h"
 #include "request/concurrencylimit.h"
+#include "version/routetable.h"
 
 namespace cassiaroad {
 
