control: End a stopping leader only when it knows its successor

A leader that handed over ended as soon as it no longer led, which could be before its request to take over had left.

--- a/src/cassiaroad/controlprocess.cpp
+++ b/src/cassiaroad/controlprocess.cpp
@@ -69,8 +69,11 @@
 
 void ControlProcess::waitForSuccessor()
 {
-    const ReplicaDriver &replica = this->engine.replica();
-    if (!replica.isLeading() || this->loop.now() >= this->stopUntil) {
+    // The request to take over may still be on its way when this member stops to lead, so it ends
+    // only when it knows its successor.
+    const MemberSettings *leader = this->engine.leader();
+    const bool handedOver = leader != nullptr && leader->number != ownMember(this->settings).number;
+    if (handedOver || this->loop.now() >= this->stopUntil) {
         this->finish({});
         return;
     }
--- a/src/cassiaroad/ledgercodec.cpp
+++ b/src/cassiaroad/ledgercodec.cpp
@@ -85,7 +85,8 @@
     if (answer.truncated) {
         extra.emplace_back("cassiaroad-answer-truncated", "true");
     }
-    return { Answered { answer.status }, { answer.status, std::move(headers), answer.body },
+    return { Answered { answer.status },
+             { answer.status, std::move(headers), answer.body },
              std::move(extra) };
 }
 
--- a/src/cassiaroad/ownersender.cpp
+++ b/src/cassiaroad/ownersender.cpp
@@ -201,8 +201,7 @@
 void OwnerSender::sendAgainOrEnd(const RequestPtr &request, bool allowed, int status,
                                  const std::string &reason)
 {
-    if (allowed && request->deadline.leaves(resendPause, this->loop.now())
-        && this->budget.take()) {
+    if (allowed && request->deadline.leaves(resendPause, this->loop.now()) && this->budget.take()) {
         ++this->retries;
         this->delay(request);
         return;
--- a/src/cassiaroad/upstreamgate.h
+++ b/src/cassiaroad/upstreamgate.h
@@ -27,7 +27,8 @@
 class UpstreamGate
 {
 public:
-    /** @p entryHosts is at least 1. @p cold: the upstream returns, so it starts with one request. */
+    /** @p entryHosts is at least 1. @p cold: the upstream returns, so it starts with one request.
+     */
     UpstreamGate(EventLoop &loop, HttpClient &client, Upstream announced, std::uint32_t entryHosts,
                  const GateSettings &settings, bool cold);
 
