tools: Add the test upstream and the process handling of test sites

Change: test_upstream; package tools/testsite (processes, requests, traffic, journals, settings files). A module named site would be hidden by that of the standard library. Relays of one line share its capacity by direction. The 7 tests of link pass.

--- a/tests/tools/test_link.py
+++ b/tests/tools/test_link.py
@@ -7,7 +7,7 @@
 import unittest
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..", "tools"))
-from site_link import Link  # noqa: E402
+from testsite.link import Link  # noqa: E402
 
 BUILD = "build"
 SILENCE = 0.3  # seconds after which a connection counts as silent
--- a/tools/link.cpp
+++ b/tools/link.cpp
@@ -21,6 +21,7 @@
           "Commands on standard input and on the control port, one a line:\n"
           "  add NAME LISTEN TARGET [LATENCY-US [LINE]]   relay LISTEN to TARGET; port 0: any\n"
           "  rate LINE KBIT/S                             capacity of a line, each way; 0: none\n"
+          "                                               (relays in the other direction: ~LINE)\n"
           "  latency PATTERN US                           one-way delay\n"
           "  cut PATTERN       refuse new connections and reset open ones\n"
           "  hold PATTERN      keep bytes back until heal\n"
@@ -31,6 +32,13 @@
           "  quit\n"
           "PATTERN is a shell pattern of names.\n";
 
+/** A line between two places, with its capacity in each direction. */
+struct LinkLine
+{
+    LinkRate there;
+    LinkRate back;
+};
+
 /** The relays of one process and the commands that change them. */
 class Link
 {
@@ -100,8 +108,11 @@
         if (!from || !to || this->relays.contains(name)) {
             return "error: add needs a new name and two addresses";
         }
-        LinkLine &shared = this->lines[line.empty() ? name : line];
-        auto relay = std::make_unique<Relay>(name, *to, std::chrono::microseconds(latency), shared);
+        const bool reverse = line.starts_with('~');
+        LinkLine &shared = this->lines[line.empty() ? name : line.substr(reverse ? 1 : 0)];
+        auto relay = std::make_unique<Relay>(name, *to, std::chrono::microseconds(latency),
+                                             reverse ? shared.back : shared.there,
+                                             reverse ? shared.there : shared.back);
         const std::uint16_t port = relay->listen(*from);
         if (port == 0) {
             return std::string("error: ") + std::strerror(errno);
@@ -118,8 +129,8 @@
             return "error: rate needs a line and a number";
         }
         const double bytes = kilobits * 1000 / 8;
-        this->lines[line].toTarget.setBytesPerSecond(bytes);
-        this->lines[line].toClient.setBytesPerSecond(bytes);
+        this->lines[line].there.setBytesPerSecond(bytes);
+        this->lines[line].back.setBytesPerSecond(bytes);
         return "ok";
     }
 
--- a/tools/relay.h
+++ b/tools/relay.h
@@ -20,13 +20,6 @@
     Swallow, // bytes are read and dropped for good; nothing is closed
 };
 
-/** Both rates of a line that relays share. */
-struct LinkLine
-{
-    LinkRate toTarget;
-    LinkRate toClient;
-};
-
 /** What went through a relay. */
 struct RelayCount
 {
@@ -41,11 +34,13 @@
 class Relay
 {
 public:
-    Relay(std::string name, HostAddress target, std::chrono::microseconds latency, LinkLine &line)
+    Relay(std::string name, HostAddress target, std::chrono::microseconds latency,
+          LinkRate &rateToTarget, LinkRate &rateToClient)
         : relayName(std::move(name))
         , target(std::move(target))
         , latency(latency)
-        , line(line)
+        , rateToTarget(rateToTarget)
+        , rateToClient(rateToClient)
     { }
 
     /** Binds and listens; returns the port or 0 (errno is set). Call once. */
@@ -195,10 +190,10 @@
         const bool alive
                 = ((client & POLLIN) == 0
                    || connection.up.readFrom(connection.client.get(), this->latency,
-                                             this->line.toTarget, now))
+                                             this->rateToTarget, now))
                   && ((server & POLLIN) == 0
                       || connection.down.readFrom(connection.server.get(), this->latency,
-                                                  this->line.toClient, now))
+                                                  this->rateToClient, now))
                   && ((server & POLLOUT) == 0
                       || connection.up.writeTo(connection.server.get(), now, this->total.toTarget))
                   && ((client & POLLOUT) == 0
@@ -229,7 +224,8 @@
     std::string relayName;
     HostAddress target;
     std::chrono::microseconds latency;
-    LinkLine &line;
+    LinkRate &rateToTarget;
+    LinkRate &rateToClient;
     RelayMode mode = RelayMode::Open;
     HostAddress own;
     Descriptor placeholder; // keeps the port while the listener is closed
--- /dev/null
+++ b/tools/testsite/journal.py
@@ -0,0 +1,64 @@
+"""Journals of the test upstreams and the checks on them."""
+import collections
+import json
+import os
+
+
+def read_journals(paths):
+    """Returns the runs of all journals in the order of their times."""
+    runs = []
+    for path in paths:
+        if os.path.exists(path):
+            with open(path) as stream:
+                runs += [json.loads(line) for line in stream if line.endswith("\n")]
+    return sorted(runs, key=lambda run: run["time"])
+
+
+def epoch_of(run):
+    """Name and epoch of a grant: ("shard/7", 3) or ("key/<key>", 3)."""
+    kind, *number, epoch = run["grant"].split("/")
+    return "%s/%s" % (kind, number[0] if number else run["key"]), int(epoch)
+
+
+def faults(runs):
+    """Lists what breaks P1 (one owner) and P5 (nothing twice) in the runs of one service."""
+    found = []
+    owners = {}
+    latest = {}
+    for run in runs:
+        name, epoch = epoch_of(run)
+        owner = owners.setdefault((name, epoch), run["upstream"])
+        if owner != run["upstream"]:
+            found.append("%s epoch %d: run by %s and %s" % (name, epoch, owner, run["upstream"]))
+        if epoch < latest.get(name, 0):
+            found.append("%s: epoch %d (%s) ran after epoch %d"
+                         % (name, epoch, run["upstream"], latest[name]))
+        latest[name] = max(epoch, latest.get(name, 0))
+    return found + repeated(runs)
+
+
+def repeated(runs):
+    """Lists requests and idempotency keys that ran more than once."""
+    ids = collections.Counter()
+    for run in runs:
+        if run["method"] in ("POST", "PATCH"):
+            if run["request"]:
+                ids["request " + run["request"]] += 1
+            if run["idempotency_key"]:
+                ids["idempotency key %s of %s" % (run["idempotency_key"], run["key"])] += 1
+    return ["%s ran %d times" % (name, count) for name, count in ids.items() if count > 1]
+
+
+def outcome_faults(sent, runs):
+    """Lists requests whose outcome at the caller differs from what the journals show (P3, P4)."""
+    ran = collections.Counter(run["request"] for run in runs)
+    found = []
+    for one in sent:
+        count = ran[one.request_id]
+        if one.outcome == "not-run" and count:
+            found.append("%s %s: reported as not run, ran" % (one.path, one.request_id))
+        if one.outcome == "answered" and one.result.status < 300 and count != 1:
+            found.append("%s %s: answered, ran %d times" % (one.path, one.request_id, count))
+        if count > 1:
+            found.append("%s %s: ran %d times" % (one.path, one.request_id, count))
+    return found
--- /dev/null
+++ b/tools/upstreamhandler.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "grantset.h"
+#include "upstreamoptions.h"
+#include "upstreamservice.h"
+
+#include "process/eventloop.h"
+
+#include <map>
+#include <memory>
+
+namespace cassiaroad {
+
+/** Decides on each request of the test upstream, runs it in a slot and answers. Loop thread only.
+ */
+class UpstreamHandler
+{
+public:
+    /** The arguments must outlive the object. */
+    UpstreamHandler(EventLoop &loop, const UpstreamOptions &options, GrantSet &grants)
+        : loop(loop)
+        , options(options)
+        , grants(grants)
+        , journal(options.journal, options.name)
+        , service(options.name,
+                  options.store.empty() ? options.journal + ".uploads" : options.store)
+        , startedAt(loop.now())
+    { }
+
+    void handle(std::shared_ptr<HttpExchange> exchange)
+    {
+        const std::string path(exchange->path().substr(0, exchange->path().find('?')));
+        if (path == "/healthz") {
+            exchange->answer(this->options.healthStatus, {}, "ok\n");
+            return;
+        }
+        const std::string prefix = "/" + this->options.service + "/";
+        const std::size_t keyEnd = path.find('/', prefix.size());
+        if (!path.starts_with(prefix) || path.size() == prefix.size()) {
+            exchange->answer(404, {}, "another service\n");
+            return;
+        }
+        const std::string key = path.substr(prefix.size(), keyEnd - prefix.size());
+        const std::string grant(exchange->header("cassiaroad-grant"));
+        if (this->options.checks && !this->grants.allows(grant, key, this->loop.now())) {
+            refuse(*exchange, 409, "grant is not held");
+            return;
+        }
+        if (this->runningRequests >= this->options.slots) {
+            refuse(*exchange, 503, "all slots are in use");
+            return;
+        }
+        if (!this->meetsDeadline(*exchange)) {
+            refuse(*exchange, 503, "deadline is too short");
+            return;
+        }
+        const std::string rest = keyEnd == std::string::npos ? "" : path.substr(keyEnd + 1);
+        this->run(std::move(exchange), key, rest, grant);
+    }
+
+    /** Share of the slots in use, or the misleading share of the options. */
+    double load() const
+    {
+        return this->options.reportedLoad >= 0
+                       ? this->options.reportedLoad
+                       : static_cast<double>(this->runningRequests) / this->options.slots;
+    }
+
+    std::uint32_t running() const { return this->runningRequests; }
+
+private:
+    struct Run
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        UpstreamAnswer answer;
+        std::string key;
+        std::string grant;
+        EventLoop::Timer timer;
+        bool ended = false;
+    };
+
+    static void refuse(HttpExchange &exchange, int status, const std::string &reason)
+    {
+        exchange.answer(status, { { "cassiaroad-outcome", "not-run" } }, reason + "\n");
+    }
+
+    std::int64_t serviceMs() const
+    {
+        const bool cold
+                = this->loop.now() - this->startedAt < Milliseconds { this->options.coldMs };
+        return this->options.serviceMs * (cold ? 4 : 1);
+    }
+
+    bool meetsDeadline(const HttpExchange &exchange) const
+    {
+        const std::string deadline(exchange.header("cassiaroad-deadline-ms"));
+        return deadline.empty() || std::atoll(deadline.c_str()) >= this->serviceMs();
+    }
+
+    void run(std::shared_ptr<HttpExchange> exchange, const std::string &key,
+             const std::string &rest, const std::string &grant)
+    {
+        auto run = std::make_shared<Run>();
+        run->answer = this->service.run(*exchange, key, rest);
+        run->exchange = std::move(exchange);
+        run->key = key;
+        run->grant = grant;
+        this->journal.add(*run->exchange, key, run->answer.status, this->serviceMs());
+        this->grants.begin(grant, key);
+        ++this->runningRequests;
+        // A caller that cancels frees the slot.
+        run->exchange->onClientGone([this, weak = std::weak_ptr(run)] {
+            if (const auto gone = weak.lock()) {
+                this->end(*gone);
+            }
+        });
+        run->timer
+                = this->loop.callAfter({ this->serviceMs() }, [this, run] { this->finish(run); });
+    }
+
+    void finish(const std::shared_ptr<Run> &run)
+    {
+        if (run->ended) {
+            return;
+        }
+        this->end(*run);
+        if (this->options.delayMs > 0) {
+            run->timer = this->loop.callAfter({ this->options.delayMs }, [run] { send(*run); });
+            return;
+        }
+        send(*run);
+    }
+
+    static void send(Run &run)
+    {
+        run.exchange->answer(run.answer.status, run.answer.headers, run.answer.body);
+        // Ends the cycle of run, timer and callback.
+        const auto timer = std::move(run.timer);
+        run.exchange.reset();
+    }
+
+    void end(Run &run)
+    {
+        if (!run.ended) {
+            run.ended = true;
+            --this->runningRequests;
+            this->grants.end(run.grant, run.key);
+        }
+    }
+
+    EventLoop &loop;
+    const UpstreamOptions &options;
+    GrantSet &grants;
+    RequestJournal journal;
+    UpstreamService service;
+    TimePoint startedAt;
+    std::uint32_t runningRequests = 0;
+};
+
+} // namespace cassiaroad
