process: Complete writes of timers before the loop sleeps

Cause: h2o runs callbacks that became due outside h2o_evloop_run only after its wait for events. A request sent from a timer on a kept connection began to read its answer at the next event or timer; announcements of the test upstream timed out every second time. Change: do not wait while such callbacks are pending.

--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -59,7 +59,11 @@
 
     void runOnce(std::int64_t maxWait)
     {
-        h2o_evloop_run(this->h2oLoop, static_cast<std::int32_t>(maxWait));
+        // h2o does not look for callbacks that became due outside h2o_evloop_run, such as the end
+        // of a write in a timer, before it waits for events.
+        const bool due = this->h2oLoop->_pending_as_client != nullptr
+                         || this->h2oLoop->_pending_as_server != nullptr;
+        h2o_evloop_run(this->h2oLoop, due ? 0 : static_cast<std::int32_t>(maxWait));
         this->fireTimers();
     }
 
