--- a/tools/uploadstore.h
+++ b/tools/uploadstore.h
@@ -24,7 +24,7 @@
     /** Begins an upload of @p length bytes. Precondition: isId(@p id). */
     void create(const std::string &id, std::uint64_t length) const
     {
-        std::ofstream(this->data(id));
+        const std::ofstream empty(this->data(id));
         std::ofstream(this->lengthFile(id)) << length;
     }
 
