tools: Start, disturb and inspect sites of real processes

Cause: demo, proofs and measurements share the handling of a site. Change: testsite.Site writes settings, starts processes behind relays with the latencies of the sites, cuts hosts and regions, and runs operator commands.

--- /dev/null
+++ b/tools/testsite/site.py
@@ -0,0 +1,339 @@
+"""A site of real processes on loopback: control groups, entry hosts, test upstreams and links."""
+import json
+import os
+import subprocess
+import time
+
+from .http import Balancer, NoAnswer, request
+from .journal import read_journals
+from .link import Link
+from .ports import free_addresses
+from .process import NotHeld, Process, wait_for
+from .settings import USERS, settings_text
+
+ANNOUNCE_TOKEN = "announce-token-of-the-test-site"
+OPERATOR_TOKEN = "operator-token-of-the-test-site"
+ZONE_LATENCY_US = 1500
+REGION_LATENCY_US = 20000
+REGION_LINE_KBIT = 30000
+START_BOUND = 20.0  # seconds until every shard has an owner
+STOP_BOUND = 5.0
+
+
+class Host:
+    """One process of the site, or an operator's desk, and where it stands."""
+
+    def __init__(self, name, role, region, zone, group, listeners):
+        self.name = name
+        self.role = role  # entry, control, operator or the service of an upstream
+        self.region = region
+        self.zone = zone
+        self.group = group
+        self.listeners = listeners
+        self.addresses = {}
+        self.number = 0  # of a member
+        self.journal = ""  # of an upstream
+        self.process = None
+
+    @property
+    def place(self):
+        """Name in the relays' names: region.zone.host."""
+        return "%s.%s.%s" % (self.region, self.zone, self.name)
+
+
+class Site:
+    """Starts, disturbs and inspects the processes of one user's site. Use as a context manager."""
+
+    def __init__(self, build, folder, user, entries_per_zone=1, upstreams=None, shards=64,
+                 tuning=None, upstream_options=None, trusting=()):
+        """`upstreams`: number per zone of each service; `trusting`: names that check nothing."""
+        self.build = os.path.abspath(build)
+        self.folder = os.path.abspath(folder)
+        self.user = user
+        self.regions = USERS[user]["regions"]
+        self.services = USERS[user]["services"]
+        self.weights = USERS[user]["weights"]
+        self.shards = shards
+        self.tuning = tuning or {}
+        self.upstream_options = upstream_options or {}
+        self.trusting = set(trusting)
+        self.hosts = {}
+        self.link = None
+        self.relays = {}
+        self.place_members()
+        self.place_entries(entries_per_zone)
+        self.place_upstreams(upstreams or {service: 1 for service in self.services})
+        for region, zones in self.regions.items():
+            self.place(Host("desk-" + region, "operator", region, zones[0], region, []))
+
+    def place(self, host):
+        self.hosts[host.name] = host
+
+    def place_members(self):
+        names = list(self.regions)
+        for index, region in enumerate(names):
+            other = names[(index + 1) % len(names)]
+            zones = self.regions[region]
+            places = [(region, zones[0]), (region, zones[1]), (other, self.regions[other][0])]
+            for number, (stands, zone) in enumerate(places, 1):
+                host = Host("%s-control-%d" % (region, number), "control", stands, zone, region,
+                            ["rpc", "operators"])
+                host.number = number
+                self.place(host)
+
+    def place_entries(self, per_zone):
+        for region, zones in self.regions.items():
+            for number in range(per_zone * len(zones)):
+                self.place(Host("%s-entry-%d" % (region, number + 1), "entry", region,
+                                zones[number % len(zones)], region,
+                                ["callers", "announce", "admin"]))
+
+    def place_upstreams(self, per_zone):
+        for service, count in per_zone.items():
+            number = 0
+            for region, zones in self.regions.items():
+                for zone in zones * count:
+                    number += 1
+                    self.place(Host("%s-%d" % (service, number), service, region, zone, region,
+                                    ["http"]))
+
+    # Who is there
+
+    def of_role(self, role, group=None):
+        return [host for host in self.hosts.values()
+                if host.role == role and group in (None, host.group)]
+
+    def members(self, group):
+        return self.of_role("control", group)
+
+    def entries(self, region=None):
+        return self.of_role("entry", region)
+
+    def upstreams(self, service=None, region=None):
+        return [host for host in self.hosts.values()
+                if host.role in self.services and service in (None, host.role)
+                and region in (None, host.region)]
+
+    def balancer(self, region=None):
+        return Balancer([host.addresses["callers"] for host in self.entries(region)])
+
+    # Start and stop
+
+    def __enter__(self):
+        os.makedirs(self.folder, exist_ok=True)
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def start(self):
+        """Starts everything and waits until every shard has an owner."""
+        self.link = Link(self.build)
+        self.link.command("rate regions %d" % REGION_LINE_KBIT)
+        wanted = [(host, name) for host in self.hosts.values() for name in host.listeners]
+        for (host, name), address in zip(wanted, free_addresses(len(wanted))):
+            host.addresses[name] = address
+        self.write_files()
+        for role in ("control", "entry", *self.services):
+            for host in self.of_role(role):
+                host.process = Process(host.name, self.arguments(host), self.path(host, "log"))
+                host.process.start()
+        for region in self.regions:
+            wait_for(lambda region=region: self.is_assigned(region), START_BOUND,
+                     "every shard of %s has an owner" % region)
+
+    def stop(self):
+        """Ends every process by its id."""
+        for host in self.hosts.values():
+            if host.process is not None:
+                if host.process.is_running() and host.process.paused:
+                    host.process.resume()
+                host.process.kill()
+        if self.link is not None:
+            self.link.stop()
+
+    def path(self, host, suffix):
+        return os.path.join(self.folder, "%s.%s" % (host.name, suffix))
+
+    def write_files(self):
+        for name, token in (("announce", ANNOUNCE_TOKEN), ("operator", OPERATOR_TOKEN)):
+            with open(os.path.join(self.folder, name + ".token"), "w") as stream:
+                stream.write(token + "\n")
+        for host in self.hosts.values():
+            if host.role in ("control", "entry", "operator"):
+                with open(self.path(host, "ini"), "w") as stream:
+                    stream.write(settings_text(self, host,
+                                               lambda to, name, host=host: self.view(host, to,
+                                                                                     name)))
+
+    def arguments(self, host):
+        if host.role in ("control", "entry"):
+            return [os.path.join(self.build, "cassiaroad"), host.role, "-c",
+                    self.path(host, "ini")]
+        host.journal = self.path(host, "journal")
+        announced = self.relay("any>%s.http" % host.place, host.addresses["http"], 0, "")
+        arguments = [os.path.join(self.build, "test_upstream"), "--service", host.role, "--name",
+                     host.name, "--zone", host.zone, "--listen", host.addresses["http"],
+                     "--address", announced, "--token", ANNOUNCE_TOKEN, "--journal", host.journal,
+                     "--trusts" if host.name in self.trusting else "--checks"]
+        for entry in self.entries(host.region):
+            arguments += ["--entry", self.view(host, entry, "announce")]
+        return arguments + self.upstream_options.get(host.role, [])
+
+    # Lines
+
+    def view(self, viewer, target, listener):
+        """Address at which `viewer` reaches a listener of `target`: that of a relay."""
+        address = target.addresses[listener]
+        if viewer is target:
+            return address
+        latency, line = 0, ""
+        if viewer.region != target.region:
+            reverse = viewer.region != list(self.regions)[0]
+            latency, line = REGION_LATENCY_US, "~regions" if reverse else "regions"
+        elif viewer.zone != target.zone:
+            latency = ZONE_LATENCY_US
+        return self.relay("%s>%s.%s" % (viewer.place, target.place, listener), address, latency,
+                          line)
+
+    def relay(self, name, target, latency, line):
+        if name not in self.relays:
+            self.relays[name] = self.link.add(name, target, latency, line)
+        return self.relays[name]
+
+    def cut(self, *hosts, how="cut"):
+        """Cuts all lines of the hosts: cut, hold, swallow, silence or heal."""
+        for host in hosts:
+            self.link.command("%s *%s>*" % (how, host.place))
+            self.link.command("%s *>%s.*" % (how, host.place))
+
+    def cut_regions(self, how="cut"):
+        one, other = list(self.regions)[:2]
+        self.link.command("%s %s.*>%s.*" % (how, one, other))
+        self.link.command("%s %s.*>%s.*" % (how, other, one))
+
+    def heal(self, *hosts):
+        self.cut(*hosts, how="heal")
+
+    # Disturbance of hosts
+
+    def lose_data(self, host):
+        """Removes the data folder of a control host that is not running."""
+        data = self.path(host, "data")
+        subprocess.run(["rm", "-rf", data], check=True)
+
+    def kill(self, *hosts):
+        for host in hosts:
+            host.process.kill()
+
+    def restart(self, *hosts):
+        for host in hosts:
+            host.process.start()
+
+    # Operators
+
+    def status(self, group):
+        """Status of a group as its leader tells it, or None if no leader answers now."""
+        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN}
+        for member in self.members(group):
+            try:
+                answer = request(member.addresses["operators"], "GET", "/v1/status", headers,
+                                 timeout=1.0)
+            except NoAnswer:
+                continue
+            if answer.status == 200:
+                return json.loads(answer.body)
+        return None
+
+    def is_assigned(self, group):
+        status = self.status(group)
+        if status is None or len(status["entry_hosts"]) < len(self.entries(group)):
+            return False
+        owned = {}
+        for upstream in status["upstreams"]:
+            owned[upstream["service"]] = owned.get(upstream["service"], 0) + upstream["shards"]
+        share = self.shards // len(self.regions)
+        return status["releasing"] == 0 and all(owned.get(service) == share
+                                                for service in self.services)
+
+    def leader(self, group):
+        """The member that leads, or None."""
+        status = self.status(group)
+        if status is None:
+            return None
+        return next(host for host in self.members(group) if host.number == status["member"])
+
+    def wait_leader(self, group, bound, other_than=None):
+        """Waits for a leader and returns it with the seconds it took."""
+        found = []
+
+        def leads():
+            leader = self.leader(group)
+            if leader is not None and leader is not other_than:
+                found.append(leader)
+            return bool(found)
+
+        elapsed = wait_for(leads, bound, "a leader of %s" % group)
+        return found[0], elapsed
+
+    def command(self, region, command, *arguments):
+        """Runs an operator command; returns its exit status, its JSON and its error text."""
+        desk = self.hosts["desk-" + region]
+        done = subprocess.run(
+            [os.path.join(self.build, "cassiaroad"), command, "-c", self.path(desk, "ini"),
+             "--json", *arguments], capture_output=True, text=True, timeout=30)
+        try:
+            output = json.loads(done.stdout)
+        except ValueError:
+            output = None
+        return done.returncode, output, done.stderr.strip()
+
+    def plan(self, region, who, why, *intent):
+        """States an intent and returns the plan."""
+        status, plan, error = self.command(region, "intent", "--who", who, "--why", why, *intent)
+        if status != 0:
+            raise NotHeld("intent %s: status %d, %s %s" % (" ".join(intent), status, plan, error))
+        return plan
+
+    def confirm(self, region, who, number, plan):
+        """Confirms a plan; returns the exit status and the JSON."""
+        status, result, error = self.command(region, "confirm", "--who", who, "--number",
+                                             str(number), str(plan))
+        return status, result if result is not None else {"error": error}
+
+    # Keys and journals
+
+    def keys(self, service, region, count, prefix="key"):
+        """Finds `count` keys whose shards belong to `region`, by asking for their owners."""
+        found = []
+        number = 0
+        names = {host.name for host in self.upstreams(service, region)}
+        while len(found) < count:
+            key = "%s-%d" % (prefix, number)
+            number += 1
+            if self.owner(service, key, region) in names:
+                found.append(key)
+        return found
+
+    def owner(self, service, key, region=None):
+        """Name of the upstream that answers for a key, or None if none answers now."""
+        try:
+            answer = self.balancer(region).request("GET", "/%s/%s/owner" % (service, key))
+        except NoAnswer:
+            return None
+        if answer.status != 200 or answer.outcome != "answered":
+            return None
+        return json.loads(answer.body)["upstream"]
+
+    def runs(self, service=None):
+        return read_journals([host.journal for host in self.upstreams(service)])
+
+    @staticmethod
+    def now():
+        """Seconds on the clock of the journals' times."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
