--- a/tools/testsite/http.py
+++ b/tools/testsite/http.py
@@ -49,6 +49,22 @@
         connection.close()
 
 
+def announce_body(address, method, path, length, timeout=12.0):
+    """Sends only the head of a request with a body of `length` bytes and returns the answer."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.putrequest(method, path)
+        connection.putheader("Content-Length", str(length))
+        connection.endheaders()
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, names, response.read())
+    except (OSError, http.client.HTTPException) as error:
+        raise NoAnswer(True, "%s: %r" % (address, error)) from error
+    finally:
+        connection.close()
+
+
 class Balancer:
     """Spreads requests over entry hosts in turn; one that refuses connections is passed over."""
 
--- a/tools/testsite/process.py
+++ b/tools/testsite/process.py
@@ -34,10 +34,11 @@
         self.popen = None
         self.paused = False
 
-    def start(self):
+    def start(self, extra=()):
+        """Starts the process; `extra` arguments are for this start only."""
         with open(self.log, "ab") as output:
             self.popen = subprocess.Popen(
-                self.arguments, stdin=subprocess.DEVNULL, stdout=output, stderr=output
+                self.arguments + list(extra), stdin=subprocess.DEVNULL, stdout=output, stderr=output
             )
         self.paused = False
 
--- a/tools/testsite/site.py
+++ b/tools/testsite/site.py
@@ -142,7 +142,8 @@
         for role in ("control", "entry", *self.services):
             for host in self.of_role(role):
                 host.process = Process(host.name, self.arguments(host), self.path(host, "log"))
-                host.process.start()
+                founds = host.role == "control" and host.number == 1
+                host.process.start(["--bootstrap"] if founds else [])
         for region in self.regions:
             wait_for(lambda region=region: self.is_assigned(region), START_BOUND,
                      "every shard of %s has an owner" % region)
