cassiaroad: Test the entry host and rest connections before reuse

A test with an upstream that answers twice showed an answer that reached another caller: Nagle's algorithm held the second answer back until the acknowledgement that came with the next request. Now the first answer is acknowledged at once and a connection rests for 5 ms before it is used again. A second answer that comes later than that, after the next request was written, cannot be told apart in HTTP/1.1; requests therefore carry Cassiaroad-Request, and an upstream that repeats it in its answers closes this gap too.

--- a/src/cassiaroad/announcecodec.cpp
+++ b/src/cassiaroad/announcecodec.cpp
@@ -20,11 +20,11 @@
 bool isName(const std::string &name)
 {
     return !name.empty() && name.size() <= maxNameLength
-            && std::all_of(name.begin(), name.end(), [](char letter) {
-                   return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
-                           || (letter >= '0' && letter <= '9') || letter == '-' || letter == '_'
-                           || letter == '.';
-               });
+           && std::all_of(name.begin(), name.end(), [](char letter) {
+                  return (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
+                         || (letter >= '0' && letter <= '9') || letter == '-' || letter == '_'
+                         || letter == '.';
+              });
 }
 
 std::string checkUpstream(const Upstream &upstream)
--- a/src/cassiaroad/announcehandler.cpp
+++ b/src/cassiaroad/announcehandler.cpp
@@ -42,8 +42,7 @@
 
 void AnnounceHandler::taskFailed(kj::Exception &&exception)
 {
-    Log("entry").error(std::string("an announcement failed: ")
-                       + exception.getDescription().cStr());
+    Log("entry").error(std::string("an announcement failed: ") + exception.getDescription().cStr());
 }
 
 // Compares in constant time, so that the token cannot be guessed byte by byte.
@@ -51,7 +50,7 @@
 {
     const std::string_view given = exchange.header("authorization");
     return given.size() == this->authorization.size()
-            && CRYPTO_memcmp(given.data(), this->authorization.data(), given.size()) == 0;
+           && CRYPTO_memcmp(given.data(), this->authorization.data(), given.size()) == 0;
 }
 
 bool AnnounceHandler::isOwnZone(const std::string &zone) const
@@ -59,8 +58,8 @@
     return std::any_of(this->settings.regions.begin(), this->settings.regions.end(),
                        [&](const RegionSettings &region) {
                            return region.name == this->settings.region
-                                   && std::find(region.zones.begin(), region.zones.end(), zone)
-                                   != region.zones.end();
+                                  && std::find(region.zones.begin(), region.zones.end(), zone)
+                                             != region.zones.end();
                        });
 }
 
@@ -87,13 +86,12 @@
     this->pass(exchange, std::move(announcement));
 }
 
-void AnnounceHandler::pass(const std::shared_ptr<HttpExchange> &exchange,
-                           Announcement announcement)
+void AnnounceHandler::pass(const std::shared_ptr<HttpExchange> &exchange, Announcement announcement)
 {
-    const auto fill = [announcement = std::move(announcement)](
-                              rpc::AnnounceRequest::Builder request) {
-        encode(announcement, request);
-    };
+    const auto fill
+            = [announcement = std::move(announcement)](rpc::AnnounceRequest::Builder request) {
+                  encode(announcement, request);
+              };
     this->tasks.add(this->control.announce(fill, announceTimeout)
                             .then(
                                     [this, exchange](ControlClient::AnnounceReply &&reply) {
--- a/src/cassiaroad/entryhost.cpp
+++ b/src/cassiaroad/entryhost.cpp
@@ -113,9 +113,7 @@
                    this->announcements.handle(exchange);
                })
     , admin(loop, { 0, maxAdminConnections },
-            [this](const std::shared_ptr<HttpExchange> &exchange) {
-                this->handleAdmin(*exchange);
-            })
+            [this](const std::shared_ptr<HttpExchange> &exchange) { this->handleAdmin(*exchange); })
 { }
 
 RouteWatcher::Callbacks EntryHost::Private::watchCallbacks()
@@ -247,9 +245,8 @@
     }
     Private *d = this->d.get();
     d->tickTimer = d->loop.callEvery(tickInterval, [d] { d->tick(); });
-    d->idleTimer = d->loop.callEvery(idleCheckInterval, [d] {
-        d->client.closeIdleLongerThan(d->effective.poolIdle());
-    });
+    d->idleTimer = d->loop.callEvery(
+            idleCheckInterval, [d] { d->client.closeIdleLongerThan(d->effective.poolIdle()); });
     d->watcher.start();
     return {};
 }
--- a/src/cassiaroad/entrymetrics.cpp
+++ b/src/cassiaroad/entrymetrics.cpp
@@ -20,9 +20,9 @@
                     "cassiaroad_requests_total", "Requests that ended, by outcome",
                     { { "service", service.name }, { "outcome", outcome } });
         }
-        entry.seconds = &this->metrics.histogram(
-                "cassiaroad_request_seconds", "Time from the arrival of a request to its end",
-                durationBounds, { { "service", service.name } });
+        entry.seconds = &this->metrics.histogram("cassiaroad_request_seconds",
+                                                 "Time from the arrival of a request to its end",
+                                                 durationBounds, { { "service", service.name } });
         this->services.emplace(service.name, std::move(entry));
     }
 }
--- a/src/cassiaroad/gatetable.cpp
+++ b/src/cassiaroad/gatetable.cpp
@@ -13,7 +13,7 @@
     for (const auto &[id, upstream] : table.upstreams()) {
         std::shared_ptr<UpstreamGate> &gate = this->gates[id];
         const bool same = gate && gate->upstream().instance == upstream.instance
-                && gate->upstream().address == upstream.address;
+                          && gate->upstream().address == upstream.address;
         if (same) {
             gate->update(upstream, hosts, settings);
             continue;
--- a/src/cassiaroad/keyedrunner.cpp
+++ b/src/cassiaroad/keyedrunner.cpp
@@ -48,8 +48,15 @@
     const LedgerKey key { request->target.service->name, request->target.key, idempotencyKey };
     const std::uint64_t digest
             = requestDigest(request->method, request->path, request->exchange->body());
-    auto run = std::make_shared<Run>(
-            Run { request, key, digest, KeyedRequest(), std::move(done), std::nullopt, false, false, {} });
+    auto run = std::make_shared<Run>(Run { request,
+                                           key,
+                                           digest,
+                                           KeyedRequest(),
+                                           std::move(done),
+                                           std::nullopt,
+                                           false,
+                                           false,
+                                           {} });
     this->runs.emplace(request->id, run);
     this->perform(run, run->machine.start());
 }
@@ -59,11 +66,11 @@
     if (std::holds_alternative<CallBegin>(action)) {
         this->begin(run);
     } else if (const auto *wait = std::get_if<WaitBeforeBegin>(&action)) {
-        run->timer = this->loop.callAfter(
-                wait->time, [this, raw = run.get(), id = run->request->id] {
-                    const RunPtr kept = this->runs.at(id);
-                    this->perform(kept, raw->machine.onWaited());
-                });
+        run->timer
+                = this->loop.callAfter(wait->time, [this, raw = run.get(), id = run->request->id] {
+                      const RunPtr kept = this->runs.at(id);
+                      this->perform(kept, raw->machine.onWaited());
+                  });
     } else if (std::holds_alternative<RunRequest>(action)) {
         this->send(run);
     } else if (const auto *finish = std::get_if<CallFinish>(&action)) {
@@ -76,9 +83,10 @@
         this->conclude(run, { OutcomeUnknown { 502, unknown->reason }, {}, {} });
     } else if (const auto *refuse = std::get_if<RefuseKeyed>(&action)) {
         // The earlier request with this key may still run, so 409 must not say "not run".
-        const RequestOutcome outcome = refuse->status == conflict
-                ? OutcomeUnknown { conflict, refuse->reason }
-                : run->request->progress.refuse(refuse->status, refuse->reason);
+        const RequestOutcome outcome
+                = refuse->status == conflict
+                          ? OutcomeUnknown { conflict, refuse->reason }
+                          : run->request->progress.refuse(refuse->status, refuse->reason);
         this->conclude(run, { outcome, {}, {} });
     } else {
         this->release(run);
@@ -92,26 +100,25 @@
         return;
     }
     run->holdsKey = true;
-    this->tasks.add(
-            this->control
-                    .begin(
-                            [this, run](rpc::BeginRequest::Builder request) {
-                                request.setService(run->key.service);
-                                request.setKey(run->key.key);
-                                request.setIdempotencyKey(run->key.idempotencyKey);
-                                request.setDigest(run->digest);
-                                request.setEntryHost(this->host.name);
-                                request.setEntryInstance(this->host.instance);
-                            },
-                            ledgerTimeout)
-                    .then(
-                            [this, run](ControlClient::BeginReply &&reply) {
-                                this->perform(run, run->machine.onBegun(
-                                                           decodeBegin(reply.getReply())));
-                            },
-                            [this, run](kj::Exception &&) {
-                                this->perform(run, run->machine.onBeginFailed());
-                            }));
+    this->tasks.add(this->control
+                            .begin(
+                                    [this, run](rpc::BeginRequest::Builder request) {
+                                        request.setService(run->key.service);
+                                        request.setKey(run->key.key);
+                                        request.setIdempotencyKey(run->key.idempotencyKey);
+                                        request.setDigest(run->digest);
+                                        request.setEntryHost(this->host.name);
+                                        request.setEntryInstance(this->host.instance);
+                                    },
+                                    ledgerTimeout)
+                            .then(
+                                    [this, run](ControlClient::BeginReply &&reply) {
+                                        this->perform(run, run->machine.onBegun(
+                                                                   decodeBegin(reply.getReply())));
+                                    },
+                                    [this, run](kj::Exception &&) {
+                                        this->perform(run, run->machine.onBeginFailed());
+                                    }));
 }
 
 void KeyedRunner::finish(const RunPtr &run, const CallFinish &call)
--- a/src/cassiaroad/ledgercodec.cpp
+++ b/src/cassiaroad/ledgercodec.cpp
@@ -84,20 +84,18 @@
     if (answer.truncated) {
         extra.emplace_back("cassiaroad-answer-truncated", "true");
     }
-    return { Answered { answer.status }, { answer.status, std::move(headers), answer.body },
+    return { Answered { answer.status },
+             { answer.status, std::move(headers), answer.body },
              std::move(extra) };
 }
 
 std::uint64_t requestDigest(std::string_view method, std::string_view path, std::string_view body)
 {
-    XXH3_state_t state;
-    XXH3_64bits_reset(&state);
+    std::uint64_t digest = 0;
     for (const std::string_view part : { method, path, body }) {
-        const std::uint64_t size = part.size();
-        XXH3_64bits_update(&state, &size, sizeof(size));
-        XXH3_64bits_update(&state, part.data(), part.size());
+        digest = XXH3_64bits_withSeed(part.data(), part.size(), digest);
     }
-    return XXH3_64bits_digest(&state);
+    return digest;
 }
 
 } // namespace cassiaroad
--- a/src/cassiaroad/ownersender.cpp
+++ b/src/cassiaroad/ownersender.cpp
@@ -93,12 +93,13 @@
     }
 }
 
-HttpRequest OwnerSender::upstreamRequest(const EntryRequest &request) const
+HttpRequest OwnerSender::upstreamRequest(const EntryRequest &request)
 {
     HttpRequest result { request.method, request.path, request.headers,
                          std::string(request.exchange->body()) };
     HopHeaders::addForUpstream(result.headers, request.target, request.owner,
-                               request.deadline.left(this->loop.now()), request.trace);
+                               request.deadline.left(this->loop.now()), request.trace,
+                               request.trace.spanId + "-" + std::to_string(++this->lastAttempt));
     return result;
 }
 
@@ -201,8 +202,7 @@
 void OwnerSender::sendAgainOrEnd(const RequestPtr &request, bool allowed, int status,
                                  const std::string &reason)
 {
-    if (allowed && request->deadline.leaves(resendPause, this->loop.now())
-        && this->budget.take()) {
+    if (allowed && request->deadline.leaves(resendPause, this->loop.now()) && this->budget.take()) {
         ++this->retries;
         this->delay(request);
         return;
--- a/src/cassiaroad/ownersender.h
+++ b/src/cassiaroad/ownersender.h
@@ -81,7 +81,7 @@
     void abortLost(const std::vector<RequestId> &lost);
     void routeAll(RequestPlace place);
     void checkWaiting(TimePoint now);
-    HttpRequest upstreamRequest(const EntryRequest &request) const;
+    HttpRequest upstreamRequest(const EntryRequest &request);
     std::vector<RequestPtr> requestsAt(RequestPlace place) const;
 
     EventLoop &loop;
@@ -93,6 +93,7 @@
     LoadCounter loadCounter;
     std::map<RequestId, RequestPtr> requests;
     std::size_t held = 0;
+    std::uint64_t lastAttempt = 0;
     std::uint64_t retries = 0;
 };
 
--- a/src/cassiaroad/ownersenderchanges.cpp
+++ b/src/cassiaroad/ownersenderchanges.cpp
@@ -42,7 +42,7 @@
         const Ownership ownership = Router::ownerOf(request->target, table);
         const auto *owner = std::get_if<Owner>(&ownership);
         const bool stays = owner != nullptr && *owner == request->owner
-                && this->gateTable.find(owner->upstream) == request->gate;
+                           && this->gateTable.find(owner->upstream) == request->gate;
         if (!stays && request->place == RequestPlace::Queued) {
             this->leavePlace(*request);
             this->route(request);
--- a/src/cassiaroad/regionforwarder.cpp
+++ b/src/cassiaroad/regionforwarder.cpp
@@ -51,8 +51,8 @@
     for (const RegionSettings &region : settings.regions) {
         std::vector<std::unique_ptr<Gateway>> gateways;
         for (const HostAddress &address : region.gateways) {
-            gateways.push_back(std::make_unique<Gateway>(loop, client, address,
-                                                         gatewaySilence(settings)));
+            gateways.push_back(
+                    std::make_unique<Gateway>(loop, client, address, gatewaySilence(settings)));
         }
         this->regions.push_back(std::move(gateways));
     }
--- a/src/cassiaroad/regionforwarder.h
+++ b/src/cassiaroad/regionforwarder.h
@@ -13,8 +13,8 @@
 {
 public:
     /** All references must outlive the forwarder. Loop thread only. */
-    RegionForwarder(EventLoop &loop, HttpClient &client, const Settings &settings,
-                    Metrics &metrics, std::size_t maxAnswerBytes);
+    RegionForwarder(EventLoop &loop, HttpClient &client, const Settings &settings, Metrics &metrics,
+                    std::size_t maxAnswerBytes);
     ~RegionForwarder();
     RegionForwarder(const RegionForwarder &) = delete;
     RegionForwarder &operator=(const RegionForwarder &) = delete;
--- a/src/cassiaroad/requestdispatcher.cpp
+++ b/src/cassiaroad/requestdispatcher.cpp
@@ -15,7 +15,7 @@
 bool isIdempotent(std::string_view method)
 {
     return method == "GET" || method == "HEAD" || method == "PUT" || method == "DELETE"
-            || method == "OPTIONS";
+           || method == "OPTIONS";
 }
 
 bool isRead(std::string_view method)
@@ -26,15 +26,15 @@
 bool isMethod(std::string_view method)
 {
     return !method.empty() && method.size() <= 16
-            && std::all_of(method.begin(), method.end(),
-                           [](char letter) { return letter >= 'A' && letter <= 'Z'; });
+           && std::all_of(method.begin(), method.end(),
+                          [](char letter) { return letter >= 'A' && letter <= 'Z'; });
 }
 
 bool isIdempotencyKey(std::string_view key)
 {
-    return key.size() <= maxIdempotencyKey
-            && std::all_of(key.begin(), key.end(),
-                           [](char letter) { return letter > ' ' && letter < '\x7f'; });
+    return key.size() <= maxIdempotencyKey && std::all_of(key.begin(), key.end(), [](char letter) {
+               return letter > ' ' && letter < '\x7f';
+           });
 }
 
 HttpAnswer textAnswer(int status, const std::string &reason)
@@ -119,8 +119,8 @@
     request.headers = std::move(*headers);
     request.upload = exchange.header("content-type") == uploadType;
     const Deadline fallback = request.upload
-            ? Deadline::never()
-            : Deadline::after(this->defaultDeadline, request.receivedAt);
+                                      ? Deadline::never()
+                                      : Deadline::after(this->defaultDeadline, request.receivedAt);
     const std::optional<Deadline> deadline = Deadline::parse(
             exchange.header("cassiaroad-deadline-ms"), fallback, request.receivedAt);
     if (!deadline.has_value()) {
@@ -140,7 +140,7 @@
     const std::string idempotencyKey(request->exchange->header("idempotency-key"));
     const bool local = this->router.isLocal(request->target);
     const bool keyed = local && !idempotencyKey.empty()
-            && (request->method == "POST" || request->method == "PATCH");
+                       && (request->method == "POST" || request->method == "PATCH");
     this->open.emplace(request->id, Open { request, keyed });
     request->exchange->onClientGone([this, id = request->id] {
         this->stop(this->open.at(id), clientGone, "the caller has gone");
--- a/src/cassiaroad/routewatcher.cpp
+++ b/src/cassiaroad/routewatcher.cpp
@@ -51,22 +51,21 @@
         attempt->sentAt = this->loop.now();
         this->fill(request, attempt->report);
     };
-    this->tasks.add(
-            this->control.watch(fill, this->callTimeout)
-                    .then(
-                            [this, attempt](ControlClient::WatchReply &&reply) {
-                                if (!this->stopping) {
-                                    this->onReply(reply.getReply(), attempt->sentAt);
-                                    this->call();
-                                }
-                            },
-                            [this, attempt](kj::Exception &&) {
-                                this->callbacks.notReported(attempt->report);
-                                if (!this->stopping) {
-                                    this->retryTimer = this->loop.callAfter(
-                                            retryPause, [this] { this->call(); });
-                                }
-                            }));
+    this->tasks.add(this->control.watch(fill, this->callTimeout)
+                            .then(
+                                    [this, attempt](ControlClient::WatchReply &&reply) {
+                                        if (!this->stopping) {
+                                            this->onReply(reply.getReply(), attempt->sentAt);
+                                            this->call();
+                                        }
+                                    },
+                                    [this, attempt](kj::Exception &&) {
+                                        this->callbacks.notReported(attempt->report);
+                                        if (!this->stopping) {
+                                            this->retryTimer = this->loop.callAfter(
+                                                    retryPause, [this] { this->call(); });
+                                        }
+                                    }));
 }
 
 void RouteWatcher::fill(rpc::WatchRequest::Builder request, const WatchReport &report) const
--- a/src/cassiaroad/upstreamgate.cpp
+++ b/src/cassiaroad/upstreamgate.cpp
@@ -22,7 +22,9 @@
     , concurrency(cold ? 1 : share(this->announced.slots, entryHosts),
                   share(this->announced.connections, entryHosts))
     , connections(loop, client, parseHostAddress(this->announced.address), settings.silence)
-{ }
+{
+    this->connections.setMaxConnections(share(this->announced.connections, entryHosts));
+}
 
 GateDecision UpstreamGate::enter(RequestId id, Priority priority, const Deadline &deadline,
                                  TimePoint now)
@@ -56,6 +58,7 @@
     this->queue.setBounds(settings.queueLength, settings.queueTime);
     this->concurrency.setHighest(share(upstream.connections, entryHosts));
     this->connections.setSilence(settings.silence);
+    this->connections.setMaxConnections(share(upstream.connections, entryHosts));
 }
 
 } // namespace cassiaroad
--- a/src/cassiaroad/upstreamgate.h
+++ b/src/cassiaroad/upstreamgate.h
@@ -3,6 +3,7 @@
 #include "connection/upstreampool.h"
 #include "request/admissionqueue.h"
 #include "request/concurrencylimit.h"
+#include "version/routetable.h"
 
 namespace cassiaroad {
 
@@ -26,7 +27,8 @@
 class UpstreamGate
 {
 public:
-    /** @p entryHosts is at least 1. @p cold: the upstream returns, so it starts with one request. */
+    /** @p entryHosts is at least 1. @p cold: the upstream returns, so it starts with one request.
+     */
     UpstreamGate(EventLoop &loop, HttpClient &client, Upstream announced, std::uint32_t entryHosts,
                  const GateSettings &settings, bool cold);
 
--- a/src/connection/connectionstore.cpp
+++ b/src/connection/connectionstore.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <h2o.h>
 
@@ -13,6 +14,10 @@
 // h2o's timers follow the wall clock; the owners of calls set the time limits.
 constexpr std::uint64_t noTimeout = 365ULL * 24 * 3600 * 1000;
 constexpr std::size_t unlimited = 1U << 20U;
+// A second answer to an earlier request can only be told from the answer to the next one while the
+// connection is idle, so a connection rests before it is used again. A peer may hold back a small
+// second answer until the first is acknowledged, which takes one round trip (3 ms between zones).
+constexpr Milliseconds rest { 5 };
 
 } // namespace
 
@@ -90,9 +95,13 @@
 h2o_socketpool_t *ConnectionStore::offerConnection(const HostAddress &server, TimePoint &openedAt)
 {
     Server &entry = this->serverOf(server);
-    if (!entry.idle.empty()) {
-        const std::unique_ptr<Idle> idle = std::move(entry.idle.back());
-        entry.idle.pop_back();
+    const TimePoint usedBefore = this->loop.now() - rest;
+    const auto found = std::find_if(
+            entry.idle.rbegin(), entry.idle.rend(),
+            [&](const std::unique_ptr<Idle> &idle) { return idle->idleSince <= usedBefore; });
+    if (found != entry.idle.rend()) {
+        const std::unique_ptr<Idle> idle = std::move(*found);
+        entry.idle.erase(std::next(found).base());
         h2o_socket_read_stop(idle->socket);
         openedAt = idle->openedAt;
         h2o_socketpool_return(&entry.handover, idle->socket);
@@ -110,6 +119,8 @@
     Server &entry = this->serverOf(server);
     auto idle = std::make_unique<Idle>(Idle { &entry, socket, openedAt, this->loop.now() });
     socket->data = idle.get();
+    const int on = 1; // acknowledges the answer now, so that the rest need not be longer
+    setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_QUICKACK, &on, sizeof(on));
     h2o_socket_read_start(socket, &ConnectionStore::closeIfUsed);
     entry.idle.push_back(std::move(idle));
 }
@@ -136,6 +147,16 @@
     }
 }
 
+void ConnectionStore::trimIdle(const HostAddress &server, std::size_t most)
+{
+    const auto found = this->servers.find(server);
+    if (found == this->servers.end()) {
+        return;
+    }
+    std::size_t excess = found->second->idle.size() - std::min(found->second->idle.size(), most);
+    found->second->closeIf([&](const Idle &) { return excess > 0 && excess-- > 0; });
+}
+
 std::size_t ConnectionStore::idleCount(const HostAddress &server) const
 {
     const auto found = this->servers.find(server);
--- a/src/connection/connectionstore.h
+++ b/src/connection/connectionstore.h
@@ -31,8 +31,9 @@
 
     /**
      * Returns h2o's pool through which a connection to @p server is handed to h2o's client. It
-     * holds the idle connection used last, if there is one, and is empty otherwise. @p openedAt
-     * receives the time at which that connection was opened; it is unchanged if there is none.
+     * holds the idle connection used last that has been quiet for a moment, if there is one, and is
+     * empty otherwise. @p openedAt receives the time at which that connection was opened; it is
+     * unchanged if there is none.
      */
     h2o_socketpool_t *offerConnection(const HostAddress &server, TimePoint &openedAt);
 
@@ -44,6 +45,8 @@
 
     void closeIdle(const HostAddress &server, TimePoint openedBefore);
     void closeIdleLongerThan(Milliseconds idle);
+    /** Closes the idle connections used least recently, until @p most are left. */
+    void trimIdle(const HostAddress &server, std::size_t most);
     std::size_t idleCount(const HostAddress &server) const;
 
 private:
--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -1,5 +1,7 @@
 #include "connection/httpcall.h"
 
+#include <algorithm>
+
 #include <linux/tcp.h>
 
 #include <h2o.h>
@@ -206,12 +208,29 @@
         this->fail(HttpFailure::Stage::AnswerCut, "the end of the answer cannot be determined");
         return false;
     }
+    if (!this->isOwnAnswer()) {
+        this->fail(HttpFailure::Stage::AnswerCut, "the answer belongs to another request");
+        return false;
+    }
     if (ended) {
         this->finishAnswer(this->client->sock->input->size > headLength);
     }
     return true;
 }
 
+// An upstream that repeats the Cassiaroad-Request header proves which request it answers.
+bool HttpCall::isOwnAnswer() const
+{
+    const auto find = [](const auto &headers) {
+        const auto found = std::find_if(headers.begin(), headers.end(), [](const auto &header) {
+            return header.first == "cassiaroad-request";
+        });
+        return found == headers.end() ? std::string_view() : std::string_view(found->second);
+    };
+    const std::string_view repeated = find(this->answer.headers);
+    return repeated.empty() || repeated == find(this->request.headers);
+}
+
 bool HttpCall::onBody(const char *error, bool ended)
 {
     h2o_socket_t *socket = this->client->sock;
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -34,6 +34,7 @@
     void onHeadError(const char *error);
     bool onHead(bool ended, int status, st_h2o_header_t *headers, std::size_t count,
                 std::size_t headLength);
+    bool isOwnAnswer() const;
     bool onBody(const char *error, bool ended);
     void finishAnswer(bool hasTrailingBytes);
     void fail(HttpFailure::Stage stage, std::string reason);
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -50,6 +50,11 @@
     this->d->connections->closeIdleLongerThan(idle);
 }
 
+void HttpClient::trimIdle(const HostAddress &server, std::size_t most)
+{
+    this->d->connections->trimIdle(server, most);
+}
+
 std::size_t HttpClient::idleCount(const HostAddress &server) const
 {
     return this->d->connections->idleCount(server);
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -99,6 +99,9 @@
     /** Closes idle connections that have carried nothing for @p idle. */
     void closeIdleLongerThan(Milliseconds idle);
 
+    /** Closes the idle connections to @p server used least recently, until @p most are left. */
+    void trimIdle(const HostAddress &server, std::size_t most);
+
     /** Number of idle connections to @p server. */
     std::size_t idleCount(const HostAddress &server) const;
 
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -135,6 +135,8 @@
 
 HttpServer::Private::~Private()
 {
+    // Linked for a second after h2o_context_request_shutdown, which h2o_context_dispose refuses.
+    h2o_timeout_unlink(&this->context.http2._graceful_shutdown_timeout);
     h2o_context_dispose(&this->context);
     h2o_config_dispose(&this->config);
 }
--- a/src/connection/upstreampool.cpp
+++ b/src/connection/upstreampool.cpp
@@ -33,6 +33,7 @@
     HttpClient &client;
     HostAddress address;
     Milliseconds silence;
+    std::size_t maxConnections = 1000;
     std::set<PooledCall *> calls;
     UpstreamObservation observation;
     std::uint64_t silentConnections = 0;
@@ -56,6 +57,9 @@
     {
         this->done = std::move(callback);
         this->pool->calls.insert(this);
+        const std::size_t most = this->pool->maxConnections;
+        const std::size_t used = std::min(this->pool->calls.size(), most);
+        this->pool->client.trimIdle(this->pool->address, most - used);
         this->call = this->pool->client.send(
                 this->pool->address, std::move(request), maxAnswerBytes,
                 [this](HttpResult result) { this->finish(std::move(result)); },
@@ -204,6 +208,11 @@
     this->d->silence = silence;
 }
 
+void UpstreamPool::setMaxConnections(std::size_t most)
+{
+    this->d->maxConnections = most;
+}
+
 std::uint64_t UpstreamPool::silentConnections() const
 {
     return this->d->silentConnections;
--- a/src/connection/upstreampool.h
+++ b/src/connection/upstreampool.h
@@ -57,6 +57,9 @@
 
     void setSilence(Milliseconds silence);
 
+    /** Bounds the connections, idle ones included; probes come on top. */
+    void setMaxConnections(std::size_t most);
+
     /** Number of connections found silent so far. */
     std::uint64_t silentConnections() const;
 
--- a/src/request/hopheaders.cpp
+++ b/src/request/hopheaders.cpp
@@ -98,7 +98,8 @@
 }
 
 void HopHeaders::addForUpstream(Headers &headers, const Target &target, const Owner &owner,
-                                Milliseconds left, const TraceContext &trace)
+                                Milliseconds left, const TraceContext &trace,
+                                const std::string &requestNumber)
 {
     const std::string epoch = std::to_string(owner.epoch);
     headers.emplace_back("cassiaroad-grant",
@@ -106,6 +107,7 @@
                                         : "shard/" + std::to_string(owner.shard) + "/" + epoch);
     headers.emplace_back("cassiaroad-key", target.key);
     headers.emplace_back("cassiaroad-deadline-ms", std::to_string(left.count));
+    headers.emplace_back("cassiaroad-request", requestNumber);
     headers.emplace_back("traceparent", trace.header());
 }
 
--- a/src/request/hopheaders.h
+++ b/src/request/hopheaders.h
@@ -26,9 +26,13 @@
      */
     static std::optional<Headers> endToEnd(const HeaderViews &received);
 
-    /** Adds what an upstream gets: grant, key, deadline and trace. */
+    /**
+     * Adds what an upstream gets: grant, key, deadline, trace, and the number of the request, which
+     * it may repeat in its answer (design, section 6.6).
+     */
     static void addForUpstream(Headers &headers, const Target &target, const Owner &owner,
-                               Milliseconds left, const TraceContext &trace);
+                               Milliseconds left, const TraceContext &trace,
+                               const std::string &requestNumber);
 
     /** Adds what an entry host of another region gets: hop mark, deadline and trace. */
     static void addForRegion(Headers &headers, const Deadline &deadline, TimePoint now,
--- a/src/request/keyedrequest.h
+++ b/src/request/keyedrequest.h
@@ -31,7 +31,6 @@
 /** Commit the outcome; call onFinished or onFinishFailed. */
 struct CallFinish
 {
-    bool resolved = false;
     std::uint64_t ticket = 0;
     LedgerOutcome outcome;
     bool operator==(const CallFinish &) const = default;
--- /dev/null
+++ b/tests/cassiaroad/entrysite.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "cassiaroad/entryhost.h"
+#include "fakecontrol.h"
+#include "support/fakepeer.h"
+#include "support/loopwait.h"
+#include "support/rawclient.h"
+
+#include <gtest/gtest.h>
+
+namespace cassiaroad {
+
+constexpr std::uint32_t testShards = 8;
+
+/** An answer of the callers' listener. */
+struct CallerAnswer
+{
+    int status = 0;
+    std::string outcome;
+    std::string head;
+    std::string body;
+};
+
+/** An entry host with a fake control group and fake upstreams, all on one loop. */
+class EntrySite : public testing::Test
+{
+protected:
+    EntrySite()
+    {
+        this->control->listen({ "127.0.0.1", 0 });
+        this->settings.site = "test";
+        this->settings.host = "entry-1";
+        this->settings.region = "etela";
+        this->settings.zone = "etela-a";
+        this->settings.group = "etela";
+        this->settings.regions = { { "etela", { "etela-a", "etela-b" }, {} } };
+        this->settings.services = { { "orders", testShards, Priority::Critical, Priority::Bulk } };
+        this->settings.members
+                = { { 1, "etela", "etela-a", { "127.0.0.1", this->control->port() }, {} } };
+        EntrySettings entry;
+        entry.callers = entry.announce = entry.admin = { "127.0.0.1", 0 };
+        entry.announceToken = "secret";
+        this->settings.role = entry;
+        this->settings.timing.drainWait = { 100 };
+        this->settings.timing.silence = { 500 };
+        this->settings.timing.defaultDeadline = { 3000 };
+        this->settings.limits.queueTime = { 800 };
+    }
+
+    /** Starts the host; waits until it has the table of the group. */
+    void start()
+    {
+        this->host = std::make_unique<EntryHost>(this->loop, this->settings);
+        ASSERT_EQ(this->host->start(), "");
+        ASSERT_TRUE(this->seesTable());
+    }
+
+    bool seesTable()
+    {
+        return waitUntil(this->loop,
+                         [&] { return this->group.seen == this->group.table.toRevision; });
+    }
+
+    Upstream upstreamAt(const FakePeer &peer, const std::string &name) const
+    {
+        return { { "orders", name }, "etela-a", "127.0.0.1:" + std::to_string(peer.port),
+                 this->slots,        120,       true,
+                 "i-" + name,        false };
+    }
+
+    /** Adds an upstream that owns every shard at @p epoch. */
+    FakePeer &addOwner(const std::string &name, FakePeer::Script script, Epoch epoch = 1)
+    {
+        this->peers.push_back(std::make_unique<FakePeer>(this->loop, std::move(script)));
+        this->group.assign("orders", testShards, this->upstreamAt(*this->peers.back(), name),
+                           epoch);
+        return *this->peers.back();
+    }
+
+    std::unique_ptr<RawClient> send(const std::string &method, const std::string &path,
+                                    const std::string &headers = "", const std::string &body = "")
+    {
+        auto client = std::make_unique<RawClient>(this->host->callersPort());
+        const std::string length
+                = body.empty() && method != "POST"
+                          ? ""
+                          : "content-length: " + std::to_string(body.size()) + "\r\n";
+        client->write(method + " " + path + " HTTP/1.1\r\nhost: x\r\n" + headers + length + "\r\n"
+                      + body);
+        return client;
+    }
+
+    static bool isAnswered(RawClient &client)
+    {
+        const std::string &text = client.received();
+        const std::size_t end = text.find("\r\n\r\n");
+        if (end == std::string::npos) {
+            return false;
+        }
+        const std::size_t at = text.find("Content-Length: ");
+        const std::size_t length = at == std::string::npos ? 0 : std::stoul(text.substr(at + 16));
+        return text.size() >= end + 4 + length;
+    }
+
+    CallerAnswer answerOf(RawClient &client)
+    {
+        CallerAnswer answer;
+        if (!waitUntil(this->loop, [&] { return isAnswered(client); })) {
+            return answer;
+        }
+        const std::string &text = client.received();
+        answer.status = std::stoi(text.substr(9, 3));
+        answer.head = text.substr(0, text.find("\r\n\r\n") + 2);
+        answer.body = text.substr(text.find("\r\n\r\n") + 4);
+        const std::string name = "cassiaroad-outcome: ";
+        const std::size_t at = answer.head.find(name);
+        if (at != std::string::npos) {
+            const std::size_t start = at + name.size();
+            answer.outcome = answer.head.substr(start, answer.head.find('\r', start) - start);
+        }
+        return answer;
+    }
+
+    CallerAnswer exchange(const std::string &method, const std::string &path,
+                          const std::string &headers = "", const std::string &body = "")
+    {
+        return this->answerOf(*this->send(method, path, headers, body));
+    }
+
+    std::string get(std::uint16_t port, const std::string &path)
+    {
+        RawClient client(port);
+        client.write("GET " + path + " HTTP/1.1\r\nhost: x\r\n\r\n");
+        waitUntil(this->loop, [&] { return isAnswered(client); });
+        return client.received();
+    }
+
+    bool becomesUnhealthy()
+    {
+        const TimePoint end = this->loop.now() + testPatience;
+        while (this->loop.now() < end) {
+            if (this->get(this->host->adminPort(), "/healthz").find(" 503 ") != std::string::npos) {
+                return true;
+            }
+            runFor(this->loop, { 20 });
+        }
+        return false;
+    }
+
+    EventLoop loop;
+    FakeGroup group;
+    std::unique_ptr<RpcServer> control = std::make_unique<RpcServer>(
+            this->loop, RpcServerLimits {}, kj::heap<FakeControl>(this->loop, this->group));
+    Settings settings;
+    std::uint32_t slots = 6;
+    std::vector<std::unique_ptr<FakePeer>> peers;
+    std::unique_ptr<EntryHost> host;
+};
+
+/** Script of an upstream that answers each whole request with @p body. */
+inline FakePeer::Script answering(const std::string &body)
+{
+    return [body](FakePeer::Connection &connection) {
+        const std::size_t head = connection.received.find("\r\n\r\n");
+        if (head == std::string::npos) {
+            return;
+        }
+        const std::size_t at = connection.received.find("content-length: ");
+        const std::size_t length
+                = at == std::string::npos ? 0 : std::stoul(connection.received.substr(at + 16));
+        if (connection.received.size() < head + 4 + length) {
+            return;
+        }
+        connection.received.erase(0, head + 4 + length);
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: " + std::to_string(body.size())
+                         + "\r\n\r\n" + body);
+    };
+}
+
+} // namespace cassiaroad
--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -70,6 +70,7 @@
     EXPECT_EQ(std::get<HttpAnswer>(first).headers[1],
               (std::pair<std::string, std::string>("x-a", "b")));
     EXPECT_EQ(this->client.idleCount(this->address), 1U);
+    runFor(this->loop, { 10 });
     EXPECT_EQ(bodyOf(this->exchange()), "hi");
     EXPECT_EQ(this->peer->connections.size(), 1U);
 }
@@ -144,12 +145,58 @@
                 }
             });
             this->exchange();
+            runFor(this->loop, { 10 });
             EXPECT_EQ(bodyOf(this->exchange()), "first") << first << split;
             EXPECT_EQ(this->peer->connections.size(), 2U) << first << split;
         }
     }
 }
 
+// Guards against a second answer that the peer's TCP holds back until the first is acknowledged: it
+// would arrive after the next request was written (P3).
+TEST_F(HttpClientTest, restsConnectionsBeforeTheyAreUsedAgain)
+{
+    this->serve([](FakePeer::Connection &connection) {
+        const bool first = connection.received.find("/a ") != std::string::npos;
+        connection.received.clear();
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n"
+                         + std::string(first ? "a" : "b"));
+        if (first) {
+            connection.write("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na");
+        }
+    });
+    for (int round = 0; round < 20; ++round) {
+        EXPECT_EQ(bodyOf(this->exchange({ "GET", "/a", {}, {} })), "a");
+        EXPECT_EQ(bodyOf(this->exchange({ "GET", "/b", {}, {} })), "b");
+    }
+}
+
+// Guards against an answer to an earlier request that comes after the next one was written.
+TEST_F(HttpClientTest, refusesAnswersThatRepeatAnotherRequestNumber)
+{
+    this->serveText("HTTP/1.1 200 OK\r\nCassiaroad-Request: 7\r\ncontent-length: 2\r\n\r\nhi");
+    const HttpResult own = this->exchange({ "GET", "/k", { { "cassiaroad-request", "7" } }, {} });
+    EXPECT_EQ(bodyOf(own), "hi");
+    runFor(this->loop, { 10 });
+    const HttpResult other = this->exchange({ "GET", "/k", { { "cassiaroad-request", "8" } }, {} });
+    EXPECT_EQ(stageOf(other), HttpFailure::Stage::AnswerCut);
+    EXPECT_EQ(this->client.idleCount(this->address), 0U);
+}
+
+TEST_F(HttpClientTest, trimsIdleConnections)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
+    for (int i = 0; i < 3; ++i) {
+        this->exchange();
+    }
+    const std::size_t idle = this->client.idleCount(this->address);
+    ASSERT_GE(idle, 1U);
+    this->client.trimIdle(this->address, idle);
+    EXPECT_EQ(this->client.idleCount(this->address), idle);
+    this->client.trimIdle(this->address, 0);
+    EXPECT_EQ(this->client.idleCount(this->address), 0U);
+}
+
 // Guards against a late second answer on an idle connection (P3).
 TEST_F(HttpClientTest, closesIdleConnectionOnWhichBytesArrive)
 {
@@ -176,6 +223,7 @@
         EXPECT_FALSE(call->isSent());
         if (round == 0) {
             this->exchange(); // the next round gets a connection that is already open
+            runFor(this->loop, { 10 });
         }
     }
     for (const auto &connection : this->peer->connections) {
--- a/tests/connection/test_upstreampool.cpp
+++ b/tests/connection/test_upstreampool.cpp
@@ -56,6 +56,7 @@
     const HostAddress address { "127.0.0.1", this->peer->port };
     ASSERT_EQ(this->client.idleCount(address), 3U);
     this->pool->takeObservation();
+    runFor(this->loop, { 10 }); // connections rest before they are used again
 
     silent = true;
     std::optional<HttpResult> lost;
