--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -7,19 +7,43 @@
 // A running member repeats its report to a silent peer rarely; one that waits, at each heartbeat.
 constexpr std::int64_t heartbeatsBetweenLateReports = 10;
 
+// Bounds the hard state of a member that starts over and over without reaching a peer.
+constexpr std::size_t maxRememberedRuns = 64;
+
+/** Whether a folder that remembers @p earlier may be the one that started @p known. */
+bool mayFollow(const MemberRun &known, const std::vector<MemberRun> &earlier)
+{
+    // A peer that was away knows a run from before the first remembered one.
+    return std::find(earlier.begin(), earlier.end(), known) != earlier.end()
+           || (!earlier.empty() && known.startCounter < earlier.front().startCounter);
+}
+
 } // namespace
 
 StartCheck::StartCheck(ReplicaState &state, Leadership &leadership)
     : state(state)
     , leadership(leadership)
+    , earlierRuns(state.hard.ownRuns)
     , reportAt(state.now)
 {
+    this->rememberRun();
     const Configuration &configuration = state.log.configuration();
     if (state.isVoter() && configuration.majority() == 1) {
         this->finish({});
     }
 }
 
+void StartCheck::rememberRun()
+{
+    // The counter alone does not do: an old copy that starts several times catches up with it.
+    std::vector<MemberRun> &runs = this->state.hard.ownRuns;
+    if (runs.size() == maxRememberedRuns) {
+        runs.erase(runs.begin() + 1);
+    }
+    runs.push_back(this->state.self);
+    this->state.persistHardState();
+}
+
 bool StartCheck::isSettled() const
 {
     // A new leader may not know a learner, and only a leader can tell a voter that it was replaced.
@@ -51,7 +75,7 @@
 {
     this->state.outbox.sendWhenSynced(to, StartReport { this->state.hard.term,
                                                         this->state.log.lastIndex(),
-                                                        this->state.isVoter() });
+                                                        this->state.isVoter(), this->earlierRuns });
 }
 
 bool StartCheck::admits(const MemberRun &run)
@@ -78,13 +102,14 @@
 bool StartCheck::isOld(const MemberRun &run, const StartReport &report) const
 {
     const MemberRun *known = this->state.knownRun(run.member);
-    if (known != nullptr && run != *known && run.startCounter <= known->startCounter) {
+    if (known != nullptr && run != *known
+        && (run.startCounter <= known->startCounter || !mayFollow(*known, report.earlierRuns))) {
         return true;
     }
     return this->isReplaced(run, report) || this->leadership.hasAcknowledgedMore(run, report);
 }
 
-StartVerdict StartCheck::judge(const MemberRun &run, const StartReport &report)
+std::optional<StartVerdict> StartCheck::judge(const MemberRun &run, const StartReport &report)
 {
     if (report.term > this->state.hard.term && this->state.role != ReplicaRole::Starting) {
         this->state.follow(report.term, std::nullopt);
@@ -92,10 +117,14 @@
     if (this->isOld(run, report)) {
         return StartVerdict::Old;
     }
+    const bool leads = this->state.role == ReplicaRole::Leader;
+    if (leads && report.voter && !this->state.isVoter(run.member)) {
+        return std::nullopt;
+    }
     const MemberRun *known = this->state.knownRun(run.member);
     const bool firstReport = known == nullptr || *known != run;
     this->state.recordRun(run);
-    if (this->state.role == ReplicaRole::Leader) {
+    if (leads) {
         this->leadership.memberStarted(run, report.lastIndex);
         return StartVerdict::Accepted;
     }
@@ -113,11 +142,14 @@
         || std::find(members.begin(), members.end(), from.member.number) == members.end()) {
         return;
     }
-    const StartVerdict verdict = this->judge(from, report);
+    const std::optional<StartVerdict> verdict = this->judge(from, report);
+    if (!verdict) {
+        return;
+    }
     const bool leads = this->state.role == ReplicaRole::Leader;
     this->state.outbox.sendWhenSynced(
             from.member,
-            StartReply { from, verdict, this->state.hard.term, leads, this->state.isVoter() });
+            StartReply { from, *verdict, this->state.hard.term, leads, this->state.isVoter() });
     if (!this->recordedBy.contains(from.member)) {
         this->report(from.member);
     }
@@ -151,6 +183,8 @@
 
 void StartCheck::finish(const StartReply &reply)
 {
+    this->state.hard.ownRuns = { this->state.self };
+    this->state.persistHardState();
     // A vote given before the folder was copied is unknown here. Voting for itself keeps the member
     // from voting a second time in a term that a peer has reached.
     const Term term = std::max(reply.term, this->state.hard.term);
--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -50,6 +50,26 @@
     this->entries.clear();
 }
 
+void FakeFolder::dropStaleLog()
+{
+    // The snapshot may hold entries whose own sync was interrupted.
+    if (this->snapshot && !this->entries.empty()
+        && this->entries.back().index < this->snapshot->meta.index) {
+        this->entries.clear();
+    }
+}
+
+bool FakeFolder::isVoter() const
+{
+    Configuration latest = this->snapshot ? this->snapshot->meta.configuration : Configuration {};
+    for (const LogEntry &entry : this->entries) {
+        if (const auto *configuration = std::get_if<Configuration>(&entry.payload)) {
+            latest = *configuration;
+        }
+    }
+    return latest.contains(this->id);
+}
+
 bool FakeFolder::stores(const LogEntry &entry) const
 {
     return (this->snapshot && this->snapshot->meta.index >= entry.index)
@@ -105,6 +125,7 @@
         host.folder->id = { static_cast<std::uint32_t>(slot + 1), this->nextIncarnation++ };
     }
     ++host.folder->startCounter;
+    host.folder->dropStaleLog();
     const FakeFolder &folder = *host.folder;
     host.paused = false;
     host.applied = folder.snapshot ? folder.snapshot->meta.index : 0;
@@ -171,7 +192,8 @@
         return false;
     }
     const FakeFolder &current = *this->hosts[slot].folder;
-    if (this->copies[slot]->id == current.id) {
+    const bool sameIncarnation = this->copies[slot]->id == current.id;
+    if (sameIncarnation) {
         // Copies of the present run are noticed only while its leader leads; see the design page.
         if (this->copies[slot]->startCounter == current.startCounter) {
             return false;
@@ -187,7 +209,8 @@
         }
     }
     this->forceCopy(slot);
-    this->hosts[slot].oldCopy = true;
+    // An older incarnation that does not know it was a voter may join again as a learner.
+    this->hosts[slot].oldCopy = sameIncarnation || this->copies[slot]->isVoter();
     return true;
 }
 
@@ -218,11 +241,12 @@
     }
     const Snapshot snapshot { host.replica->snapshotMetaAt(host.applied),
                               std::make_shared<const std::string>(encodeMachine(host.machine)) };
-    this->sync(slot);
-    if (host.replica) {
-        host.folder->snapshot = snapshot;
-        this->step(slot, SnapshotSaved { snapshot });
+    if (host.diskFull) {
+        this->step(slot, AppendFailed {});
+        return;
     }
+    host.folder->snapshot = snapshot;
+    this->step(slot, SnapshotSaved { snapshot });
 }
 
 void ReplicaGroup::transfer(int slot)
@@ -336,12 +360,13 @@
     for (const LogEntry &entry : actions.committed) {
         this->apply(slot, entry, before);
     }
-    if (actions.install) {
-        this->install(slot, *actions.install);
-    }
+    const bool installed = actions.install && this->install(slot, *actions.install);
     if (host.replica && actions.persist) {
         this->persist(slot, *actions.persist);
     }
+    if (installed) {
+        this->step(slot, SnapshotInstalled { actions.install->meta.index });
+    }
 }
 
 void ReplicaGroup::restartDropped(int slot)
@@ -353,18 +378,22 @@
     this->start(slot);
 }
 
-void ReplicaGroup::install(int slot, const Snapshot &snapshot)
+bool ReplicaGroup::install(int slot, const Snapshot &snapshot)
 {
     this->sync(slot);
     Host &host = this->hosts[slot];
-    if (!host.replica || host.diskFull) {
-        return;
+    if (!host.replica) {
+        return false;
+    }
+    if (host.diskFull) {
+        this->step(slot, AppendFailed {});
+        return false;
     }
     host.folder->install(snapshot);
     host.applied = snapshot.meta.index;
     host.machine = std::stoull(*snapshot.data);
     require(host.machine == this->machines.at(host.applied), "state machines agree");
-    this->step(slot, SnapshotInstalled { snapshot.meta.index });
+    return true;
 }
 
 void ReplicaGroup::persist(int slot, const Persist &persist)
@@ -417,6 +446,7 @@
     const auto [known, first] = this->committed.emplace(entry.index, entry);
     require(known->second == entry, "committed entries do not change");
     const Replica &replica = *this->hosts[slot].replica;
+    this->committedIn.emplace(entry.index, replica.term());
     if (!first || replica.role() != ReplicaRole::Leader) {
         return;
     }
@@ -444,7 +474,8 @@
         return;
     }
     for (const auto &[index, entry] : this->committed) {
-        require(entry.term >= replica.term() || this->hosts[slot].folder->stores(entry),
+        require(this->committedIn.at(index) >= replica.term()
+                        || this->hosts[slot].folder->stores(entry),
                 "a new leader has every committed entry");
     }
 }
