--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -21,6 +21,8 @@
 
     void apply(const Persist &persist);
     void install(const Snapshot &received);
+    /** What DataFolder::open() does with a log that ends before the snapshot. */
+    void dropStaleLog();
     bool isVoter() const;
     bool stores(const LogEntry &entry) const;
 };
@@ -67,7 +69,11 @@
     void forceCopy(int slot);
     void fillDisk(int slot) { this->hosts[slot].diskFull = true; }
     void freeDisk(int slot) { this->hosts[slot].diskFull = false; }
-    std::optional<ProposalResult> propose(int slot, const std::string &command);
+    std::optional<ProposalResult> propose(int slot, const std::vector<std::string> &commands);
+    std::optional<ProposalResult> propose(int slot, const std::string &command)
+    {
+        return this->propose(slot, std::vector { command });
+    }
     void saveSnapshot(int slot);
     void transfer(int slot);
 
@@ -80,6 +86,8 @@
     TimePoint localTime(int slot) const;
     /** Messages handed to the links so far. */
     std::uint64_t sent() const { return this->sentCount; }
+    /** Syncs of the member so far. */
+    std::uint64_t syncs(int slot) const { return this->hosts[slot].syncs; }
 
 private:
     struct Host
@@ -88,6 +96,7 @@
         std::unique_ptr<Replica> replica;
         std::vector<Persist> unsynced;
         std::int64_t syncAt = 0;
+        std::uint64_t syncs = 0;
         bool paused = false;
         bool diskFull = false;
         bool oldCopy = false; // the start check must notice it
@@ -105,7 +114,7 @@
     int between(int low, int high);
     void step(int slot, const ReplicaEvent &event);
     void perform(int slot, Actions &actions, const Configuration &before);
-    void install(int slot, const Snapshot &snapshot);
+    bool install(int slot, const Snapshot &snapshot);
     void persist(int slot, const Persist &persist);
     void sync(int slot);
     void send(const ReplicaMessage &message);
