--- a/tools/linecommands.h
+++ b/tools/linecommands.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "socketaddress.h"
+#include "toolsockets.h"
 
 #include <functional>
 #include <list>
--- a/tools/link.cpp
+++ b/tools/link.cpp
@@ -103,8 +103,8 @@
         std::int64_t latency = 0;
         std::string line;
         words >> name >> listen >> target >> latency >> line;
-        const auto from = parseHostAddress(listen);
-        const auto to = parseHostAddress(target);
+        const auto from = addressOption(listen);
+        const auto to = addressOption(target);
         if (!from || !to || this->relays.contains(name)) {
             return "error: add needs a new name and two addresses";
         }
@@ -199,7 +199,7 @@
     std::optional<HostAddress> control;
     for (int name = getopt_long(argc, argv, "", options, nullptr); name != -1;
          name = getopt_long(argc, argv, "", options, nullptr)) {
-        control = name == 'c' ? parseHostAddress(optarg) : std::nullopt;
+        control = name == 'c' ? addressOption(optarg) : std::nullopt;
         if (!control) {
             std::fputs(usage, stderr);
             return 2;
--- a/tools/loadoptions.h
+++ b/tools/loadoptions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "socketaddress.h"
+#include "toolsockets.h"
 
 #include <cstdint>
 #include <string>
@@ -74,7 +74,7 @@
         }
         auto position = static_cast<std::size_t>(index);
         if (position == 0) {
-            const auto address = parseHostAddress(optarg);
+            const auto address = addressOption(optarg);
             if (!address) {
                 return false;
             }
--- a/tools/relay.h
+++ b/tools/relay.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "relaydirection.h"
-#include "socketaddress.h"
+#include "toolsockets.h"
 
 #include <cerrno>
 #include <list>
--- a/tools/requestjournal.h
+++ b/tools/requestjournal.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "digest.h"
-#include "socketaddress.h"
+#include "toolsockets.h"
 
 #include "connection/httpserver.h"
 #include "process/clock.h"
--- a/tools/socketaddress.h
+++ b/tools/toolsockets.h
@@ -16,7 +16,7 @@
 namespace cassiaroad {
 
 /** Parses "ip:port" (IPv4); port 0 is allowed. Thread-safe. */
-inline std::optional<HostAddress> parseHostAddress(const std::string &text)
+inline std::optional<HostAddress> addressOption(const std::string &text)
 {
     const std::size_t colon = text.rfind(':');
     if (colon == std::string::npos || colon + 1 == text.size() || text.size() - colon > 6) {
@@ -33,7 +33,7 @@
 }
 
 /** Converts to the form of the socket calls. Precondition: the IP number is valid. */
-inline sockaddr_in toSocketAddress(const HostAddress &address)
+inline sockaddr_in socketNameOf(const HostAddress &address)
 {
     sockaddr_in result {};
     result.sin_family = AF_INET;
@@ -86,7 +86,7 @@
     setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     // Lets a second socket hold the port while the listening one is closed.
     setsockopt(socket.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
-    const sockaddr_in name = toSocketAddress(address);
+    const sockaddr_in name = socketNameOf(address);
     if (bind(socket.get(), reinterpret_cast<const sockaddr *>(&name), sizeof(name)) != 0) {
         socket.reset();
     }
@@ -108,7 +108,7 @@
     Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int on = 1;
     setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    const sockaddr_in name = toSocketAddress(address);
+    const sockaddr_in name = socketNameOf(address);
     if (connect(socket.get(), reinterpret_cast<const sockaddr *>(&name), sizeof(name)) != 0
         && errno != EINPROGRESS) {
         socket.reset();
--- a/tools/upstreamoptions.h
+++ b/tools/upstreamoptions.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "socketaddress.h"
+#include "toolsockets.h"
 
 #include <cstdint>
 #include <string>
@@ -59,7 +59,7 @@
         }
     }
     if (name == "listen" || name == "address" || name == "entry") {
-        const auto address = parseHostAddress(value);
+        const auto address = addressOption(value);
         if (address && name == "entry") {
             options.entryHosts.push_back(*address);
         } else if (address) {
