--- a/tools/demo.py
+++ b/tools/demo.py
@@ -207,9 +207,8 @@
             wait_for(lambda: traffic.count("answered") > 5, 5.0, "traffic")
             killed = self.site.now()
             self.site.kill(lost)
-            wait_for(lambda: any(sent.outcome == "answered" and sent.start > killed
-                                 for sent in list(traffic.sent)), 10.0, "served again")
-            elapsed = self.site.now() - killed
+            wait_for(lambda: traffic.serves_all_since(killed), 10.0, "served again")
+        elapsed = traffic.served_again(killed)
         self.sent += traffic.sent
         self.site.restart(lost)
         expect(elapsed < SERVED_AGAIN, "served again only after %.2f s" % elapsed)
--- a/tools/testsite/http.py
+++ b/tools/testsite/http.py
@@ -103,17 +103,19 @@
 
 
 class Traffic:
-    """Threads that POST to the keys given, each request with an id of its own, until stopped."""
+    """One thread for each path that sends requests, each with an id of its own, until stopped."""
 
-    def __init__(self, balancer, paths, clock, threads=4, pause=0.01, method="POST"):
+    def __init__(self, balancer, paths, clock, pause=0.01, method="POST", headers=None):
         self.balancer = balancer
-        self.paths = itertools.cycle(paths)
         self.clock = clock
         self.method = method
         self.pause = pause
+        self.headers = headers or {}
+        self.paths = list(paths)
         self.sent = []
         self.stopping = threading.Event()
-        self.threads = [threading.Thread(target=self.run, daemon=True) for _ in range(threads)]
+        self.threads = [threading.Thread(target=self.run, args=(path,), daemon=True)
+                        for path in self.paths]
 
     def __enter__(self):
         for thread in self.threads:
@@ -125,14 +127,14 @@
         for thread in self.threads:
             thread.join()
 
-    def run(self):
+    def run(self, path):
         while not self.stopping.is_set():
-            path = next(self.paths)
             request_id = uuid.uuid4().hex
             start = self.clock()
             try:
                 body = None if self.method == "GET" else b"{}"
-                result = self.balancer.request(self.method, path, {"Request-Id": request_id}, body)
+                result = self.balancer.request(self.method, path,
+                                               {"Request-Id": request_id, **self.headers}, body)
             except NoAnswer as error:
                 result = error
             self.sent.append(Sent(request_id, path, start, self.clock(), result))
@@ -141,15 +143,17 @@
     def count(self, outcome):
         return sum(1 for sent in list(self.sent) if sent.outcome == outcome)
 
-    def longest_gap(self):
-        """Longest time in seconds between two answered requests of one key."""
-        last = {}
-        longest = 0.0
-        for sent in sorted(list(self.sent), key=lambda sent: sent.end):
-            if sent.outcome != "answered":
-                continue
-            previous = last.get(sent.path)
-            if previous is not None:
-                longest = max(longest, sent.end - previous)
-            last[sent.path] = sent.end
-        return longest
+    def answered_since(self, since):
+        """First answer by path among the requests that began after `since`."""
+        first = {}
+        for sent in list(self.sent):
+            if sent.start > since and sent.outcome == "answered" and sent.result.status < 500:
+                first[sent.path] = min(sent.end, first.get(sent.path, sent.end))
+        return first
+
+    def serves_all_since(self, since):
+        return len(self.answered_since(since)) == len(self.paths)
+
+    def served_again(self, since):
+        """Seconds from `since` until each path was answered again. Precondition: all were."""
+        return max(self.answered_since(since).values()) - since
--- a/tools/testsite/journal.py
+++ b/tools/testsite/journal.py
@@ -20,20 +20,33 @@
     return "%s/%s" % (kind, number[0] if number else run["key"]), int(epoch)
 
 
+def late_runs(runs):
+    """Runs under an epoch after the shard or key had run under a higher one, each with the time
+    of the first run under a higher epoch."""
+    found = []
+    first = {}
+    for run in runs:
+        name, epoch = epoch_of(run)
+        times = first.setdefault(name, {})
+        times.setdefault(epoch, run["time"])
+        higher = [time for other, time in times.items() if other > epoch]
+        if higher:
+            found.append((run, min(higher)))
+    return found
+
+
 def faults(runs):
     """Lists what breaks P1 (one owner) and P5 (nothing twice) in the runs of one service."""
     found = []
     owners = {}
-    latest = {}
     for run in runs:
         name, epoch = epoch_of(run)
         owner = owners.setdefault((name, epoch), run["upstream"])
         if owner != run["upstream"]:
             found.append("%s epoch %d: run by %s and %s" % (name, epoch, owner, run["upstream"]))
-        if epoch < latest.get(name, 0):
-            found.append("%s: epoch %d (%s) ran after epoch %d"
-                         % (name, epoch, run["upstream"], latest[name]))
-        latest[name] = max(epoch, latest.get(name, 0))
+    for run, _ in late_runs(runs):
+        found.append("%s: epoch %d (%s) ran after a higher epoch" % (*epoch_of(run),
+                                                                     run["upstream"]))
     return found + repeated(runs)
 
 
--- a/tools/testsite/site.py
+++ b/tools/testsite/site.py
@@ -45,8 +45,10 @@
     """Starts, disturbs and inspects the processes of one user's site. Use as a context manager."""
 
     def __init__(self, build, folder, user, entries_per_zone=1, upstreams=None, shards=64,
-                 tuning=None, upstream_options=None, trusting=()):
-        """`upstreams`: number per zone of each service; `trusting`: names that check nothing."""
+                 tuning=None, upstream_options=None, trusting=(), relayed_services=()):
+        """`upstreams`: number per zone of each service; `trusting`: names that check nothing;
+        `relayed_services`: those whose upstreams are reached through relays, which accept
+        connections even while the upstream refuses them."""
         self.build = os.path.abspath(build)
         self.folder = os.path.abspath(folder)
         self.user = user
@@ -57,6 +59,7 @@
         self.tuning = tuning or {}
         self.upstream_options = upstream_options or {}
         self.trusting = set(trusting)
+        self.relayed_services = set(relayed_services)
         self.hosts = {}
         self.link = None
         self.relays = {}
@@ -177,7 +180,9 @@
             return [os.path.join(self.build, "cassiaroad"), host.role, "-c",
                     self.path(host, "ini")]
         host.journal = self.path(host, "journal")
-        announced = self.relay("any>%s.http" % host.place, host.addresses["http"], 0, "")
+        announced = host.addresses["http"]
+        if host.role in self.relayed_services:
+            announced = self.relay("any>%s.http" % host.place, announced, 0, "")
         arguments = [os.path.join(self.build, "test_upstream"), "--service", host.role, "--name",
                      host.name, "--zone", host.zone, "--listen", host.addresses["http"],
                      "--address", announced, "--token", ANNOUNCE_TOKEN, "--journal", host.journal,
@@ -251,6 +256,22 @@
                 return json.loads(answer.body)
         return None
 
+    def post(self, group, path, body):
+        """Sends an operator's request to the leader of a group and returns the JSON."""
+        text = json.dumps(body)
+        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN,
+                   "Content-Type": "application/json"}
+        for member in self.members(group):
+            try:
+                answer = request(member.addresses["operators"], "POST", path, headers, text)
+            except NoAnswer as error:
+                if error.connected:
+                    raise
+                continue
+            if answer.status not in (307, 503):
+                return json.loads(answer.body)
+        raise NotHeld("%s: no leader of %s answered" % (path, group))
+
     def is_assigned(self, group):
         status = self.status(group)
         if status is None or len(status["entry_hosts"]) < len(self.entries(group)):
