--- a/tools/testsite/site.py
+++ b/tools/testsite/site.py
@@ -243,19 +243,38 @@
 
     # Operators
 
+    @staticmethod
+    def status_of(member):
+        """Status as one member tells it, or None if it does not lead or does not answer."""
+        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN}
+        try:
+            answer = request(member.addresses["operators"], "GET", "/v1/status", headers,
+                             timeout=0.3)
+        except NoAnswer:
+            return None
+        return json.loads(answer.body) if answer.status == 200 else None
+
     def status(self, group):
         """Status of a group as its leader tells it, or None if no leader answers now."""
-        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN}
         for member in self.members(group):
-            try:
-                answer = request(member.addresses["operators"], "GET", "/v1/status", headers,
-                                 timeout=1.0)
-            except NoAnswer:
-                continue
-            if answer.status == 200:
-                return json.loads(answer.body)
+            if member.process.is_running() and not member.process.paused:
+                status = self.status_of(member)
+                if status is not None:
+                    return status
         return None
 
+    @staticmethod
+    def metrics(host):
+        """Metrics of a member or entry host without labels, or None if it does not answer."""
+        listener = "operators" if host.role == "control" else "admin"
+        try:
+            answer = request(host.addresses[listener], "GET", "/metrics", timeout=1.0)
+        except NoAnswer:
+            return None
+        lines = [line.split() for line in answer.body.decode().splitlines()]
+        return {words[0]: float(words[1]) for words in lines
+                if len(words) == 2 and "{" not in words[0]}
+
     def post(self, group, path, body):
         """Sends an operator's request to the leader of a group and returns the JSON."""
         text = json.dumps(body)
@@ -355,6 +374,11 @@
     def runs(self, service=None):
         return read_journals([host.journal for host in self.upstreams(service)])
 
+    @staticmethod
+    def pause(seconds):
+        """Lets time pass; not a way to wait for something."""
+        time.sleep(seconds)
+
     @staticmethod
     def now():
         """Seconds on the clock of the journals' times."""
