--- a/src/process/replica.h
+++ b/src/process/replica.h
@@ -14,9 +14,9 @@
     Milliseconds electionMin { 300 };
     Milliseconds electionMax { 500 };
     Milliseconds leaderLease { 270 }; // below electionMin by the tolerated drift of clocks
-    std::size_t maxBatchBytes = 128 * 1024; // of entries in one message
+    std::size_t maxBatchBytes = 128ULL * 1024; // of entries in one message
     std::size_t maxBatchesInFlight = 8; // to one member
-    std::size_t snapshotChunkBytes = 128 * 1024;
+    std::size_t snapshotChunkBytes = 128ULL * 1024;
     LogIndex entriesKeptBehindSnapshot = 1000; // spare short lags a snapshot transfer
 };
 
--- a/src/process/storagefile.h
+++ b/src/process/storagefile.h
@@ -14,9 +14,8 @@
 struct StorageOptions
 {
     std::string folder;
-    std::uint64_t segmentBytes = 4 * 1024 * 1024; // a segment ends with the append that exceeds it
-    std::uint64_t maxBytes
-            = 0; // written to the log since it was opened; above: ENOSPC; 0: no limit
+    std::uint64_t segmentBytes = 4ULL * 1024 * 1024; // the append that exceeds it is the last
+    std::uint64_t maxBytes = 0; // of all log writes since it was opened; 0: no limit
 };
 
 /** A file that is written at its end. Closes the descriptor. Not thread-safe. */
--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -1,19 +1,11 @@
 #include "replicagroup.h"
 
-#include <stdexcept>
 #include <xxhash.h>
 
 namespace cassiaroad::test {
 
 namespace {
 
-void require(bool condition, const std::string &invariant)
-{
-    if (!condition) {
-        throw std::logic_error(invariant);
-    }
-}
-
 std::uint64_t advance(std::uint64_t machine, const LogEntry &entry)
 {
     const auto *command = std::get_if<CommandBytes>(&entry.payload);
@@ -30,52 +22,6 @@
 
 } // namespace
 
-void FakeFolder::apply(const Persist &persist)
-{
-    if (persist.hardState) {
-        this->hardState = *persist.hardState;
-    }
-    if (!persist.entries.empty()) {
-        const LogIndex first = persist.entries.front().index;
-        std::erase_if(this->entries, [&](const LogEntry &entry) { return entry.index >= first; });
-        this->entries.insert(this->entries.end(), persist.entries.begin(), persist.entries.end());
-    }
-    std::erase_if(this->entries,
-                  [&](const LogEntry &entry) { return entry.index < persist.compactBefore; });
-}
-
-void FakeFolder::install(const Snapshot &received)
-{
-    this->snapshot = received;
-    this->entries.clear();
-}
-
-void FakeFolder::dropStaleLog()
-{
-    // The snapshot may hold entries whose own sync was interrupted.
-    if (this->snapshot && !this->entries.empty()
-        && this->entries.back().index < this->snapshot->meta.index) {
-        this->entries.clear();
-    }
-}
-
-bool FakeFolder::isVoter() const
-{
-    Configuration latest = this->snapshot ? this->snapshot->meta.configuration : Configuration {};
-    for (const LogEntry &entry : this->entries) {
-        if (const auto *configuration = std::get_if<Configuration>(&entry.payload)) {
-            latest = *configuration;
-        }
-    }
-    return latest.contains(this->id);
-}
-
-bool FakeFolder::stores(const LogEntry &entry) const
-{
-    return (this->snapshot && this->snapshot->meta.index >= entry.index)
-           || std::find(this->entries.begin(), this->entries.end(), entry) != this->entries.end();
-}
-
 ReplicaOptions ReplicaGroup::defaults()
 {
     ReplicaOptions options;
@@ -163,16 +109,12 @@
 
 bool ReplicaGroup::isRepaired() const
 {
-    const LogEntry *latest = nullptr;
-    for (const auto &[index, entry] : this->committed) {
-        latest = std::holds_alternative<Configuration>(entry.payload) ? &entry : latest;
-    }
-    if (latest == nullptr || std::get<Configuration>(latest->payload).voters.size() != size) {
+    const Configuration latest = this->history.latestConfiguration();
+    if (latest.voters.size() != size) {
         return false;
     }
     return std::all_of(this->hosts.begin(), this->hosts.end(), [&](const Host &host) {
-        return host.folder && !host.oldCopy
-               && std::get<Configuration>(latest->payload).contains(host.folder->id);
+        return host.folder && !host.oldCopy && latest.contains(host.folder->id);
     });
 }
 
@@ -270,11 +212,6 @@
     return found;
 }
 
-bool ReplicaGroup::isCommitted(const std::string &command) const
-{
-    return this->commands.contains(command);
-}
-
 void ReplicaGroup::run(int milliseconds)
 {
     for (int i = 0; i < milliseconds; ++i) {
@@ -353,7 +290,7 @@
     }
     Host &host = this->hosts[slot];
     if (host.replica->role() == ReplicaRole::Leader) {
-        this->checkNewLeader(slot);
+        this->history.leads(*host.replica, *host.folder);
     }
     for (const ReplicaMessage &message : actions.messages) {
         this->send(message);
@@ -393,7 +330,7 @@
     host.folder->install(snapshot);
     host.applied = snapshot.meta.index;
     host.machine = std::stoull(*snapshot.data);
-    require(host.machine == this->machines.at(host.applied), "state machines agree");
+    this->history.applied(host.applied, host.machine);
     return true;
 }
 
@@ -421,7 +358,7 @@
     for (const Persist &persist : host.unsynced) {
         host.folder->apply(persist);
         for (const LogEntry &entry : persist.entries) {
-            this->storedBy[{ entry.index, entry.term }].insert(host.folder->id);
+            this->history.stored(host.folder->id, entry);
         }
     }
     const std::uint64_t sequence = host.unsynced.back().sequence;
@@ -433,53 +370,19 @@
 {
     Host &host = this->hosts[slot];
     require(entry.index == host.applied + 1, "committed entries come in order");
-    this->checkCommitted(slot, entry, before);
+    this->history.committed(*host.replica, entry, before, this->folders());
     host.applied = entry.index;
     host.machine = advance(host.machine, entry);
-    const auto known = this->machines.emplace(entry.index, host.machine);
-    require(known.first->second == host.machine, "state machines agree");
-    if (const auto *command = std::get_if<CommandBytes>(&entry.payload)) {
-        this->commands.insert(command->bytes);
-    }
+    this->history.applied(entry.index, host.machine);
 }
 
-void ReplicaGroup::checkCommitted(int slot, const LogEntry &entry, const Configuration &before)
+GroupFolders ReplicaGroup::folders() const
 {
-    const auto [known, first] = this->committed.emplace(entry.index, entry);
-    require(known->second == entry, "committed entries do not change");
-    const Replica &replica = *this->hosts[slot].replica;
-    this->committedIn.emplace(entry.index, replica.term());
-    if (!first || replica.role() != ReplicaRole::Leader) {
-        return;
-    }
-    // A learner or an unsynced entry must not count.
-    const auto storedByMajority = [&](const Configuration &configuration) {
-        const auto count = std::count_if(
-                configuration.voters.begin(), configuration.voters.end(),
-                [&](const MemberId &voter) {
-                    const auto &folder = this->hosts[voter.number - 1].folder;
-                    return this->storedBy[{ entry.index, entry.term }].contains(voter)
-                           || (folder && folder->id == voter && folder->stores(entry));
-                });
-        return static_cast<std::size_t>(count) >= configuration.majority();
-    };
-    require(storedByMajority(before) || storedByMajority(replica.configuration()),
-            "committed entries are synced on a majority of voters");
-}
-
-void ReplicaGroup::checkNewLeader(int slot)
-{
-    const Replica &replica = *this->hosts[slot].replica;
-    const auto [known, first] = this->leaders.emplace(replica.term(), replica.id());
-    require(known->second == replica.id(), "at most one leader per term");
-    if (!first) {
-        return;
-    }
-    for (const auto &[index, entry] : this->committed) {
-        require(this->committedIn.at(index) >= replica.term()
-                        || this->hosts[slot].folder->stores(entry),
-                "a new leader has every committed entry");
+    GroupFolders folders;
+    for (const Host &host : this->hosts) {
+        folders.push_back(host.folder ? &*host.folder : nullptr);
     }
+    return folders;
 }
 
 void ReplicaGroup::checkLeases() const
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -1,32 +1,14 @@
 #pragma once
 
-#include "process/replica.h"
+#include "grouphistory.h"
 
 #include <array>
 #include <functional>
-#include <map>
 #include <random>
 #include <set>
 
 namespace cassiaroad::test {
 
-/** Content of a data folder, as it would be after a loss of power. */
-struct FakeFolder
-{
-    MemberId id;
-    std::uint64_t startCounter = 0;
-    HardState hardState;
-    std::optional<Snapshot> snapshot;
-    std::vector<LogEntry> entries;
-
-    void apply(const Persist &persist);
-    void install(const Snapshot &received);
-    /** What DataFolder::open() does with a log that ends before the snapshot. */
-    void dropStaleLog();
-    bool isVoter() const;
-    bool stores(const LogEntry &entry) const;
-};
-
 /** How messages between members fare. */
 struct Weather
 {
@@ -80,7 +62,7 @@
     /** Member with the highest term among those that lead, -1 if none does. */
     int leader() const;
     bool isRepaired() const;
-    bool isCommitted(const std::string &command) const;
+    bool isCommitted(const std::string &command) const { return this->history.has(command); }
     const Replica *replica(int slot) const { return this->hosts[slot].replica.get(); }
     const FakeFolder &folder(int slot) const { return *this->hosts[slot].folder; }
     TimePoint localTime(int slot) const;
@@ -121,8 +103,7 @@
     void deliver();
     void apply(int slot, const LogEntry &entry, const Configuration &before);
     void restartDropped(int slot);
-    void checkCommitted(int slot, const LogEntry &entry, const Configuration &before);
-    void checkNewLeader(int slot);
+    GroupFolders folders() const;
     void checkLeases() const;
 
     ReplicaOptions options;
@@ -136,12 +117,7 @@
     std::uint64_t nextIncarnation = 100;
     std::uint64_t sentCount = 0;
 
-    std::map<Term, MemberId> leaders;
-    std::map<LogIndex, LogEntry> committed;
-    std::map<LogIndex, Term> committedIn; // term of the leader that committed it
-    std::map<LogIndex, std::uint64_t> machines; // state machine after each entry
-    std::map<std::pair<LogIndex, Term>, std::set<MemberId>> storedBy;
-    std::set<std::string> commands; // committed
+    GroupHistory history;
 };
 
 } // namespace cassiaroad::test
