lease: Give shards back to owners that return from an outage of all

When every upstream lost its lease, for example because all entry hosts were cut off, the first one to return got the shards of all others, and nearly every key changed owner. A lost owner that is back before its subjects have moved now keeps them, at a new epoch, and for two announce intervals after an outage of a whole service nobody else gets them.

Before: givesShardsBackAfterAnOutageOfAllUpstreams failed, the first upstream to return owned all shards.

--- a/src/version/movesupervisor.cpp
+++ b/src/version/movesupervisor.cpp
@@ -28,6 +28,7 @@
 {
     this->lapses.clear();
     this->unassigned.clear();
+    this->outages.clear();
     this->syncedRevision.reset();
     this->scannedRevision.reset();
 }
@@ -69,6 +70,7 @@
 void MoveSupervisor::step()
 {
     this->targets.clear();
+    this->noteOutages();
     const Revision revision = this->context.state.revision();
     if (this->scannedRevision != revision || this->assignDue()) {
         this->scannedRevision = revision;
@@ -188,6 +190,13 @@
 std::string MoveSupervisor::targetFor(const RouteSubject &subject, const RouteEntry &entry)
 {
     const std::string &service = serviceOf(subject);
+    // An owner that comes back before its subjects have moved keeps them. After an outage of all
+    // upstreams or entry hosts, all keys would change owner otherwise.
+    const bool lost = entry.route.state == RouteState::Releasing
+                      && entry.route.reason == MoveReason::Loss && entry.plan == 0;
+    if (lost && this->accepts(service, entry.route.upstream)) {
+        return entry.route.upstream;
+    }
     if (!entry.to.empty() && this->accepts(service, entry.to)) {
         return entry.to;
     }
@@ -210,6 +219,30 @@
     return this->accepts(service, owner) ? owner : "";
 }
 
+void MoveSupervisor::noteOutages()
+{
+    const RoutingState &routing = this->context.state.routing();
+    std::set<std::string> served;
+    for (const auto &[id, entry] : routing.upstreams()) {
+        if (routing.accepts(entry)) {
+            served.insert(id.service);
+        }
+    }
+    for (const ServiceShards &service : this->context.config.services) {
+        if (!served.contains(service.name)) {
+            this->outages[service.name] = this->context.now;
+        }
+    }
+}
+
+// The first upstream to return after an outage of all would otherwise get everything.
+bool MoveSupervisor::recovering(const std::string &service) const
+{
+    const auto outage = this->outages.find(service);
+    return outage != this->outages.end()
+           && this->context.now < outage->second + this->context.config.announceInterval * 2;
+}
+
 void MoveSupervisor::proposeStart(MoveReason reason, PlanNumber plan,
                                   std::vector<ReleaseStart> moves)
 {
@@ -305,7 +338,10 @@
         if (to.empty() && entry.route.reason == MoveReason::Planned) {
             to = entry.route.upstream; // no other upstream is left; the owner still serves
         }
-        if (to.empty()) {
+        const bool ownerMayReturn = entry.route.reason == MoveReason::Loss
+                                    && to != entry.route.upstream
+                                    && this->recovering(serviceOf(subject));
+        if (to.empty() || ownerMayReturn) {
             continue;
         }
         command.moves.push_back({ subject, entry.route.epoch, std::move(to) });
--- a/src/version/movesupervisor.h
+++ b/src/version/movesupervisor.h
@@ -48,6 +48,8 @@
     std::optional<MoveReason> reasonToMove(const UpstreamId &owner, const RouteEntry &entry) const;
     const Targets &targetsOf(const std::string &service);
     std::string targetFor(const RouteSubject &subject, const RouteEntry &entry);
+    void noteOutages();
+    bool recovering(const std::string &service) const;
     bool accepts(const std::string &service, const std::string &upstream) const;
     void proposeStart(MoveReason reason, PlanNumber plan, std::vector<ReleaseStart> moves);
     void startPlans();
@@ -61,6 +63,7 @@
     std::map<RouteSubject, Lapse> lapses;
     std::optional<Revision> syncedRevision;
     std::optional<Revision> scannedRevision;
+    std::map<std::string, TimePoint> outages; // when a service last had no accepting upstream
     std::set<std::string> unassigned; // services with shards that never had an owner
     std::map<std::string, Targets> targets; // of the present step
 };
--- a/tests/version/test_ownershipmanager.cpp
+++ b/tests/version/test_ownershipmanager.cpp
@@ -101,6 +101,25 @@
     }
 }
 
+// Guards against a short outage of all upstreams after which all keys change owner.
+TEST(OwnershipManager, givesShardsBackAfterAnOutageOfAllUpstreams)
+{
+    Transcript transcript(fourShards());
+    transcript.addUpstream("u1", "a");
+    transcript.addUpstream("u2", "b");
+    transcript.addEntry("e1");
+    transcript.runFor({ 2500 });
+    const auto before = transcript.state().routing().shards();
+    transcript.pause("u1", { 3000 });
+    transcript.pause("u2", { 3100 });
+    transcript.runFor({ 6000 });
+    for (const auto &[shard, entry] : transcript.state().routing().shards()) {
+        EXPECT_EQ(entry.route.upstream, before.at(shard).route.upstream);
+        EXPECT_EQ(entry.route.state, RouteState::Owned);
+        EXPECT_GT(entry.route.epoch, 1U);
+    }
+}
+
 // Guards P6: an upstream that leaves gets no new work after 2 s, and nothing is taken from it by
 // force.
 TEST(OwnershipManager, movesTheShardsOfAnUpstreamThatLeaves)
--- a/tests/version/transcript.cpp
+++ b/tests/version/transcript.cpp
@@ -255,6 +255,11 @@
     this->give(ConfirmRequested { ++this->lastCall, { who, number }, plan });
 }
 
+void Transcript::pause(const std::string &upstream, Milliseconds span)
+{
+    this->hosts[upstream].next = this->now + span;
+}
+
 void Transcript::leave(const std::string &upstream)
 {
     this->hosts.erase(upstream);
--- a/tests/version/transcript.h
+++ b/tests/version/transcript.h
@@ -23,6 +23,7 @@
     void note(const std::string &text);
     void plan(const std::string &who, const std::string &why, const Intent &intent);
     void confirm(const std::string &who, std::uint64_t number, PlanNumber plan);
+    void pause(const std::string &upstream, Milliseconds span); // it does not announce meanwhile
     void leave(const std::string &upstream); // it stops announcing
     void drain(const std::string &upstream); // it announces that it leaves
     void report(const std::string &upstream, std::uint32_t failures); // entry hosts see it so
