--- a/tools/testsite/site.py
+++ b/tools/testsite/site.py
@@ -45,8 +45,10 @@
     """Starts, disturbs and inspects the processes of one user's site. Use as a context manager."""
 
     def __init__(self, build, folder, user, entries_per_zone=1, upstreams=None, shards=64,
-                 tuning=None, upstream_options=None, trusting=()):
-        """`upstreams`: number per zone of each service; `trusting`: names that check nothing."""
+                 tuning=None, upstream_options=None, trusting=(), relayed_services=()):
+        """`upstreams`: number per zone of each service; `trusting`: names that check nothing;
+        `relayed_services`: those whose upstreams are reached through relays, which accept
+        connections even while the upstream refuses them."""
         self.build = os.path.abspath(build)
         self.folder = os.path.abspath(folder)
         self.user = user
@@ -57,6 +59,7 @@
         self.tuning = tuning or {}
         self.upstream_options = upstream_options or {}
         self.trusting = set(trusting)
+        self.relayed_services = set(relayed_services)
         self.hosts = {}
         self.link = None
         self.relays = {}
@@ -177,7 +180,9 @@
             return [os.path.join(self.build, "cassiaroad"), host.role, "-c",
                     self.path(host, "ini")]
         host.journal = self.path(host, "journal")
-        announced = self.relay("any>%s.http" % host.place, host.addresses["http"], 0, "")
+        announced = host.addresses["http"]
+        if host.role in self.relayed_services:
+            announced = self.relay("any>%s.http" % host.place, announced, 0, "")
         arguments = [os.path.join(self.build, "test_upstream"), "--service", host.role, "--name",
                      host.name, "--zone", host.zone, "--listen", host.addresses["http"],
                      "--address", announced, "--token", ANNOUNCE_TOKEN, "--journal", host.journal,
@@ -238,18 +243,53 @@
 
     # Operators
 
+    @staticmethod
+    def status_of(member):
+        """Status as one member tells it, or None if it does not lead or does not answer."""
+        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN}
+        try:
+            answer = request(member.addresses["operators"], "GET", "/v1/status", headers,
+                             timeout=0.3)
+        except NoAnswer:
+            return None
+        return json.loads(answer.body) if answer.status == 200 else None
+
     def status(self, group):
         """Status of a group as its leader tells it, or None if no leader answers now."""
-        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN}
+        for member in self.members(group):
+            if member.process.is_running() and not member.process.paused:
+                status = self.status_of(member)
+                if status is not None:
+                    return status
+        return None
+
+    @staticmethod
+    def metrics(host):
+        """Metrics of a member or entry host without labels, or None if it does not answer."""
+        listener = "operators" if host.role == "control" else "admin"
+        try:
+            answer = request(host.addresses[listener], "GET", "/metrics", timeout=1.0)
+        except NoAnswer:
+            return None
+        lines = [line.split() for line in answer.body.decode().splitlines()]
+        return {words[0]: float(words[1]) for words in lines
+                if len(words) == 2 and "{" not in words[0]}
+
+    def post(self, group, path, body):
+        """Sends an operator's request to the leader of a group and returns the JSON."""
+        text = json.dumps(body)
+        headers = {"Authorization": "Bearer " + OPERATOR_TOKEN,
+                   "Content-Type": "application/json"}
         for member in self.members(group):
             try:
-                answer = request(member.addresses["operators"], "GET", "/v1/status", headers,
-                                 timeout=1.0)
-            except NoAnswer:
+                answer = request(member.addresses["operators"], "POST", path, headers, text)
+            except NoAnswer as error:
+                if error.connected:
+                    raise
                 continue
-            if answer.status == 200:
+            if answer.status not in (307, 503):
                 return json.loads(answer.body)
-        return None
+        raise NotHeld("%s: no leader of %s answered" % (path, group))
 
     def is_assigned(self, group):
         status = self.status(group)
@@ -334,6 +374,11 @@
     def runs(self, service=None):
         return read_journals([host.journal for host in self.upstreams(service)])
 
+    @staticmethod
+    def pause(seconds):
+        """Lets time pass; not a way to wait for something."""
+        time.sleep(seconds)
+
     @staticmethod
     def now():
         """Seconds on the clock of the journals' times."""
