--- a/src/cassiaroad/ownersender.cpp
+++ b/src/cassiaroad/ownersender.cpp
@@ -237,10 +237,10 @@
 
 void OwnerSender::end(const RequestPtr &request, RequestEnd end)
 {
-    const RequestPtr kept = request;
-    this->leavePlace(*kept);
-    this->requests.erase(kept->id);
-    const auto done = std::exchange(kept->done, nullptr);
+    this->leavePlace(*request);
+    // Keeps the request, which the caller may have taken from the map, until the end.
+    const auto node = this->requests.extract(request->id);
+    const auto done = std::exchange(request->done, nullptr);
     done(std::move(end));
 }
 
--- a/src/cassiaroad/regionforwarder.cpp
+++ b/src/cassiaroad/regionforwarder.cpp
@@ -152,11 +152,11 @@
 
 void RegionForwarder::end(const RequestPtr &request, RequestEnd end)
 {
-    const RequestPtr kept = request;
-    kept->call.reset();
-    this->requests.erase(kept->id);
-    this->running.erase(kept->id);
-    const auto done = std::exchange(kept->done, nullptr);
+    request->call.reset();
+    this->requests.erase(request->id);
+    // Keeps the request, which the caller may have taken from the map, until the end.
+    const auto node = this->running.extract(request->id);
+    const auto done = std::exchange(request->done, nullptr);
     done(std::move(end));
 }
 
--- a/src/cassiaroad/upstreamgate.cpp
+++ b/src/cassiaroad/upstreamgate.cpp
@@ -35,7 +35,7 @@
     }
     const Milliseconds duration = this->concurrency.typicalDuration();
     const Milliseconds perRequest = duration / this->concurrency.limit();
-    return std::visit([](auto &&decision) -> GateDecision { return std::move(decision); },
+    return std::visit([](const auto &decision) -> GateDecision { return decision; },
                       this->queue.add(id, priority, deadline, perRequest, duration, now));
 }
 
--- /dev/null
+++ b/tests/cassiaroad/test_entryregions.cpp
@@ -0,0 +1,126 @@
+#include "entrysite.h"
+
+using namespace cassiaroad;
+
+namespace {
+
+/** The host of EntrySite and a fake gateway of the other region. */
+class EntryRegions : public EntrySite
+{
+protected:
+    void startWithGateway(FakePeer::Script script)
+    {
+        this->gateway = std::make_unique<FakePeer>(this->loop, std::move(script));
+        this->settings.regions.push_back(
+                { "pohjoinen", { "pohjoinen-a" }, { { "127.0.0.1", this->gateway->port } } });
+        this->addOwner("o1", answering("local"));
+        this->start();
+    }
+
+    static std::string pathOf(std::uint32_t region)
+    {
+        for (int i = 0;; ++i) {
+            const std::string key = "k" + std::to_string(i);
+            if (homeRegionOfShard(shardOfKey(key, testShards), 2) == region) {
+                return "/orders/" + key;
+            }
+        }
+    }
+
+    std::unique_ptr<FakePeer> gateway;
+};
+
+} // namespace
+
+TEST_F(EntryRegions, forwardsOnceWithAHopMark)
+{
+    std::string seen;
+    this->startWithGateway([&](FakePeer::Connection &connection) {
+        seen = connection.received;
+        connection.write("HTTP/1.1 200 OK\r\ncassiaroad-outcome: answered\r\n"
+                         "cassiaroad-replayed: true\r\ncontent-length: 6\r\n\r\nremote");
+    });
+    EXPECT_EQ(this->exchange("GET", pathOf(0)).body, "local");
+    const CallerAnswer remote
+            = this->exchange("POST", pathOf(1), "idempotency-key: a\r\n", "order");
+    EXPECT_EQ(remote.body, "remote");
+    EXPECT_EQ(remote.outcome, "answered");
+    EXPECT_NE(remote.head.find("cassiaroad-replayed: true"), std::string::npos);
+    EXPECT_NE(seen.find("cassiaroad-hop: 1\r\n"), std::string::npos);
+    EXPECT_NE(seen.find("idempotency-key: a\r\n"), std::string::npos);
+    EXPECT_EQ(this->group.begins, 0) << "the ledger of the home region decides";
+    const CallerAnswer loop = this->exchange("GET", pathOf(1), "cassiaroad-hop: 1\r\n");
+    EXPECT_EQ(loop.status, 508);
+    EXPECT_EQ(loop.outcome, "not-run");
+    const std::string metrics = this->get(this->host->adminPort(), "/metrics");
+    EXPECT_EQ(metrics.find("cassiaroad_link_bytes_total{cause=\"request\",direction=\"sent\"} 0"),
+              std::string::npos);
+}
+
+TEST_F(EntryRegions, P4_passesTheOutcomeOfTheOtherRegion)
+{
+    std::string outcome;
+    this->startWithGateway([&](FakePeer::Connection &connection) {
+        connection.received.clear();
+        connection.write("HTTP/1.1 503 Service Unavailable\r\ncassiaroad-outcome: " + outcome
+                         + "\r\ncontent-length: 5\r\n\r\nbusy\n");
+    });
+    outcome = "not-run";
+    EXPECT_EQ(this->exchange("POST", pathOf(1), "", "order").outcome, "not-run");
+    outcome = "unknown";
+    EXPECT_EQ(this->exchange("POST", pathOf(1), "", "order").outcome, "unknown");
+}
+
+TEST_F(EntryRegions, P4_tellsACutLinkFromALostAnswer)
+{
+    this->startWithGateway([](FakePeer::Connection &connection) { connection.disconnect(); });
+    const CallerAnswer lost = this->exchange("POST", pathOf(1), "", "order");
+    EXPECT_EQ(lost.status, 502);
+    EXPECT_EQ(lost.outcome, "unknown");
+    this->gateway.reset();
+    const CallerAnswer cut = this->exchange("POST", pathOf(1), "", "order");
+    EXPECT_EQ(cut.status, 503);
+    EXPECT_EQ(cut.outcome, "not-run");
+    EXPECT_EQ(this->exchange("GET", pathOf(0)).body, "local");
+}
+
+// Guards against a forgotten connection that makes its healthy upstream suspect (section 6.3).
+TEST_F(EntrySite, replacesSilentConnectionsWithinTheBound)
+{
+    bool silent = false;
+    int limit = 0;
+    this->addOwner("o1", [&](FakePeer::Connection &connection) {
+        if (!silent || connection.number > limit) {
+            answering("ok")(connection);
+        }
+    });
+    this->start();
+    EXPECT_EQ(this->exchange("GET", "/orders/k").body, "ok");
+    runFor(this->loop, { 20 });
+    limit = static_cast<int>(this->peers[0]->connections.size());
+    silent = true;
+    const TimePoint sent = this->loop.now();
+    EXPECT_EQ(this->exchange("GET", "/orders/k").body, "ok") << "idempotent: sent again";
+    EXPECT_LT(this->loop.now() - sent, this->settings.timing.silence + Milliseconds { 1000 });
+    runFor(this->loop, { 50 });
+    EXPECT_EQ(this->group.failures, 0U);
+}
+
+// Guards against one dead connection that runs an order twice (P5).
+TEST_F(EntrySite, P5_doesNotResendOrdersFromSilentConnections)
+{
+    int orders = 0;
+    this->addOwner("o1", [&](FakePeer::Connection &connection) {
+        if (connection.received.starts_with("POST")) {
+            ++orders;
+        } else {
+            answering("ok")(connection);
+        }
+    });
+    this->start();
+    const CallerAnswer answer = this->exchange("POST", "/orders/k", "", "x");
+    EXPECT_EQ(answer.status, 502);
+    EXPECT_EQ(answer.outcome, "unknown");
+    EXPECT_EQ(orders, 1);
+    EXPECT_EQ(this->group.failures, 0U);
+}
