--- a/src/version/keyplacementpolicy.h
+++ b/src/version/rebalancepolicy.h
@@ -32,23 +32,34 @@
     bool operator==(const PlacementKeyMove &) const = default;
 };
 
+/** Moves that a rebalance proposes. */
+struct RebalanceMoves
+{
+    std::vector<PlacementMove> shards;
+    std::vector<PlacementKeyMove> keys;
+
+    bool operator==(const RebalanceMoves &) const = default;
+};
+
 /**
- * Balances load by moving single heavy keys, which changes the owner of one key where moving a
- * shard changes the owner of all its keys. A pure function of its arguments. Thread-safe.
+ * Lowers the load of the busiest servers at the least number of keys that change owner: single
+ * heavy keys first (one key each), then shards with the most load per key. A pure function of its
+ * arguments. Thread-safe.
  */
-class KeyPlacementPolicy
+class RebalancePolicy
 {
 public:
     /** @p maxMovedKeys bounds the table of moved keys. */
-    KeyPlacementPolicy(PlacementWeights weights, std::size_t maxMovedKeys);
+    RebalancePolicy(PlacementWeights weights, std::size_t maxMovedKeys);
 
     /**
-     * Returns the key moves that bring the busiest servers closer to the mean load. @p shards
-     * carry the load of their keys except moved ones.
+     * Returns moves that bring the busiest accepting servers closer to the mean load. @p shards
+     * carry the load of their keys except moved ones. Shards without an accepting owner are left
+     * alone (PlacementPolicy::placeUnserved).
      */
-    std::vector<PlacementKeyMove> rebalance(const std::vector<PlacementServer> &servers,
-                                            const std::vector<PlacementShard> &shards,
-                                            const std::vector<PlacementKey> &keys) const;
+    RebalanceMoves rebalance(const std::vector<PlacementServer> &servers,
+                             const std::vector<PlacementShard> &shards,
+                             const std::vector<PlacementKey> &keys) const;
 
 private:
     PlacementWeights weights;
--- a/tools/placement/cassiaroadpolicy.cpp
+++ b/tools/placement/cassiaroadpolicy.cpp
@@ -46,11 +46,11 @@
 
 void CassiaroadPolicy::update(const Observation &observation, Assignment &assignment) const
 {
-    this->placeShards(observation, assignment);
-    this->moveKeys(observation, assignment);
+    this->placeUnserved(observation, assignment);
+    this->rebalance(observation, assignment);
 }
 
-void CassiaroadPolicy::placeShards(const Observation &observation, Assignment &assignment) const
+void CassiaroadPolicy::placeUnserved(const Observation &observation, Assignment &assignment) const
 {
     const PlacementPolicy policy(this->weights);
     applyMoves(policy.placeUnserved(observation.servers,
@@ -58,7 +58,7 @@
                assignment);
 }
 
-void CassiaroadPolicy::moveKeys(const Observation &observation, Assignment &assignment) const
+void CassiaroadPolicy::rebalance(const Observation &observation, Assignment &assignment) const
 {
     std::vector<PlacementKey> keys;
     for (std::size_t i = 0; i < observation.hotKeys.size(); ++i) {
@@ -69,9 +69,10 @@
                          serverName(assignment.shardOwner[shard]), observation.hotKeys[i].load,
                          moved != assignment.movedKeys.end() });
     }
-    const KeyPlacementPolicy policy(this->weights, maxMovedKeys);
+    const RebalancePolicy policy(this->weights, maxMovedKeys);
     const auto shards = describeShards(observation, assignment, this->shardKeys);
-    for (const PlacementKeyMove &move : policy.rebalance(observation.servers, shards, keys)) {
+    const RebalanceMoves moves = policy.rebalance(observation.servers, shards, keys);
+    for (const PlacementKeyMove &move : moves.keys) {
         const auto key = static_cast<std::uint32_t>(std::stoul(move.key));
         const int target = serverNumber(move.to);
         if (target == assignment.shardOwner[move.shard]) {
@@ -80,6 +81,7 @@
             assignment.movedKeys[key] = target;
         }
     }
+    applyMoves(moves.shards, assignment);
 }
 
 ShardsOnlyPolicy::ShardsOnlyPolicy(PlacementWeights weights, std::vector<std::uint64_t> shardKeys)
--- a/tools/placement/cassiaroadpolicy.h
+++ b/tools/placement/cassiaroadpolicy.h
@@ -2,11 +2,11 @@
 
 #include "assignment.h"
 
-#include "version/keyplacementpolicy.h"
+#include "version/rebalancepolicy.h"
 
 namespace cassiaroad::placement {
 
-/** The policy of the control process: places unserved shards, balances by single heavy keys. */
+/** The policy of the control process: places unserved shards, then rebalances. */
 class CassiaroadPolicy
 {
 public:
@@ -18,8 +18,8 @@
     void update(const Observation &observation, Assignment &assignment) const;
 
 private:
-    void placeShards(const Observation &observation, Assignment &assignment) const;
-    void moveKeys(const Observation &observation, Assignment &assignment) const;
+    void placeUnserved(const Observation &observation, Assignment &assignment) const;
+    void rebalance(const Observation &observation, Assignment &assignment) const;
 
     PlacementWeights weights;
     std::vector<std::uint64_t> shardKeys;
