--- a/src/version/rebalancepolicy.cpp
+++ b/src/version/rebalancepolicy.cpp
@@ -14,7 +14,7 @@
 // down to half of it, so that small changes of load do not start it again (hysteresis).
 constexpr double keyStartExcess = 0.08;
 // Moving a shard changes many owners, so it starts later; scaled by the weights of the user.
-constexpr double shardStartExcess = 0.20;
+constexpr double shardStartExcess = 0.2;
 // A move must lower the busiest server's load by at least this share of the mean.
 constexpr double minGain = 0.004;
 constexpr double coldCapacity = 0.5;
--- a/tools/placement/evaluation.cpp
+++ b/tools/placement/evaluation.cpp
@@ -10,8 +10,8 @@
 
 // Weight of the newest step in the smoothed load.
 constexpr double smoothing = 0.2;
-// Policies run once a minute and at once when a server leaves or returns.
-constexpr std::uint32_t stepsPerUpdate = 6;
+// Policies run each 30 s and at once when a server leaves or returns.
+constexpr std::uint32_t stepsPerUpdate = 3;
 // Time from a loss until a key is served again: lease 1 s, two commits, reports (design, section
 // 4).
 constexpr double lossSeconds = 1.3;
