--- /dev/null
+++ b/src/connection/httpclient.cpp
@@ -0,0 +1,63 @@
+#include "connection/httpclient.h"
+
+#include "connection/httpcall.h"
+
+namespace cassiaroad {
+
+struct HttpClient::Private
+{
+    explicit Private(EventLoop &loop)
+        : connections(std::make_shared<ConnectionStore>(loop))
+    { }
+
+    std::shared_ptr<ConnectionStore> connections;
+};
+
+HttpClient::HttpClient(EventLoop &loop)
+    : d(std::make_unique<Private>(loop))
+{ }
+
+HttpClient::~HttpClient() = default;
+
+std::unique_ptr<HttpClient::Call> HttpClient::send(const HostAddress &server, HttpRequest request,
+                                                   std::size_t maxAnswerBytes,
+                                                   std::function<void(HttpResult)> done,
+                                                   std::function<bool()> mayWrite)
+{
+    auto call = std::make_unique<HttpCall>(this->d->connections, server, std::move(request),
+                                           maxAnswerBytes);
+    call->start(std::move(done), std::move(mayWrite), HttpCall::Reuse::Allowed);
+    return call;
+}
+
+std::unique_ptr<HttpClient::Call> HttpClient::sendOnNewConnection(
+        const HostAddress &server, HttpRequest request, std::size_t maxAnswerBytes,
+        std::function<void(HttpResult)> done)
+{
+    auto call = std::make_unique<HttpCall>(this->d->connections, server, std::move(request),
+                                           maxAnswerBytes);
+    call->start(std::move(done), nullptr, HttpCall::Reuse::Never);
+    return call;
+}
+
+void HttpClient::closeIdle(const HostAddress &server, TimePoint openedBefore)
+{
+    this->d->connections->closeIdle(server, openedBefore);
+}
+
+void HttpClient::closeIdleLongerThan(Milliseconds idle)
+{
+    this->d->connections->closeIdleLongerThan(idle);
+}
+
+void HttpClient::trimIdle(const HostAddress &server, std::size_t most)
+{
+    this->d->connections->trimIdle(server, most);
+}
+
+std::size_t HttpClient::idleCount(const HostAddress &server) const
+{
+    return this->d->connections->idleCount(server);
+}
+
+} // namespace cassiaroad
