version: Plan a rebalance by heavy keys first, then by shards

Cause: the rebalance plan moved whole shards where one hot key was the cause, and took shard numbers for positions, which is wrong in a site of two regions. Change: Planner uses RebalancePolicy with the heaviest keys of the load reports; loads of moved keys are taken off their shards.

--- a/src/version/loadtable.cpp
+++ b/src/version/loadtable.cpp
@@ -65,6 +65,20 @@
     return found == this->keyLoads.end() ? 0.0 : found->second.smoothed;
 }
 
+std::vector<std::pair<KeyRef, double>> LoadTable::heaviestKeys(const std::string &service,
+                                                               std::size_t limit) const
+{
+    std::vector<std::pair<KeyRef, double>> keys;
+    const auto first = this->keyLoads.lower_bound({ service, "" });
+    for (auto it = first; it != this->keyLoads.end() && it->first.service == service; ++it) {
+        keys.emplace_back(it->first, it->second.smoothed);
+    }
+    std::stable_sort(keys.begin(), keys.end(),
+                     [](const auto &a, const auto &b) { return a.second > b.second; });
+    keys.resize(std::min(keys.size(), limit));
+    return keys;
+}
+
 std::uint64_t LoadTable::keysSeen(const ShardRef &shard, std::uint32_t shards) const
 {
     std::uint64_t count = 0;
--- a/src/version/loadtable.h
+++ b/src/version/loadtable.h
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace cassiaroad {
 
@@ -24,6 +26,10 @@
     double shardLoad(const ShardRef &shard) const;
     double keyLoad(const KeyRef &key) const;
 
+    /** The @p limit keys of @p service with the highest load, heaviest first. */
+    std::vector<std::pair<KeyRef, double>> heaviestKeys(const std::string &service,
+                                                        std::size_t limit) const;
+
     /** Number of keys of a shard that appeared in reports lately; @p shards as in shardOfKey. */
     std::uint64_t keysSeen(const ShardRef &shard, std::uint32_t shards) const;
 
--- a/src/version/placementinput.cpp
+++ b/src/version/placementinput.cpp
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 
 namespace cassiaroad {
 
 namespace {
 
 constexpr GroupTime coldTime = 30000;
+constexpr std::size_t maxHeavyKeys = 256;
 
 std::string presentOwner(const RouteEntry *entry)
 {
@@ -19,6 +21,46 @@
     return entry->route.state == RouteState::Releasing ? entry->to : entry->route.upstream;
 }
 
+std::map<KeyRef, double> keysOf(const ControlState &state, const LoadTable &loads,
+                                const ServiceShards &service)
+{
+    std::map<KeyRef, double> keys;
+    for (const auto &[key, load] : loads.heaviestKeys(service.name, maxHeavyKeys)) {
+        keys.emplace(key, load);
+    }
+    for (const auto &[key, entry] : state.routing().keys()) {
+        if (key.service == service.name) {
+            keys.emplace(key, loads.keyLoad(key));
+        }
+    }
+    return keys;
+}
+
+void readKeys(PlacementInput &input, const ControlState &state, const LoadTable &loads,
+              const ServiceShards &service)
+{
+    std::map<std::uint32_t, std::size_t> shardIndex;
+    for (std::size_t i = 0; i < input.shards.size(); ++i) {
+        shardIndex.emplace(input.shards[i].shard, i);
+    }
+    for (const auto &[key, load] : keysOf(state, loads, service)) {
+        const std::uint32_t shard = shardOfKey(key.key, service.shards);
+        const auto home = shardIndex.find(shard);
+        if (home == shardIndex.end()) {
+            continue; // belongs to another region
+        }
+        PlacementShard &homeShard = input.shards[home->second];
+        const std::string &shardOwner = homeShard.owner;
+        const RouteEntry *moved = state.routing().route(key);
+        if (moved != nullptr) {
+            // Entry hosts count requests of moved keys with their shard.
+            homeShard.load = std::max(0.0, homeShard.load - load);
+        }
+        const std::string owner = moved == nullptr ? shardOwner : presentOwner(moved);
+        input.keys.push_back({ key.key, shard, owner, shardOwner, load, moved != nullptr });
+    }
+}
+
 } // namespace
 
 PlacementInput PlacementInput::read(const ControlState &state, const LoadTable &loads,
@@ -42,6 +84,7 @@
         input.shards.push_back({ shard, presentOwner(state.routing().route(ref)), load,
                                  static_cast<std::uint64_t>(keys) });
     }
+    readKeys(input, state, loads, service);
     return input;
 }
 
--- a/src/version/placementinput.h
+++ b/src/version/placementinput.h
@@ -4,6 +4,7 @@
 #include "version/loadtable.h"
 #include "version/ownershipconfig.h"
 #include "version/placementpolicy.h"
+#include "version/rebalancepolicy.h"
 
 #include <vector>
 
@@ -15,6 +16,8 @@
     std::vector<PlacementServer> servers;
     std::vector<PlacementShard> shards; // home shards of the region; releasing: their next owner
 
+    std::vector<PlacementKey> keys; // heavy keys of those shards, and all moved keys
+
     /** Reads the present placement of @p service. Thread-safe if its arguments do not change. */
     static PlacementInput read(const ControlState &state, const LoadTable &loads,
                                const OwnershipConfig &config, const ServiceShards &service);
--- a/src/version/planner.cpp
+++ b/src/version/planner.cpp
@@ -282,10 +282,16 @@
 
 void Planner::spread(Plan &plan, const ServiceShards &service, const PlacementInput &input) const
 {
-    const PlacementPolicy policy(PlacementInput::weights(this->state, this->config));
-    for (const PlacementMove &move : policy.rebalance(input.servers, input.shards)) {
+    const RebalancePolicy policy(PlacementInput::weights(this->state, this->config),
+                                 this->state.limits().movedKeys);
+    const RebalanceMoves moves = policy.rebalance(input.servers, input.shards, input.keys);
+    for (const PlacementKeyMove &move : moves.keys) {
+        plan.moves.push_back(
+                { KeyRef { service.name, move.key }, move.from, move.to, move.reason });
+    }
+    for (const PlacementMove &move : moves.shards) {
         const ShardRef shard { service.name, move.shard };
-        if (!move.to.empty() && this->state.routing().route(shard) != nullptr) {
+        if (this->state.routing().route(shard) != nullptr) {
             plan.moves.push_back({ shard, move.from, move.to, move.reason });
         }
     }
--- a/src/version/rebalancepolicy.cpp
+++ b/src/version/rebalancepolicy.cpp
@@ -146,6 +146,7 @@
 private:
     std::optional<std::size_t> bestKey(const ServerLoad &from, const ServerLoad &to) const;
     std::optional<std::size_t> bestShard(const ServerLoad &from, const ServerLoad &to) const;
+    void reduceShard(std::uint32_t shard, double load);
     std::string reason(const ServerLoad &from, const char *subject, double load) const;
 
     Balance balance;
@@ -196,7 +197,7 @@
         from.load -= key.load;
         to.load += key.load;
         if (!key.moved) {
-            this->shards[key.shard].load -= key.load;
+            this->reduceShard(key.shard, key.load);
         }
         this->movedKeys -= key.moved ? 1 : 0;
         key.owner = to.server->name;
@@ -205,6 +206,15 @@
     }
 }
 
+void Rebalance::reduceShard(std::uint32_t shard, double load)
+{
+    const auto found = std::find_if(this->shards.begin(), this->shards.end(),
+                                    [shard](const auto &item) { return item.shard == shard; });
+    if (found != this->shards.end()) {
+        found->load -= load;
+    }
+}
+
 void Rebalance::moveShards(double startExcess)
 {
     if (!this->balance.isExceeded(startExcess)) {
