--- a/tests/process/test_datafolder.cpp
+++ b/tests/process/test_datafolder.cpp
@@ -279,6 +279,7 @@
     ASSERT_TRUE(error);
     EXPECT_EQ(error->errorNumber, EFBIG);
     EXPECT_TRUE(created.folder->persist({ persistOf(4, 4) }));
+    EXPECT_TRUE(created.folder->persist({ persistOf(5, 5) }));
     created.folder.reset();
     const auto again = this->opened();
     EXPECT_TRUE(again.tornTail);
