--- /dev/null
+++ b/tools/placement/cassiaroadpolicy.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "assignment.h"
+
+#include "version/rebalancepolicy.h"
+
+namespace cassiaroad::placement {
+
+/** The policy of the control process: places unserved shards, then rebalances. */
+class CassiaroadPolicy
+{
+public:
+    static constexpr const char *name = "cassiaroad";
+
+    /** @p shardKeys is the number of keys of each shard. */
+    CassiaroadPolicy(PlacementWeights weights, std::vector<std::uint64_t> shardKeys);
+
+    void update(const Observation &observation, Assignment &assignment) const;
+
+private:
+    void placeUnserved(const Observation &observation, Assignment &assignment) const;
+    void rebalance(const Observation &observation, Assignment &assignment) const;
+
+    PlacementWeights weights;
+    std::vector<std::uint64_t> shardKeys;
+};
+
+/** The version before single keys were moved: shards only. */
+class ShardsOnlyPolicy
+{
+public:
+    static constexpr const char *name = "shards-only";
+
+    ShardsOnlyPolicy(PlacementWeights weights, std::vector<std::uint64_t> shardKeys);
+
+    void update(const Observation &observation, Assignment &assignment) const;
+
+private:
+    PlacementWeights weights;
+    std::vector<std::uint64_t> shardKeys;
+};
+
+/** Number of a server from its name "server-N". */
+int serverNumber(const std::string &name);
+
+} // namespace cassiaroad::placement
