replica: Ask for no ticks once a member has stopped

Cause: the deadline of a failed member stayed in the past, so that a timer set from it fired at once, again and again. Change: a failed or dropped member names a deadline one hour ahead. Result: MemberTest.failedMemberAsksForNoTicks fails before and passes after.

--- a/src/process/replica.cpp
+++ b/src/process/replica.cpp
@@ -10,6 +10,9 @@
 
 constexpr Term firstTerm = 1;
 
+// Sleep of a stopped member, which no Tick can wake.
+constexpr Milliseconds idle { 3600 * 1000 };
+
 } // namespace
 
 /** Hands events to the parts of a Replica. */
@@ -201,6 +204,9 @@
 TimePoint ReplicaCore::nextDeadline() const
 {
     switch (this->state.role) {
+    case ReplicaRole::Failed:
+    case ReplicaRole::Dropped:
+        return this->state.now + idle;
     case ReplicaRole::Leader:
         return std::min(this->leadership.nextDeadline(), this->startCheck.nextDeadline());
     case ReplicaRole::Follower:
--- a/tests/process/test_replicamember.cpp
+++ b/tests/process/test_replicamember.cpp
@@ -134,6 +134,16 @@
     EXPECT_TRUE(this->receive(third, append).messages.empty());
 }
 
+// Guards against a deadline that stays in the past, so that the loop spins.
+TEST_F(MemberTest, failedMemberAsksForNoTicks)
+{
+    this->acceptStart();
+    this->step(AppendFailed {});
+    this->pass({ 60000 });
+    this->step(Tick {});
+    EXPECT_GT(this->replica.nextDeadline(), this->now + Milliseconds { 1000 });
+}
+
 // Guards against entries of an older term that count as committed because a majority stores them; a
 // member with a newer entry could still replace them.
 TEST_F(MemberTest, commitsOlderTermsOnlyThroughAnEntryOfItsOwn)
