--- a/src/version/requestledger.cpp
+++ b/src/version/requestledger.cpp
@@ -24,11 +24,6 @@
         if (found->second.digest != digest) {
             return LedgerMismatch {};
         }
-        // The host asks again only if it lost the reply and has not sent the request.
-        if (std::holds_alternative<LedgerInProgress>(found->second.state)
-            && found->second.host == host) {
-            return LedgerStarted { found->second.ticket };
-        }
         return standing(found->second.state);
     }
     if (this->records.size() >= capacity) {
--- a/src/version/requestledger.h
+++ b/src/version/requestledger.h
@@ -97,11 +97,7 @@
 class RequestLedger
 {
 public:
-    /**
-     * Starts a request or says how the earlier one stands. @p capacity bounds the records. A run of
-     * an entry host that has a record in flight gets its ticket again, because the reply may have
-     * been lost. Precondition: it asks again only for a request that it has not sent.
-     */
+    /** Starts a request or says how the earlier one stands. @p capacity bounds the records. */
     LedgerBeginResult begin(const LedgerKey &key, std::uint64_t digest, const EntryHostId &host,
                             GroupTime now, std::size_t capacity);
 
--- a/tests/cassiaroad/test_entrykeyed.cpp
+++ b/tests/cassiaroad/test_entrykeyed.cpp
@@ -119,6 +119,19 @@
     EXPECT_EQ(this->post().body, "made");
 }
 
+// Guards against a second run of a request whose begin may have been executed.
+TEST_F(EntryKeyed, P5_runsAtMostOnceWhenTheReplyOfBeginIsLost)
+{
+    this->addCountingOwner("made");
+    this->start();
+    this->group.losesNextBegin = true;
+    const CallerAnswer first = this->post();
+    EXPECT_NE(first.outcome, "not-run") << "the key is blocked";
+    const CallerAnswer second = this->post();
+    EXPECT_NE(second.outcome, "not-run") << "the key is blocked";
+    EXPECT_LE(this->runs, 1);
+}
+
 // Guards against a key that stays blocked because the reply to its begin was lost.
 TEST_F(EntryKeyed, P5_runsOnceWhenTheReplyOfBeginIsLost)
 {
