--- a/tests/site/prove_entries.py
+++ b/tests/site/prove_entries.py
@@ -107,8 +107,9 @@
             status = first.process.wait_exit(PATIENCE)
         check_journals(site, running.sent)
         expect(status == 0, "the entry host ended with %d" % status)
-        expect(running.count("answered") == len(running.sent), "%d of %d requests failed" % (
-            len(running.sent) - running.count("answered"), len(running.sent)))
+        expect(running.count("answered") == len(running.sent), "%d of %d requests failed, first: %r" % (
+            len(running.sent) - running.count("answered"), len(running.sent),
+            next((one.result for one in running.sent if one.outcome != "answered"), None)))
         return "%d requests, none interrupted" % len(running.sent)
 
 
--- a/tests/site/prove_members.py
+++ b/tests/site/prove_members.py
@@ -71,8 +71,9 @@
             change(site, 1)
             wait_for(lambda: site.now() > since + 2, PATIENCE, "traffic")
         check_journals(site, running.sent)
-        expect(running.count("answered") == len(running.sent), "%d of %d requests failed" % (
-            len(running.sent) - running.count("answered"), len(running.sent)))
+        expect(running.count("answered") == len(running.sent), "%d of %d requests failed, first: %r" % (
+            len(running.sent) - running.count("answered"), len(running.sent),
+            next((one.result for one in running.sent if one.outcome != "answered"), None)))
         expect(elapsed < NEW_LEADER, "new leader after %.2f s" % elapsed)
         return "new leader after %.2f s, %d requests all answered" % (elapsed, len(running.sent))
 
@@ -120,8 +121,9 @@
         check_changes(site, numbers)
         check_journals(site, running.sent)
         expect(alone is None, "the leader behind the cut still answers operators: %s" % alone)
-        expect(running.count("answered") == len(running.sent), "%d of %d requests failed" % (
-            len(running.sent) - running.count("answered"), len(running.sent)))
+        expect(running.count("answered") == len(running.sent), "%d of %d requests failed, first: %r" % (
+            len(running.sent) - running.count("answered"), len(running.sent),
+            next((one.result for one in running.sent if one.outcome != "answered"), None)))
         return "%d changes kept, %d requests all answered" % (len(numbers), len(running.sent))
 
 
--- a/tools/testsite/http.py
+++ b/tools/testsite/http.py
@@ -74,8 +74,9 @@
 
     def request(self, method, path, headers=None, body=None, timeout=12.0):
         failure = None
-        for _ in self.addresses:
-            address = self.addresses[next(self.turn) % len(self.addresses)]
+        first = next(self.turn)  # threads share the turn, so the rest is counted from here
+        for step in range(len(self.addresses)):
+            address = self.addresses[(first + step) % len(self.addresses)]
             try:
                 return request(address, method, path, headers, body, timeout)
             except NoAnswer as error:
