tools: Add measurements of placement, requests, control and ledger

make measure called a script that did not exist. tools/measure.py runs one module for each part, prints tables and writes the same rows as CSV. Not run yet: the programs are still being built.

--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,54 @@
+#!/usr/bin/env python3
+"""Measures placement, the request path, control, changes and the ledger of the built programs."""
+import argparse
+import os
+import shutil
+import sys
+import tempfile
+import time
+
+from measure import changes, ledger, placement, requestpath, slopes
+
+PARTS = {"placement": placement, "requestpath": requestpath, "slopes": slopes,
+         "changes": changes, "ledger": ledger}
+
+
+class Context:
+    """What every part needs to know."""
+
+    def __init__(self, options, folder):
+        self.build = os.path.abspath(options.build)
+        self.quick = options.quick
+        self.results = os.path.abspath(options.results)
+        self.folder = folder  # of the sites; removed at the end
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--quick", action="store_true", help="fewer and shorter runs")
+    parser.add_argument("--results", default="measure-results", help="folder of the CSV files")
+    parser.add_argument("--part", action="append", choices=PARTS, help="only this part")
+    options = parser.parse_args()
+    os.makedirs(options.results, exist_ok=True)
+    folder = tempfile.mkdtemp(prefix="cassiaroad-measure-")
+    context = Context(options, folder)
+    start = time.monotonic()
+    failed = False
+    try:
+        for name in options.part or PARTS:
+            began = time.monotonic()
+            for table in PARTS[name].measure(context):
+                table.write(context.results)
+                table.print()
+                failed = failed or any("not measured" in str(row[-1]) for row in table.rows)
+            print("%s took %.1f s" % (name, time.monotonic() - began), flush=True)
+    finally:
+        shutil.rmtree(folder)
+    print("\nall parts took %.1f s%s" % (time.monotonic() - start,
+                                         "; some figures were not measured" if failed else ""))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/measure/ledger.py
@@ -0,0 +1,103 @@
+"""Cost of keyed requests, which the ledger of the group records before they run."""
+import os
+
+from testsite import NoAnswer, NotHeld
+
+from . import loadtool, usage
+from .report import Table
+from .sites import MeasuredSite
+
+COLUMNS = ["figure", "value", "unit", "note"]
+RATE = 50  # requests a second of the latency comparison
+P99_BOUND = 100.0  # ms, of the highest rate
+KEYS = 1000
+UPSTREAM = ["--slots", "200", "--connections", "2000", "--service-ms", "0"]
+ERRORS = (NoAnswer, NotHeld, OSError, ValueError, KeyError)
+
+
+def log_bytes(site, member):
+    """Bytes in the log segments of a member."""
+    folder = site.path(member, "data")
+    return sum(os.path.getsize(os.path.join(root, name))
+               for root, _, names in os.walk(folder) for name in names if name.startswith("log-"))
+
+
+class Ledger:
+    """Keyed and plain POST requests through one entry host, half of them for the other region."""
+
+    def __init__(self, context, site):
+        self.context = context
+        self.site = site
+        self.table = Table("ledger", "Keyed requests", COLUMNS)
+        self.leader = site.wait_leader(site.region, 5.0)[0]
+
+    def load(self, keyed, rate, seconds, seed):
+        targets = [self.site.entries(self.site.region)[0].addresses["callers"]]
+        return loadtool.run_load(self.context.build, targets, seconds, rate, "--service",
+                                 "bookings", "--keys", KEYS, "--posts", 1, "--keyed",
+                                 1 if keyed else 0, seed=seed)
+
+    def measure(self):
+        for figure, step in (("latency and log", self.latency), ("highest rate", self.highest)):
+            try:
+                step()
+            except ERRORS as error:
+                self.table.add_failure(figure, error)
+        return self.table
+
+    def latency(self):
+        seconds = 2 if self.context.quick else 8
+        plain = self.load(False, RATE, seconds, 21)
+        groups = [self.site.wait_leader(region, 5.0)[0] for region in self.site.regions]
+        before = [self.look(leader) for leader in groups]
+        used = usage.Usage(self.site, self.leader)
+        keyed = self.load(True, RATE, seconds, 22)
+        after = [self.look(leader) for leader in groups]
+        for name, report in (("plain", plain), ("keyed", keyed)):
+            note = "%d/s, answered %.4f" % (RATE, loadtool.answered_share(report))
+            for quantile in ("p50_ms", "p99_ms"):
+                self.table.add("%s POST: %s" % (name, quantile[:3]), report[quantile], "ms", note)
+        for quantile in ("p50_ms", "p99_ms"):
+            self.table.add("added by the ledger: " + quantile[:3],
+                           keyed[quantile] - plain[quantile], "ms", "")
+        self.add_log(before, after, keyed["sent"], used.since_start())
+
+    def look(self, leader):
+        metrics = self.site.metrics(leader)
+        if metrics is None:
+            raise NotHeld("%s does not answer /metrics" % leader.name)
+        return (log_bytes(self.site, leader), metrics["cassiaroad_control_snapshots_total"],
+                metrics["cassiaroad_control_ledger_records"])
+
+    def add_log(self, before, after, sent, used):
+        growth = [now[0] - then[0] for now, then in zip(after, before)]
+        records = [now[2] - then[2] for now, then in zip(after, before)]
+        if any(now[1] != then[1] for now, then in zip(after, before)):
+            self.table.add("log per keyed request", "", "bytes",
+                           "not measured: a snapshot removed a part of the log")
+        else:
+            self.table.add("log per keyed request", sum(growth) / sent, "bytes",
+                           "%d requests, %d records in 2 groups" % (sent, sum(records)))
+        share = records[0] or 1
+        self.table.add("leader: processor time per keyed request", used[1] * 1000 / share, "ms",
+                       "%d records in its group, with its use at rest" % share)
+
+    def highest(self):
+        seconds, steps = (1, 3) if self.context.quick else (2, 6)
+        best = loadtool.highest_rate(lambda rate: self.load(True, rate, seconds, int(rate)), 100,
+                                     P99_BOUND, steps, 0 if self.context.quick else 2)
+        if best is None:
+            raise NotHeld("100/s does not hold p99 below %.0f ms" % P99_BOUND)
+        self.table.add("highest rate of keyed requests, two groups", float(best[0]), "requests/s",
+                       "p99 %.1f ms, bound %.0f ms" % (best[1]["p99_ms"], P99_BOUND))
+
+
+def measure(context):
+    try:
+        with MeasuredSite(context.build, os.path.join(context.folder, "ledger"), 2, 4, both=True,
+                          upstream_options={"bookings": UPSTREAM}) as site:
+            return [Ledger(context, site).measure()]
+    except ERRORS as error:
+        table = Table("ledger", "Keyed requests", COLUMNS)
+        table.add_failure("site", error)
+        return [table]
--- /dev/null
+++ b/tools/measure/slopes.py
@@ -0,0 +1,103 @@
+"""Cost of control at rest against the number of entry hosts, upstreams and shards of a group."""
+import os
+import statistics
+import time
+
+from testsite import NoAnswer, NotHeld
+
+from . import usage
+from .report import Table
+from .sites import MeasuredSite
+
+BASE = {"entry hosts": 2, "upstreams": 4, "shards": 64}
+FULL = {"entry hosts": (2, 4, 8, 16), "upstreams": (4, 8, 16, 32), "shards": (64, 1024, 4096)}
+QUICK = {"entry hosts": (2, 4), "upstreams": (4, 8), "shards": (64, 1024)}
+ROLES = ("leader", "follower", "entry host")
+FIGURES = ("processor ms/s", "memory MiB", "bytes sent/s", "bytes received/s")
+SETTLE = {False: 2.0, True: 0.5}  # seconds between the start and the first look
+SPAN = {False: 8.0, True: 2.0}  # seconds between the two looks
+REGIONS = 2
+ERRORS = (NoAnswer, NotHeld, OSError, ValueError, KeyError)
+
+
+def site_sizes(sizes):
+    """The base and the sites in which one of the three numbers differs from it."""
+    found = [dict(BASE)]
+    for axis, values in sizes.items():
+        found += [{**BASE, axis: value} for value in values if value != BASE[axis]]
+    return found
+
+
+def watched_hosts(site):
+    """One host of each role in the first region; the follower is in the region too, as its
+    traffic does not wait for the link between the regions."""
+    leader = site.wait_leader(site.region, 5.0)[0]
+    follower = next(host for host in site.members(site.region)
+                    if host is not leader and host.region == site.region)
+    return dict(zip(ROLES, (leader, follower, site.entries(site.region)[-1])))
+
+
+def measure_site(context, number, size):
+    """Figures of each role in a site of one size."""
+    folder = os.path.join(context.folder, "slopes-%d" % number)
+    with MeasuredSite(context.build, folder, size["entry hosts"], size["upstreams"],
+                      shards=size["shards"]) as site:
+        time.sleep(SETTLE[context.quick])
+        hosts = watched_hosts(site)
+        looks = {role: usage.Usage(site, host) for role, host in hosts.items()}
+        time.sleep(SPAN[context.quick])
+        found = {}
+        for role, look in looks.items():
+            processor, sent, received = look.rates()
+            memory = usage.memory_mib(hosts[role].process.popen.pid)
+            found[role] = (processor * 1000, memory, sent, received)
+        if site.leader(site.region) is not hosts["leader"]:
+            raise NotHeld("the leader changed during the measurement")
+        return found
+
+
+def group_size(size):
+    """The size with the shards that one group assigns, of all services together."""
+    return {**size, "shards": size["shards"] * 2 // REGIONS}
+
+
+def fit(points):
+    """Slope and intercept of the line through (x, y) points."""
+    line = statistics.linear_regression([x for x, _ in points], [y for _, y in points])
+    return line.slope, line.intercept
+
+
+def fit_table(measured):
+    """`measured`: size and figures of each site."""
+    table = Table("slopes", "Control at rest: straight lines through the points of one axis",
+                  ["role", "figure", "per", "slope", "intercept", "points", "note"])
+    base = group_size(BASE)
+    for axis in BASE:
+        line = [(size, found) for size, found in measured
+                if all(size[other] == base[other] for other in BASE if other != axis)]
+        for role in ROLES:
+            for index, figure in enumerate(FIGURES):
+                points = [(size[axis], found[role][index]) for size, found in line]
+                if len(points) < 2:
+                    table.add(role, figure, axis, "", "", len(points), "not measured: one point")
+                    continue
+                table.add(role, figure, axis, *fit(points), len(points), "")
+    return table
+
+
+def measure(context):
+    points = Table("slope_points", "Control at rest: one region's group, by size",
+                   ["entry hosts", "upstreams", "shards", "role", *FIGURES, "note"])
+    measured = []
+    for number, size in enumerate(site_sizes(QUICK if context.quick else FULL)):
+        grouped = group_size(size)
+        try:
+            found = measure_site(context, number, size)
+        except ERRORS as error:
+            points.add(*grouped.values(), "", *[""] * len(FIGURES),
+                       "not measured: %s: %s" % (type(error).__name__, error))
+            continue
+        measured.append((grouped, found))
+        for role, figures in found.items():
+            points.add(*grouped.values(), role, *figures, "")
+    return [points, fit_table(measured)]
