--- a/tools/measure.py
+++ b/tools/measure.py
@@ -7,9 +7,9 @@
 import tempfile
 import time
 
-from measure import changes, ledger, placement, requestpath, slopes
+from measure import busy, capacity, changes, ledger, placement, requestpath, slopes
 
-PARTS = {"placement": placement, "requestpath": requestpath, "slopes": slopes,
+PARTS = {"placement": placement, "requestpath": requestpath, "slopes": slopes, "busy": busy,
          "changes": changes, "ledger": ledger}
 
 
@@ -23,6 +23,11 @@
         self.folder = folder  # of the sites; removed at the end
 
 
+def show(context, table):
+    table.write(context.results)
+    table.print()
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--build", default="build")
@@ -34,17 +39,22 @@
     folder = tempfile.mkdtemp(prefix="cassiaroad-measure-")
     context = Context(options, folder)
     start = time.monotonic()
-    failed = False
+    tables = {}
     try:
         for name in options.part or PARTS:
             began = time.monotonic()
             for table in PARTS[name].measure(context):
-                table.write(context.results)
-                table.print()
-                failed = failed or any("not measured" in str(row[-1]) for row in table.rows)
+                tables[table.name] = table
+                show(context, table)
             print("%s took %.1f s" % (name, time.monotonic() - began), flush=True)
+        if not options.part:
+            tables["capacity"] = capacity.measure(tables)
+            show(context, tables["capacity"])
     finally:
         shutil.rmtree(folder)
+    with open(os.path.join(options.results, "figures.md"), "w") as stream:
+        stream.write("\n".join(table.markdown() for table in tables.values()))
+    failed = any("not measured" in str(row[-1]) for table in tables.values() for row in table.rows)
     print("\nall parts took %.1f s%s" % (time.monotonic() - start,
                                          "; some figures were not measured" if failed else ""))
     return 0
--- /dev/null
+++ b/tools/measure/busy.py
@@ -0,0 +1,79 @@
+"""Cost of control while requests run: entry hosts then report health and load with their calls."""
+import os
+import threading
+import time
+
+from testsite import NoAnswer, NotHeld, request
+
+from . import loadtool, usage
+from .report import Table
+from .sites import MeasuredSite
+
+ENTRIES = 4
+UPSTREAMS = {False: (8, 32), True: (8,)}  # half of them get requests
+SHARDS = 1024
+RATE = 400  # requests a second over all entry hosts of the region
+KEYS = 20000  # so many that every shard has load
+SPAN = {False: 6.0, True: 2.0}  # seconds between two looks
+SETTLE = 1.0
+COLUMNS = ["role", "figure", "busy upstreams", "at rest", "with requests", "difference", "unit", "note"]
+ERRORS = (NoAnswer, NotHeld, OSError, ValueError, KeyError)
+
+
+def control_bytes(host):
+    """Bytes sent and received on the calls of an entry host to the members, by its own counter;
+    the relays also count requests that it forwards to the other region."""
+    text = request(host.addresses["admin"], "GET", "/metrics", timeout=1.0).body.decode()
+    found = {}
+    for line in text.splitlines():
+        if line.startswith("cassiaroad_control_bytes{"):
+            found["sent" if 'direction="sent"' in line else "received"] = float(line.split()[-1])
+    return found["sent"], found["received"]
+
+
+def rates(site, leader, entry, span):
+    """Figures of the leader and bytes of the entry host, each per second."""
+    look, before, start = usage.Usage(site, leader), control_bytes(entry), time.monotonic()
+    time.sleep(span)
+    seconds, after = time.monotonic() - start, control_bytes(entry)
+    processor, sent, received = look.rates()
+    entry_rates = [(now - then) / seconds for now, then in zip(after, before)]
+    return [processor * 1000, sent, received, *entry_rates]
+
+
+def run(context, site, table):
+    span = SPAN[context.quick]
+    leader = site.wait_leader(site.region, 5.0)[0]
+    entries = site.entries(site.region)
+    rest = rates(site, leader, entries[0], span)
+    targets = [entry.addresses["callers"] for entry in entries]
+    reports = []
+    load = threading.Thread(target=lambda: reports.append(loadtool.run_load(
+        context.build, targets, int(span + 2 * SETTLE), RATE, "--service", "bookings", "--keys",
+        KEYS, seed=31)))
+    load.start()
+    time.sleep(SETTLE)
+    with_requests = rates(site, leader, entries[0], span)
+    load.join()
+    if not reports:
+        raise NotHeld("the load tool gave no report")
+    note = "%d/s, answered %.4f" % (RATE, loadtool.answered_share(reports[0]))
+    names = (("leader", "processor time", "ms/s"), ("leader", "bytes sent", "bytes/s"),
+             ("leader", "bytes received", "bytes/s"), ("entry host", "bytes sent", "bytes/s"),
+             ("entry host", "bytes received", "bytes/s"))
+    for (role, figure, unit), before, after in zip(names, rest, with_requests):
+        table.add(role, figure, len(site.upstreams("bookings", site.region)), before, after,
+                  after - before, unit, note)
+
+
+def measure(context):
+    table = Table("busy", "Control with requests: %d entry hosts, %d shards" % (ENTRIES, SHARDS),
+                  COLUMNS)
+    for upstreams in UPSTREAMS[context.quick]:
+        folder = os.path.join(context.folder, "busy-%d" % upstreams)
+        try:
+            with MeasuredSite(context.build, folder, ENTRIES, upstreams, shards=SHARDS) as site:
+                run(context, site, table)
+        except ERRORS as error:
+            table.add_failure("site with %d upstreams" % upstreams, error)
+    return [table]
--- /dev/null
+++ b/tools/measure/capacity.py
@@ -0,0 +1,167 @@
+"""Figures at the target size, derived from the rows of the other parts."""
+import statistics
+
+from . import leastsquares
+from .report import Table
+
+REGIONS = 8
+ENTRIES = 400  # of the 1,400 nodes; the others are upstreams
+UPSTREAMS = 1000
+SERVICES = 2
+SHARDS = 65536  # of each service
+REQUESTS = 3.6e6  # a second
+GROUP = {"E": ENTRIES / REGIONS, "U": UPSTREAMS / REGIONS, "S": SERVICES * SHARDS / REGIONS}
+
+PROCESSOR_LIMIT = 1.8  # per cent of a core
+MEMORY_LIMIT = 64e6 / (1 << 20)  # MiB
+BYTES_LIMIT = 29.0  # KB a second, sent and received together
+
+# The leader hears of every upstream from each entry host; an entry host takes its share of the
+# announcements and reports every upstream. E entry hosts, U upstreams, S shards of one group.
+TERMS = {
+    "leader": {"1": lambda e, u, s: 1, "E": lambda e, u, s: e, "U": lambda e, u, s: u,
+               "E*U": lambda e, u, s: e * u, "S": lambda e, u, s: s},
+    "follower": {"1": lambda e, u, s: 1, "E": lambda e, u, s: e, "U": lambda e, u, s: u,
+                 "S": lambda e, u, s: s},
+    "entry host": {"1": lambda e, u, s: 1, "U/E": lambda e, u, s: u / e,
+                   "U": lambda e, u, s: u, "S": lambda e, u, s: s},
+}
+COLUMNS = ["role", "figure", "part", "formula", "at the target", "limit", "unit", "met",
+           "mechanism", "note"]
+
+# Defaults of the settings, in seconds.
+WATCH_HOLD = 0.15
+ANNOUNCE_INTERVAL = 0.15
+HEARTBEAT = 0.06
+FOLLOWERS = 2
+
+MECHANISMS = {
+    ("leader", "processor time"): "one loop; watch calls answered at once only on a change",
+    ("leader", "memory"): "route tables by shard, not by key; records bounded",
+    ("leader", "bytes sent and received"): "deltas of routes; unchanged grants are not sent",
+    ("follower", "processor time"): "heartbeats; applies what the leader commits",
+    ("follower", "memory"): "the same state as the leader",
+    ("follower", "bytes sent and received"): "batched log entries, heartbeats",
+    ("entry host", "processor time"): "one watch call at a time; announcements forwarded",
+    ("entry host", "memory"): "one immutable table per revision",
+    ("entry host", "bytes sent and received"): "deltas of routes; load of at most 256 shards",
+}
+
+
+def met(value, limit):
+    return "yes" if value <= limit else "no"
+
+
+def control_rows(table, points):
+    """Processor time, memory and bytes of each role, fitted over all sizes measured."""
+    rows = [row for row in points.rows if row[3]]
+    for role, terms in TERMS.items():
+        own = [row for row in rows if row[3] == role]
+        features = [[term(*row[:3]) for term in terms.values()] for row in own]
+        target = [term(GROUP["E"], GROUP["U"], GROUP["S"]) for term in terms.values()]
+        for figure, unit, limit, value in (
+                ("processor time", "% of a core", PROCESSOR_LIMIT, lambda row: row[4] / 10),
+                ("memory", "MiB", MEMORY_LIMIT, lambda row: row[5]),
+                ("bytes sent and received", "KB/s", BYTES_LIMIT,
+                 lambda row: (row[6] + row[7]) / 1000)):
+            try:
+                factors = leastsquares.fit(features, [value(row) for row in own])
+            except (ValueError, IndexError) as error:
+                table.add(role, figure, "slopes", "", "", limit, unit, "",
+                          MECHANISMS[role, figure], "not measured: %s" % error)
+                continue
+            result = sum(factor * term for factor, term in zip(factors, target))
+            formula = " + ".join("%.3g %s" % pair for pair in zip(factors, terms))
+            table.add(role, figure, "slopes", formula.replace(" 1 ", " "), result, limit, unit,
+                      met(result, limit), MECHANISMS[role, figure], "%d sizes" % len(own))
+
+
+def message_rows(table):
+    """Calls a second at rest, from the intervals of the settings."""
+    entries, upstreams = GROUP["E"], GROUP["U"]
+    for role, formula, value, mechanism in (
+            ("leader", "E / 0.15 + U / 0.15 + 2 / 0.06",
+             entries / WATCH_HOLD + upstreams / ANNOUNCE_INTERVAL + FOLLOWERS / HEARTBEAT,
+             "one call per announcement, held watch calls"),
+            ("follower", "1 / 0.06", 1 / HEARTBEAT, "heartbeats"),
+            ("entry host", "1 / 0.15 + U / E / 0.15",
+             1 / WATCH_HOLD + upstreams / entries / ANNOUNCE_INTERVAL, "one watch call at a time"),
+            ("upstream", "1 / 0.15", 1 / ANNOUNCE_INTERVAL, "one announcement at a time")):
+        table.add(role, "calls at rest", "", formula, value, "", "calls/s", "", mechanism,
+                  "from the settings, not measured")
+
+
+def busy_rows(table, busy):
+    """What requests add to the traffic of an entry host, by the upstreams that get requests. All
+    upstreams of the region get requests at the target."""
+    points = [(row[2], row[5] / 1000) for row in busy.rows
+              if row[0] == "entry host" and row[1] == "bytes sent"]
+    cells = ["entry host", "bytes sent more with requests", "busy"]
+    mechanism = "health of each upstream with each watch call, load once a second"
+    if len(points) < 2:
+        table.add(*cells, "", "", BYTES_LIMIT, "KB/s", "", mechanism, "not measured: one size")
+        return
+    line = statistics.linear_regression(*zip(*points))
+    value = line.slope * GROUP["U"] + line.intercept
+    table.add(*cells, "%.3g + %.3g U" % (line.intercept, line.slope), value, BYTES_LIMIT, "KB/s",
+              met(value, BYTES_LIMIT), mechanism, "on top of the use at rest")
+
+
+def value_of(table, figure, column):
+    """Cell of the row whose first cell is `figure`, as a number. Raises KeyError without one."""
+    for row in table.rows:
+        if row[0] == figure and isinstance(row[column], (int, float)):
+            return row[column]
+    raise KeyError(figure)
+
+
+def request_rows(table, path):
+    share = REQUESTS / ENTRIES
+    micros = value_of(path, "entry host: processor time per request", 1)
+    table.add("entry host", "processor time of requests", "requestpath",
+              "%.3g us * %.0f/s" % (micros, share), micros * share / 1e4, 100.0, "% of a core",
+              met(micros * share / 1e4, 100.0), "one loop on one thread", "")
+    highest = value_of(path, "entry host: highest rate", 1)
+    table.add("entry host", "requests a second", "requestpath", "3.6e6 / %d" % ENTRIES, share,
+              highest, "requests/s", met(share, highest), "one loop on one thread",
+              "limit: highest rate measured")
+    p99 = value_of(path, "entry host: p99", 1)
+    table.add("entry host", "latency, p99", "requestpath", "measured on loopback", p99, 13.0, "ms",
+              met(p99, 13.0), "pooled connections", "without the network")
+
+
+def change_rows(table, changes):
+    sizes = [row for row in changes.rows if row[0].endswith("set, confirm to in force")]
+    if sizes:
+        largest = sizes[-1]
+        table.add("group", "confirm to in force, p99", "changes", "measured", largest[3], 8000.0,
+                  "ms", met(largest[3], 8000.0), "held watch calls", largest[0])
+    for figure, mechanism in (
+            ("SIGKILL of the leader to a new leader with a lease", "election timeouts"),
+            ("SIGKILL of an upstream to the next answer for its key", "upstream leases")):
+        p99 = value_of(changes, figure, 3)
+        table.add("group", figure + ", p99", "changes", "measured", p99, 2000.0, "ms",
+                  met(p99, 2000.0), mechanism, "")
+
+
+def ledger_rows(table, ledger):
+    """Two groups took the measured rate together."""
+    rate = value_of(ledger, "highest rate of keyed requests, two groups", 1) / 2 * REGIONS
+    table.add("group", "keyed requests a second, 8 groups", "ledger", "rate / 2 * 8", rate, "",
+              "requests/s", "", "one sync for all commands of a loop turn",
+              "%.3f %% of all requests" % (rate / REQUESTS * 100))
+
+
+def measure(tables):
+    """`tables`: all tables of the other parts by name."""
+    table = Table("capacity", "Figures at the target: per group %(E).0f entry hosts, %(U).0f "
+                  "upstreams, %(S).0f shards" % GROUP, COLUMNS)
+    message_rows(table)
+    for name, rows in (("slope_points", control_rows), ("busy", busy_rows),
+                       ("requestpath", request_rows),
+                       ("changes", change_rows), ("ledger", ledger_rows)):
+        try:
+            rows(table, tables[name])
+        except KeyError as error:
+            table.add("", name, *[""] * (len(COLUMNS) - 3), "not measured: no row %s" % error)
+    return table
--- /dev/null
+++ b/tools/measure/leastsquares.py
@@ -0,0 +1,21 @@
+"""Least squares over several terms, by the normal equations."""
+
+
+def fit(rows, values):
+    """Coefficients c that minimise the sum of (row . c - value)^2. Raises ValueError if the rows
+    do not determine them."""
+    size = len(rows[0])
+    system = [[sum(row[i] * row[j] for row in rows) for j in range(size)]
+              + [sum(row[i] * value for row, value in zip(rows, values))] for i in range(size)]
+    scale = max(abs(cell) for line in system for cell in line)
+    for column in range(size):
+        pivot = max(range(column, size), key=lambda line: abs(system[line][column]))
+        if abs(system[pivot][column]) < 1e-12 * scale:
+            raise ValueError("%d sizes do not determine %d terms" % (len(rows), size))
+        system[column], system[pivot] = system[pivot], system[column]
+        for line in range(size):
+            if line != column:
+                factor = system[line][column] / system[column][column]
+                system[line] = [cell - factor * above
+                                for cell, above in zip(system[line], system[column])]
+    return [system[line][size] / system[line][line] for line in range(size)]
--- a/tools/measure/ledger.py
+++ b/tools/measure/ledger.py
@@ -30,6 +30,7 @@
         self.site = site
         self.table = Table("ledger", "Keyed requests", COLUMNS)
         self.leader = site.wait_leader(site.region, 5.0)[0]
+        self.memory_before = usage.memory_mib(self.leader.process.popen.pid)
 
     def load(self, keyed, rate, seconds, seed):
         targets = [self.site.entries(self.site.region)[0].addresses["callers"]]
@@ -38,7 +39,8 @@
                                  1 if keyed else 0, seed=seed)
 
     def measure(self):
-        for figure, step in (("latency and log", self.latency), ("highest rate", self.highest)):
+        for figure, step in (("latency and log", self.latency), ("highest rate", self.highest),
+                             ("memory", self.memory)):
             try:
                 step()
             except ERRORS as error:
@@ -91,6 +93,13 @@
         self.table.add("highest rate of keyed requests, two groups", float(best[0]), "requests/s",
                        "p99 %.1f ms, bound %.0f ms" % (best[1]["p99_ms"], P99_BOUND))
 
+    def memory(self):
+        """Memory of the leader for the records of all runs so far."""
+        grown = usage.memory_mib(self.leader.process.popen.pid) - self.memory_before
+        records = self.look(self.leader)[2]
+        self.table.add("leader: memory per record", grown * 1024 / records, "KiB",
+                       "%d records and the log since the last snapshot" % records)
+
 
 def measure(context):
     try:
--- a/tools/measure/report.py
+++ b/tools/measure/report.py
@@ -36,6 +36,11 @@
             writer.writerow(self.columns)
             writer.writerows([text_of(value) for value in row] for row in self.rows)
 
+    def markdown(self):
+        rows = [self.columns, ["---"] * len(self.columns)] + self.rows
+        lines = ["| %s |" % " | ".join(text_of(value) for value in row) for row in rows]
+        return "### %s\n\n%s\n" % (self.title, "\n".join(lines))
+
 
 def text_of(value):
     """Text of a cell; figures keep four significant digits."""
--- a/tools/measure/slopes.py
+++ b/tools/measure/slopes.py
@@ -21,11 +21,12 @@
 
 
 def site_sizes(sizes):
-    """The base and the sites in which one of the three numbers differs from it."""
+    """The base, the sites in which one of the three numbers differs from it, and one with most
+    entry hosts and upstreams, which shows what grows with the product of both."""
     found = [dict(BASE)]
     for axis, values in sizes.items():
         found += [{**BASE, axis: value} for value in values if value != BASE[axis]]
-    return found
+    return found + [{**BASE, **{axis: sizes[axis][-1] for axis in ("entry hosts", "upstreams")}}]
 
 
 def watched_hosts(site):
