tools: Spread announcements in measured sites and fit costs that cannot fall

The test upstreams all announced to the entry host that started first, so the fit takes the number of upstreams that announce to the measured entry host.

--- a/tools/measure/leastsquares.py
+++ b/tools/measure/leastsquares.py
@@ -1,6 +1,19 @@
 """Least squares over several terms, by the normal equations."""
 
 
+def fit_costs(rows, values):
+    """As fit(), for costs that cannot fall with a term: leaves out the terms, but for the first,
+    that would get a negative factor, the most negative one first. Their factors are 0."""
+    used = list(range(len(rows[0])))
+    while True:
+        factors = fit([[row[term] for term in used] for row in rows], values)
+        worst = min(range(1, len(used)), key=lambda at: factors[at], default=0)
+        if worst == 0 or factors[worst] >= 0:
+            found = dict(zip(used, factors))
+            return [found.get(term, 0.0) for term in range(len(rows[0]))]
+        del used[worst]
+
+
 def fit(rows, values):
     """Coefficients c that minimise the sum of (row . c - value)^2. Raises ValueError if the rows
     do not determine them."""
--- a/tools/measure/sites.py
+++ b/tools/measure/sites.py
@@ -1,9 +1,10 @@
 """Sites for the measurements: one region of the wanted size, the other as small as allowed."""
-from testsite import Site
+from testsite import NotHeld, Site
 from testsite.site import Host
 
 # Shortens the start; the wait before the first assignment has no part in any figure.
 TUNING = {"timing": {"initial-assignment-ms": 500}}
+ONE_KEY = "key-0"
 SERVICES = ("bookings", "fleeces")
 
 
@@ -21,6 +22,28 @@
     def region(self):
         return list(self.regions)[0]
 
+    def arguments(self, host):
+        """As in every site, but the upstreams begin to announce at different entry hosts."""
+        arguments = super().arguments(host)
+        if host.role not in self.services:
+            return arguments
+        at = [index for index, word in enumerate(arguments) if word == "--entry"]
+        addresses = [arguments[index + 1] for index in at]
+        first = self.upstreams(region=host.region).index(host) % len(addresses)
+        for index, address in zip(at, addresses[first:] + addresses[:first]):
+            arguments[index + 1] = address
+        return arguments
+
+    def owner_of_one_key(self, service):
+        """Region and upstream of the only key of `load --keys 1`, whose shard has its home in one
+        of the regions."""
+        for region in self.regions:
+            name = self.owner(service, ONE_KEY, region)
+            for host in self.upstreams(service, region):
+                if host.name == name:
+                    return region, host
+        raise NotHeld("%s/%s has no owner" % (service, ONE_KEY))
+
     def place_entries(self, per_zone):
         for (region, zones), count in zip(self.regions.items(), self.sizes["entries"]):
             for number in range(count):
--- a/tools/measure/usage.py
+++ b/tools/measure/usage.py
@@ -7,7 +7,13 @@
 
 
 def processor_seconds(pid):
-    """User and system time that a process has used so far."""
+    """User and system time that a process has used so far. Precondition: it has one thread."""
+    try:
+        # In nanoseconds; /proc/PID/stat counts in ticks of 10 ms, too coarse for short spans.
+        with open("/proc/%d/schedstat" % pid) as stream:
+            return int(stream.read().split()[0]) / 1e9
+    except FileNotFoundError:
+        pass
     with open("/proc/%d/stat" % pid) as stream:
         fields = stream.read().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / TICKS
