--- a/tools/measure.py
+++ b/tools/measure.py
@@ -3,6 +3,7 @@
 import argparse
 import os
 import shutil
+import signal
 import sys
 import tempfile
 import time
@@ -24,9 +25,13 @@
         self.folder = folder  # of the sites; removed at the end
 
 
-def show(context, table):
+def show(context, tables, table):
+    """Prints a table and writes it, alone as CSV and with those before it as Markdown."""
+    tables[table.name] = table
     table.write(context.results)
     table.print()
+    with open(os.path.join(context.results, "figures.md"), "w") as stream:
+        stream.write("\n".join(one.markdown() for one in tables.values()))
 
 
 def main():
@@ -36,6 +41,8 @@
     parser.add_argument("--results", default="measure-results", help="folder of the CSV files")
     parser.add_argument("--part", action="append", choices=PARTS, help="only this part")
     options = parser.parse_args()
+    # Ends as after an error, so that every process that was started is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit("stopped by a signal"))
     os.makedirs(options.results, exist_ok=True)
     folder = tempfile.mkdtemp(prefix="cassiaroad-measure-")
     context = Context(options, folder)
@@ -50,18 +57,14 @@
         for name, measure in parts.items():
             began = time.monotonic()
             for table in measure(context):
-                tables[table.name] = table
-                show(context, table)
+                show(context, tables, table)
             print("%s took %.1f s" % (name, time.monotonic() - began), flush=True)
         if not options.part:
-            tables["capacity"] = capacity.measure(tables)
-            show(context, tables["capacity"])
+            show(context, tables, capacity.measure(tables))
     finally:
         if bench is not None:
             bench.stop()
         shutil.rmtree(folder)
-    with open(os.path.join(options.results, "figures.md"), "w") as stream:
-        stream.write("\n".join(table.markdown() for table in tables.values()))
     failed = any("not measured" in str(row[-1]) for table in tables.values() for row in table.rows)
     print("\nall parts took %.1f s%s" % (time.monotonic() - start,
                                          "; some figures were not measured" if failed else ""))
