--- a/tools/measure/capacity.py
+++ b/tools/measure/capacity.py
@@ -36,6 +36,7 @@
 ANNOUNCE_INTERVAL = 0.15
 HEARTBEAT = 0.06
 FOLLOWERS = 2
+LEDGER_RECORDS = 100000  # limits.ledger-records
 
 MECHANISMS = {
     ("leader", "processor time"): "one loop; watch calls answered at once only on a change",
@@ -91,7 +92,7 @@
              1 / WATCH_HOLD + GROUP["A"] / ANNOUNCE_INTERVAL, "one watch call at a time"),
             ("upstream", "1 / 0.15", 1 / ANNOUNCE_INTERVAL, "one announcement at a time")):
         table.add(role, "calls at rest", "", formula, value, "", "calls/s", "", mechanism,
-                  "from the settings, not measured")
+                  "from the settings")
 
 
 def busy_rows(table, busy):
@@ -99,15 +100,19 @@
     upstreams of the region get requests at the target."""
     points = [(row[2], row[5] / 1000) for row in busy.rows
               if row[0] == "entry host" and row[1] == "bytes sent"]
-    cells = ["entry host", "bytes sent more with requests", "busy"]
+    cells = ["entry host", "bytes sent and received with requests", "busy"]
     mechanism = "health of each upstream with each watch call, load once a second"
     if len(points) < 2:
         table.add(*cells, "", "", BYTES_LIMIT, "KB/s", "", mechanism, "not measured: one size")
         return
     line = statistics.linear_regression(*zip(*points))
-    value = line.slope * GROUP["U"] + line.intercept
-    table.add(*cells, "%.3g + %.3g U" % (line.intercept, line.slope), value, BYTES_LIMIT, "KB/s",
-              met(value, BYTES_LIMIT), mechanism, "on top of the use at rest")
+    rest = next((row[4] for row in table.rows
+                 if row[:2] == ["entry host", "bytes sent and received"]), "")
+    if rest == "":
+        raise KeyError("entry host, bytes sent and received")
+    value = rest + line.slope * GROUP["U"] + line.intercept
+    table.add(*cells, "at rest + %.3g + %.3g U" % (line.intercept, line.slope), value, BYTES_LIMIT,
+              "KB/s", met(value, BYTES_LIMIT), mechanism, "")
 
 
 def value_of(table, figure, column):
@@ -152,6 +157,12 @@
     table.add("group", "keyed requests a second, 8 groups", "ledger", "rate * 8", rate, "",
               "requests/s", "", "one sync for all commands of a loop turn",
               "%.3f %% of all requests" % (rate / REQUESTS * 100))
+    record = value_of(ledger, "leader: memory per record", 1)
+    memory = record * LEDGER_RECORDS / 1024
+    table.add("member", "memory of a full ledger", "ledger",
+              "%.3g KiB * %d" % (record, LEDGER_RECORDS), memory, MEMORY_LIMIT, "MiB",
+              met(memory, MEMORY_LIMIT), "records bounded in number and age",
+              "on top of the memory at rest")
 
 
 def measure(tables):
