version, request: Give a repeated begin of the same run its ticket again

Cause: the reply of begin can be lost after the commit. The ledger could not tell the repeated call from a second request of the same entry host, so the key stayed blocked for up to an hour. Ruled out: giving the ticket again to the same entry host; a later request with the key then ran a second time in the property test. Change: BeginRequest carries the number of the run within the entry host's instance; only that run gets the ticket again.

--- a/schema/cassiaroad.capnp
+++ b/schema/cassiaroad.capnp
@@ -160,6 +160,7 @@
   digest @3 :UInt64;        # of method, path and body
   entryHost @4 :Text;
   entryInstance @5 :UInt64;
+  run @6 :UInt64;         # number of the request within the entry host's instance, from 1
 }
 
 struct BeginReply {
--- a/schema/cassiaroad.capnp.h
+++ b/schema/cassiaroad.capnp.h
@@ -383,7 +383,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(bd037e507d7cc322, 2, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(bd037e507d7cc322, 3, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2693,6 +2693,8 @@
 
   inline  ::uint64_t getEntryInstance() const;
 
+  inline  ::uint64_t getRun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2755,6 +2757,9 @@
   inline  ::uint64_t getEntryInstance();
   inline void setEntryInstance( ::uint64_t value);
 
+  inline  ::uint64_t getRun();
+  inline void setRun( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6460,6 +6465,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BeginRequest::Reader::getRun() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BeginRequest::Builder::getRun() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BeginRequest::Builder::setRun( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::cassiaroad::rpc::BeginReply::Which BeginReply::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/cassiaroad/keyedrunner.cpp
+++ b/src/cassiaroad/keyedrunner.cpp
@@ -109,6 +109,7 @@
                                         request.setDigest(run->digest);
                                         request.setEntryHost(this->host.name);
                                         request.setEntryInstance(this->host.instance);
+                                        request.setRun(run->request->id);
                                     },
                                     ledgerTimeout)
                             .then(
--- a/src/connection/ownershipcodec.cpp
+++ b/src/connection/ownershipcodec.cpp
@@ -152,6 +152,7 @@
     event.request.key = { reader.getService(), reader.getKey(), reader.getIdempotencyKey() };
     event.request.digest = reader.getDigest();
     event.request.host = { reader.getEntryHost(), reader.getEntryInstance() };
+    event.request.run = reader.getRun();
     return event;
 }
 
--- a/src/version/command.h
+++ b/src/version/command.h
@@ -129,6 +129,7 @@
     LedgerKey key;
     std::uint64_t digest = 0;
     EntryHostId host;
+    std::uint64_t run = 0; // number of the request within the instance of the entry host
     bool operator==(const LedgerBegin &) const = default;
 };
 
--- a/src/version/ownershipmanager.cpp
+++ b/src/version/ownershipmanager.cpp
@@ -171,7 +171,8 @@
     const GroupTime age
             = record == nullptr ? 0 : this->context.state.groupTime() - record->startedAt;
     const bool answerable = record != nullptr && record->digest == request.digest
-                            && age < this->context.state.limits().ledgerRetention.count;
+                            && age < this->context.state.limits().ledgerRetention.count
+                            && !RequestLedger::isSameRun(*record, request.host, request.run);
     if (answerable) {
         LedgerBeginResult result = std::visit(
                 [](const auto &value) -> LedgerBeginResult { return value; }, record->state);
--- a/src/version/requestledger.cpp
+++ b/src/version/requestledger.cpp
@@ -17,25 +17,37 @@
 } // namespace
 
 LedgerBeginResult RequestLedger::begin(const LedgerKey &key, std::uint64_t digest,
-                                       const EntryHostId &host, GroupTime now, std::size_t capacity)
+                                       const EntryHostId &host, GroupTime now, std::size_t capacity,
+                                       std::uint64_t run)
 {
     const auto found = this->records.find(key);
     if (found != this->records.end()) {
         if (found->second.digest != digest) {
             return LedgerMismatch {};
         }
+        if (isSameRun(found->second, host, run)) {
+            return LedgerStarted { found->second.ticket };
+        }
         return standing(found->second.state);
     }
     if (this->records.size() >= capacity) {
         return LedgerFull {};
     }
     const std::uint64_t ticket = ++this->ticketCounter;
-    this->records.emplace(key, LedgerRecord { digest, ticket, host, now, LedgerInProgress {} });
+    this->records.emplace(key,
+                          LedgerRecord { digest, ticket, host, run, now, LedgerInProgress {} });
     this->byTicket.emplace(ticket, key);
     ++this->inFlight[host];
     return LedgerStarted { ticket };
 }
 
+bool RequestLedger::isSameRun(const LedgerRecord &record, const EntryHostId &host,
+                              std::uint64_t run)
+{
+    return run != 0 && record.run == run && record.host == host
+           && std::holds_alternative<LedgerInProgress>(record.state);
+}
+
 LedgerFinishResult RequestLedger::finish(const LedgerKey &key, std::uint64_t ticket,
                                          const LedgerOutcome &outcome)
 {
--- a/src/version/requestledger.h
+++ b/src/version/requestledger.h
@@ -84,6 +84,7 @@
     std::uint64_t digest = 0; // of method, path and body
     std::uint64_t ticket = 0;
     EntryHostId host;
+    std::uint64_t run = 0; // number of the request within the instance of the entry host, 0: none
     GroupTime startedAt = 0;
     LedgerRecordState state;
 
@@ -97,9 +98,16 @@
 class RequestLedger
 {
 public:
-    /** Starts a request or says how the earlier one stands. @p capacity bounds the records. */
+    /**
+     * Starts a request or says how the earlier one stands. @p capacity bounds the records. A
+     * repeated call with the same @p host and @p run (not 0) gives the ticket again, so that a lost
+     * reply does not block the key; another run never gets the ticket of the first.
+     */
     LedgerBeginResult begin(const LedgerKey &key, std::uint64_t digest, const EntryHostId &host,
-                            GroupTime now, std::size_t capacity);
+                            GroupTime now, std::size_t capacity, std::uint64_t run = 0);
+
+    /** Whether @p record is in flight for just this run of this entry host. */
+    static bool isSameRun(const LedgerRecord &record, const EntryHostId &host, std::uint64_t run);
 
     /** Records the end of the request that holds @p ticket. */
     LedgerFinishResult finish(const LedgerKey &key, std::uint64_t ticket,
--- a/src/version/valuecodec.h
+++ b/src/version/valuecodec.h
@@ -229,12 +229,12 @@
 template <Either<LedgerRecord> T>
 auto fields(T &v)
 {
-    return std::tie(v.digest, v.ticket, v.host, v.startedAt, v.state);
+    return std::tie(v.digest, v.ticket, v.host, v.run, v.startedAt, v.state);
 }
 template <Either<LedgerBegin> T>
 auto fields(T &v)
 {
-    return std::tie(v.key, v.digest, v.host);
+    return std::tie(v.key, v.digest, v.host, v.run);
 }
 template <Either<LedgerFinish> T>
 auto fields(T &v)
--- a/tests/cassiaroad/fakecontrol.h
+++ b/tests/cassiaroad/fakecontrol.h
@@ -97,8 +97,8 @@
         const auto request = context.getParams().getRequest();
         const LedgerBeginResult result = this->group.ledger.begin(
                 { request.getService(), request.getKey(), request.getIdempotencyKey() },
-                request.getDigest(), { request.getEntryHost(), request.getEntryInstance() }, 0,
-                100);
+                request.getDigest(), { request.getEntryHost(), request.getEntryInstance() }, 0, 100,
+                request.getRun());
         if (std::exchange(this->group.losesNextBegin, false)) {
             return kj::NEVER_DONE;
         }
--- a/tests/version/test_requestledger.cpp
+++ b/tests/version/test_requestledger.cpp
@@ -57,6 +57,19 @@
     EXPECT_EQ(ledger.finish(key, second, LedgerUnknown {}), LedgerFinishResult::Done);
 }
 
+// Guards against a key that stays blocked after a lost reply, and against a second run of the same
+// entry host that is given the ticket of the first (P5).
+TEST(RequestLedger, givesTheTicketAgainOnlyToTheSameRun)
+{
+    RequestLedger ledger;
+    const auto first = ledger.begin(key, 7, host, 0, 10, 1);
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10, 1), first);
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10, 2), LedgerBeginResult(LedgerInProgress {}));
+    EXPECT_EQ(ledger.begin(key, 7, { "e2", 2 }, 0, 10, 1), LedgerBeginResult(LedgerInProgress {}));
+    ledger.finish(key, std::get<LedgerStarted>(first).ticket, LedgerUnknown {});
+    EXPECT_EQ(ledger.begin(key, 7, host, 0, 10, 1), LedgerBeginResult(LedgerUnknown {}));
+}
+
 // Guards the bound: a full ledger refuses instead of forgetting, until records are old enough.
 TEST(RequestLedger, refusesWhenFullAndExpiresOldRecords)
 {
