connection: Do not fail slow requests as silent connections

Cause: a request without a byte for 2 s was failed with unknown outcome when a probe succeeded, so every order that takes longer than 2 s at a healthy upstream was reported as unknown.

--- a/src/connection/upstreampool.cpp
+++ b/src/connection/upstreampool.cpp
@@ -27,6 +27,7 @@
     void startProbe();
     void endProbe(const HttpResult &result);
     void cutOffSilent(TimePoint silentSince, bool alsoSent);
+    bool isOverdue(const PooledCall &call) const;
     void count(const HttpResult &result);
 
     EventLoop &loop;
@@ -45,8 +46,9 @@
 class UpstreamPool::PooledCall : public UpstreamPool::Call
 {
 public:
-    explicit PooledCall(std::shared_ptr<Private> pool)
-        : pool(std::move(pool))
+    PooledCall(std::shared_ptr<Private> pool, std::int64_t patience)
+        : silencesToWait(patience)
+        , pool(std::move(pool))
     { }
     ~PooledCall() override { this->pool->calls.erase(this); }
     PooledCall(const PooledCall &) = delete;
@@ -68,6 +70,7 @@
 
     bool isSent() const override { return this->sent || (this->call && this->call->isSent()); }
     TimePoint lastProgress() const { return this->call->lastProgress(); }
+    std::int64_t patience() const { return this->silencesToWait; }
 
     /** Ends a call whose connection is silent. */
     void cutOff()
@@ -80,6 +83,8 @@
     }
 
 private:
+    std::int64_t silencesToWait;
+
     void finish(HttpResult result)
     {
         this->sent = this->sent || (this->call && this->call->isSent());
@@ -153,13 +158,18 @@
     this->cutOffSilent(this->probeStarted - this->silence, true);
 }
 
+bool UpstreamPool::Private::isOverdue(const PooledCall &call) const
+{
+    return this->loop.now() - call.lastProgress() >= this->silence * call.patience();
+}
+
 void UpstreamPool::Private::cutOffSilent(TimePoint silentSince, bool alsoSent)
 {
     // A callback may start or destroy other calls.
     const std::set<PooledCall *> snapshot = this->calls;
     for (PooledCall *call : snapshot) {
         if (!this->calls.contains(call) || call->lastProgress() > silentSince
-            || (call->isSent() && !alsoSent)) {
+            || (call->isSent() && !(alsoSent && this->isOverdue(*call)))) {
             continue;
         }
         ++this->silentConnections;
@@ -179,9 +189,10 @@
 std::unique_ptr<UpstreamPool::Call> UpstreamPool::send(HttpRequest request,
                                                        std::size_t maxAnswerBytes,
                                                        std::function<void(HttpResult)> done,
-                                                       std::function<bool()> mayWrite)
+                                                       std::function<bool()> mayWrite,
+                                                       std::int64_t patience)
 {
-    auto call = std::make_unique<PooledCall>(this->d);
+    auto call = std::make_unique<PooledCall>(this->d, patience);
     call->start(std::move(request), maxAnswerBytes, std::move(done), std::move(mayWrite));
     return call;
 }
