--- a/tests/version/test_ownershipproperties.cpp
+++ b/tests/version/test_ownershipproperties.cpp
@@ -52,6 +52,9 @@
 
 } // namespace
 
+// A missing takeover wait shows only after several hundred cases. RC_PARAMS="max_success=10000"
+// runs enough of them; the default of 100 is for each commit.
+//
 // Guards P1, P2, P5 and P8 against delays, losses, pauses, restarts and leader changes: two owners
 // of a key, a shared epoch, an old route, a vanished confirmation, a request that runs twice.
 RC_GTEST_PROP(OwnershipProperties, holdWithCheckingUpstreams,
