--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 check: build
 	@scripts/format-check
+	@scripts/check-docs
 	@BUILD=$(BUILD) scripts/lint
 	@test ! -f KNOWN-RED.txt || sed -n 's/^test: /passed over, known red: /p' KNOWN-RED.txt
 	@ctest --test-dir $(BUILD) --output-on-failure
