connection: Read and drop what clients send after an early 413

Change: LingeringClose keeps a duplicate of the socket, ends its sending side and drops what arrives, bounded in connections, bytes and time.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -1,6 +1,7 @@
 #include "connection/httpserver.h"
 
 #include "connection/h2oexchange.h"
+#include "connection/lingeringclose.h"
 #include "connection/requesthead.h"
 #include "connection/serverconnection.h"
 
@@ -30,6 +31,7 @@
 // them.
 constexpr std::uint64_t h2oRequestTimeout = 24ULL * 3600 * 1000;
 constexpr int http2Version = 0x200;
+constexpr int payloadTooLarge = 413;
 
 std::size_t headBytes(const h2o_req_t &request)
 {
@@ -90,6 +92,7 @@
     h2o_socket_t *listener = nullptr;
     std::uint16_t port = 0;
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
+    LingeringClose lingering;
     EventLoop::Timer sweeper;
     bool shuttingDown = false;
     bool orphaned = false;
@@ -98,6 +101,12 @@
 
 namespace {
 
+struct AnswerFilter
+{
+    h2o_filter_t super;
+    void *server;
+};
+
 struct RequestHandler
 {
     h2o_handler_t super;
@@ -110,6 +119,7 @@
     : loop(loop)
     , limits(limits)
     , handler(std::move(handler))
+    , lingering(loop)
 {
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("cassiaroad"));
@@ -124,8 +134,10 @@
     entry->super.on_req = &Private::onRequest;
     entry->server = this;
     for (h2o_pathconf_t *marked : { path, &host->fallback_path }) {
-        h2o_create_filter(marked, sizeof(h2o_filter_t))->on_setup_ostream
-                = &Private::markOwnAnswers;
+        auto *filter
+                = reinterpret_cast<AnswerFilter *>(h2o_create_filter(marked, sizeof(AnswerFilter)));
+        filter->super.on_setup_ostream = &Private::markOwnAnswers;
+        filter->server = this;
     }
     h2o_context_init(&this->context, loop.h2oLoop(), &this->config);
     this->acceptContext.ctx = &this->context;
@@ -143,9 +155,15 @@
 
 // Answers that h2o generates while it reads a request (400, 413) are refusals of requests that no
 // handler has seen.
-void HttpServer::Private::markOwnAnswers(h2o_filter_t *, h2o_req_t *request, h2o_ostream_t **slot)
+void HttpServer::Private::markOwnAnswers(h2o_filter_t *self, h2o_req_t *request,
+                                         h2o_ostream_t **slot)
 {
     if (!H2oExchange::isAnswering()) {
+        if (request->res.status == payloadTooLarge && request->version < http2Version) {
+            h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
+            auto *d = static_cast<Private *>(reinterpret_cast<AnswerFilter *>(self)->server);
+            d->lingering.add(h2o_socket_get_fd(socket));
+        }
         h2o_add_header_by_str(&request->pool, &request->res.headers,
                               H2O_STRLIT("cassiaroad-outcome"), 0, nullptr, H2O_STRLIT("not-run"));
     }
