tools: Try simulated annealing for the placement of moves

Cause: planning all moves of an update as a whole, after Zheng et al., section IV, might beat moves chosen one by one at equal processor time. Change: AnnealingPolicy in placementbench.

--- a/tools/placement/cassiaroadpolicy.cpp
+++ b/tools/placement/cassiaroadpolicy.cpp
@@ -46,15 +46,16 @@
 
 void CassiaroadPolicy::update(const Observation &observation, Assignment &assignment) const
 {
-    this->placeUnserved(observation, assignment);
+    placeUnserved(observation, this->weights, this->shardKeys, assignment);
     this->rebalance(observation, assignment);
 }
 
-void CassiaroadPolicy::placeUnserved(const Observation &observation, Assignment &assignment) const
+void placeUnserved(const Observation &observation, PlacementWeights weights,
+                   const std::vector<std::uint64_t> &shardKeys, Assignment &assignment)
 {
-    const PlacementPolicy policy(this->weights);
+    const PlacementPolicy policy(weights);
     applyMoves(policy.placeUnserved(observation.servers,
-                                    describeShards(observation, assignment, this->shardKeys)),
+                                    describeShards(observation, assignment, shardKeys)),
                assignment);
 }
 
--- a/tools/placement/evaluation.h
+++ b/tools/placement/evaluation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "annealingpolicy.h"
 #include "assignment.h"
 #include "baselines.h"
 #include "cassiaroadpolicy.h"
@@ -10,7 +11,7 @@
 namespace cassiaroad::placement {
 
 using Policy = std::variant<ModuloPolicy, RendezvousPolicy, BoundedLoadPolicy, GreedyPolicy,
-                            ShardsOnlyPolicy, CassiaroadPolicy>;
+                            ShardsOnlyPolicy, AnnealingPolicy, CassiaroadPolicy>;
 
 /** Name of a policy in tables. */
 std::string nameOf(const Policy &policy);
--- a/tools/placementbench.cpp
+++ b/tools/placementbench.cpp
@@ -46,6 +46,7 @@
              BoundedLoadPolicy(),
              GreedyPolicy(),
              ShardsOnlyPolicy(weights, workload.keysPerShard()),
+             AnnealingPolicy(weights, workload.keysPerShard()),
              CassiaroadPolicy(weights, workload.keysPerShard()) };
 }
 
