--- a/tools/placement/cassiaroadpolicy.cpp
+++ b/tools/placement/cassiaroadpolicy.cpp
@@ -46,16 +46,15 @@
 
 void CassiaroadPolicy::update(const Observation &observation, Assignment &assignment) const
 {
-    placeUnserved(observation, this->weights, this->shardKeys, assignment);
+    this->placeUnserved(observation, assignment);
     this->rebalance(observation, assignment);
 }
 
-void placeUnserved(const Observation &observation, PlacementWeights weights,
-                   const std::vector<std::uint64_t> &shardKeys, Assignment &assignment)
+void CassiaroadPolicy::placeUnserved(const Observation &observation, Assignment &assignment) const
 {
-    const PlacementPolicy policy(weights);
+    const PlacementPolicy policy(this->weights);
     applyMoves(policy.placeUnserved(observation.servers,
-                                    describeShards(observation, assignment, shardKeys)),
+                                    describeShards(observation, assignment, this->shardKeys)),
                assignment);
 }
 
--- a/tools/placement/cassiaroadpolicy.h
+++ b/tools/placement/cassiaroadpolicy.h
@@ -18,6 +18,7 @@
     void update(const Observation &observation, Assignment &assignment) const;
 
 private:
+    void placeUnserved(const Observation &observation, Assignment &assignment) const;
     void rebalance(const Observation &observation, Assignment &assignment) const;
 
     PlacementWeights weights;
@@ -39,10 +40,6 @@
     std::vector<std::uint64_t> shardKeys;
 };
 
-/** Gives shards without an accepting owner to the least loaded servers. */
-void placeUnserved(const Observation &observation, PlacementWeights weights,
-                   const std::vector<std::uint64_t> &shardKeys, Assignment &assignment);
-
 /** Number of a server from its name "server-N". */
 int serverNumber(const std::string &name);
 
--- a/tools/placement/evaluation.h
+++ b/tools/placement/evaluation.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "annealingpolicy.h"
 #include "assignment.h"
 #include "baselines.h"
 #include "cassiaroadpolicy.h"
@@ -11,7 +10,7 @@
 namespace cassiaroad::placement {
 
 using Policy = std::variant<ModuloPolicy, RendezvousPolicy, BoundedLoadPolicy, GreedyPolicy,
-                            ShardsOnlyPolicy, AnnealingPolicy, CassiaroadPolicy>;
+                            ShardsOnlyPolicy, CassiaroadPolicy>;
 
 /** Name of a policy in tables. */
 std::string nameOf(const Policy &policy);
--- a/tools/placementbench.cpp
+++ b/tools/placementbench.cpp
@@ -46,7 +46,6 @@
              BoundedLoadPolicy(),
              GreedyPolicy(),
              ShardsOnlyPolicy(weights, workload.keysPerShard()),
-             AnnealingPolicy(weights, workload.keysPerShard()),
              CassiaroadPolicy(weights, workload.keysPerShard()) };
 }
 
