settings: Let the queue time outlast the search for silent connections

Cause: a read behind silent connections was once refused as not run after 1.5 s in the queue, because the silence was longer than the queue time.

--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -60,7 +60,7 @@
     std::uint32_t maxBodyKib = 4096;
     std::uint32_t maxConnections = 20000;
     std::uint32_t queueLength = 256; // requests waiting for one upstream
-    Milliseconds queueTime { 1500 };
+    Milliseconds queueTime { 2000 }; // above silence, so that a silent connection is found first
     std::uint32_t retryPercent = 10;
     std::uint32_t ejectPercent = 20;
     std::uint32_t ledgerRecords = 100000;
