--- a/tools/measure/changes.py
+++ b/tools/measure/changes.py
@@ -58,7 +58,7 @@
         looks = {role: usage.Usage(self.site, host) for role, host in hosts.items()}
         name = "%d entry hosts: " % len(self.site.entries(self.site.region))
         self.add(name + "set, confirm to in force",
-                 [self.confirm("set", "timing.silence", str(2000 + index))
+                 [self.confirm("set", "timing.silence-ms", str(2000 + index))
                   for index in range(count)], "ms")
         for role, look in looks.items():
             seconds, *used = look.since_start()
