connection: Do not restart the lingering timer with each connection

Cause: each early 413 replaced the timer, so a steady stream of them put the first check off until all 64 places were taken. Change: the timer starts with the first connection only. No separate test of the stream was added.

--- a/src/connection/lingeringclose.cpp
+++ b/src/connection/lingeringclose.cpp
@@ -40,8 +40,10 @@
     if (duplicate < 0) {
         return;
     }
+    if (this->connections.empty()) {
+        this->timer = this->loop.callEvery(checkInterval, [this] { this->check(); });
+    }
     this->connections.push_back({ duplicate, this->loop.now(), 0, false });
-    this->timer = this->loop.callEvery(checkInterval, [this] { this->check(); });
 }
 
 void LingeringClose::check()
