process, version: Share lowerCase and drop unused key counting

Cause: HttpCall and HopHeaders each had the same lowerCase; nothing called LoadTable::keysSeen. Change: process/lowercase.h serves both; keysSeen is gone.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -1,5 +1,7 @@
 #include "connection/httpcall.h"
 
+#include "process/lowercase.h"
+
 #include <algorithm>
 
 #include <linux/tcp.h>
@@ -17,17 +19,6 @@
     return { bytes.base, bytes.len };
 }
 
-std::string lowerCase(std::string_view text)
-{
-    std::string result(text);
-    for (char &letter : result) {
-        if (letter >= 'A' && letter <= 'Z') {
-            letter = static_cast<char>(letter + ('a' - 'A'));
-        }
-    }
-    return result;
-}
-
 // Bytes acknowledged by the peer and received from it; grows with each progress of the connection.
 std::uint64_t bytesMoved(h2o_socket_t *socket)
 {
--- a/src/request/hopheaders.cpp
+++ b/src/request/hopheaders.cpp
@@ -1,5 +1,7 @@
 #include "request/hopheaders.h"
 
+#include "process/lowercase.h"
+
 #include <algorithm>
 #include <array>
 
@@ -39,17 +41,6 @@
     });
 }
 
-std::string lowerCase(std::string_view text)
-{
-    std::string result(text);
-    for (char &letter : result) {
-        if (letter >= 'A' && letter <= 'Z') {
-            letter = static_cast<char>(letter + ('a' - 'A'));
-        }
-    }
-    return result;
-}
-
 // Adds the names listed in a Connection header.
 void addListed(std::vector<std::string> &names, std::string_view value)
 {
--- a/src/version/loadtable.cpp
+++ b/src/version/loadtable.cpp
@@ -79,14 +79,4 @@
     return keys;
 }
 
-std::uint64_t LoadTable::keysSeen(const ShardRef &shard, std::uint32_t shards) const
-{
-    std::uint64_t count = 0;
-    const auto first = this->keyLoads.lower_bound({ shard.service, "" });
-    for (auto it = first; it != this->keyLoads.end() && it->first.service == shard.service; ++it) {
-        count += shardOfKey(it->first.key, shards) == shard.shard ? 1 : 0;
-    }
-    return count;
-}
-
 } // namespace cassiaroad
--- a/src/version/loadtable.h
+++ b/src/version/loadtable.h
@@ -30,9 +30,6 @@
     std::vector<std::pair<KeyRef, double>> heaviestKeys(const std::string &service,
                                                         std::size_t limit) const;
 
-    /** Number of keys of a shard that appeared in reports lately; @p shards as in shardOfKey. */
-    std::uint64_t keysSeen(const ShardRef &shard, std::uint32_t shards) const;
-
 private:
     struct Load
     {
