--- a/schema/cassiaroad.capnp
+++ b/schema/cassiaroad.capnp
@@ -210,3 +210,10 @@
 interface Member extends(Control, ReplicaPeer) {
   # What a control member offers on its RPC address.
 }
+
+interface Registry extends(ReplicaPeer) {
+  # What a member of a control group whose upstreams hold key ranges offers. Requests and replies
+  # are CBOR, encoded by version/sitewatch.h.
+  watch @0 (report :Data) -> (answer :Data);
+  join @1 (request :Data) -> (hint :Data);
+}
--- a/schema/cassiaroad.capnp.h
+++ b/schema/cassiaroad.capnp.h
@@ -68,6 +68,11 @@
 CAPNP_DECLARE_SCHEMA(f8a6f0e82b6d22d8);
 CAPNP_DECLARE_SCHEMA(ced3c2b20a91c799);
 CAPNP_DECLARE_SCHEMA(d33628a636cc1f36);
+CAPNP_DECLARE_SCHEMA(e25188a5b86ecd1b);
+CAPNP_DECLARE_SCHEMA(bee1ecc6075f9adb);
+CAPNP_DECLARE_SCHEMA(a93a9657e0dba1b7);
+CAPNP_DECLARE_SCHEMA(965c8c592b1546c4);
+CAPNP_DECLARE_SCHEMA(c5a97a1e246c6e3a);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -665,6 +670,87 @@
   #endif  // !CAPNP_LITE
 };
 
+struct Registry {
+  Registry() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct WatchParams;
+  struct WatchResults;
+  struct JoinParams;
+  struct JoinResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(e25188a5b86ecd1b)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct Registry::WatchParams {
+  WatchParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(bee1ecc6075f9adb, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Registry::WatchResults {
+  WatchResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a93a9657e0dba1b7, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Registry::JoinParams {
+  JoinParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(965c8c592b1546c4, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Registry::JoinResults {
+  JoinResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c5a97a1e246c6e3a, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Upstream::Reader {
@@ -4149,6 +4235,391 @@
 };
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+class Registry::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::cassiaroad::rpc::ReplicaPeer::Client {
+public:
+  typedef Registry Calls;
+  typedef Registry Reads;
+
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
+
+  ::capnp::Request< ::cassiaroad::rpc::Registry::WatchParams,  ::cassiaroad::rpc::Registry::WatchResults> watchRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cassiaroad::rpc::Registry::JoinParams,  ::cassiaroad::rpc::Registry::JoinResults> joinRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+
+protected:
+  Client() = default;
+};
+
+class Registry::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::cassiaroad::rpc::ReplicaPeer::Server {
+public:
+  typedef Registry Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::cassiaroad::rpc::Registry::WatchParams WatchParams;
+  typedef  ::cassiaroad::rpc::Registry::WatchResults WatchResults;
+  typedef ::capnp::CallContext<WatchParams, WatchResults> WatchContext;
+  virtual ::kj::Promise<void> watch(WatchContext context);
+  typedef  ::cassiaroad::rpc::Registry::JoinParams JoinParams;
+  typedef  ::cassiaroad::rpc::Registry::JoinResults JoinResults;
+  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
+  virtual ::kj::Promise<void> join(JoinContext context);
+
+  inline  ::cassiaroad::rpc::Registry::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::cassiaroad::rpc::Registry>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Registry::WatchParams::Reader {
+public:
+  typedef WatchParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport() const;
+  inline  ::capnp::Data::Reader getReport() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Registry::WatchParams::Builder {
+public:
+  typedef WatchParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReport();
+  inline  ::capnp::Data::Builder getReport();
+  inline void setReport( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initReport(unsigned int size);
+  inline void adoptReport(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownReport();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Registry::WatchParams::Pipeline {
+public:
+  typedef WatchParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Registry::WatchResults::Reader {
+public:
+  typedef WatchResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer() const;
+  inline  ::capnp::Data::Reader getAnswer() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Registry::WatchResults::Builder {
+public:
+  typedef WatchResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAnswer();
+  inline  ::capnp::Data::Builder getAnswer();
+  inline void setAnswer( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initAnswer(unsigned int size);
+  inline void adoptAnswer(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownAnswer();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Registry::WatchResults::Pipeline {
+public:
+  typedef WatchResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Registry::JoinParams::Reader {
+public:
+  typedef JoinParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Data::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Registry::JoinParams::Builder {
+public:
+  typedef JoinParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Data::Builder getRequest();
+  inline void setRequest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Registry::JoinParams::Pipeline {
+public:
+  typedef JoinParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Registry::JoinResults::Reader {
+public:
+  typedef JoinResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHint() const;
+  inline  ::capnp::Data::Reader getHint() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Registry::JoinResults::Builder {
+public:
+  typedef JoinResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHint();
+  inline  ::capnp::Data::Builder getHint();
+  inline void setHint( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initHint(unsigned int size);
+  inline void adoptHint(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownHint();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Registry::JoinResults::Pipeline {
+public:
+  typedef JoinResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Upstream::Reader::hasService() const {
@@ -7538,6 +8009,166 @@
 }
 
 #endif  // !CAPNP_LITE
+#if !CAPNP_LITE
+inline Registry::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Registry::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Registry::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Registry::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Registry::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::cassiaroad::rpc::Registry::Client& Registry::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::cassiaroad::rpc::Registry::Client& Registry::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
+}
+
+#endif  // !CAPNP_LITE
+inline bool Registry::WatchParams::Reader::hasReport() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Registry::WatchParams::Builder::hasReport() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Registry::WatchParams::Reader::getReport() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Registry::WatchParams::Builder::getReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Registry::WatchParams::Builder::setReport( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Registry::WatchParams::Builder::initReport(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Registry::WatchParams::Builder::adoptReport(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Registry::WatchParams::Builder::disownReport() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Registry::WatchResults::Reader::hasAnswer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Registry::WatchResults::Builder::hasAnswer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Registry::WatchResults::Reader::getAnswer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Registry::WatchResults::Builder::getAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Registry::WatchResults::Builder::setAnswer( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Registry::WatchResults::Builder::initAnswer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Registry::WatchResults::Builder::adoptAnswer(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Registry::WatchResults::Builder::disownAnswer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Registry::JoinParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Registry::JoinParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Registry::JoinParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Registry::JoinParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Registry::JoinParams::Builder::setRequest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Registry::JoinParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Registry::JoinParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Registry::JoinParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Registry::JoinResults::Reader::hasHint() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Registry::JoinResults::Builder::hasHint() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Registry::JoinResults::Reader::getHint() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Registry::JoinResults::Builder::getHint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Registry::JoinResults::Builder::setHint( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Registry::JoinResults::Builder::initHint(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Registry::JoinResults::Builder::adoptHint(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Registry::JoinResults::Builder::disownHint() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/cassiaroad/main.cpp
+++ b/src/cassiaroad/main.cpp
@@ -3,7 +3,10 @@
 #include "cassiaroad/entryprocess.h"
 #include "cassiaroad/operatorcommands.h"
 #include "cassiaroad/settingsfile.h"
+#include "gateway/gatewayprocess.h"
+#include "platform/platformcodec.h"
 #include "process/log.h"
+#include "registry/registryprocess.h"
 
 #include <iostream>
 
@@ -46,6 +49,42 @@
     return static_cast<ExitStatus>(runControlProcess(*settings, line.bootstrap));
 }
 
+std::optional<SiteSettings> loadSiteSettings(const std::string &file)
+{
+    auto result = readSiteSettings(file);
+    if (const auto *errors = std::get_if<std::vector<SettingsError>>(&result)) {
+        for (const SettingsError &error : *errors) {
+            std::cerr << error.toString() << "\n";
+        }
+        return std::nullopt;
+    }
+    return std::get<SiteSettings>(std::move(result));
+}
+
+ExitStatus runGateway(const CommandLine &line)
+{
+    const std::optional<SiteSettings> settings = loadSiteSettings(line.settingsFile);
+    if (!settings || !std::holds_alternative<GatewaySettings>(settings->role)) {
+        std::cerr << "cassiaroad: " << line.settingsFile << " does not describe a gateway\n";
+        return ExitStatus::Failed;
+    }
+    Log::configureStructured();
+    const PlatformCodec codec;
+    return static_cast<ExitStatus>(runGatewayProcess(*settings, line.settingsFile, codec));
+}
+
+ExitStatus runRegistry(const CommandLine &line)
+{
+    const std::optional<SiteSettings> settings = loadSiteSettings(line.settingsFile);
+    if (!settings || !std::holds_alternative<RegistrySettings>(settings->role)) {
+        std::cerr << "cassiaroad: " << line.settingsFile << " does not describe a registry\n";
+        return ExitStatus::Failed;
+    }
+    Log::configureStructured();
+    const PlatformCodec codec;
+    return static_cast<ExitStatus>(runRegistryProcess(*settings, line.settingsFile, codec));
+}
+
 ExitStatus runCheckConfig(const CommandLine &line)
 {
     const std::string &file = line.words.front();
@@ -70,6 +109,14 @@
         "the\n"
         "first member; without it an empty data folder joins the group." },
       runControl },
+    { "gateway",
+      { "", true, 0, 0, "gateway -c FILE",
+        "Runs an entry host of a site whose upstreams hold key ranges." },
+      runGateway },
+    { "registry",
+      { "", true, 0, 0, "registry -c FILE",
+        "Runs a control host of a site whose upstreams hold key ranges." },
+      runRegistry },
     { "intent",
       { "who why json", true, 1, 3, "intent -c FILE --who NAME --why TEXT [--json] INTENT",
         "Asks for a plan. INTENT is one of:\n"
--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -371,6 +371,11 @@
     replicaLog.warning("the data folder is an old copy; drops it and joins as a new member");
     this->folder.reset();
     this->queue.clear();
+    if (this->handlers.dropped) {
+        this->member.reset();
+        this->handlers.dropped();
+        return;
+    }
     const std::string reason = this->createFolder(false);
     if (!reason.empty()) {
         this->handlers.failed(reason);
--- a/src/cassiaroad/replicadriver.h
+++ b/src/cassiaroad/replicadriver.h
@@ -28,6 +28,11 @@
     std::function<void()> stepped;
     /** Returns the encoded state machine. */
     std::function<std::string()> encodeState;
+    /**
+     * The data folder was an old copy and is given up. Without this handler the member joins anew
+     * under its number.
+     */
+    std::function<void()> dropped;
     /** The data folder cannot be used any more. */
     std::function<void(const std::string &reason)> failed;
 };
@@ -55,6 +60,12 @@
     /** Takes a message of another member. */
     void receive(std::string_view message);
 
+    /** Sets the RPC address of @p member. */
+    void setPeer(std::uint32_t member, const HostAddress &address)
+    {
+        this->replicaLink.setPeer(member, address);
+    }
+
     /** Hands leadership to @p member, or to the most advanced one. */
     void transferLeadership(std::optional<std::uint32_t> member);
 
--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -140,8 +140,13 @@
 
 std::string HttpCall::buildHead() const
 {
-    std::string text = this->request.method + " " + this->request.path
-                       + " HTTP/1.1\r\nhost: " + this->server.toString() + "\r\n";
+    std::string text = this->request.method + " " + this->request.path + " HTTP/1.1\r\n";
+    const bool hasHost
+            = std::any_of(this->request.headers.begin(), this->request.headers.end(),
+                          [](const auto &header) { return header.first == "host"; });
+    if (!hasHost) {
+        text += "host: " + this->server.toString() + "\r\n";
+    }
     for (const auto &[name, value] : this->request.headers) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
@@ -209,17 +214,21 @@
     return true;
 }
 
-// An upstream that repeats the Cassiaroad-Request header proves which request it answers.
+// An upstream that repeats the identity header proves which request it answers.
 bool HttpCall::isOwnAnswer() const
 {
-    const auto find = [](const auto &headers) {
-        const auto found = std::find_if(headers.begin(), headers.end(), [](const auto &header) {
-            return header.first == "cassiaroad-request";
+    const auto find = [this](const auto &headers) {
+        const auto found = std::find_if(headers.begin(), headers.end(), [this](const auto &header) {
+            return header.first == this->request.identityHeader;
         });
         return found == headers.end() ? std::string_view() : std::string_view(found->second);
     };
     const std::string_view repeated = find(this->answer.headers);
-    return repeated.empty() || repeated == find(this->request.headers);
+    if (repeated.empty()) {
+        const bool isSuccess = this->answer.status >= 200 && this->answer.status < 300;
+        return !this->request.requiresIdentity || !isSuccess;
+    }
+    return repeated == find(this->request.headers);
 }
 
 bool HttpCall::onBody(const char *error, bool ended)
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -18,8 +18,12 @@
 {
     std::string method;
     std::string path;
-    std::vector<std::pair<std::string, std::string>> headers; // without Host and Content-Length
+    // Without Content-Length. Without Host, the address of the server is sent.
+    std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    // Header that the server repeats in its answer; an answer with another value is discarded.
+    std::string identityHeader = "cassiaroad-request";
+    bool requiresIdentity = false; // also discard a success (2xx) without that header
 
     bool operator==(const HttpRequest &) const = default;
 };
--- a/src/connection/replicalink.cpp
+++ b/src/connection/replicalink.cpp
@@ -63,6 +63,15 @@
 
 ReplicaLink::~ReplicaLink() = default;
 
+void ReplicaLink::setPeer(std::uint32_t member, const HostAddress &address)
+{
+    const auto known = this->peers.find(member);
+    if (known != this->peers.end() && known->second->connection.peer() == address) {
+        return;
+    }
+    this->peers[member] = std::make_unique<Peer>(this->loop, address, this->counters);
+}
+
 bool ReplicaLink::send(std::uint32_t member, const std::string &message)
 {
     const auto found = this->peers.find(member);
--- a/src/connection/replicalink.h
+++ b/src/connection/replicalink.h
@@ -24,6 +24,9 @@
     ReplicaLink(const ReplicaLink &) = delete;
     ReplicaLink &operator=(const ReplicaLink &) = delete;
 
+    /** Sets the RPC address of @p member; messages on their way to another address are lost. */
+    void setPeer(std::uint32_t member, const HostAddress &address);
+
     /** Sends @p message to @p member. Returns false if it was dropped. */
     bool send(std::uint32_t member, const std::string &message);
 
--- /dev/null
+++ b/src/gateway/gatewaycore.cpp
@@ -0,0 +1,266 @@
+#include "gateway/gatewaycore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+// Upstreams close idle connections after ten seconds; ours are closed well before.
+constexpr Milliseconds connectionIdle { 4000 };
+constexpr Milliseconds idleCheck { 500 };
+// Idle connections that are kept to one upstream beyond those in use.
+constexpr std::size_t idleConnections = 4;
+const std::vector<double> secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6,
+                                           0.8,  1.0,   1.5,  2.0, 3.0, 5.0 };
+
+const char *kindName(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::Safe:
+        return "safe";
+    case RouteKind::Unsafe:
+        return "unsafe";
+    case RouteKind::Upload:
+        return "upload";
+    }
+    return "unknown";
+}
+
+double toSeconds(Milliseconds span)
+{
+    return static_cast<double>(span.count) / 1000.0;
+}
+
+} // namespace
+
+GatewayCore::GatewayCore(EventLoop &loop, const SiteSettings &settings, const OutsideCodec &codec,
+                         Metrics &metrics, EventLog &log)
+    : loop(loop)
+    , settings(settings)
+    , codec(codec)
+    , metrics(metrics)
+    , log(log)
+    , httpClient(loop)
+{
+    this->idleTimer = loop.callEvery(idleCheck, [this] {
+        this->httpClient.closeIdleLongerThan(connectionIdle);
+        for (const auto &[id, upstream] : this->upstreams) {
+            this->httpClient.trimIdle(upstream->upstream().address, idleConnections);
+        }
+    });
+}
+
+void GatewayCore::update(const GatewayUpdate &update)
+{
+    if (update.document && update.version > this->routing.version()) {
+        this->takeDocument(*update.document);
+    }
+    this->routing.trafficShare = update.trafficShare;
+    this->routing.gateways = update.gateways;
+    this->routing.tableAt = this->loop.now();
+    // A leader of an earlier term counts lower.
+    const bool hasNewTable = update.table && update.tableTag > this->routing.tableTag;
+    if (hasNewTable) {
+        this->routing.tableTag = update.tableTag;
+        this->takeTable(*update.table);
+    }
+    for (const auto &[id, upstream] : this->upstreams) {
+        upstream->setShare(update.trafficShare);
+    }
+    for (auto &[service, budget] : this->budgets) {
+        budget.setGateways(update.gateways);
+    }
+    if (hasNewTable) {
+        this->wakeTableWaits();
+    }
+}
+
+void GatewayCore::takeDocument(const std::string &document)
+{
+    auto decoded = this->codec.decodeConfiguration(document);
+    if (const auto *fault = std::get_if<DocumentFault>(&decoded)) {
+        this->log.write({ "configuration_unreadable",
+                          Event::Weight::Always,
+                          { { "reason", fault->reason } } });
+        return;
+    }
+    auto &configuration = std::get<SiteConfiguration>(decoded);
+    this->log.write({ "configuration",
+                      Event::Weight::Always,
+                      { { "version", std::int64_t(configuration.version) },
+                        { "routes", std::int64_t(configuration.routes.size()) } } });
+    this->routing.active = std::make_shared<const ActiveConfiguration>(std::move(configuration));
+}
+
+void GatewayCore::takeTable(const RoutingTable &table)
+{
+    this->routing.table = std::make_shared<const RoutingTable>(table);
+    std::map<std::string, std::shared_ptr<GatewayUpstream>> kept;
+    for (const RoutedUpstream &routed : table.upstreams) {
+        const std::string &id = routed.upstream.life.id;
+        const auto known = this->upstreams.find(id);
+        const bool isSame = known != this->upstreams.end()
+                            && known->second->upstream().life == routed.upstream.life;
+        if (isSame) {
+            known->second->setRouted(routed);
+            kept.emplace(id, known->second);
+            continue;
+        }
+        kept.emplace(id, std::make_shared<GatewayUpstream>(
+                                 routed, this->distanceTo(routed.upstream.zone)));
+    }
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (!kept.contains(id) || kept.at(id) != upstream) {
+            this->httpClient.trimIdle(upstream->upstream().address, 0);
+        }
+    }
+    this->upstreams = std::move(kept);
+}
+
+Distance GatewayCore::distanceTo(const std::string &zone) const
+{
+    if (zone == this->settings.zone) {
+        return Distance::SameZone;
+    }
+    const auto own = this->settings.regions.find(this->settings.zone);
+    const auto other = this->settings.regions.find(zone);
+    const bool sameRegion = own != this->settings.regions.end()
+                            && other != this->settings.regions.end()
+                            && own->second == other->second;
+    return sameRegion ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+GatewayReport GatewayCore::takeReport()
+{
+    GatewayReport report;
+    report.gateway = this->settings.host;
+    report.zone = this->settings.zone;
+    report.tableTag = this->routing.tableTag;
+    report.version = this->routing.version();
+    report.requests = std::exchange(this->requestCount, 0);
+    for (const auto &[key, requests] : std::exchange(this->keyRequests, {})) {
+        report.keys.push_back({ key.first, key.second, requests });
+    }
+    for (const auto &[id, upstream] : this->upstreams) {
+        UpstreamTiming timing = upstream->takeTiming();
+        if (timing.requests > 0) {
+            report.timings.push_back(std::move(timing));
+        }
+    }
+    return report;
+}
+
+std::shared_ptr<GatewayUpstream> GatewayCore::upstream(const std::string &id) const
+{
+    const auto found = this->upstreams.find(id);
+    return found == this->upstreams.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<GatewayUpstream> GatewayCore::choose(const std::string &service,
+                                                     const std::vector<std::string> &tried) const
+{
+    // Doubtful upstreams are used only when there are no others.
+    constexpr double doubtCost = 1e6;
+    const TimePoint now = this->loop.now();
+    std::shared_ptr<GatewayUpstream> best;
+    double bestCost = 0.0;
+    for (const auto &[id, upstream] : this->upstreams) {
+        const SiteUpstream &known = upstream->upstream();
+        if (known.service != service || known.phase != UpstreamPhase::Ready
+            || std::find(tried.begin(), tried.end(), id) != tried.end()) {
+            continue;
+        }
+        double cost = upstream->cost(now);
+        if (upstream->isSuspected(now)) {
+            cost += doubtCost;
+        }
+        if (best == nullptr || cost < bestCost) {
+            best = upstream;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+const std::string &GatewayCore::chooseService(const SiteRoute &route)
+{
+    if (route.services.size() == 1) {
+        return route.services.front().service;
+    }
+    return this->rotations[route.host + route.pathPrefix].next(route.services);
+}
+
+SiteRetryBudget &GatewayCore::budget(const std::string &service)
+{
+    const SiteBounds &bounds = this->settings.bounds;
+    const auto [entry, isNew] = this->budgets.try_emplace(
+            service, bounds.retryShare, bounds.retrySlack, bounds.retryWindow);
+    if (isNew) {
+        entry->second.setGateways(this->routing.gateways);
+    }
+    return entry->second;
+}
+
+void GatewayCore::countRequest(const std::string &service, std::optional<KeyNumber> key)
+{
+    ++this->requestCount;
+    this->budget(service).countRequest(this->loop.now());
+    if (key) {
+        ++this->keyRequests[{ service, *key }];
+    }
+}
+
+std::uint64_t GatewayCore::waitForTable(std::function<void()> wake)
+{
+    this->tableWaits.emplace(++this->lastWait, std::move(wake));
+    return this->lastWait;
+}
+
+void GatewayCore::wakeTableWaits()
+{
+    for (const auto &[number, wake] : std::exchange(this->tableWaits, {})) {
+        wake();
+    }
+}
+
+void GatewayCore::waitForRoom(GatewayRequestId id, std::function<void()> start)
+{
+    this->roomWaits.emplace(id, std::move(start));
+}
+
+void GatewayCore::startWaiting(GatewayUpstream &upstream)
+{
+    while (const std::optional<GatewayRequestId> id = upstream.admission().next()) {
+        const auto found = this->roomWaits.find(*id);
+        if (found == this->roomWaits.end()) {
+            upstream.admission().finishWithoutAnswer();
+            continue;
+        }
+        const std::function<void()> start = std::move(found->second);
+        this->roomWaits.erase(found);
+        start();
+    }
+}
+
+void GatewayCore::countOutcome(RouteKind kind, const std::string &outcome, Milliseconds total,
+                               Milliseconds queued)
+{
+    const std::string name = kindName(kind);
+    this->metrics
+            .counter("cassiaroad_gateway_requests_total", "Requests by kind of route and outcome.",
+                     { { "kind", name }, { "outcome", outcome } })
+            .Increment();
+    this->metrics
+            .histogram("cassiaroad_gateway_seconds", "Time from a request's arrival to its answer.",
+                       secondsBuckets, { { "kind", name } })
+            .Observe(toSeconds(total));
+    this->metrics
+            .histogram("cassiaroad_gateway_queue_seconds",
+                       "Time that a request waited in the gateway.", secondsBuckets,
+                       { { "kind", name } })
+            .Observe(toSeconds(queued));
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/gatewayprocess.cpp
@@ -0,0 +1,176 @@
+#include "gateway/gatewayprocess.h"
+
+#include "connection/metricsserver.h"
+#include "gateway/gatewayrequest.h"
+#include "gateway/registrywatcher.h"
+#include "process/settingswatcher.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+// The balancer asks every second and needs two refusals to take a gateway out.
+constexpr Milliseconds balancerDelay { 2300 };
+// The process ends this long before it would be killed.
+constexpr Milliseconds killMargin { 300 };
+constexpr std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
+constexpr std::uint32_t maxClients = 2500;
+
+HttpServerLimits clientLimits()
+{
+    HttpServerLimits limits;
+    limits.maxBodyBytes = maxBodyBytes;
+    limits.maxConnections = maxClients;
+    return limits;
+}
+
+class GatewayProcess
+{
+public:
+    GatewayProcess(EventLoop &loop, const SiteSettings &settings, const std::string &settingsFile,
+                   const OutsideCodec &codec)
+        : loop(loop)
+        , settings(settings)
+        , codec(codec)
+        , log(settings.host)
+        , core(loop, settings, codec, this->metrics, this->log)
+        , watcher(loop, settings, this->log,
+                  { [this] { return this->core.takeReport(); },
+                    [this](const GatewayUpdate &update) { this->core.update(update); } })
+        , callers(loop, clientLimits(),
+                  [this](std::shared_ptr<HttpExchange> exchange) {
+                      GatewayRequest::begin(this->core, std::move(exchange));
+                  })
+        , readiness(loop, {},
+                    [this](const std::shared_ptr<HttpExchange> &exchange) {
+                        this->answerReadiness(*exchange);
+                    })
+        , metricsServer(loop, this->metrics, [this] { this->updateMetrics(); })
+        , settingsWatcher(loop, settingsFile, this->log, [this](const SiteSettings &changed) {
+            this->watcher.setSeeds(changed.seeds);
+        })
+    { }
+
+    std::string start();
+    void stop();
+
+private:
+    bool isReady() const;
+    void answerReadiness(HttpExchange &exchange);
+    void updateMetrics();
+    void finish();
+
+    EventLoop &loop;
+    const SiteSettings &settings;
+    const OutsideCodec &codec;
+    EventLog log;
+    Metrics metrics;
+    GatewayCore core;
+    RegistryWatcher watcher;
+    HttpServer callers;
+    HttpServer readiness;
+    MetricsServer metricsServer;
+    SettingsWatcher settingsWatcher;
+    bool stopping = false;
+    EventLoop::Timer closeTimer;
+    EventLoop::Timer endTimer;
+};
+
+std::string GatewayProcess::start()
+{
+    this->log.write(
+            { "start", Event::Weight::Always, { { "role", std::string("gateway") } } });
+    const auto &role = std::get<GatewaySettings>(this->settings.role);
+    std::string reason = this->callers.listen(role.callers);
+    if (reason.empty()) {
+        reason = this->readiness.listen(role.readiness);
+    }
+    if (reason.empty() && this->settings.metricsPort != 0) {
+        reason = this->metricsServer.listen({ this->settings.ip, this->settings.metricsPort });
+    }
+    if (reason.empty()) {
+        this->watcher.start();
+    }
+    return reason;
+}
+
+bool GatewayProcess::isReady() const
+{
+    return !this->stopping && this->core.view().active && this->core.view().table;
+}
+
+void GatewayProcess::answerReadiness(HttpExchange &exchange)
+{
+    if (exchange.path() != this->codec.readinessPath()) {
+        exchange.answer(statusNotFound, {}, {});
+        return;
+    }
+    exchange.answer(this->isReady() ? statusOk : statusUnavailable, {}, {});
+}
+
+// New connections still arrive until the balancer has noticed.
+void GatewayProcess::stop()
+{
+    if (this->stopping) {
+        return;
+    }
+    this->stopping = true;
+    this->log.write({ "stop", Event::Weight::Always, {} });
+    this->closeTimer = this->loop.callAfter(balancerDelay, [this] {
+        this->callers.shutDown([this] { this->finish(); });
+    });
+    this->endTimer = this->loop.callAfter(this->settings.bounds.stopGrace - killMargin,
+                                          [this] { this->finish(); });
+}
+
+void GatewayProcess::finish()
+{
+    this->log.write({ "stopped", Event::Weight::Always, {} });
+    this->loop.stop();
+}
+
+void GatewayProcess::updateMetrics()
+{
+    const RoutingView &view = this->core.view();
+    this->metrics.gauge("cassiaroad_gateway_configuration", "Version of the configuration in use.")
+            .Set(view.version());
+    this->metrics
+            .gauge("cassiaroad_gateway_table_age_seconds",
+                   "Time since the leader last confirmed the routing table.")
+            .Set(static_cast<double>((this->loop.now() - view.tableAt).count) / 1000.0);
+    this->metrics.gauge("cassiaroad_gateway_connections", "Open connections of clients.")
+            .Set(static_cast<double>(this->callers.connectionCount()));
+    this->metrics
+            .gauge("cassiaroad_log_lines_suppressed", "Log lines left out to bound the volume.")
+            .Set(static_cast<double>(this->log.suppressedCount()));
+    this->metrics.gauge("cassiaroad_log_lines_dropped", "Log lines that the reader did not take.")
+            .Set(static_cast<double>(this->log.droppedCount()));
+}
+
+} // namespace
+
+int runGatewayProcess(const SiteSettings &settings, const std::string &settingsFile,
+                      const OutsideCodec &codec)
+{
+    EventLoop loop;
+    GatewayProcess process(loop, settings, settingsFile, codec);
+    const std::string reason = process.start();
+    if (!reason.empty()) {
+        EventLog(settings.host)
+                .write({ "failed", Event::Weight::Always, { { "reason", reason } } });
+        return 1;
+    }
+    for (const int signal : { SIGTERM, SIGINT }) {
+        loop.onSignal(signal, [&process] { process.stop(); });
+    }
+    loop.run();
+    return 0;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/gatewayrequest.cpp
@@ -0,0 +1,528 @@
+#include "gateway/gatewayrequest.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusMisdirected = 421;
+constexpr int statusServerError = 500;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+constexpr Milliseconds defaultClientTime { 10000 };
+constexpr std::size_t maxAnswerBytes = std::size_t(64) * 1024 * 1024;
+// A planned change of owner takes about half a second; a lost owner takes longer.
+constexpr Milliseconds ownerWait { 700 };
+// The new owner may learn of its keys some milliseconds after the gateway.
+constexpr Milliseconds misdirectedDelay { 60 };
+constexpr Milliseconds shedDelay { 25 };
+constexpr Milliseconds connectTimeout { 400 };
+constexpr Milliseconds reconnectDelay { 20 };
+constexpr Milliseconds callCheck { 50 };
+// An idempotent request that takes this many times the usual is sent again.
+constexpr std::int64_t slowFactor = 6;
+constexpr Milliseconds shortestSlow { 600 };
+constexpr std::uint32_t mostSends = 4;
+constexpr Milliseconds shortestRetryAfter { 50 };
+
+template <typename Number>
+std::optional<Number> parseNumber(std::string_view text)
+{
+    Number number {};
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc() && stop == end ? std::optional(number) : std::nullopt;
+}
+
+std::string secondsText(Milliseconds span)
+{
+    const std::string digits = std::to_string(1000 + span.count % 1000);
+    return std::to_string(span.count / 1000) + "." + digits.substr(1);
+}
+
+} // namespace
+
+void GatewayRequest::begin(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
+{
+    const auto request = std::make_shared<GatewayRequest>(core, std::move(exchange));
+    request->self = request;
+    request->start();
+}
+
+GatewayRequest::GatewayRequest(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
+    : core(core)
+    , exchange(std::move(exchange))
+    , id(core.nextRequestId())
+    , arrived(core.eventLoop().now())
+    , finishBy(this->arrived + defaultClientTime)
+{ }
+
+std::function<void()> GatewayRequest::callback(Step step)
+{
+    return [weak = this->weak_from_this(), step] {
+        if (const auto request = weak.lock(); request && !request->ended) {
+            (*request.*step)();
+        }
+    };
+}
+
+Milliseconds GatewayRequest::left() const
+{
+    return std::max(this->finishBy - this->core.eventLoop().now(), Milliseconds {});
+}
+
+Milliseconds GatewayRequest::typicalDuration() const
+{
+    return this->target ? this->target->admission().typicalDuration() : Milliseconds { 100 };
+}
+
+void GatewayRequest::start()
+{
+    if (!this->findRoute() || !this->readKey()) {
+        return;
+    }
+    this->core.countRequest(this->service, this->key);
+    this->exchange->onClientGone(this->callback(&GatewayRequest::onClientGone));
+    this->deadlineTimer = this->core.eventLoop().callAfter(
+            this->left(), this->callback(&GatewayRequest::onDeadline));
+    this->dispatch();
+}
+
+// Answers the request and returns false if it has no route.
+bool GatewayRequest::findRoute()
+{
+    const OutsideHeaders &names = this->core.outsideCodec().headers();
+    this->clientTime = defaultClientTime;
+    if (const auto wait = parseNumber<std::int64_t>(this->exchange->header(names.deadline))) {
+        this->clientTime = { std::max<std::int64_t>(*wait, 1) };
+    }
+    this->finishBy = this->arrived + this->clientTime;
+    this->active = this->core.view().active;
+    if (!this->active) {
+        this->refuse("no configuration yet");
+        return false;
+    }
+    this->route = this->active->routes.find(this->exchange->header("host"), this->exchange->path());
+    if (this->route == nullptr) {
+        this->finish(statusNotFound, {}, {}, "no route");
+        return false;
+    }
+    this->finishBy = this->arrived + std::min(this->clientTime, this->route->timeout);
+    this->service = this->core.chooseService(*this->route);
+    this->keyed = this->active->configuration.services.at(this->service).keyed;
+    return true;
+}
+
+// Answers the request and returns false if its service needs a key that it does not have.
+bool GatewayRequest::readKey()
+{
+    if (!this->keyed) {
+        return true;
+    }
+    this->key = parseNumber<KeyNumber>(
+            this->exchange->header(this->core.outsideCodec().headers().key));
+    if (!this->key || *this->key > lastKey) {
+        this->finish(statusBadRequest, {}, {}, "no key");
+        return false;
+    }
+    return true;
+}
+
+void GatewayRequest::dispatch()
+{
+    this->target.reset();
+    if (!this->core.view().table) {
+        this->refuse("no routing table yet");
+        return;
+    }
+    if (!this->keyed) {
+        std::shared_ptr<GatewayUpstream> chosen = this->core.choose(this->service, this->tried);
+        if (!chosen) {
+            this->refuse("no upstream left");
+            return;
+        }
+        this->enter(std::move(chosen));
+        return;
+    }
+    std::shared_ptr<GatewayUpstream> owner = this->findOwner();
+    if (!owner) {
+        this->waitForOwner();
+        return;
+    }
+    if (owner->isSuspected(this->core.eventLoop().now())) {
+        this->refuse("owner does not answer");
+        return;
+    }
+    this->enter(std::move(owner));
+}
+
+std::shared_ptr<GatewayUpstream> GatewayRequest::findOwner() const
+{
+    const RoutedRange *range = this->core.view().table->find(this->service, *this->key);
+    if (range == nullptr || range->phase != RangePhase::Owned) {
+        return nullptr;
+    }
+    return this->core.upstream(range->upstream);
+}
+
+void GatewayRequest::waitForOwner()
+{
+    const Milliseconds useful = this->left() - this->typicalDuration();
+    if (useful <= Milliseconds {}) {
+        this->refuse("key has no owner");
+        return;
+    }
+    const TimePoint now = this->core.eventLoop().now();
+    const Milliseconds rest = this->arrived + ownerWait - now;
+    if (rest <= Milliseconds {}) {
+        this->refuse("key has no owner");
+        return;
+    }
+    this->queuedAt = now;
+    this->tableWait = this->core.waitForTable(this->callback(&GatewayRequest::dispatch));
+    this->waitTimer = this->core.eventLoop().callAfter(
+            std::min(rest, useful), [weak = this->weak_from_this()] {
+                if (const auto request = weak.lock(); request && !request->ended) {
+                    request->stopWaiting();
+                    request->refuse("key has no owner");
+                }
+            });
+}
+
+void GatewayRequest::enter(std::shared_ptr<GatewayUpstream> chosen)
+{
+    this->target = std::move(chosen);
+    const TimePoint now = this->core.eventLoop().now();
+    const AdmissionTicket ticket { this->id, this->route->priority, this->finishBy };
+    switch (this->target->admission().enter(ticket, now)) {
+    case Admission::Start:
+        this->occupies = true;
+        this->send();
+        return;
+    case Admission::Refuse:
+        this->refuse("upstream is busy");
+        return;
+    case Admission::Wait:
+        break;
+    }
+    this->queuedAt = now;
+    this->core.waitForRoom(this->id, [weak = this->weak_from_this()] {
+        const auto request = weak.lock();
+        if (!request || request->ended) {
+            return;
+        }
+        request->occupies = true;
+        request->queued = request->core.eventLoop().now() - request->queuedAt;
+        request->waitTimer = EventLoop::Timer();
+        request->send();
+    });
+    const Milliseconds useful = this->left() - this->typicalDuration() * 3 / 4;
+    this->waitTimer = this->core.eventLoop().callAfter(
+            std::max(useful, Milliseconds {}), [weak = this->weak_from_this()] {
+                if (const auto request = weak.lock(); request && !request->ended) {
+                    request->stopWaiting();
+                    request->refuse("waited too long");
+                }
+            });
+}
+
+void GatewayRequest::stopWaiting()
+{
+    this->waitTimer = EventLoop::Timer();
+    if (this->tableWait != 0) {
+        this->core.forgetWait(std::exchange(this->tableWait, 0));
+    }
+    this->core.forgetRoom(this->id);
+    if (this->target && !this->occupies) {
+        this->target->admission().remove(this->id);
+    }
+}
+
+HttpRequest GatewayRequest::buildRequest() const
+{
+    const OutsideHeaders &names = this->core.outsideCodec().headers();
+    HttpRequest request;
+    request.method = this->exchange->method();
+    request.path = this->exchange->path();
+    request.body = this->exchange->body();
+    request.identityHeader = names.requestId;
+    request.requiresIdentity = true;
+    request.headers = HopHeaders::endToEnd(this->exchange->headers()).value_or(Headers {});
+    std::erase_if(request.headers, [&](const auto &header) {
+        return header.first == names.deadline || header.first == names.expectedUpstream;
+    });
+    request.headers.emplace_back("host", this->exchange->header("host"));
+    request.headers.emplace_back(names.deadline, std::to_string(this->left().count));
+    request.headers.emplace_back(names.expectedUpstream, this->target->upstream().life.id);
+    return request;
+}
+
+void GatewayRequest::send()
+{
+    ++this->sends;
+    this->sentAt = this->core.eventLoop().now();
+    this->outcomeUnknown = false;
+    const std::string &upstreamId = this->target->upstream().life.id;
+    if (std::find(this->tried.begin(), this->tried.end(), upstreamId) == this->tried.end()) {
+        this->tried.push_back(upstreamId);
+    }
+    this->call = this->core.client().send(
+            this->target->upstream().address, this->buildRequest(), maxAnswerBytes,
+            [weak = this->weak_from_this()](HttpResult result) {
+                if (const auto request = weak.lock(); request && !request->ended) {
+                    request->onResult(std::move(result));
+                }
+            });
+    this->watchCall();
+}
+
+// Gives up connections that do not open, and idempotent requests that take far too long.
+void GatewayRequest::watchCall()
+{
+    this->callTimer = this->core.eventLoop().callAfter(callCheck, [weak = this->weak_from_this()] {
+        const auto request = weak.lock();
+        if (!request || request->ended || !request->call) {
+            return;
+        }
+        const Milliseconds taken = request->core.eventLoop().now() - request->sentAt;
+        if (!request->call->isSent()) {
+            if (taken >= connectTimeout) {
+                request->call.reset();
+                request->onFailure({ HttpFailure::Stage::Connect, "connect timeout", false });
+                return;
+            }
+        } else if (request->route->kind == RouteKind::Safe) {
+            const Milliseconds slow
+                    = std::max(request->typicalDuration() * slowFactor, shortestSlow);
+            const bool useful = request->left() > request->typicalDuration();
+            if (taken >= slow && useful && request->mayRepeat()) {
+                const TimePoint openedAt = request->call->connectionOpenedAt();
+                request->call.reset();
+                request->core.client().closeIdle(request->target->upstream().address,
+                                                 openedAt + Milliseconds { 1 });
+                request->onFailure({ HttpFailure::Stage::Sent, "no answer", false });
+                return;
+            }
+        }
+        request->watchCall();
+    });
+}
+
+void GatewayRequest::onResult(HttpResult result)
+{
+    this->callTimer = EventLoop::Timer();
+    const std::unique_ptr<HttpClient::Call> endedCall = std::move(this->call);
+    if (auto *answer = std::get_if<HttpAnswer>(&result)) {
+        this->onAnswer(std::move(*answer));
+        return;
+    }
+    this->onFailure(std::get<HttpFailure>(result));
+}
+
+void GatewayRequest::releaseUpstream()
+{
+    if (!this->occupies) {
+        return;
+    }
+    this->occupies = false;
+    this->target->admission().finishWithoutAnswer();
+    this->core.startWaiting(*this->target);
+}
+
+void GatewayRequest::onAnswer(HttpAnswer answer)
+{
+    const OutsideHeaders &names = this->core.outsideCodec().headers();
+    const bool notExecuted = !HopHeaders::find(answer.headers, names.notExecuted).empty();
+    if (notExecuted || answer.status == statusMisdirected) {
+        this->onNotExecuted(answer);
+        return;
+    }
+    const TimePoint now = this->core.eventLoop().now();
+    const Milliseconds duration = now - this->sentAt;
+    this->occupies = false;
+    this->target->admission().finish(duration);
+    if (answer.status >= statusServerError) {
+        this->target->noteError(now);
+    } else {
+        this->target->noteAnswer(
+                duration, parseLoad(HopHeaders::find(answer.headers, names.upstreamLoad), now),
+                now);
+    }
+    this->core.startWaiting(*this->target);
+    if (answer.status >= statusServerError && this->route->kind == RouteKind::Safe
+        && this->left() > this->typicalDuration() && this->mayRepeat()) {
+        this->repeatAfter({});
+        return;
+    }
+    this->finish(answer.status, HopHeaders::ofAnswer(answer.headers), std::move(answer.body),
+                 answer.status < statusServerError ? "answered" : "upstream failed");
+}
+
+// The upstream refused the request before it ran.
+void GatewayRequest::onNotExecuted(const HttpAnswer &answer)
+{
+    const bool misdirected = answer.status == statusMisdirected;
+    if (misdirected) {
+        this->releaseUpstream();
+    } else {
+        this->occupies = false;
+        this->target->admission().finishShed(this->core.eventLoop().now());
+        this->core.startWaiting(*this->target);
+    }
+    if (this->left() <= this->typicalDuration() || !this->mayRepeat()) {
+        this->refuse(misdirected ? "owner has changed" : "upstream is full");
+        return;
+    }
+    if (!this->keyed) {
+        this->repeatAfter({});
+        return;
+    }
+    this->repeatAfter(misdirected ? misdirectedDelay : shedDelay);
+}
+
+void GatewayRequest::onFailure(const HttpFailure &failure)
+{
+    this->callTimer = EventLoop::Timer();
+    this->releaseUpstream();
+    this->target->noteFailure(this->core.eventLoop().now());
+    const bool notSent = failure.stage == HttpFailure::Stage::Connect
+                         || failure.stage == HttpFailure::Stage::Withdrawn;
+    const bool useful = this->left() > this->typicalDuration();
+    if (notSent) {
+        if (useful && this->sends < mostSends) {
+            this->repeatAfter(reconnectDelay);
+        } else {
+            this->refuse("cannot connect to upstream: " + failure.reason);
+        }
+        return;
+    }
+    if (this->route->kind == RouteKind::Safe && useful && this->mayRepeat()) {
+        this->repeatAfter({});
+        return;
+    }
+    this->outcomeUnknown = true;
+    this->fail(statusBadGateway, "outcome unknown: " + failure.reason);
+}
+
+// Whether the request may reach an upstream once more; takes it from the budget.
+bool GatewayRequest::mayRepeat() const
+{
+    if (this->sends >= mostSends) {
+        return false;
+    }
+    if (!this->keyed && this->tried.size() >= this->route->attempts) {
+        return false;
+    }
+    return this->core.budget(this->service).take(this->core.eventLoop().now());
+}
+
+void GatewayRequest::repeatAfter(Milliseconds delay)
+{
+    this->waitTimer = this->core.eventLoop().callAfter(
+            delay, this->callback(&GatewayRequest::dispatch));
+}
+
+void GatewayRequest::onDeadline()
+{
+    if (this->call && this->call->isSent()) {
+        this->outcomeUnknown = true;
+        this->target->noteFailure(this->core.eventLoop().now());
+        this->fail(statusGatewayTimeout, "no answer in time");
+        return;
+    }
+    this->refuse("not sent in time");
+}
+
+void GatewayRequest::onClientGone()
+{
+    this->logOutcome(0, "client gone");
+    this->ended = true;
+    this->stopWaiting();
+    this->call.reset();
+    this->releaseUpstream();
+    const std::shared_ptr<GatewayRequest> kept = std::move(this->self);
+}
+
+// Answers that the request was not run and when the client may come back.
+void GatewayRequest::refuse(const std::string &reason)
+{
+    const Milliseconds clientLeft
+            = this->clientTime - (this->core.eventLoop().now() - this->arrived);
+    const Milliseconds wanted = std::max(this->typicalDuration(), shortestRetryAfter);
+    const Milliseconds after = std::clamp(wanted, Milliseconds {},
+                                          std::max(clientLeft / 3, Milliseconds {}));
+    this->finish(statusUnavailable, { { "retry-after", secondsText(after) } }, {}, reason);
+}
+
+void GatewayRequest::fail(int status, const std::string &reason)
+{
+    this->finish(status, {}, {}, reason);
+}
+
+void GatewayRequest::finish(int status, Headers headers, std::string body,
+                            const std::string &outcome)
+{
+    this->ended = true;
+    this->stopWaiting();
+    this->call.reset();
+    this->releaseUpstream();
+    this->logOutcome(status, outcome);
+    if (this->route != nullptr) {
+        const std::string group = status < statusBadRequest ? "answered"
+                                  : status == statusUnavailable ? "refused"
+                                  : status == statusBadGateway
+                                                  || status == statusGatewayTimeout
+                                          ? "unknown"
+                                          : "failed";
+        this->core.countOutcome(this->route->kind, group,
+                                this->core.eventLoop().now() - this->arrived, this->queued);
+    }
+    const std::shared_ptr<GatewayRequest> kept = std::move(this->self);
+    if (!this->exchange->isClientGone()) {
+        this->exchange->answer(status, std::move(headers), std::move(body));
+    }
+}
+
+void GatewayRequest::logOutcome(int status, const std::string &outcome)
+{
+    const bool isUsual = status >= statusOk && status < statusServerError;
+    const auto weight = isUsual ? Event::Weight::Sampled : Event::Weight::Important;
+    const char *const name = isUsual ? "request" : "request_failed";
+    EventLog &log = this->core.events();
+    if (!log.hasRoom(name, weight)) {
+        return;
+    }
+    const RoutingView &view = this->core.view();
+    const TimePoint now = this->core.eventLoop().now();
+    const OutsideHeaders &names = this->core.outsideCodec().headers();
+    Event event { name, weight, {} };
+    event.fields = {
+        { "request", std::string(this->exchange->header(names.requestId)) },
+        { "outcome", outcome },
+        { "status", std::int64_t(status) },
+        { "ms", (now - this->arrived).count },
+        { "queued_ms", this->queued.count },
+        { "left_ms", this->left().count },
+        { "service", this->service },
+        { "key", this->key ? std::int64_t(*this->key) : std::int64_t(-1) },
+        { "upstream", this->target ? this->target->upstream().life.id : std::string() },
+        { "in_flight",
+          this->target ? std::int64_t(this->target->admission().inFlight()) : std::int64_t(0) },
+        { "sends", std::int64_t(this->sends) },
+        { "configuration",
+          std::int64_t(this->active ? this->active->configuration.version : 0) },
+        { "table", std::int64_t(view.tableTag) },
+        { "table_age_ms", (now - view.tableAt).count },
+    };
+    log.write(event);
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/gatewayrequest.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "connection/httpserver.h"
+#include "gateway/gatewaycore.h"
+#include "request/hopheaders.h"
+
+namespace cassiaroad {
+
+/**
+ * One request of a client, from its arrival to its answer. It keeps itself alive until it is
+ * answered or the client has gone. Loop thread only.
+ */
+class GatewayRequest : public std::enable_shared_from_this<GatewayRequest>
+{
+public:
+    /** Takes over the request. @p core must outlive it. */
+    static void begin(GatewayCore &core, std::shared_ptr<HttpExchange> exchange);
+
+    GatewayRequest(GatewayCore &core, std::shared_ptr<HttpExchange> exchange);
+
+private:
+    using Step = void (GatewayRequest::*)();
+
+    void start();
+    bool findRoute();
+    bool readKey();
+    void dispatch();
+    std::shared_ptr<GatewayUpstream> findOwner() const;
+    void waitForOwner();
+    void enter(std::shared_ptr<GatewayUpstream> target);
+    void send();
+    HttpRequest buildRequest() const;
+    void watchCall();
+    void onResult(HttpResult result);
+    void onAnswer(HttpAnswer answer);
+    void onNotExecuted(const HttpAnswer &answer);
+    void onFailure(const HttpFailure &failure);
+    void onDeadline();
+    void onClientGone();
+    bool mayRepeat() const;
+    void repeatAfter(Milliseconds delay);
+    void releaseUpstream();
+    void refuse(const std::string &reason);
+    void fail(int status, const std::string &reason);
+    void finish(int status, Headers headers, std::string body, const std::string &outcome);
+    void logOutcome(int status, const std::string &outcome);
+    void stopWaiting();
+    Milliseconds left() const;
+    Milliseconds typicalDuration() const;
+    std::function<void()> callback(Step step);
+
+    GatewayCore &core;
+    std::shared_ptr<HttpExchange> exchange;
+    GatewayRequestId id;
+    TimePoint arrived;
+    TimePoint finishBy;
+    Milliseconds clientTime { 0 }; // that the client waits in all
+    std::shared_ptr<const ActiveConfiguration> active; // keeps the route valid
+    const SiteRoute *route = nullptr;
+    std::string service;
+    bool keyed = false;
+    std::optional<KeyNumber> key;
+
+    std::shared_ptr<GatewayUpstream> target;
+    bool occupies = false; // counts as in flight at the target
+    std::unique_ptr<HttpClient::Call> call;
+    std::vector<std::string> tried; // ids of upstreams that the request was sent to
+    std::uint32_t sends = 0;
+    bool outcomeUnknown = false; // the last send may have run
+    TimePoint sentAt;
+    TimePoint queuedAt;
+    Milliseconds queued { 0 };
+    std::uint64_t tableWait = 0;
+    bool ended = false;
+    EventLoop::Timer deadlineTimer;
+    EventLoop::Timer waitTimer;
+    EventLoop::Timer callTimer;
+    std::shared_ptr<GatewayRequest> self; // until the request has ended
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/gatewayupstream.cpp
@@ -0,0 +1,146 @@
+#include "gateway/gatewayupstream.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+// Requests that all gateways together keep at an upstream, for each of its slots. The rest waits
+// in the gateways, where the most urgent goes first.
+constexpr double requestsPerSlot = 2.5;
+constexpr double warmingPart = 0.5;
+constexpr double smoothing = 0.15;
+constexpr double defaultMilliseconds = 100.0;
+constexpr Milliseconds loadMaxAge { 1500 };
+constexpr Milliseconds shortestSuspicion { 400 };
+constexpr Milliseconds longestSuspicion { 3000 };
+constexpr std::uint32_t failuresBeforeSuspicion = 2;
+// Traffic between regions is slow and paid by volume.
+constexpr double sameRegionMilliseconds = 3.0;
+constexpr double otherRegionMilliseconds = 150.0;
+
+double distanceCost(Distance distance)
+{
+    switch (distance) {
+    case Distance::SameZone:
+        return 0.0;
+    case Distance::SameRegion:
+        return sameRegionMilliseconds;
+    case Distance::OtherRegion:
+        return otherRegionMilliseconds;
+    }
+    return 0.0;
+}
+
+} // namespace
+
+std::optional<ToldLoad> parseLoad(std::string_view text, TimePoint now)
+{
+    ToldLoad load;
+    load.at = now;
+    std::uint32_t *const fields[] = { &load.running, &load.waiting, &load.slots };
+    const char *position = text.data();
+    const char *const end = text.data() + text.size();
+    for (std::uint32_t *field : fields) {
+        const auto [stop, error] = std::from_chars(position, end, *field);
+        if (error != std::errc()) {
+            return std::nullopt;
+        }
+        position = stop == end ? end : stop + 1;
+    }
+    return load;
+}
+
+GatewayUpstream::GatewayUpstream(RoutedUpstream routed, Distance distance)
+    : routed(std::move(routed))
+    , distance(distance)
+{
+    this->timing.upstream = this->routed.upstream.life.id;
+}
+
+void GatewayUpstream::setShare(double trafficShare)
+{
+    const double part = this->routed.warming ? warmingPart : 1.0;
+    const double capacity
+            = trafficShare * requestsPerSlot * part * this->routed.upstream.slots;
+    this->requests.setCapacity(
+            std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::ceil(capacity))));
+}
+
+void GatewayUpstream::noteAnswer(Milliseconds duration, const std::optional<ToldLoad> &told,
+                                 TimePoint /*now*/)
+{
+    this->failuresInRow = 0;
+    this->suspectedUntil = {};
+    this->errorShare *= 1.0 - smoothing;
+    if (told) {
+        this->load = told;
+        this->inFlightAtLoad = this->requests.inFlight();
+    }
+    const bool waited = told && told->waiting > 0;
+    if (waited) {
+        return;
+    }
+    const auto sample = static_cast<double>(duration.count);
+    this->serviceMilliseconds += (sample - this->serviceMilliseconds)
+                                 * (this->serviceMilliseconds == 0.0 ? 1.0 : smoothing);
+    if (this->distance != Distance::OtherRegion) {
+        ++this->timing.requests;
+        this->timing.milliseconds += static_cast<std::uint64_t>(duration.count);
+    }
+}
+
+void GatewayUpstream::noteFailure(TimePoint now)
+{
+    ++this->failuresInRow;
+    if (this->failuresInRow < failuresBeforeSuspicion) {
+        return;
+    }
+    const std::uint32_t doublings
+            = std::min<std::uint32_t>(this->failuresInRow - failuresBeforeSuspicion, 4);
+    const Milliseconds span = std::min(shortestSuspicion * (std::int64_t(1) << doublings),
+                                       longestSuspicion);
+    this->suspectedUntil = now + span;
+}
+
+void GatewayUpstream::noteError(TimePoint /*now*/)
+{
+    this->errorShare += (1.0 - this->errorShare) * smoothing;
+}
+
+double GatewayUpstream::busySlots(TimePoint now) const
+{
+    const double own = this->requests.inFlight();
+    if (!this->load || now - this->load->at > loadMaxAge) {
+        return own;
+    }
+    const double told = this->load->running + this->load->waiting;
+    return std::max(own, told + own - this->inFlightAtLoad);
+}
+
+double GatewayUpstream::cost(TimePoint now) const
+{
+    const double service
+            = this->serviceMilliseconds > 0.0 ? this->serviceMilliseconds : defaultMilliseconds;
+    const double slots = std::max<double>(this->routed.upstream.slots, 1.0);
+    const double queue
+            = std::max(1.0, (this->busySlots(now) + this->requests.waitingCount() + 1.0) / slots);
+    // A part of the requests fails at once; they take the time of further attempts.
+    const double errors = 1.0 + 4.0 * this->errorShare;
+    const double warming = this->routed.warming ? 1.0 / warmingPart : 1.0;
+    return service * queue * errors * warming + distanceCost(this->distance);
+}
+
+UpstreamTiming GatewayUpstream::takeTiming()
+{
+    UpstreamTiming taken = this->timing;
+    this->timing.requests = 0;
+    this->timing.milliseconds = 0;
+    return taken;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/gatewayupstream.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "request/upstreamadmission.h"
+#include "version/routingtable.h"
+#include "version/sitewatch.h"
+
+namespace cassiaroad {
+
+/** Load that an upstream told with an answer. */
+struct ToldLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    TimePoint at;
+
+    bool operator==(const ToldLoad &) const = default;
+};
+
+/** Reads "running,waiting,slots". */
+std::optional<ToldLoad> parseLoad(std::string_view text, TimePoint now);
+
+/** Where an upstream stands, as seen from a gateway. */
+enum class Distance { SameZone, SameRegion, OtherRegion };
+
+/** What a gateway knows of one upstream. Pure; not thread-safe. */
+class GatewayUpstream
+{
+public:
+    GatewayUpstream(RoutedUpstream routed, Distance distance);
+
+    const SiteUpstream &upstream() const { return this->routed.upstream; }
+    const RoutedUpstream &routedUpstream() const { return this->routed; }
+    Distance distanceOf() const { return this->distance; }
+    void setRouted(const RoutedUpstream &value) { this->routed = value; }
+    /** Sets the part of the upstream's slots that this gateway may use. */
+    void setShare(double trafficShare);
+
+    UpstreamAdmission &admission() { return this->requests; }
+    const UpstreamAdmission &admission() const { return this->requests; }
+
+    /** An answer arrived @p duration after the request was sent. */
+    void noteAnswer(Milliseconds duration, const std::optional<ToldLoad> &load, TimePoint now);
+    /** A connection could not be opened, or a request got no answer in time. */
+    void noteFailure(TimePoint now);
+    /** The answer was a failure of the upstream's own. */
+    void noteError(TimePoint now);
+
+    /** Whether requests should rather go to others. */
+    bool isSuspected(TimePoint now) const { return now < this->suspectedUntil; }
+
+    /** Expected time for one more request in milliseconds; smaller is better. */
+    double cost(TimePoint now) const;
+
+    /** Returns the timings since the previous call. */
+    UpstreamTiming takeTiming();
+
+private:
+    double busySlots(TimePoint now) const;
+
+    RoutedUpstream routed;
+    Distance distance;
+    UpstreamAdmission requests;
+    std::optional<ToldLoad> load;
+    std::uint32_t inFlightAtLoad = 0;
+    double serviceMilliseconds = 0.0; // smoothed; of answers that did not wait at the upstream
+    double errorShare = 0.0; // smoothed
+    std::uint32_t failuresInRow = 0;
+    TimePoint suspectedUntil;
+    UpstreamTiming timing;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/registrywatcher.cpp
@@ -0,0 +1,151 @@
+#include "gateway/registrywatcher.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr Milliseconds connectTimeout { 300 };
+// A leader answers within 400 ms; the rest covers the way and a slow host.
+constexpr Milliseconds answerTimeout { 900 };
+constexpr Milliseconds retryDelay { 60 };
+
+} // namespace
+
+RegistryWatcher::RegistryWatcher(EventLoop &loop, const SiteSettings &settings, EventLog &log,
+                                 Handlers handlers)
+    : loop(loop)
+    , settings(settings)
+    , log(log)
+    , handlers(std::move(handlers))
+    , bytes(std::make_shared<ByteCounters>())
+    , tasks(*this)
+{
+    this->setSeeds(settings.seeds);
+}
+
+RegistryWatcher::~RegistryWatcher() = default;
+
+void RegistryWatcher::start()
+{
+    this->call();
+}
+
+void RegistryWatcher::setSeeds(const std::vector<HostAddress> &addresses)
+{
+    this->seeds.clear();
+    for (const HostAddress &address : addresses) {
+        this->seeds.push_back(address.ip);
+    }
+}
+
+RpcConnection &RegistryWatcher::connectionTo(const std::string &ip)
+{
+    auto &connection = this->connections[ip];
+    if (!connection) {
+        connection = std::make_unique<RpcConnection>(
+                this->loop, HostAddress { ip, this->settings.internalPort }, connectTimeout,
+                this->bytes);
+    }
+    return *connection;
+}
+
+// Members first: seeds may be out of date.
+std::string RegistryWatcher::nextTarget()
+{
+    std::vector<std::string> all = this->members;
+    for (const std::string &seed : this->seeds) {
+        if (std::find(all.begin(), all.end(), seed) == all.end()) {
+            all.push_back(seed);
+        }
+    }
+    return all.empty() ? std::string() : all[this->nextIndex++ % all.size()];
+}
+
+void RegistryWatcher::call()
+{
+    if (this->target.empty()) {
+        this->target = this->nextTarget();
+    }
+    const std::string report = encode(this->handlers.report());
+    const auto send = [report](rpc::Member::Client client) {
+        auto request = client.castAs<rpc::Registry>().watchRequest();
+        request.setReport(
+                kj::arrayPtr(reinterpret_cast<const kj::byte *>(report.data()), report.size()));
+        return request.send().then([](capnp::Response<rpc::Registry::WatchResults> &&results) {
+            const auto answer = results.getAnswer().asChars();
+            return std::string(answer.begin(), answer.size());
+        });
+    };
+    this->tasks.add(this->connectionTo(this->target)
+                            .call<std::string>(answerTimeout, send)
+                            .then(
+                                    [this](const std::string &bytes) {
+                                        const auto answer = decodeWatchAnswer(bytes);
+                                        if (answer) {
+                                            this->onAnswer(*answer);
+                                        } else {
+                                            this->onFailure();
+                                        }
+                                    },
+                                    [this](const kj::Exception &) { this->onFailure(); }));
+}
+
+void RegistryWatcher::callAfter(Milliseconds delay)
+{
+    this->timer = this->loop.callAfter(delay, [this] { this->call(); });
+}
+
+void RegistryWatcher::onAnswer(const WatchAnswer &answer)
+{
+    if (const auto *update = std::get_if<GatewayUpdate>(&answer)) {
+        this->setConnected(true);
+        this->handlers.update(*update);
+        this->callAfter({});
+        return;
+    }
+    this->follow(std::get<GroupHint>(answer));
+}
+
+void RegistryWatcher::follow(const GroupHint &hint)
+{
+    this->setConnected(false);
+    if (!hint.members.empty()) {
+        this->members.clear();
+        for (const auto &[slot, ip] : hint.members) {
+            this->members.push_back(ip);
+        }
+    }
+    const bool isNew = !hint.leaderIp.empty() && hint.leaderIp != this->target;
+    this->target = isNew ? hint.leaderIp : this->nextTarget();
+    this->callAfter(isNew ? Milliseconds {} : retryDelay);
+}
+
+void RegistryWatcher::onFailure()
+{
+    this->setConnected(false);
+    this->target = this->nextTarget();
+    this->callAfter(retryDelay);
+}
+
+void RegistryWatcher::setConnected(bool value)
+{
+    if (this->connected == value) {
+        return;
+    }
+    this->connected = value;
+    this->log.write({ value ? "control_regained" : "control_lost",
+                      Event::Weight::Always,
+                      { { "leader", this->target } } });
+}
+
+void RegistryWatcher::taskFailed(kj::Exception &&exception)
+{
+    this->log.write({ "watch_failed",
+                      Event::Weight::Important,
+                      { { "reason", std::string(exception.getDescription().cStr()) } } });
+    this->callAfter(retryDelay);
+}
+
+} // namespace cassiaroad
--- a/src/process/log.cpp
+++ b/src/process/log.cpp
@@ -1,6 +1,11 @@
 #include "process/log.h"
 
+#include "process/pipeappender.h"
+
+#include <unistd.h>
+
 #include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
@@ -51,4 +56,13 @@
     logger()->setLevel(verbose ? log4cxx::Level::getDebug() : log4cxx::Level::getInfo());
 }
 
+void Log::configureStructured()
+{
+    const auto appender = std::make_shared<PipeAppender>(std::make_shared<log4cxx::JSONLayout>(),
+                                                         STDOUT_FILENO);
+    logger()->removeAllAppenders();
+    logger()->addAppender(appender);
+    logger()->setLevel(log4cxx::Level::getInfo());
+}
+
 } // namespace cassiaroad
--- a/src/process/log.h
+++ b/src/process/log.h
@@ -19,6 +19,12 @@
     /** Sends all logs to standard error, synchronously. Call once before the first line. */
     static void configure(bool verbose);
 
+    /**
+     * Sends all logs to standard output as JSON lines, without waiting for the reader. Call once
+     * before the first line.
+     */
+    static void configureStructured();
+
 private:
     std::string prefix;
 };
--- /dev/null
+++ b/src/process/sitesettings.cpp
@@ -0,0 +1,158 @@
+#include "process/sitesettings.h"
+
+#include "process/sectionreader.h"
+
+#include <cmath>
+#include <fstream>
+#include <iterator>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr double millisecondsPerSecond = 1000.0;
+constexpr double longestSeconds = 3600.0;
+constexpr std::int64_t largestPort = 65535;
+
+Milliseconds seconds(SectionReader &reader, const std::string &key, double fallback)
+{
+    return { std::llround(reader.numberOr(key, 0.001, longestSeconds, fallback)
+                          * millisecondsPerSecond) };
+}
+
+bool flag(SectionReader &reader, const std::string &key)
+{
+    return reader.choice(key, { "true", "false" }) == "true";
+}
+
+class Parser
+{
+public:
+    Parser(const std::string &text, std::string path)
+        : path(std::move(path))
+        , file(text)
+    { }
+
+    std::variant<SiteSettings, std::vector<SettingsError>> parse();
+
+private:
+    const IniSection *find(const std::string &name) const;
+    SectionReader reader(const std::string &name);
+    void readHost();
+    void readRole();
+    void readBounds();
+    void readRegions();
+
+    std::string path;
+    IniFile file;
+    std::vector<SettingsError> errors;
+    SiteSettings settings;
+};
+
+const IniSection *Parser::find(const std::string &name) const
+{
+    for (const IniSection &section : this->file.sections()) {
+        if (section.name == name) {
+            return &section;
+        }
+    }
+    return nullptr;
+}
+
+SectionReader Parser::reader(const std::string &name)
+{
+    return { this->path, name, this->find(name), this->errors };
+}
+
+void Parser::readHost()
+{
+    SectionReader host = this->reader("host");
+    this->settings.host = host.name("name");
+    this->settings.ip = host.name("ip");
+    this->settings.zone = host.name("zone");
+    this->settings.internalPort
+            = static_cast<std::uint16_t>(host.integer("internal-port", 1, largestPort));
+    this->settings.metricsPort
+            = static_cast<std::uint16_t>(host.integerOr("metrics-port", 0, largestPort, 0));
+    this->settings.seeds = host.addresses("seeds");
+    this->settings.toleratedLosses
+            = static_cast<std::uint32_t>(host.integer("tolerated-losses", 0, 10));
+    this->settings.heartbeat = seconds(host, "heartbeat-s", 1.0);
+    host.finish();
+}
+
+void Parser::readRole()
+{
+    if (this->find("gateway") != nullptr) {
+        SectionReader gateway = this->reader("gateway");
+        this->settings.role
+                = GatewaySettings { gateway.address("callers"), gateway.address("readiness") };
+        gateway.finish();
+        return;
+    }
+    SectionReader registry = this->reader("registry");
+    RegistrySettings role;
+    role.control = registry.address("control");
+    role.dataFolder = registry.path("data-folder");
+    role.bootstrap = flag(registry, "bootstrap");
+    role.counted = flag(registry, "counted");
+    this->settings.role = role;
+    registry.finish();
+}
+
+// The surroundings may tell more bounds than the program uses; those are ignored.
+void Parser::readBounds()
+{
+    SectionReader bounds = this->reader("bounds");
+    SiteBounds &values = this->settings.bounds;
+    values.retryShare = bounds.numberOr("retry-share", 0.0, 10.0, values.retryShare);
+    values.retrySlack = bounds.numberOr("retry-slack", 0.0, 1e6, values.retrySlack);
+    values.retryWindow = seconds(bounds, "retry-window-s", 10.0);
+    values.holdMax = seconds(bounds, "hold-max-s", 10.0);
+    values.stopGrace = seconds(bounds, "stop-grace-s", 6.0);
+}
+
+void Parser::readRegions()
+{
+    const IniSection *section = this->find("regions");
+    if (section == nullptr) {
+        return;
+    }
+    for (const IniEntry &entry : section->entries) {
+        this->settings.regions[entry.key] = entry.value;
+    }
+}
+
+std::variant<SiteSettings, std::vector<SettingsError>> Parser::parse()
+{
+    for (const IniFault &fault : this->file.faults()) {
+        this->errors.push_back({ this->path, fault.line, "", fault.text, "key = value" });
+    }
+    this->readHost();
+    this->readRole();
+    this->readBounds();
+    this->readRegions();
+    if (!this->errors.empty()) {
+        return this->errors;
+    }
+    return this->settings;
+}
+
+} // namespace
+
+std::variant<SiteSettings, std::vector<SettingsError>> parseSiteSettings(const std::string &text,
+                                                                         const std::string &path)
+{
+    return Parser(text, path).parse();
+}
+
+std::variant<SiteSettings, std::vector<SettingsError>> readSiteSettings(const std::string &path)
+{
+    std::ifstream stream(path);
+    if (!stream) {
+        return std::vector<SettingsError> { { path, 0, "", "", "a readable file" } };
+    }
+    return parseSiteSettings({ std::istreambuf_iterator<char>(stream), {} }, path);
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/controlservice.cpp
@@ -0,0 +1,151 @@
+#include "registry/controlservice.h"
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusRedirect = 307;
+constexpr int statusBadRequest = 400;
+constexpr int statusNotFound = 404;
+constexpr int statusConflict = 412;
+constexpr int statusUnavailable = 503;
+constexpr std::size_t maxDocumentBytes = std::size_t(16) * 1024 * 1024;
+
+HttpServerLimits limits()
+{
+    HttpServerLimits result;
+    result.maxBodyBytes = maxDocumentBytes;
+    result.maxConnections = 2000;
+    return result;
+}
+
+using Headers = std::vector<std::pair<std::string, std::string>>;
+
+const Headers jsonHeaders { { "content-type", "application/json" } };
+
+void answer(const std::shared_ptr<HttpExchange> &exchange, int status, std::string body = "{}")
+{
+    if (!exchange->isClientGone()) {
+        exchange->answer(status, jsonHeaders, std::move(body));
+    }
+}
+
+} // namespace
+
+ControlService::ControlService(EventLoop &loop, RegistryEngine &engine, const OutsideCodec &codec,
+                               EventLog &log)
+    : engine(engine)
+    , codec(codec)
+    , log(log)
+    , server(loop, limits(), [this](const Exchange &exchange) { this->handle(exchange); })
+{ }
+
+std::string ControlService::listen(const HostAddress &listenAddress)
+{
+    this->address = listenAddress;
+    return this->server.listen(listenAddress);
+}
+
+void ControlService::handle(const Exchange &exchange)
+{
+    const ControlCall call = this->codec.decodeCall(
+            { exchange->method(), exchange->path(),
+              exchange->header(this->codec.headers().baseVersion), exchange->body() });
+    if (const auto *heartbeat = std::get_if<HeartbeatCall>(&call)) {
+        this->handleHeartbeat(exchange, heartbeat->report);
+    } else if (const auto *leave = std::get_if<LeaveCall>(&call)) {
+        this->handleLeave(exchange, leave->life);
+    } else if (const auto *put = std::get_if<PutCall>(&call)) {
+        this->handlePut(exchange, *put);
+    } else if (std::holds_alternative<ReadCall>(call)) {
+        this->handleRead(exchange);
+    } else if (const auto *malformed = std::get_if<MalformedCall>(&call)) {
+        this->log.write({ "call_malformed",
+                          Event::Weight::Important,
+                          { { "path", std::string(exchange->path()) },
+                            { "reason", malformed->reason } } });
+        answer(exchange, statusBadRequest);
+    } else {
+        answer(exchange, statusNotFound);
+    }
+}
+
+// Sends the caller to the leader; without one it tries another member.
+void ControlService::redirect(const Exchange &exchange, const NotLeading &notLeading)
+{
+    if (exchange->isClientGone()) {
+        return;
+    }
+    if (notLeading.leaderIp.empty() || notLeading.leaderIp == this->address.ip) {
+        answer(exchange, statusUnavailable);
+        return;
+    }
+    const HostAddress leader { notLeading.leaderIp, this->address.port };
+    exchange->answer(statusRedirect,
+                     { { "location",
+                         "http://" + leader.toString() + std::string(exchange->path()) } },
+                     {});
+}
+
+void ControlService::handleHeartbeat(const Exchange &exchange, const UpstreamReport &report)
+{
+    this->engine.report(report, [this, exchange](const GrantResult &result) {
+        if (const auto *grant = std::get_if<UpstreamGrant>(&result)) {
+            answer(exchange, statusOk, this->codec.encodeGrant(*grant));
+        } else if (const auto *elsewhere = std::get_if<NotLeading>(&result)) {
+            this->redirect(exchange, *elsewhere);
+        } else {
+            answer(exchange, statusUnavailable);
+        }
+    });
+}
+
+void ControlService::handleLeave(const Exchange &exchange, const UpstreamLife &life)
+{
+    this->engine.leave(life, [this, exchange](const LeaveResult &result) {
+        if (std::holds_alternative<std::monostate>(result)) {
+            answer(exchange, statusOk);
+        } else if (const auto *elsewhere = std::get_if<NotLeading>(&result)) {
+            this->redirect(exchange, *elsewhere);
+        } else {
+            answer(exchange, statusUnavailable);
+        }
+    });
+}
+
+void ControlService::handlePut(const Exchange &exchange, const PutCall &call)
+{
+    this->engine.put(call, [this, exchange, call](const PutResult &result) {
+        int status = statusUnavailable;
+        std::string reason;
+        if (const auto *outcome = std::get_if<PutOutcome>(&result)) {
+            status = *outcome == PutOutcome::Conflict ? statusConflict : statusOk;
+        } else if (const auto *invalid = std::get_if<InvalidDocument>(&result)) {
+            status = statusBadRequest;
+            reason = invalid->reason;
+        } else if (const auto *elsewhere = std::get_if<NotLeading>(&result)) {
+            this->redirect(exchange, *elsewhere);
+            return;
+        }
+        this->log.write({ "order_answered",
+                          Event::Weight::Important,
+                          { { "status", std::int64_t(status) },
+                            { "base", std::int64_t(call.base) },
+                            { "bytes", std::int64_t(call.document.size()) },
+                            { "reason", reason } } });
+        answer(exchange, status);
+    });
+}
+
+void ControlService::handleRead(const Exchange &exchange)
+{
+    const ReadResult result = this->engine.read();
+    if (const auto *document = std::get_if<Document>(&result)) {
+        answer(exchange, statusOk, document->text);
+        return;
+    }
+    this->redirect(exchange, std::get<NotLeading>(result));
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/controlservice.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "connection/httpserver.h"
+#include "registry/registryengine.h"
+
+namespace cassiaroad {
+
+/** HTTP interface of a control host for upstreams and operators. Loop thread only. */
+class ControlService
+{
+public:
+    /** The arguments must outlive the service. */
+    ControlService(EventLoop &loop, RegistryEngine &engine, const OutsideCodec &codec,
+                   EventLog &log);
+
+    /** Returns an empty text, or why it failed. */
+    std::string listen(const HostAddress &address);
+
+    /** See HttpServer::shutDown(). */
+    void shutDown(std::function<void()> done) { this->server.shutDown(std::move(done)); }
+
+private:
+    using Exchange = std::shared_ptr<HttpExchange>;
+
+    void handle(const Exchange &exchange);
+    void handleHeartbeat(const Exchange &exchange, const UpstreamReport &report);
+    void handleLeave(const Exchange &exchange, const UpstreamLife &life);
+    void handlePut(const Exchange &exchange, const PutCall &call);
+    void handleRead(const Exchange &exchange);
+    void redirect(const Exchange &exchange, const NotLeading &notLeading);
+
+    RegistryEngine &engine;
+    const OutsideCodec &codec;
+    EventLog &log;
+    HostAddress address;
+    HttpServer server;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/groupmember.cpp
@@ -0,0 +1,359 @@
+#include "registry/groupmember.h"
+
+#include "process/identityfile.h"
+
+#include <algorithm>
+#include <filesystem>
+
+#include <nlohmann/json.hpp>
+
+namespace cassiaroad {
+
+namespace {
+
+// The members stand in two regions, 40 ms apart there and back, behind links that lose packets.
+constexpr Milliseconds replicaHeartbeat { 120 };
+constexpr Milliseconds electionMin { 900 };
+constexpr Milliseconds electionMax { 1500 };
+constexpr Milliseconds leaderLease { 800 };
+constexpr Milliseconds searchInterval { 200 };
+constexpr Milliseconds askTimeout { 500 };
+// A voter that has been silent for this long loses its slot to a host that asks for one.
+constexpr Milliseconds successionDelay { 3000 };
+constexpr const char *groupName = "site";
+constexpr const char *membersFile = "members.json";
+
+std::vector<std::string> ipsOf(const std::vector<HostAddress> &addresses)
+{
+    std::vector<std::string> ips;
+    for (const HostAddress &address : addresses) {
+        ips.push_back(address.ip);
+    }
+    return ips;
+}
+
+std::uint32_t slotCount(const SiteSettings &settings)
+{
+    return 2 * settings.toleratedLosses + 1;
+}
+
+} // namespace
+
+GroupMember::GroupMember(EventLoop &loop, const SiteSettings &settings, Metrics &metrics,
+                         EventLog &log, ReplicaHandlers handlers)
+    : loop(loop)
+    , settings(settings)
+    , role(std::get<RegistrySettings>(settings.role))
+    , metrics(metrics)
+    , log(log)
+    , handlers(std::move(handlers))
+    , bytes(std::make_shared<ByteCounters>())
+    , seedIps(ipsOf(settings.seeds))
+    , tasks(*this)
+{
+    this->handlers.dropped = [this] { this->lookAgain(); };
+}
+
+GroupMember::~GroupMember() = default;
+
+std::string GroupMember::logFolder() const
+{
+    return this->role.dataFolder + "/log";
+}
+
+std::string GroupMember::start()
+{
+    std::error_code error;
+    std::filesystem::create_directories(this->role.dataFolder, error);
+    if (error) {
+        return "cannot create " + this->role.dataFolder + ": " + error.message();
+    }
+    this->loadMembers();
+    const auto identity = readIdentity(this->logFolder());
+    const auto *known = std::get_if<std::optional<Identity>>(&identity);
+    if (known != nullptr && *known) {
+        return this->startReplica({ (*known)->member.number, false });
+    }
+    this->look();
+    return {};
+}
+
+void GroupMember::look()
+{
+    const bool mayFound = this->role.bootstrap && this->role.counted && !this->seedIps.empty()
+                          && this->seedIps.front() == this->settings.ip && this->members.empty();
+    this->finder = std::make_unique<SlotFinder>(this->settings.ip, this->seedIps, mayFound);
+    const auto askAll = [this] {
+        // onHint() may end the search and change the list.
+        for (const std::string &ip : this->finder->targets()) {
+            this->ask(ip);
+        }
+    };
+    this->searchTimer = this->loop.callEvery(searchInterval, askAll);
+    this->log.write({ "group_search", Event::Weight::Always, { { "may_found", mayFound } } });
+    if (mayFound && this->finder->targets().empty()) {
+        this->onHint(this->settings.ip, {});
+    }
+}
+
+void GroupMember::ask(const std::string &ip)
+{
+    auto &connection = this->asked[ip];
+    if (!connection) {
+        connection = std::make_unique<RpcConnection>(
+                this->loop, HostAddress { ip, this->settings.internalPort }, askTimeout,
+                this->bytes);
+    }
+    const std::string request = encode(JoinRequest { this->settings.ip, this->role.counted });
+    const auto send = [request](rpc::Member::Client client) {
+        auto call = client.castAs<rpc::Registry>().joinRequest();
+        call.setRequest(
+                kj::arrayPtr(reinterpret_cast<const kj::byte *>(request.data()), request.size()));
+        return call.send().then([](capnp::Response<rpc::Registry::JoinResults> &&results) {
+            const auto hint = results.getHint().asChars();
+            return std::string(hint.begin(), hint.size());
+        });
+    };
+    this->tasks.add(connection->call<std::string>(askTimeout, send)
+                            .then([this, ip](const std::string &answer) {
+                                if (const auto hint = decodeGroupHint(answer)) {
+                                    this->onHint(ip, *hint);
+                                }
+                            }));
+}
+
+void GroupMember::onHint(const std::string &ip, const GroupHint &hint)
+{
+    if (!this->finder || this->driver) {
+        return;
+    }
+    this->toldLeader = hint.leaderIp.empty() ? this->toldLeader : hint.leaderIp;
+    for (const auto &[slot, address] : hint.members) {
+        this->members[slot] = address;
+    }
+    const std::optional<StartMember> start = this->finder->onHint(ip, hint);
+    if (!start) {
+        return;
+    }
+    this->members[start->slot] = this->settings.ip;
+    this->saveMembers();
+    const std::string reason = this->startReplica(*start);
+    if (!reason.empty()) {
+        this->handlers.failed(reason);
+        return;
+    }
+    this->searchTimer = EventLoop::Timer();
+}
+
+// The folder was an old copy, or its slot has been given to another host.
+void GroupMember::lookAgain()
+{
+    this->log.write({ "folder_dropped", Event::Weight::Always, {} });
+    // The driver is still running its handler.
+    this->restartTimer = this->loop.callAfter({}, [this] {
+        this->driver.reset();
+        if (const auto error = removeIdentity(this->logFolder())) {
+            this->handlers.failed(error->toString());
+            return;
+        }
+        this->look();
+    });
+}
+
+Settings GroupMember::replicaSettings(std::uint32_t slot) const
+{
+    Settings result;
+    result.host = this->settings.host;
+    result.group = groupName;
+    result.region = groupName;
+    for (std::uint32_t number = 1; number <= slotCount(this->settings); ++number) {
+        MemberSettings member;
+        member.number = number;
+        result.members.push_back(member);
+    }
+    ControlSettings control;
+    control.member = slot;
+    control.dataFolder = this->logFolder();
+    result.role = control;
+    result.timing.heartbeat = replicaHeartbeat;
+    result.timing.electionMin = electionMin;
+    result.timing.electionMax = electionMax;
+    result.timing.leaderLease = leaderLease;
+    return result;
+}
+
+std::string GroupMember::startReplica(const StartMember &start)
+{
+    this->log.write({ "member_start",
+                      Event::Weight::Always,
+                      { { "slot", std::int64_t(start.slot) }, { "founds", start.found } } });
+    this->memberSettings = this->replicaSettings(start.slot);
+    this->driver = std::make_unique<ReplicaDriver>(this->loop, *this->memberSettings,
+                                                   this->metrics, this->handlers);
+    this->connect();
+    return this->driver->start(start.found);
+}
+
+void GroupMember::connect()
+{
+    if (!this->driver) {
+        return;
+    }
+    const std::uint32_t own = std::get<ControlSettings>(this->memberSettings->role).member;
+    for (const auto &[slot, ip] : this->members) {
+        if (slot != own) {
+            this->driver->setPeer(slot, { ip, this->settings.internalPort });
+        }
+    }
+}
+
+void GroupMember::setMembers(const std::map<std::uint32_t, std::string> &ips)
+{
+    bool changed = false;
+    for (const auto &[slot, ip] : ips) {
+        std::string &known = this->members[slot];
+        if (known != ip) {
+            changed = true;
+            known = ip;
+            this->heardOf[slot] = this->loop.now();
+        }
+    }
+    if (changed) {
+        this->saveMembers();
+        this->connect();
+    }
+}
+
+void GroupMember::saveMembers()
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[slot, ip] : this->members) {
+        list.push_back({ slot, ip });
+    }
+    // Without the file the members are found through the seeds.
+    if (const auto error = replaceFile(this->role.dataFolder, membersFile, list.dump())) {
+        this->log.write({ "members_unsaved",
+                          Event::Weight::Always,
+                          { { "reason", error->toString() } } });
+    }
+}
+
+void GroupMember::loadMembers()
+{
+    const auto content = readWholeFile(this->role.dataFolder + "/" + membersFile);
+    const auto *text = std::get_if<std::string>(&content);
+    const auto list = nlohmann::json::parse(text != nullptr ? *text : "", nullptr, false);
+    if (!list.is_array()) {
+        return;
+    }
+    for (const auto &entry : list) {
+        if (entry.is_array() && entry.size() == 2 && entry[0].is_number_unsigned()
+            && entry[1].is_string()) {
+            this->members[entry[0].get<std::uint32_t>()] = entry[1].get<std::string>();
+        }
+    }
+}
+
+void GroupMember::propose(std::uint64_t proposal, std::string command)
+{
+    if (!this->driver) {
+        this->handlers.proposalFailed(proposal);
+        return;
+    }
+    this->driver->propose(proposal, std::move(command));
+}
+
+void GroupMember::receive(std::uint32_t from, std::string_view message)
+{
+    this->heardOf[from] = this->loop.now();
+    if (this->driver) {
+        this->driver->receive(message);
+    }
+}
+
+void GroupMember::setSeeds(const std::vector<HostAddress> &seeds)
+{
+    this->seedIps = ipsOf(seeds);
+    if (this->finder) {
+        this->finder->setSeeds(this->seedIps);
+    }
+}
+
+void GroupMember::leaveLeadership()
+{
+    if (this->driver) {
+        this->driver->transferLeadership({});
+    }
+}
+
+Term GroupMember::term() const
+{
+    const Replica *replica = this->driver ? this->driver->replica() : nullptr;
+    return replica != nullptr ? replica->term() : 0;
+}
+
+bool GroupMember::isComplete() const
+{
+    const Replica *replica = this->driver ? this->driver->replica() : nullptr;
+    return replica != nullptr
+           && replica->configuration().voters.size() >= std::max<std::size_t>(
+                      std::size_t(2) * this->settings.toleratedLosses, 1);
+}
+
+std::string GroupMember::leaderIp() const
+{
+    if (!this->driver) {
+        return this->toldLeader;
+    }
+    const std::optional<std::uint32_t> slot = this->driver->leader();
+    const auto found = slot ? this->members.find(*slot) : this->members.end();
+    return found == this->members.end() ? std::string() : found->second;
+}
+
+GroupHint GroupMember::hint() const
+{
+    GroupHint result;
+    result.groupExists = this->driver != nullptr || !this->members.empty();
+    result.leaderIp = this->leaderIp();
+    result.members = this->members;
+    return result;
+}
+
+void GroupMember::startTerm()
+{
+    for (const auto &[slot, ip] : this->members) {
+        this->heardOf[slot] = this->loop.now();
+    }
+}
+
+std::optional<std::uint32_t> GroupMember::slotFor(const std::string &ip) const
+{
+    for (const auto &[slot, known] : this->members) {
+        if (known == ip) {
+            return slot;
+        }
+    }
+    std::optional<std::uint32_t> silent;
+    TimePoint silentSince;
+    for (std::uint32_t slot = 1; slot <= slotCount(this->settings); ++slot) {
+        if (!this->members.contains(slot)) {
+            return slot;
+        }
+        const auto heard = this->heardOf.find(slot);
+        const TimePoint last = heard == this->heardOf.end() ? this->loop.now() : heard->second;
+        const bool isOwn = this->members.at(slot) == this->settings.ip;
+        if (!isOwn && this->loop.now() - last > successionDelay
+            && (!silent || last < silentSince)) {
+            silent = slot;
+            silentSince = last;
+        }
+    }
+    return silent;
+}
+
+void GroupMember::taskFailed(kj::Exception && /*exception*/)
+{
+    // A host that does not answer is asked again.
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/registryengine.cpp
@@ -0,0 +1,423 @@
+#include "registry/registryengine.h"
+
+#include "connection/rpcdelay.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr Milliseconds tickInterval { 50 };
+// Longest time that a watch call waits; the load of gateways is reported as often.
+constexpr Milliseconds watchHold { 400 };
+constexpr int tagBitsOfTerm = 24; // changes of the routing table in one term
+
+// Two heartbeats may be lost, and a new leader may take a second to be elected.
+Milliseconds holdOf(const SiteSettings &settings)
+{
+    const Milliseconds wanted = settings.heartbeat * 2 + Milliseconds { 1500 };
+    return std::min(wanted, settings.bounds.holdMax);
+}
+
+// The upstream's clock may run 2% slow; the answer may be written some time after it was made.
+Milliseconds longestHold(Milliseconds hold)
+{
+    constexpr Milliseconds margin { 250 };
+    return hold + hold / 50 + margin;
+}
+
+RegistryTiming timingOf(const SiteSettings &settings)
+{
+    RegistryTiming timing;
+    timing.holds.hold = holdOf(settings);
+    timing.holds.longest = longestHold(timing.holds.hold);
+    timing.ranges.heartbeat = settings.heartbeat;
+    return timing;
+}
+
+} // namespace
+
+RegistryEngine::RegistryEngine(EventLoop &loop, const SiteSettings &settings,
+                               const OutsideCodec &codec, Metrics &metrics, EventLog &log,
+                               std::function<void(const std::string &reason)> failed)
+    : loop(loop)
+    , settings(settings)
+    , codec(codec)
+    , log(log)
+    , reportCount(metrics.counter("cassiaroad_registry_heartbeats_total",
+                                  "Heartbeats of upstreams that this host took as leader."))
+    , transferCount(metrics.counter("cassiaroad_registry_transfers_total",
+                                    "Key ranges that changed their owner."))
+    , putCount(metrics.counter("cassiaroad_registry_configurations_total",
+                               "Configurations that were put in force."))
+    , manager(this->state, timingOf(settings))
+    , group(loop, settings, metrics, log,
+            { [this](const std::optional<Snapshot> &snapshot) { this->restore(snapshot); },
+              [this](const std::string &command, std::uint64_t proposal) {
+                  this->apply(command, proposal);
+              },
+              [this](std::uint64_t proposal) {
+                  this->endProposal(proposal, false, PutOutcome::Conflict);
+              },
+              [this] { this->checkLeadership(); }, [this] { return this->state.encode(); }, {},
+              std::move(failed) })
+{ }
+
+std::string RegistryEngine::start()
+{
+    this->tickTimer = this->loop.callEvery(tickInterval, [this] { this->tick(); });
+    return this->group.start();
+}
+
+void RegistryEngine::restore(const std::optional<Snapshot> &snapshot)
+{
+    this->state = RegistryState();
+    if (snapshot) {
+        auto decoded = RegistryState::decode(*snapshot->data);
+        KJ_REQUIRE(decoded.has_value(), "the snapshot cannot be decoded");
+        this->state = std::move(*decoded);
+    }
+    this->readConfiguration();
+    this->group.setMembers(this->state.members());
+}
+
+void RegistryEngine::apply(const std::string &bytes, std::uint64_t proposal)
+{
+    const std::optional<RegistryCommand> command = decodeRegistryCommand(bytes);
+    KJ_REQUIRE(command.has_value(), "a committed command cannot be decoded");
+    const PutOutcome outcome = this->state.apply(*command);
+    if (std::holds_alternative<PutConfiguration>(*command) && outcome == PutOutcome::Accepted) {
+        this->readConfiguration();
+        this->putCount.Increment();
+    }
+    if (std::holds_alternative<AssignSlot>(*command)) {
+        this->group.setMembers(this->state.members());
+    }
+    this->logCommand(*command, outcome);
+    this->manager.commandEnded(*command);
+    this->endProposal(proposal, true, outcome);
+    if (this->leading) {
+        this->refreshTable();
+        this->wakeGateways();
+    }
+}
+
+void RegistryEngine::endProposal(std::uint64_t proposal, bool committed, PutOutcome outcome)
+{
+    const auto found = this->proposals.find(proposal);
+    if (found == this->proposals.end()) {
+        return;
+    }
+    const Proposal ended = std::move(found->second);
+    this->proposals.erase(found);
+    if (!committed) {
+        this->manager.commandEnded(ended.command);
+    }
+    Batch &batch = *ended.batch;
+    batch.committed = batch.committed && committed;
+    batch.outcome = outcome;
+    if (--batch.open == 0) {
+        batch.done(batch.committed, batch.outcome);
+    }
+}
+
+void RegistryEngine::commit(const std::vector<RegistryCommand> &commands, Committed done)
+{
+    const auto batch = std::make_shared<Batch>();
+    batch->open = commands.size();
+    batch->done = std::move(done);
+    for (const RegistryCommand &command : commands) {
+        const std::uint64_t proposal = ++this->lastProposal;
+        this->proposals.emplace(proposal, Proposal { command, batch });
+        this->group.propose(proposal, encodeCommand(command));
+    }
+}
+
+void RegistryEngine::checkLeadership()
+{
+    const bool leads = this->group.leads();
+    if (leads == this->leading && (!leads || this->group.term() == this->leadingTerm)) {
+        return;
+    }
+    this->leading = leads;
+    this->leadingTerm = this->group.term();
+    this->log.write({ "leadership",
+                      Event::Weight::Always,
+                      { { "leads", leads }, { "term", std::int64_t(this->leadingTerm) } } });
+    if (leads) {
+        this->manager.startTerm(this->loop.now());
+        this->group.startTerm();
+        this->tableTag = this->leadingTerm << tagBitsOfTerm;
+        this->table = {};
+        if (this->state.members().empty()) {
+            this->commit({ AssignSlot { founderSlot, this->settings.ip, "" } },
+                         [](bool, PutOutcome) {});
+        }
+        return;
+    }
+    // Their outcome is unknown: the next leader may commit them.
+    std::vector<std::uint64_t> open;
+    for (const auto &[proposal, value] : this->proposals) {
+        open.push_back(proposal);
+    }
+    for (const std::uint64_t proposal : open) {
+        this->endProposal(proposal, false, PutOutcome::Conflict);
+    }
+    this->wakeGateways();
+}
+
+void RegistryEngine::readConfiguration()
+{
+    if (this->state.version() == 0) {
+        return;
+    }
+    auto decoded = this->codec.decodeConfiguration(this->state.document());
+    const auto *configuration = std::get_if<SiteConfiguration>(&decoded);
+    KJ_REQUIRE(configuration != nullptr, "the accepted configuration cannot be read");
+    this->manager.setConfiguration(std::make_shared<const SiteConfiguration>(*configuration));
+}
+
+void RegistryEngine::report(const UpstreamReport &report, std::function<void(GrantResult)> done)
+{
+    if (!this->mayAnswer()) {
+        done(this->notLeading());
+        return;
+    }
+    this->reportCount.Increment();
+    const ReportResult result = this->manager.onReport(report, this->loop.now());
+    if (result.verdict == ReportVerdict::Outdated) {
+        this->log.write({ "heartbeat_outdated",
+                          Event::Weight::Important,
+                          { { "upstream", report.life.id },
+                            { "born", report.life.born },
+                            { "sequence", std::int64_t(report.sequence) } } });
+        done(UpstreamGrant {});
+        return;
+    }
+    if (result.commands.empty()) {
+        this->answerReport(report, done);
+        return;
+    }
+    this->commit(result.commands, [this, report, done](bool committed, PutOutcome) {
+        if (!committed) {
+            done(OutcomeUnknown {});
+            return;
+        }
+        this->answerReport(report, done);
+    });
+}
+
+void RegistryEngine::answerReport(const UpstreamReport &report,
+                                  const std::function<void(GrantResult)> &done)
+{
+    if (!this->mayAnswer()) {
+        done(OutcomeUnknown {});
+        return;
+    }
+    UpstreamGrant grant = this->manager.answer(report, this->loop.now());
+    grant.nextAddress = std::get<RegistrySettings>(this->settings.role).control;
+    done(std::move(grant));
+    this->commitDue();
+    this->refreshTable();
+}
+
+void RegistryEngine::leave(const UpstreamLife &life, std::function<void(LeaveResult)> done)
+{
+    if (!this->mayAnswer()) {
+        done(this->notLeading());
+        return;
+    }
+    const std::vector<RegistryCommand> commands = this->manager.onLeave(life, this->loop.now());
+    if (commands.empty()) {
+        done(std::monostate {});
+        return;
+    }
+    this->commit(commands, [done = std::move(done)](bool committed, PutOutcome) {
+        done(committed ? LeaveResult(std::monostate {}) : LeaveResult(OutcomeUnknown {}));
+    });
+}
+
+void RegistryEngine::put(const PutCall &call, std::function<void(PutResult)> done)
+{
+    if (!this->mayAnswer() || !this->group.isComplete()) {
+        done(this->notLeading());
+        return;
+    }
+    auto decoded = this->codec.decodeConfiguration(call.document);
+    if (const auto *fault = std::get_if<DocumentFault>(&decoded)) {
+        done(InvalidDocument { fault->reason });
+        return;
+    }
+    const auto &configuration = std::get<SiteConfiguration>(decoded);
+    if (const auto fault = findFault(configuration)) {
+        done(InvalidDocument { *fault });
+        return;
+    }
+    const PutConfiguration command { configuration.version, call.base, call.document };
+    const PutOutcome expected = this->state.outcomeOf(command);
+    if (expected != PutOutcome::Accepted) {
+        done(expected);
+        return;
+    }
+    this->commit({ command }, [done = std::move(done)](bool committed, PutOutcome outcome) {
+        done(committed ? PutResult(outcome) : PutResult(OutcomeUnknown {}));
+    });
+}
+
+ReadResult RegistryEngine::read() const
+{
+    if (!this->mayAnswer() || this->state.version() == 0) {
+        return this->notLeading();
+    }
+    return Document { this->state.document() };
+}
+
+bool RegistryEngine::isCurrent(const GatewayReport &report) const
+{
+    return report.tableTag == this->tableTag && report.version >= this->state.version();
+}
+
+WatchAnswer RegistryEngine::update(const GatewayReport &report) const
+{
+    if (!this->mayAnswer()) {
+        return this->group.hint();
+    }
+    GatewayUpdate update;
+    update.tableTag = this->tableTag;
+    if (report.tableTag != this->tableTag) {
+        update.table = this->table;
+    }
+    update.version = this->state.version();
+    if (report.version < update.version) {
+        update.document = this->state.document();
+    }
+    update.trafficShare = this->manager.trafficShare(report.gateway);
+    update.gateways = this->manager.gatewayCount(this->loop.now());
+    return update;
+}
+
+kj::Promise<WatchAnswer> RegistryEngine::watch(GatewayReport report)
+{
+    if (!this->mayAnswer()) {
+        return WatchAnswer(this->group.hint());
+    }
+    this->manager.onGatewayReport(report, this->loop.now());
+    if (!this->isCurrent(report)) {
+        return this->update(report);
+    }
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    this->waiting.push_back(kj::mv(paf.fulfiller));
+    return paf.promise.exclusiveJoin(rpcDelay(this->loop, watchHold))
+            .then([this, report = std::move(report)] { return this->update(report); });
+}
+
+kj::Promise<GroupHint> RegistryEngine::join(const JoinRequest &request)
+{
+    GroupHint hint = this->group.hint();
+    if (!request.wantsSlot || !this->mayAnswer()) {
+        return hint;
+    }
+    const std::optional<std::uint32_t> slot = this->group.slotFor(request.ip);
+    if (!slot) {
+        return hint;
+    }
+    const auto known = this->state.members().find(*slot);
+    if (known != this->state.members().end() && known->second == request.ip) {
+        hint.slot = *slot;
+        return hint;
+    }
+    auto paf = kj::newPromiseAndFulfiller<GroupHint>();
+    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<GroupHint>>>(
+            kj::mv(paf.fulfiller));
+    const auto done = [this, fulfiller, slot = *slot, ip = request.ip](bool committed, PutOutcome) {
+        GroupHint result = this->group.hint();
+        const auto owner = this->state.members().find(slot);
+        const bool given = committed && owner != this->state.members().end()
+                           && owner->second == ip;
+        result.slot = given ? slot : 0;
+        (*fulfiller)->fulfill(kj::mv(result));
+    };
+    const std::string replaced = known != this->state.members().end() ? known->second : "";
+    this->commit({ AssignSlot { *slot, request.ip, replaced } }, done);
+    return kj::mv(paf.promise);
+}
+
+void RegistryEngine::commitDue()
+{
+    const std::vector<RegistryCommand> commands = this->manager.dueCommands(this->loop.now());
+    if (!commands.empty()) {
+        this->commit(commands, [](bool, PutOutcome) {});
+    }
+}
+
+void RegistryEngine::refreshTable()
+{
+    RoutingTable current = this->manager.routingTable(this->loop.now());
+    if (current != this->table) {
+        this->table = std::move(current);
+        ++this->tableTag;
+        this->wakeGateways();
+    }
+}
+
+void RegistryEngine::wakeGateways()
+{
+    for (kj::Own<kj::PromiseFulfiller<void>> &waiter : std::exchange(this->waiting, {})) {
+        waiter->fulfill();
+    }
+}
+
+void RegistryEngine::tick()
+{
+    this->waiting.remove_if([](auto &waiter) { return !waiter->isWaiting(); });
+    if (!this->mayAnswer()) {
+        return;
+    }
+    this->commitDue();
+    this->refreshTable();
+}
+
+void RegistryEngine::logCommand(const RegistryCommand &command, PutOutcome outcome) const
+{
+    Event event { "committed", Event::Weight::Important, {} };
+    if (const auto *put = std::get_if<PutConfiguration>(&command)) {
+        event.name = "configuration";
+        event.weight = Event::Weight::Always;
+        event.fields = { { "version", std::int64_t(put->version) },
+                         { "base", std::int64_t(put->base) },
+                         { "accepted", outcome == PutOutcome::Accepted } };
+    } else if (const auto *slot = std::get_if<AssignSlot>(&command)) {
+        event.name = "slot_assigned";
+        event.fields = { { "slot", std::int64_t(slot->slot) }, { "ip", slot->ip } };
+    } else if (const auto *added = std::get_if<RegisterSiteUpstream>(&command)) {
+        event.name = "upstream_registered";
+        event.fields = { { "upstream", added->upstream.life.id },
+                         { "born", added->upstream.life.born },
+                         { "service", added->upstream.service },
+                         { "address", added->upstream.address.toString() } };
+    } else if (const auto *phase = std::get_if<SetUpstreamPhase>(&command)) {
+        event.name = "upstream_leaving";
+        event.fields = { { "upstream", phase->life.id },
+                         { "gone", phase->phase == UpstreamPhase::Gone } };
+    } else if (const auto *removed = std::get_if<RemoveSiteUpstream>(&command)) {
+        event.name = "upstream_removed";
+        event.fields = { { "upstream", removed->life.id } };
+    } else if (const auto *transfer = std::get_if<TransferRanges>(&command)) {
+        this->transferCount.Increment(static_cast<double>(transfer->transfers.size()));
+        for (const RangeTransfer &moved : transfer->transfers) {
+            this->log.write({ "range_transferred",
+                              Event::Weight::Important,
+                              { { "service", transfer->service },
+                                { "from", std::int64_t(moved.range.from) },
+                                { "to", std::int64_t(moved.range.to) },
+                                { "upstream", moved.to.id },
+                                { "handover", !moved.handover.empty() } } });
+        }
+        return;
+    }
+    this->log.write(event);
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/registryengine.h
@@ -0,0 +1,132 @@
+#pragma once
+
+#include "registry/groupmember.h"
+#include "version/outsidecodec.h"
+#include "version/registrymanager.h"
+
+#include <functional>
+#include <list>
+
+namespace cassiaroad {
+
+/** The call was not executed: another member may lead. */
+struct NotLeading
+{
+    std::string leaderIp; // empty: unknown
+
+    bool operator==(const NotLeading &) const = default;
+};
+
+/** The call may have been executed. */
+struct OutcomeUnknown
+{
+    bool operator==(const OutcomeUnknown &) const = default;
+};
+
+struct Document
+{
+    std::string text;
+
+    bool operator==(const Document &) const = default;
+};
+
+struct InvalidDocument
+{
+    std::string reason;
+
+    bool operator==(const InvalidDocument &) const = default;
+};
+
+using GrantResult = std::variant<UpstreamGrant, NotLeading, OutcomeUnknown>;
+using LeaveResult = std::variant<std::monostate, NotLeading, OutcomeUnknown>;
+using PutResult = std::variant<PutOutcome, InvalidDocument, NotLeading, OutcomeUnknown>;
+using ReadResult = std::variant<Document, NotLeading>;
+
+/**
+ * State machine and decisions of one control host: carries the calls of upstreams, operators and
+ * gateways to the RegistryManager and its commands to the group. Loop thread only.
+ */
+class RegistryEngine
+{
+public:
+    /** The arguments must outlive the engine. @p failed is called when the data folder is unusable.
+     */
+    RegistryEngine(EventLoop &loop, const SiteSettings &settings, const OutsideCodec &codec,
+                   Metrics &metrics, EventLog &log,
+                   std::function<void(const std::string &reason)> failed);
+    RegistryEngine(const RegistryEngine &) = delete;
+    RegistryEngine &operator=(const RegistryEngine &) = delete;
+
+    /** See GroupMember::start(). */
+    std::string start();
+
+    void report(const UpstreamReport &report, std::function<void(GrantResult)> done);
+    void leave(const UpstreamLife &life, std::function<void(LeaveResult)> done);
+    void put(const PutCall &call, std::function<void(PutResult)> done);
+    ReadResult read() const;
+
+    /** Resolves when something has changed for the gateway, or after a while. */
+    kj::Promise<WatchAnswer> watch(GatewayReport report);
+    /** Resolves with what this host knows of the group, and with a slot if the leader gives one. */
+    kj::Promise<GroupHint> join(const JoinRequest &request);
+
+    GroupMember &member() { return this->group; }
+
+private:
+    using Committed = std::function<void(bool committed, PutOutcome outcome)>;
+
+    /** Commands that are proposed together. */
+    struct Batch
+    {
+        std::size_t open = 0;
+        bool committed = true;
+        PutOutcome outcome = PutOutcome::Accepted;
+        Committed done;
+    };
+
+    struct Proposal
+    {
+        RegistryCommand command;
+        std::shared_ptr<Batch> batch;
+    };
+
+    void restore(const std::optional<Snapshot> &snapshot);
+    void apply(const std::string &bytes, std::uint64_t proposal);
+    void endProposal(std::uint64_t proposal, bool committed, PutOutcome outcome);
+    void checkLeadership();
+    void commit(const std::vector<RegistryCommand> &commands, Committed done);
+    void commitDue();
+    void readConfiguration();
+    bool mayAnswer() const { return this->group.leads() && this->group.hasLease(); }
+    NotLeading notLeading() const { return { this->group.leaderIp() }; }
+    void answerReport(const UpstreamReport &report,
+                      const std::function<void(GrantResult)> &done);
+    void refreshTable();
+    void wakeGateways();
+    bool isCurrent(const GatewayReport &report) const;
+    WatchAnswer update(const GatewayReport &report) const;
+    void logCommand(const RegistryCommand &command, PutOutcome outcome) const;
+    void tick();
+
+    EventLoop &loop;
+    const SiteSettings &settings;
+    const OutsideCodec &codec;
+    EventLog &log;
+    prometheus::Counter &reportCount;
+    prometheus::Counter &transferCount;
+    prometheus::Counter &putCount;
+
+    RegistryState state;
+    RegistryManager manager;
+    bool leading = false;
+    Term leadingTerm = 0;
+    std::uint64_t lastProposal = 0;
+    std::map<std::uint64_t, Proposal> proposals;
+    RoutingTable table;
+    std::uint64_t tableTag = 0;
+    std::list<kj::Own<kj::PromiseFulfiller<void>>> waiting; // watch calls
+    EventLoop::Timer tickTimer;
+    GroupMember group; // its handlers use the members above
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/registryprocess.cpp
@@ -0,0 +1,143 @@
+#include "registry/registryprocess.h"
+
+#include "connection/metricsserver.h"
+#include "connection/rpcserver.h"
+#include "process/settingswatcher.h"
+#include "registry/controlservice.h"
+#include "registry/registryservice.h"
+
+#include <csignal>
+
+namespace cassiaroad {
+
+namespace {
+
+// A transfer of the leadership takes one election without a timeout.
+constexpr Milliseconds transferBound { 1000 };
+constexpr Milliseconds transferCheck { 20 };
+constexpr std::size_t maxInternalConnections = 1500;
+
+class RegistryProcess
+{
+public:
+    RegistryProcess(EventLoop &loop, const SiteSettings &settings, const std::string &settingsFile,
+                    const OutsideCodec &codec)
+        : loop(loop)
+        , settings(settings)
+        , log(settings.host)
+        , engine(loop, settings, codec, this->metrics, this->log,
+                 [this](const std::string &reason) { this->fail(reason); })
+        , rpcServer(loop, { maxInternalConnections, RpcServerLimits().idle },
+                    kj::heap<RegistryService>(this->engine))
+        , control(loop, this->engine, codec, this->log)
+        , metricsServer(loop, this->metrics, [this] { this->updateMetrics(); })
+        , watcher(loop, settingsFile, this->log,
+                  [this](const SiteSettings &changed) {
+                      this->engine.member().setSeeds(changed.seeds);
+                  })
+    { }
+
+    std::string start();
+    void stop();
+    int exitStatus() const { return this->status; }
+
+private:
+    void waitForSuccessor();
+    void finish();
+    void fail(const std::string &reason);
+    void updateMetrics();
+
+    EventLoop &loop;
+    const SiteSettings &settings;
+    EventLog log;
+    Metrics metrics;
+    RegistryEngine engine;
+    RpcServer rpcServer;
+    ControlService control;
+    MetricsServer metricsServer;
+    SettingsWatcher watcher;
+    TimePoint stopUntil;
+    EventLoop::Timer stopTimer;
+    int status = 0;
+};
+
+std::string RegistryProcess::start()
+{
+    const auto &role = std::get<RegistrySettings>(this->settings.role);
+    this->log.write({ "start",
+                      Event::Weight::Always,
+                      { { "role", std::string("registry") }, { "bootstrap", role.bootstrap } } });
+    std::string reason = this->rpcServer.listen({ this->settings.ip, this->settings.internalPort });
+    if (reason.empty()) {
+        reason = this->control.listen(role.control);
+    }
+    if (reason.empty() && this->settings.metricsPort != 0) {
+        reason = this->metricsServer.listen({ this->settings.ip, this->settings.metricsPort });
+    }
+    return reason.empty() ? this->engine.start() : reason;
+}
+
+void RegistryProcess::stop()
+{
+    this->log.write({ "stop", Event::Weight::Always, { { "leads", this->engine.member().leads() } } });
+    this->stopUntil = this->loop.now() + transferBound;
+    this->engine.member().leaveLeadership();
+    this->waitForSuccessor();
+}
+
+void RegistryProcess::waitForSuccessor()
+{
+    const std::string leader = this->engine.member().leaderIp();
+    const bool handedOver = !leader.empty() && leader != this->settings.ip;
+    if (handedOver || this->loop.now() >= this->stopUntil) {
+        this->finish();
+        return;
+    }
+    this->stopTimer = this->loop.callAfter(transferCheck, [this] { this->waitForSuccessor(); });
+}
+
+void RegistryProcess::finish()
+{
+    this->log.write({ "stopped", Event::Weight::Always, {} });
+    this->loop.stop();
+}
+
+void RegistryProcess::fail(const std::string &reason)
+{
+    this->log.write({ "failed", Event::Weight::Always, { { "reason", reason } } });
+    this->status = 1;
+    this->loop.stop();
+}
+
+void RegistryProcess::updateMetrics()
+{
+    this->metrics.gauge("cassiaroad_registry_leads", "1 if this host leads its group.")
+            .Set(this->engine.member().leads() ? 1.0 : 0.0);
+    this->metrics
+            .gauge("cassiaroad_log_lines_suppressed", "Log lines left out to bound the volume.")
+            .Set(static_cast<double>(this->log.suppressedCount()));
+    this->metrics.gauge("cassiaroad_log_lines_dropped", "Log lines that the reader did not take.")
+            .Set(static_cast<double>(this->log.droppedCount()));
+}
+
+} // namespace
+
+int runRegistryProcess(const SiteSettings &settings, const std::string &settingsFile,
+                       const OutsideCodec &codec)
+{
+    EventLoop loop;
+    RegistryProcess process(loop, settings, settingsFile, codec);
+    const std::string reason = process.start();
+    if (!reason.empty()) {
+        EventLog(settings.host)
+                .write({ "failed", Event::Weight::Always, { { "reason", reason } } });
+        return 1;
+    }
+    for (const int signal : { SIGTERM, SIGINT }) {
+        loop.onSignal(signal, [&process] { process.stop(); });
+    }
+    loop.run();
+    return process.exitStatus();
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/registryservice.cpp
@@ -0,0 +1,53 @@
+#include "registry/registryservice.h"
+
+#include <kj/debug.h>
+
+namespace cassiaroad {
+
+namespace {
+
+std::string_view view(capnp::Data::Reader data)
+{
+    const auto chars = data.asChars();
+    return { chars.begin(), chars.size() };
+}
+
+capnp::Data::Reader toData(const std::string &text)
+{
+    return kj::arrayPtr(reinterpret_cast<const kj::byte *>(text.data()), text.size());
+}
+
+} // namespace
+
+RegistryService::RegistryService(RegistryEngine &engine)
+    : engine(engine)
+{ }
+
+kj::Promise<void> RegistryService::deliver(DeliverContext context)
+{
+    const auto params = context.getParams();
+    this->engine.member().receive(params.getFromMember(), view(params.getMessage()));
+    return kj::READY_NOW;
+}
+
+kj::Promise<void> RegistryService::watch(WatchContext context)
+{
+    auto report = decodeGatewayReport(view(context.getParams().getReport()));
+    KJ_REQUIRE(report.has_value(), "the report of a gateway cannot be decoded");
+    context.releaseParams();
+    return this->engine.watch(std::move(*report))
+            .then([context](const WatchAnswer &answer) mutable {
+                context.getResults().setAnswer(toData(encode(answer)));
+            });
+}
+
+kj::Promise<void> RegistryService::join(JoinContext context)
+{
+    const auto request = decodeJoinRequest(view(context.getParams().getRequest()));
+    KJ_REQUIRE(request.has_value(), "the request of a control host cannot be decoded");
+    return this->engine.join(*request).then([context](const GroupHint &hint) mutable {
+        context.getResults().setHint(toData(encode(hint)));
+    });
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/registry/registryservice.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "registry/registryengine.h"
+#include "schema/cassiaroad.capnp.h"
+
+namespace cassiaroad {
+
+/** What a control host offers to gateways and other control hosts over RPC. Loop thread only. */
+class RegistryService final : public rpc::Registry::Server
+{
+public:
+    /** @p engine must outlive the service and its calls. */
+    explicit RegistryService(RegistryEngine &engine);
+
+    kj::Promise<void> deliver(DeliverContext context) override;
+    kj::Promise<void> watch(WatchContext context) override;
+    kj::Promise<void> join(JoinContext context) override;
+
+private:
+    RegistryEngine &engine;
+};
+
+} // namespace cassiaroad
--- a/src/request/concurrencylimit.cpp
+++ b/src/request/concurrencylimit.cpp
@@ -42,6 +42,7 @@
 void ConcurrencyLimit::finishShed(TimePoint now)
 {
     --this->running;
+    this->hasShed = true;
     if (now < this->nextDecrease) {
         return;
     }
@@ -60,4 +61,11 @@
     this->window = std::min(this->window, static_cast<double>(this->highest));
 }
 
+void ConcurrencyLimit::widen()
+{
+    if (!this->hasShed) {
+        this->window = static_cast<double>(this->highest);
+    }
+}
+
 } // namespace cassiaroad
--- a/src/request/concurrencylimit.h
+++ b/src/request/concurrencylimit.h
@@ -37,12 +37,16 @@
 
     void setHighest(std::uint32_t value);
 
+    /** Raises the limit to the highest one unless the upstream has shed a request. */
+    void widen();
+
 private:
     double window;
     std::uint32_t highest;
     std::uint32_t running = 0;
     double smoothedDuration = 0.0;
     TimePoint nextDecrease;
+    bool hasShed = false;
 };
 
 } // namespace cassiaroad
--- /dev/null
+++ b/src/request/siteretrybudget.cpp
@@ -0,0 +1,60 @@
+#include "request/siteretrybudget.h"
+
+#include <algorithm>
+
+namespace cassiaroad {
+
+namespace {
+
+// Requests and repetitions are counted when they are decided on, and arrive at upstreams later.
+constexpr double usedPart = 0.8;
+
+} // namespace
+
+SiteRetryBudget::SiteRetryBudget(double share, double slack, Milliseconds window)
+    : share(share)
+    , slack(slack)
+    , step(std::max(window / static_cast<std::int64_t>(steps - 1), Milliseconds { 1 }))
+{ }
+
+void SiteRetryBudget::setGateways(std::uint32_t count)
+{
+    this->gateways = std::max<double>(count, 1.0);
+}
+
+SiteRetryBudget::Step &SiteRetryBudget::current(TimePoint now)
+{
+    const std::int64_t wanted = now.sinceOrigin / this->step.count;
+    if (wanted - this->position >= static_cast<std::int64_t>(steps)) {
+        this->ring.fill({});
+        this->position = wanted;
+    }
+    while (this->position < wanted) {
+        ++this->position;
+        this->ring[static_cast<std::size_t>(this->position) % steps] = {};
+    }
+    return this->ring[static_cast<std::size_t>(this->position) % steps];
+}
+
+void SiteRetryBudget::countRequest(TimePoint now)
+{
+    ++this->current(now).requests;
+}
+
+bool SiteRetryBudget::take(TimePoint now)
+{
+    Step &step = this->current(now);
+    double requests = 0.0;
+    double retries = 0.0;
+    for (const Step &entry : this->ring) {
+        requests += entry.requests;
+        retries += entry.retries;
+    }
+    if (retries + 1.0 > usedPart * (this->share * requests + this->slack / this->gateways)) {
+        return false;
+    }
+    ++step.retries;
+    return true;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/keyload.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "process/clock.h"
+#include "version/keyrange.h"
+
+#include <vector>
+
+namespace cassiaroad {
+
+/** Recent requests per second of each key of a service, smoothed exponentially. Not thread-safe. */
+class KeyLoad
+{
+public:
+    KeyLoad();
+
+    /** Adds @p requests for @p key that arrived about @p now. */
+    void add(KeyNumber key, std::uint32_t requests, TimePoint now);
+
+    /** Lets the load of the past fade; call it at least once a second. */
+    void fade(TimePoint now);
+
+    /** Requests per second for the keys of @p range. */
+    double rate(const KeyRange &range) const;
+    double rate(KeyNumber key) const;
+    double total() const { return this->rate({ 0, lastKey }); }
+
+private:
+    std::vector<float> weights; // requests, faded
+    TimePoint fadedAt;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/rangeplanner.cpp
@@ -0,0 +1,216 @@
+#include "version/rangeplanner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+constexpr double millisecondsPerSecond = 1000.0;
+// A holder gives keys away when it is this much busier than the mean ...
+constexpr double imbalanceFactor = 1.25;
+// ... and at least this busy: below it, queues are short whatever the balance.
+constexpr double leastBusy = 0.4;
+// The receiver must end up clearly less busy than the giver was, else keys swing back and forth.
+constexpr double receiverFactor = 0.85;
+// Share of a fair part that an upstream without keys gets first; it is slow after its start.
+constexpr double firstPart = 0.5;
+// A second without an owner costs about as much as this share of busy slots.
+constexpr double busyPerSecondOfWait = 0.4;
+// A range of a leaving holder is split so that no piece adds more than this to a receiver.
+constexpr double largestPiece = 0.15;
+constexpr std::size_t mostRangesOfHolder = 24; // an answer to a heartbeat has 4 KiB at most
+
+} // namespace
+
+double RangePlanner::HolderLoad::busy(double extraRate) const
+{
+    return (this->rate + extraRate) * this->holder.serviceMilliseconds
+           / (millisecondsPerSecond * std::max(this->holder.slots, 1U));
+}
+
+RangePlanner::RangePlanner(const PlacementView &view)
+    : view(view)
+{
+    for (const RangeHolder &holder : view.holders) {
+        this->loads.push_back({ holder, 0.0, 0 });
+    }
+    for (const RangeOwner &entry : view.table.owners()) {
+        if (HolderLoad *load = this->find(entry.owner)) {
+            load->rate += view.load.rate(entry.range);
+            load->keys += entry.range.size();
+        }
+    }
+}
+
+RangePlanner::HolderLoad *RangePlanner::find(const UpstreamLife &life)
+{
+    const auto found
+            = std::find_if(this->loads.begin(), this->loads.end(),
+                           [&](const HolderLoad &load) { return load.holder.life == life; });
+    return found == this->loads.end() ? nullptr : &*found;
+}
+
+std::vector<RangeTransfer>
+RangePlanner::firstAssignment(const std::vector<RangeHolder> &holders)
+{
+    std::vector<RangeTransfer> transfers;
+    std::uint64_t slots = 0;
+    for (const RangeHolder &holder : holders) {
+        slots += holder.receives ? holder.slots : 0;
+    }
+    std::uint64_t before = 0;
+    for (const RangeHolder &holder : holders) {
+        if (!holder.receives || holder.slots == 0) {
+            continue;
+        }
+        const std::uint64_t from = before * keyCount / slots;
+        before += holder.slots;
+        const std::uint64_t end = before * keyCount / slots;
+        if (end > from) {
+            transfers.push_back({ { static_cast<KeyNumber>(from), static_cast<KeyNumber>(end - 1) },
+                                  holder.life,
+                                  {} });
+        }
+    }
+    return transfers;
+}
+
+RangePlanner::HolderLoad *RangePlanner::bestReceiver(double extraRate, const UpstreamLife &except)
+{
+    HolderLoad *best = nullptr;
+    double bestCost = 0.0;
+    for (HolderLoad &load : this->loads) {
+        if (!load.holder.receives || load.holder.life == except) {
+            continue;
+        }
+        const double wait
+                = static_cast<double>(load.holder.nextReport.count) / millisecondsPerSecond;
+        const double cost = load.busy(extraRate) + wait * busyPerSecondOfWait;
+        if (best == nullptr || cost < bestCost) {
+            best = &load;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::vector<RangeTransfer> RangePlanner::replaceHolder(const std::vector<KeyRange> &ranges)
+{
+    std::vector<RangeTransfer> transfers;
+    for (KeyRange range : ranges) {
+        while (true) {
+            HolderLoad *receiver = this->bestReceiver(0.0, {});
+            if (receiver == nullptr) {
+                return transfers;
+            }
+            const double most = largestPiece * millisecondsPerSecond * receiver->holder.slots
+                                / std::max(receiver->holder.serviceMilliseconds, 1.0);
+            double rate = 0.0;
+            KeyNumber end = range.from;
+            while (true) {
+                rate += this->view.load.rate(end);
+                if (end == range.to || rate >= most) {
+                    break;
+                }
+                ++end;
+            }
+            receiver->rate += rate;
+            transfers.push_back({ { range.from, end }, receiver->holder.life, {} });
+            if (end == range.to) {
+                break;
+            }
+            range.from = end + 1;
+        }
+    }
+    return transfers;
+}
+
+double RangePlanner::meanBusy() const
+{
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (const HolderLoad &load : this->loads) {
+        if (load.holder.receives) {
+            sum += load.busy(0.0);
+            ++count;
+        }
+    }
+    return count == 0 ? 0.0 : sum / static_cast<double>(count);
+}
+
+// Returns the fewest neighbouring keys of one range of @p owner that have @p rate together.
+std::optional<KeyRange> RangePlanner::densestRange(const UpstreamLife &owner, double rate) const
+{
+    std::optional<KeyRange> best;
+    for (const RangeOwner &entry : this->view.table.owners()) {
+        if (entry.owner != owner) {
+            continue;
+        }
+        double sum = 0.0;
+        KeyNumber from = entry.range.from;
+        for (KeyNumber to = entry.range.from; to <= entry.range.to; ++to) {
+            sum += this->view.load.rate(to);
+            while (from < to && sum - this->view.load.rate(from) >= rate) {
+                sum -= this->view.load.rate(from);
+                ++from;
+            }
+            if (sum >= rate && (!best || to - from + 1 < best->size())) {
+                best = KeyRange { from, to };
+            }
+        }
+    }
+    return best;
+}
+
+std::optional<RangeTransfer> RangePlanner::relieve(const UpstreamLife &from)
+{
+    HolderLoad *giver = this->find(from);
+    if (giver == nullptr || giver->keys < 2) {
+        return std::nullopt;
+    }
+    const auto ranges = std::count_if(this->view.table.owners().begin(),
+                                      this->view.table.owners().end(),
+                                      [&](const RangeOwner &o) { return o.owner == from; });
+    if (static_cast<std::size_t>(ranges) >= mostRangesOfHolder) {
+        return std::nullopt;
+    }
+    const double mean = this->meanBusy();
+    const auto empty = std::find_if(this->loads.begin(), this->loads.end(), [](const auto &load) {
+        return load.holder.receives && load.keys == 0;
+    });
+    if (empty != this->loads.end() && giver->busy(0.0) >= mean) {
+        const double rate = std::min(giver->rate / 2.0,
+                                     firstPart * mean * millisecondsPerSecond * empty->holder.slots
+                                             / empty->holder.serviceMilliseconds);
+        if (const auto range = this->densestRange(from, rate); range && rate > 0.0) {
+            return RangeTransfer { *range, empty->holder.life, {} };
+        }
+        // Without load, half of the giver's first range makes the newcomer useful.
+        const auto first = std::find_if(this->view.table.owners().begin(),
+                                        this->view.table.owners().end(),
+                                        [&](const RangeOwner &o) { return o.owner == from; });
+        const KeyNumber middle = first->range.from + first->range.size() / 2;
+        return RangeTransfer { { middle, first->range.to }, empty->holder.life, {} };
+    }
+    const double busy = giver->busy(0.0);
+    if (busy < leastBusy || busy < imbalanceFactor * mean) {
+        return std::nullopt;
+    }
+    HolderLoad *receiver = this->bestReceiver(0.0, from);
+    if (receiver == nullptr || receiver->busy(0.0) > busy * receiverFactor) {
+        return std::nullopt;
+    }
+    const double perRequest
+            = giver->holder.serviceMilliseconds / std::max(giver->holder.slots, 1U)
+              + receiver->holder.serviceMilliseconds / std::max(receiver->holder.slots, 1U);
+    const double rate = (busy - receiver->busy(0.0)) * millisecondsPerSecond / perRequest;
+    const auto range = this->densestRange(from, std::min(rate, giver->rate * 0.6));
+    if (!range || receiver->busy(this->view.load.rate(*range)) > busy * receiverFactor) {
+        return std::nullopt;
+    }
+    return RangeTransfer { *range, receiver->holder.life, {} };
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/rangeplanner.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "version/keyload.h"
+#include "version/rangetable.h"
+
+#include <map>
+#include <optional>
+
+namespace cassiaroad {
+
+/** An upstream as the planner sees it. */
+struct RangeHolder
+{
+    UpstreamLife life;
+    std::uint32_t slots = 1;
+    double serviceMilliseconds = 100.0; // that one request takes
+    Milliseconds nextReport { 0 }; // until its next heartbeat is expected
+    bool receives = false; // is ready, and its heartbeats arrive
+
+    bool operator==(const RangeHolder &) const = default;
+};
+
+/** Keys of one service, their load and the upstreams that may hold them. Views; see RangePlanner. */
+struct PlacementView
+{
+    const RangeTable &table;
+    const KeyLoad &load;
+    const std::vector<RangeHolder> &holders;
+};
+
+/**
+ * Decides which upstream is to hold which keys. The load of an upstream is the share of its slots
+ * that the requests for its keys keep busy. Pure; the view must be valid during a call.
+ */
+class RangePlanner
+{
+public:
+    explicit RangePlanner(const PlacementView &view);
+
+    /** Splits all keys evenly by slots. Precondition: a holder receives. */
+    static std::vector<RangeTransfer> firstAssignment(const std::vector<RangeHolder> &holders);
+
+    /** Gives each of @p ranges, whose holder is leaving or lost, to the others. */
+    std::vector<RangeTransfer> replaceHolder(const std::vector<KeyRange> &ranges);
+
+    /**
+     * Returns a range that @p from is to give away so that the load is spread better, or nothing.
+     * An upstream without keys gets some first. Keys that were moved cost a warm cache, so a small
+     * imbalance is left alone.
+     */
+    std::optional<RangeTransfer> relieve(const UpstreamLife &from);
+
+private:
+    struct HolderLoad
+    {
+        RangeHolder holder;
+        double rate = 0.0; // requests per second
+        std::uint32_t keys = 0;
+
+        double busy(double extraRate) const;
+    };
+
+    HolderLoad *find(const UpstreamLife &life);
+    HolderLoad *bestReceiver(double extraRate, const UpstreamLife &except);
+    std::optional<KeyRange> densestRange(const UpstreamLife &owner, double rate) const;
+    double meanBusy() const;
+
+    PlacementView view;
+    std::vector<HolderLoad> loads;
+};
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/rangesupervisor.cpp
@@ -0,0 +1,339 @@
+#include "version/rangesupervisor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiaroad {
+
+namespace {
+
+// Handovers are used within a second; older ones belong to moves that were given up.
+constexpr std::size_t mostHandovers = 256;
+
+// Returns the parts of @p range that @p removed does not contain.
+std::vector<KeyRange> without(const KeyRange &range, const KeyRange &removed)
+{
+    if (!range.overlaps(removed)) {
+        return { range };
+    }
+    std::vector<KeyRange> parts;
+    if (range.from < removed.from) {
+        parts.push_back({ range.from, removed.from - 1 });
+    }
+    if (removed.to < range.to) {
+        parts.push_back({ removed.to + 1, range.to });
+    }
+    return parts;
+}
+
+} // namespace
+
+RangeSupervisor::RangeSupervisor(std::string service, RangeTiming timing)
+    : service(std::move(service))
+    , timing(timing)
+{ }
+
+void RangeSupervisor::startTerm()
+{
+    this->releasing.clear();
+    this->handovers.clear();
+    this->leavingSince.clear();
+    this->lastMove.clear();
+    this->transfersInFlight = false;
+}
+
+void RangeSupervisor::addLoad(KeyNumber key, std::uint32_t requests, TimePoint now)
+{
+    this->load.add(key, requests, now);
+}
+
+const RangeTable *RangeSupervisor::table(const RangeContext &context) const
+{
+    const auto found = context.state.ranges().find(this->service);
+    return found == context.state.ranges().end() ? nullptr : &found->second;
+}
+
+// Whether @p life may get or keep ranges.
+bool RangeSupervisor::isUsable(const UpstreamLife &life, const RangeContext &context) const
+{
+    const SiteUpstream *upstream = context.state.find(life);
+    return upstream != nullptr && upstream->service == this->service
+           && upstream->phase == UpstreamPhase::Ready
+           && !context.monitor.isSilent(life, context.now);
+}
+
+std::vector<RangeHolder> RangeSupervisor::holders(const RangeContext &context,
+                                                  Milliseconds earliest) const
+{
+    std::vector<RangeHolder> result;
+    for (const auto &[id, upstream] : context.state.upstreams()) {
+        if (upstream.service != this->service) {
+            continue;
+        }
+        result.push_back({ upstream.life, upstream.slots, context.monitor.serviceMilliseconds(id),
+                           context.monitor.nextReport(upstream.life, earliest, context.now),
+                           this->isUsable(upstream.life, context) });
+    }
+    return result;
+}
+
+bool RangeSupervisor::isReleasing(const KeyRange &range) const
+{
+    return std::any_of(this->releasing.begin(), this->releasing.end(),
+                       [&](const ReleasingRange &r) { return r.range.overlaps(range); });
+}
+
+// Returns the parts of @p entry that its owner was not told to release.
+std::vector<KeyRange> RangeSupervisor::keptParts(const RangeOwner &entry) const
+{
+    std::vector<KeyRange> parts { entry.range };
+    for (const ReleasingRange &release : this->releasing) {
+        if (release.from != entry.owner) {
+            continue;
+        }
+        std::vector<KeyRange> kept;
+        for (const KeyRange &part : parts) {
+            const std::vector<KeyRange> rest = without(part, release.range);
+            kept.insert(kept.end(), rest.begin(), rest.end());
+        }
+        parts = std::move(kept);
+    }
+    return parts;
+}
+
+void RangeSupervisor::releaseAll(const UpstreamLife &life, const RangeContext &context)
+{
+    std::vector<KeyRange> ranges;
+    for (const RangeOwner &entry : this->table(context)->owners()) {
+        if (entry.owner == life && !this->isReleasing(entry.range)) {
+            ranges.push_back(entry.range);
+        }
+    }
+    if (ranges.empty()) {
+        return;
+    }
+    const std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
+    RangePlanner planner({ *this->table(context), this->load, candidates });
+    for (const RangeTransfer &transfer : planner.replaceHolder(ranges)) {
+        this->releasing.push_back({ transfer.range, life, transfer.to });
+    }
+}
+
+void RangeSupervisor::planReleases(const UpstreamLife &life, const RangeContext &context)
+{
+    const SiteUpstream *upstream = context.state.find(life);
+    if (upstream == nullptr) {
+        return;
+    }
+    if (upstream->phase != UpstreamPhase::Ready) {
+        this->releaseAll(life, context);
+        return;
+    }
+    const bool isMoving = std::any_of(this->releasing.begin(), this->releasing.end(),
+                                      [&](const ReleasingRange &r) { return r.from == life; });
+    const auto moved = this->lastMove.find(life);
+    const bool isResting = moved != this->lastMove.end()
+                           && context.now - moved->second < this->timing.betweenMoves;
+    if (isMoving || isResting) {
+        return;
+    }
+    const std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
+    RangePlanner planner({ *this->table(context), this->load, candidates });
+    const std::optional<RangeTransfer> transfer = planner.relieve(life);
+    if (!transfer || this->isReleasing(transfer->range)) {
+        return;
+    }
+    // A receiver that is already getting keys is left alone until their load is known.
+    const bool isReceiving
+            = std::any_of(this->releasing.begin(), this->releasing.end(),
+                          [&](const ReleasingRange &r) { return r.to == transfer->to; });
+    if (!isReceiving) {
+        this->releasing.push_back({ transfer->range, life, transfer->to });
+        this->lastMove[life] = context.now;
+    }
+}
+
+std::vector<RangeHold> RangeSupervisor::answer(const UpstreamLife &life,
+                                               const RangeContext &context)
+{
+    const RangeTable *ranges = this->table(context);
+    if (ranges == nullptr) {
+        return {};
+    }
+    this->planReleases(life, context);
+    std::vector<RangeHold> holds;
+    for (const RangeOwner &entry : ranges->owners()) {
+        if (entry.owner != life) {
+            continue;
+        }
+        for (const KeyRange &part : this->keptParts(entry)) {
+            holds.push_back({ part, entry.fence, entry.handover });
+        }
+    }
+    return holds;
+}
+
+void RangeSupervisor::noteReleases(const UpstreamLife &life,
+                                   const std::vector<RangeRelease> &releases)
+{
+    for (const RangeRelease &release : releases) {
+        this->handovers.push_back({ life, release });
+    }
+    if (this->handovers.size() > mostHandovers) {
+        this->handovers.erase(this->handovers.begin(),
+                              this->handovers.end() - static_cast<std::ptrdiff_t>(mostHandovers));
+    }
+}
+
+std::string RangeSupervisor::handoverOf(const UpstreamLife &from, const KeyRange &range) const
+{
+    for (auto handover = this->handovers.rbegin(); handover != this->handovers.rend(); ++handover) {
+        if (handover->from == from && handover->release.range.contains(range)) {
+            return handover->release.handover;
+        }
+    }
+    return {};
+}
+
+std::vector<RangeTransfer> RangeSupervisor::firstTransfers(const RangeContext &context) const
+{
+    const std::vector<RangeHolder> candidates = this->holders(context, this->timing.commit);
+    TimePoint first = context.now;
+    bool any = false;
+    for (const RangeHolder &holder : candidates) {
+        if (holder.receives) {
+            any = true;
+            first = std::min(first, context.monitor.firstSeen(holder.life));
+        }
+    }
+    // All upstreams that run have sent a heartbeat after a little more than one interval.
+    if (!any || context.now - first < this->timing.heartbeat * 5 / 4) {
+        return {};
+    }
+    return RangePlanner::firstAssignment(candidates);
+}
+
+std::vector<RangeTransfer> RangeSupervisor::finishedReleases(const RangeContext &context)
+{
+    std::vector<RangeTransfer> transfers;
+    std::vector<ReleasingRange> open;
+    for (const ReleasingRange &release : this->releasing) {
+        const RangeOwner *entry = this->table(context)->find(release.range.from);
+        if (entry == nullptr || entry->owner != release.from) {
+            continue;
+        }
+        if (!context.ledger.isReleased(this->service, *entry, release.range, context.now)) {
+            open.push_back(release);
+            continue;
+        }
+        if (this->isUsable(release.to, context)) {
+            transfers.push_back({ release.range, release.to,
+                                  this->handoverOf(release.from, release.range) });
+        }
+    }
+    this->releasing = std::move(open);
+    return transfers;
+}
+
+// Ranges whose owner is gone and cannot hold them any more.
+std::vector<RangeTransfer> RangeSupervisor::lostRanges(const RangeContext &context) const
+{
+    std::vector<KeyRange> lost;
+    std::vector<RangeTransfer> transfers;
+    for (const RangeOwner &entry : this->table(context)->owners()) {
+        if (this->isUsable(entry.owner, context) || this->isReleasing(entry.range)) {
+            continue;
+        }
+        const bool hasEnded = context.state.find(entry.owner) == nullptr;
+        if (!hasEnded
+            && !context.ledger.isReleased(this->service, entry, entry.range, context.now)) {
+            continue;
+        }
+        // A restarted upstream takes its keys back at once.
+        const auto successor = context.state.upstreams().find(entry.owner.id);
+        if (hasEnded && successor != context.state.upstreams().end()
+            && this->isUsable(successor->second.life, context)) {
+            transfers.push_back({ entry.range, successor->second.life, {} });
+            continue;
+        }
+        lost.push_back(entry.range);
+    }
+    if (!lost.empty()) {
+        const std::vector<RangeHolder> candidates = this->holders(context, this->timing.commit);
+        RangePlanner planner({ *this->table(context), this->load, candidates });
+        const std::vector<RangeTransfer> replaced = planner.replaceHolder(lost);
+        transfers.insert(transfers.end(), replaced.begin(), replaced.end());
+    }
+    return transfers;
+}
+
+std::vector<RangeTransfer> RangeSupervisor::dueTransfers(const RangeContext &context)
+{
+    this->load.fade(context.now);
+    if (this->transfersInFlight) {
+        return {};
+    }
+    std::vector<RangeTransfer> transfers;
+    if (this->table(context) == nullptr) {
+        transfers = this->firstTransfers(context);
+    } else {
+        transfers = this->finishedReleases(context);
+        const std::vector<RangeTransfer> lost = this->lostRanges(context);
+        // A released range whose receiver is gone appears among the lost ones at the next call.
+        for (const RangeTransfer &transfer : lost) {
+            const bool known = std::any_of(transfers.begin(), transfers.end(), [&](const auto &t) {
+                return t.range.overlaps(transfer.range);
+            });
+            if (!known) {
+                transfers.push_back(transfer);
+            }
+        }
+    }
+    this->transfersInFlight = !transfers.empty();
+    return transfers;
+}
+
+RangePhase RangeSupervisor::phaseOf(const RangeOwner &entry, const RangeContext &context) const
+{
+    const SiteUpstream *upstream = context.state.find(entry.owner);
+    if (upstream == nullptr) {
+        return RangePhase::Pending;
+    }
+    if (upstream->phase != UpstreamPhase::Ready) {
+        const auto since = this->leavingSince.find(entry.owner);
+        const bool over = since != this->leavingSince.end()
+                          && context.now - since->second > this->timing.leavingService;
+        return over ? RangePhase::Pending : RangePhase::Owned;
+    }
+    if (context.ledger.isGranted(entry)) {
+        return RangePhase::Owned;
+    }
+    // An entry of an earlier term was probably granted by the leader of that time.
+    return context.ledger.isFromThisTerm(this->service, entry) ? RangePhase::Pending
+                                                               : RangePhase::Owned;
+}
+
+std::vector<RoutedRange> RangeSupervisor::routedRanges(const RangeContext &context) const
+{
+    std::vector<RoutedRange> result;
+    const RangeTable *ranges = this->table(context);
+    if (ranges == nullptr) {
+        return result;
+    }
+    for (const RangeOwner &entry : ranges->owners()) {
+        for (const ReleasingRange &release : this->releasing) {
+            if (release.from == entry.owner && entry.range.contains(release.range)) {
+                result.push_back({ release.range, release.to.id, RangePhase::Releasing });
+            }
+        }
+        const RangePhase phase = this->phaseOf(entry, context);
+        for (const KeyRange &part : this->keptParts(entry)) {
+            result.push_back({ part, entry.owner.id, phase });
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const RoutedRange &a, const RoutedRange &b) { return a.range < b.range; });
+    return result;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/registrystate.cpp
@@ -0,0 +1,202 @@
+#include "version/registrystate.h"
+
+#include "version/sitejson.h"
+
+#include <xxhash.h>
+
+namespace cassiaroad {
+
+namespace {
+
+using nlohmann::json;
+
+std::uint64_t digestOf(const std::string &document)
+{
+    return XXH3_64bits(document.data(), document.size());
+}
+
+template <typename Command>
+RegistryCommand readCommand(const json &value)
+{
+    return value.get<Command>();
+}
+
+using CommandReader = RegistryCommand (*)(const json &);
+
+// In the order of the alternatives of RegistryCommand; new commands go to the end.
+constexpr CommandReader commandReaders[] = {
+    &readCommand<PutConfiguration>, &readCommand<AssignSlot>, &readCommand<RegisterSiteUpstream>,
+    &readCommand<SetUpstreamPhase>, &readCommand<RemoveSiteUpstream>, &readCommand<TransferRanges>,
+};
+static_assert(std::size(commandReaders) == std::variant_size_v<RegistryCommand>);
+
+json rangesToJson(const std::map<std::string, RangeTable> &tables)
+{
+    json value = json::object();
+    for (const auto &[service, table] : tables) {
+        value[service] = { { "owners", table.owners() }, { "fence", table.lastFence() } };
+    }
+    return value;
+}
+
+std::map<std::string, RangeTable> rangesFromJson(const json &value)
+{
+    std::map<std::string, RangeTable> tables;
+    for (const auto &[service, table] : value.items()) {
+        tables.emplace(service, RangeTable(table.at("owners").get<std::vector<RangeOwner>>(),
+                                           table.at("fence").get<Fence>()));
+    }
+    return tables;
+}
+
+} // namespace
+
+std::string encodeCommand(const RegistryCommand &command)
+{
+    const json value = std::visit([](const auto &alternative) { return json(alternative); },
+                                  command);
+    return toCborText(json::array({ command.index(), value }));
+}
+
+std::optional<RegistryCommand> decodeRegistryCommand(std::string_view bytes)
+{
+    try {
+        const json value = json::from_cbor(bytes.begin(), bytes.end());
+        const auto index = value.at(0).get<std::size_t>();
+        if (index >= std::size(commandReaders)) {
+            return std::nullopt;
+        }
+        return commandReaders[index](value.at(1));
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+PutOutcome RegistryState::outcomeOf(const PutConfiguration &put) const
+{
+    const auto accepted = this->digests.find(put.version);
+    if (accepted != this->digests.end() && accepted->second == digestOf(put.document)) {
+        return PutOutcome::Repeated;
+    }
+    if (put.base != this->current || put.version <= this->current) {
+        return PutOutcome::Conflict;
+    }
+    return PutOutcome::Accepted;
+}
+
+PutOutcome RegistryState::apply(const RegistryCommand &command)
+{
+    if (const auto *put = std::get_if<PutConfiguration>(&command)) {
+        const PutOutcome outcome = this->outcomeOf(*put);
+        if (outcome == PutOutcome::Accepted) {
+            this->current = put->version;
+            this->currentDocument = put->document;
+            this->digests[put->version] = digestOf(put->document);
+        }
+        return outcome;
+    }
+    std::visit(
+            [this](const auto &alternative) {
+                using Command = std::decay_t<decltype(alternative)>;
+                if constexpr (!std::is_same_v<Command, PutConfiguration>) {
+                    this->applyCommand(alternative);
+                }
+            },
+            command);
+    return PutOutcome::Accepted;
+}
+
+void RegistryState::applyCommand(const AssignSlot &command)
+{
+    // Two hosts may have been offered one slot; the first command wins.
+    std::string &ip = this->memberIps[command.slot];
+    if (ip == command.replaces) {
+        ip = command.ip;
+    }
+}
+
+void RegistryState::applyCommand(const RegisterSiteUpstream &command)
+{
+    const UpstreamLife &life = command.upstream.life;
+    const auto known = this->upstreamMap.find(life.id);
+    if (known != this->upstreamMap.end() && known->second.life.born > life.born) {
+        return;
+    }
+    this->upstreamMap[life.id] = command.upstream;
+}
+
+void RegistryState::applyCommand(const SetUpstreamPhase &command)
+{
+    const auto known = this->upstreamMap.find(command.life.id);
+    if (known != this->upstreamMap.end() && known->second.life == command.life) {
+        known->second.phase = command.phase;
+    }
+}
+
+void RegistryState::applyCommand(const RemoveSiteUpstream &command)
+{
+    const auto known = this->upstreamMap.find(command.life.id);
+    if (known != this->upstreamMap.end() && known->second.life == command.life) {
+        this->upstreamMap.erase(known);
+    }
+}
+
+void RegistryState::applyCommand(const TransferRanges &command)
+{
+    this->rangeTables[command.service].transfer(command.transfers);
+}
+
+const SiteUpstream *RegistryState::find(const UpstreamLife &life) const
+{
+    const auto known = this->upstreamMap.find(life.id);
+    return known != this->upstreamMap.end() && known->second.life == life ? &known->second
+                                                                          : nullptr;
+}
+
+std::string RegistryState::encode() const
+{
+    json digestList = json::array();
+    for (const auto &[version, digest] : this->digests) {
+        digestList.push_back({ version, digest });
+    }
+    json memberList = json::array();
+    for (const auto &[slot, ip] : this->memberIps) {
+        memberList.push_back({ slot, ip });
+    }
+    json upstreamList = json::array();
+    for (const auto &[id, upstream] : this->upstreamMap) {
+        upstreamList.push_back(upstream);
+    }
+    return toCborText({ { "version", this->current },
+                        { "document", this->currentDocument },
+                        { "digests", digestList },
+                        { "members", memberList },
+                        { "upstreams", upstreamList },
+                        { "ranges", rangesToJson(this->rangeTables) } });
+}
+
+std::optional<RegistryState> RegistryState::decode(std::string_view bytes)
+{
+    try {
+        const json value = json::from_cbor(bytes.begin(), bytes.end());
+        RegistryState state;
+        state.current = value.at("version").get<ConfigurationVersion>();
+        state.currentDocument = value.at("document").get<std::string>();
+        for (const json &entry : value.at("digests")) {
+            state.digests[entry.at(0).get<ConfigurationVersion>()] = entry.at(1);
+        }
+        for (const json &entry : value.at("members")) {
+            state.memberIps[entry.at(0).get<std::uint32_t>()] = entry.at(1);
+        }
+        for (const json &entry : value.at("upstreams")) {
+            auto upstream = entry.get<SiteUpstream>();
+            state.upstreamMap[upstream.life.id] = upstream;
+        }
+        state.rangeTables = rangesFromJson(value.at("ranges"));
+        return state;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/version/sitewatch.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "version/routingtable.h"
+
+#include <optional>
+
+namespace cassiaroad {
+
+/** Requests for one key since the previous report of a gateway. */
+struct KeyRequests
+{
+    std::string service;
+    KeyNumber key = 0;
+    std::uint32_t requests = 0;
+
+    bool operator==(const KeyRequests &) const = default;
+};
+
+/** Requests that an upstream answered without a queue, since the previous report of a gateway. */
+struct UpstreamTiming
+{
+    std::string upstream; // id
+    std::uint32_t requests = 0;
+    std::uint64_t milliseconds = 0; // sum of their durations at the upstream
+
+    bool operator==(const UpstreamTiming &) const = default;
+};
+
+/** What a gateway tells the leader when it asks for changes. */
+struct GatewayReport
+{
+    std::string gateway;
+    std::string zone;
+    std::uint64_t tableTag = 0; // of the routing table that it has; 0: none
+    ConfigurationVersion version = 0; // of the configuration that it has
+    std::uint32_t requests = 0; // since the previous report
+    std::vector<KeyRequests> keys;
+    std::vector<UpstreamTiming> timings;
+
+    bool operator==(const GatewayReport &) const = default;
+};
+
+/** What has changed for a gateway. */
+struct GatewayUpdate
+{
+    std::uint64_t tableTag = 0;
+    std::optional<RoutingTable> table; // if the gateway has another
+    ConfigurationVersion version = 0;
+    std::optional<std::string> document; // if the gateway has an older one
+    double trafficShare = 1.0; // of this gateway in the requests of all
+    std::uint32_t gateways = 1;
+
+    bool operator==(const GatewayUpdate &) const = default;
+};
+
+/** Sent instead of an update, and to processes that look for the group. */
+struct GroupHint
+{
+    bool groupExists = false;
+    std::string leaderIp; // empty: unknown
+    std::map<std::uint32_t, std::string> members; // ip by slot
+    std::uint32_t slot = 0; // given to the process that asked; 0: none
+
+    bool operator==(const GroupHint &) const = default;
+};
+
+using WatchAnswer = std::variant<GroupHint, GatewayUpdate>;
+
+/** A control host that looks for the group, and for a slot in it. */
+struct JoinRequest
+{
+    std::string ip;
+    bool wantsSlot = false;
+
+    bool operator==(const JoinRequest &) const = default;
+};
+
+// CBOR forms; a decoder returns nothing if the bytes do not hold such a value. Thread-safe.
+std::string encode(const GatewayReport &report);
+std::string encode(const WatchAnswer &answer);
+std::string encode(const GroupHint &hint);
+std::string encode(const JoinRequest &request);
+std::optional<GatewayReport> decodeGatewayReport(std::string_view bytes);
+std::optional<WatchAnswer> decodeWatchAnswer(std::string_view bytes);
+std::optional<GroupHint> decodeGroupHint(std::string_view bytes);
+std::optional<JoinRequest> decodeJoinRequest(std::string_view bytes);
+
+} // namespace cassiaroad
