--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -61,10 +61,18 @@
     this->routing.gateways = update.gateways;
     this->routing.tableAt = this->loop.now();
     // A leader of an earlier term counts lower.
-    const bool hasNewTable = update.table && update.tableTag > this->routing.tableTag;
+    const bool hasNewTable = update.ranges && update.tableTag > this->routing.tableTag;
     if (hasNewTable) {
         this->routing.tableTag = update.tableTag;
-        this->takeTable(*update.table);
+        RoutingTable table;
+        table.ranges = *update.ranges;
+        if (update.upstreams) {
+            this->routing.upstreamsTag = update.upstreamsTag;
+            table.upstreams = *update.upstreams;
+        } else if (this->routing.table) {
+            table.upstreams = this->routing.table->upstreams;
+        }
+        this->takeTable(table);
     }
     for (const auto &[id, upstream] : this->upstreams) {
         upstream->setShare(update.trafficShare);
@@ -138,6 +146,7 @@
     report.gateway = this->settings.host;
     report.zone = this->settings.zone;
     report.tableTag = this->routing.tableTag;
+    report.upstreamsTag = this->routing.upstreamsTag;
     report.version = this->routing.version();
     report.requests = std::exchange(this->requestCount, 0);
     for (const auto &[key, requests] : std::exchange(this->keyRequests, {})) {
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -138,6 +138,7 @@
 
 void GatewayRequest::dispatch()
 {
+    this->stopWaiting();
     this->target.reset();
     if (!this->core.view().table) {
         this->refuse("no routing table yet");
@@ -454,6 +455,10 @@
 // Answers that the request was not run and when the client may come back.
 void GatewayRequest::refuse(const std::string &reason)
 {
+    if (this->call && this->call->isSent()) {
+        this->fail(statusBadGateway, "outcome unknown: " + reason);
+        return;
+    }
     const Milliseconds clientLeft
             = this->clientTime - (this->core.eventLoop().now() - this->arrived);
     const Milliseconds wanted = std::max(this->typicalDuration(), shortestRetryAfter);
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -150,6 +150,7 @@
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
         this->tableTag = this->leadingTerm << tagBitsOfTerm;
+        this->upstreamsTag = this->tableTag;
         this->table = {};
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { founderSlot, this->settings.ip, "" } },
@@ -286,8 +287,12 @@
     }
     GatewayUpdate update;
     update.tableTag = this->tableTag;
+    update.upstreamsTag = this->upstreamsTag;
+    if (report.upstreamsTag != this->upstreamsTag) {
+        update.upstreams = this->table.upstreams;
+    }
     if (report.tableTag != this->tableTag) {
-        update.table = this->table;
+        update.ranges = this->table.ranges;
     }
     update.version = this->state.version();
     if (report.version < update.version) {
@@ -356,8 +361,11 @@
 {
     RoutingTable current = this->manager.routingTable(this->loop.now());
     if (current != this->table) {
-        this->table = std::move(current);
         ++this->tableTag;
+        if (current.upstreams != this->table.upstreams) {
+            this->upstreamsTag = this->tableTag;
+        }
+        this->table = std::move(current);
         this->wakeGateways();
     }
 }
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -124,6 +124,7 @@
     std::map<std::uint64_t, Proposal> proposals;
     RoutingTable table;
     std::uint64_t tableTag = 0;
+    std::uint64_t upstreamsTag = 0; // of the table in which the upstreams last changed
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waiting; // watch calls
     EventLoop::Timer tickTimer;
     GroupMember group; // its handlers use the members above
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -30,6 +30,13 @@
            / (millisecondsPerSecond * std::max(this->holder.slots, 1U));
 }
 
+// Busy slots, and the time that the keys would have no owner.
+double RangePlanner::HolderLoad::cost(double extraRate) const
+{
+    const double wait = static_cast<double>(this->holder.nextReport.count) / millisecondsPerSecond;
+    return this->busy(extraRate) + wait * busyPerSecondOfWait;
+}
+
 RangePlanner::RangePlanner(const PlacementView &view)
     : view(view)
 {
@@ -85,9 +92,7 @@
         if (!load.holder.receives || load.holder.life == except) {
             continue;
         }
-        const double wait
-                = static_cast<double>(load.holder.nextReport.count) / millisecondsPerSecond;
-        const double cost = load.busy(extraRate) + wait * busyPerSecondOfWait;
+        const double cost = load.cost(extraRate);
         if (best == nullptr || cost < bestCost) {
             best = &load;
             bestCost = cost;
@@ -127,6 +132,22 @@
     return transfers;
 }
 
+std::optional<UpstreamLife> RangePlanner::receiverOf(const KeyRange &range,
+                                                     const UpstreamLife &from,
+                                                     const UpstreamLife &planned)
+{
+    const HolderLoad *first = this->find(planned);
+    const bool isUsable = first != nullptr && first->holder.receives;
+    if (isUsable && first->keys == 0) {
+        return planned;
+    }
+    const HolderLoad *best = this->bestReceiver(this->view.load.rate(range), from);
+    if (best == nullptr) {
+        return std::nullopt;
+    }
+    return best->holder.life;
+}
+
 double RangePlanner::meanBusy() const
 {
     double sum = 0.0;
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -43,6 +43,13 @@
     /** Gives each of @p ranges, whose holder is leaving or lost, to the others. */
     std::vector<RangeTransfer> replaceHolder(const std::vector<KeyRange> &ranges);
 
+    /**
+     * Returns who is to get @p range, which @p from has released; @p planned was chosen when the
+     * release began. Nothing if nobody receives.
+     */
+    std::optional<UpstreamLife> receiverOf(const KeyRange &range, const UpstreamLife &from,
+                                           const UpstreamLife &planned);
+
     /**
      * Returns a range that @p from is to give away so that the load is spread better, or nothing.
      * An upstream without keys gets some first. Keys that were moved cost a warm cache, so a small
@@ -58,6 +65,7 @@
         std::uint32_t keys = 0;
 
         double busy(double extraRate) const;
+        double cost(double extraRate) const;
     };
 
     HolderLoad *find(const UpstreamLife &life);
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -226,9 +226,12 @@
             open.push_back(release);
             continue;
         }
-        if (this->isUsable(release.to, context)) {
-            transfers.push_back({ release.range, release.to,
-                                  this->handoverOf(release.from, release.range) });
+        // Work in progress delays a release, so another receiver may report sooner by now.
+        const std::vector<RangeHolder> candidates = this->holders(context, this->timing.commit);
+        RangePlanner planner({ *this->table(context), this->load, candidates });
+        if (const auto to = planner.receiverOf(release.range, release.from, release.to)) {
+            transfers.push_back(
+                    { release.range, *to, this->handoverOf(release.from, release.range) });
         }
     }
     this->releasing = std::move(open);
--- a/src/version/routingtable.h
+++ b/src/version/routingtable.h
@@ -30,11 +30,14 @@
     bool operator==(const RoutedRange &) const = default;
 };
 
+/** Ranges by service, ascending. */
+using RoutedRanges = std::map<std::string, std::vector<RoutedRange>>;
+
 /** Where gateways send requests. Immutable after it was built. */
 struct RoutingTable
 {
     std::vector<RoutedUpstream> upstreams;
-    std::map<std::string, std::vector<RoutedRange>> ranges; // of keyed services, ascending
+    RoutedRanges ranges; // of keyed services
 
     bool operator==(const RoutingTable &) const = default;
 
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -9,17 +9,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JoinRequest, ip, wantsSlot)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RoutedUpstream, upstream, silent, warming)
 
-// Ranges, keys and timings are the bulk of the messages, so they are arrays without names.
-
-static void to_json(json &value, const RoutedRange &range)
-{
-    value = json::array({ range.range.from, range.range.to, range.upstream, range.phase });
-}
-
-static void from_json(const json &value, RoutedRange &range)
-{
-    range = { { value.at(0), value.at(1) }, value.at(2), value.at(3).get<RangePhase>() };
-}
+// Keys, timings and ranges are the bulk of the messages, so they are arrays without names.
 
 static void to_json(json &value, const KeyRequests &requests)
 {
@@ -41,9 +31,8 @@
     timing = { value.at(0), value.at(1), value.at(2) };
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RoutingTable, upstreams, ranges)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GatewayReport, gateway, zone, tableTag, version, requests, keys,
-                                   timings)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GatewayReport, gateway, zone, tableTag, upstreamsTag, version,
+                                   requests, keys, timings)
 
 namespace {
 
@@ -71,14 +60,53 @@
     return hint;
 }
 
+// A range is [first key, last key, position of the upstream's id in the list, phase].
+json toJson(const RoutedRanges &ranges)
+{
+    json ids = json::array();
+    std::map<std::string, std::size_t> positions;
+    json services = json::object();
+    for (const auto &[service, list] : ranges) {
+        json rows = json::array();
+        for (const RoutedRange &range : list) {
+            const auto [position, isNew] = positions.try_emplace(range.upstream, positions.size());
+            if (isNew) {
+                ids.push_back(range.upstream);
+            }
+            rows.push_back(json::array(
+                    { range.range.from, range.range.to, position->second, range.phase }));
+        }
+        services[service] = std::move(rows);
+    }
+    return json::array({ ids, services });
+}
+
+RoutedRanges toRanges(const json &value)
+{
+    const json &ids = value.at(0);
+    RoutedRanges ranges;
+    for (const auto &[service, rows] : value.at(1).items()) {
+        std::vector<RoutedRange> &list = ranges[service];
+        for (const json &row : rows) {
+            const std::string id = ids.at(row.at(2).get<std::size_t>());
+            list.push_back({ { row.at(0), row.at(1) }, id, row.at(3).get<RangePhase>() });
+        }
+    }
+    return ranges;
+}
+
 json toJson(const GatewayUpdate &update)
 {
     json value = { { "tag", update.tableTag },
+                   { "upstreamsTag", update.upstreamsTag },
                    { "version", update.version },
                    { "share", update.trafficShare },
                    { "gateways", update.gateways } };
-    if (update.table) {
-        value["table"] = *update.table;
+    if (update.upstreams) {
+        value["upstreams"] = *update.upstreams;
+    }
+    if (update.ranges) {
+        value["ranges"] = toJson(*update.ranges);
     }
     if (update.document) {
         value["document"] = *update.document;
@@ -93,8 +121,12 @@
     update.version = value.at("version");
     update.trafficShare = value.at("share");
     update.gateways = value.at("gateways");
-    if (value.contains("table")) {
-        update.table = value.at("table").get<RoutingTable>();
+    update.upstreamsTag = value.at("upstreamsTag");
+    if (value.contains("upstreams")) {
+        update.upstreams = value.at("upstreams").get<std::vector<RoutedUpstream>>();
+    }
+    if (value.contains("ranges")) {
+        update.ranges = toRanges(value.at("ranges"));
     }
     if (value.contains("document")) {
         update.document = value.at("document").get<std::string>();
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -32,6 +32,7 @@
     std::string gateway;
     std::string zone;
     std::uint64_t tableTag = 0; // of the routing table that it has; 0: none
+    std::uint64_t upstreamsTag = 0; // of the table with which it got its upstreams
     ConfigurationVersion version = 0; // of the configuration that it has
     std::uint32_t requests = 0; // since the previous report
     std::vector<KeyRequests> keys;
@@ -44,7 +45,9 @@
 struct GatewayUpdate
 {
     std::uint64_t tableTag = 0;
-    std::optional<RoutingTable> table; // if the gateway has another
+    std::uint64_t upstreamsTag = 0;
+    std::optional<std::vector<RoutedUpstream>> upstreams; // if the gateway has others
+    std::optional<RoutedRanges> ranges; // if the gateway has another table
     ConfigurationVersion version = 0;
     std::optional<std::string> document; // if the gateway has an older one
     double trafficShare = 1.0; // of this gateway in the requests of all
