connection: Parse answers with http-parser; drop requests that cross a close

Cause: h2o's client asserts when an answer with keep-alive has broken framing, which ended an entry host; after SIGTERM an idle connection was shut down while a request was arriving, which was then passed on without a way to answer. A 421 of another upstream at an old address was repeated. Ruled out: filtering answers before h2o's client, which reads the socket itself.

--- a/src/connection/connectionstore.cpp
+++ b/src/connection/connectionstore.cpp
@@ -1,7 +1,6 @@
 #include "connection/connectionstore.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -11,9 +10,6 @@
 
 namespace {
 
-// h2o's timers follow the wall clock; the owners of calls set the time limits.
-constexpr std::uint64_t noTimeout = 365ULL * 24 * 3600 * 1000;
-constexpr std::size_t unlimited = 1U << 20U;
 // A second answer to an earlier request can only be told from the answer to the next one while the
 // connection is idle, so a connection rests before it is used again. A peer may hold back a small
 // second answer until the first is acknowledged, which takes one round trip (3 ms between zones).
@@ -21,12 +17,6 @@
 
 } // namespace
 
-struct ConnectionStore::H2oContext
-{
-    h2o_timeout_t timeout {};
-    h2o_http1client_ctx_t client {};
-};
-
 struct ConnectionStore::Idle
 {
     Server *server;
@@ -37,7 +27,6 @@
 
 struct ConnectionStore::Server
 {
-    h2o_socketpool_t handover {};
     std::vector<std::unique_ptr<Idle>> idle; // in the order in which they became idle
 
     template <typename Predicate>
@@ -55,25 +44,13 @@
 
 ConnectionStore::ConnectionStore(EventLoop &loop)
     : loop(loop)
-    , context(std::make_unique<H2oContext>())
-{
-    h2o_timeout_init(loop.h2oLoop(), &this->context->timeout, noTimeout);
-    this->context->client.loop = loop.h2oLoop();
-    this->context->client.io_timeout = &this->context->timeout;
-}
+{ }
 
 ConnectionStore::~ConnectionStore()
 {
     for (auto &[address, server] : this->servers) {
         server->closeIf([](const Idle &) { return true; });
-        h2o_socketpool_dispose(&server->handover);
     }
-    h2o_timeout_dispose(this->loop.h2oLoop(), &this->context->timeout);
-}
-
-h2o_http1client_ctx_t *ConnectionStore::clientContext() const
-{
-    return &this->context->client;
 }
 
 ConnectionStore::Server &ConnectionStore::serverOf(const HostAddress &address)
@@ -81,37 +58,25 @@
     std::unique_ptr<Server> &server = this->servers[address];
     if (!server) {
         server = std::make_unique<Server>();
-        sockaddr_in target {};
-        target.sin_family = AF_INET;
-        target.sin_port = htons(address.port);
-        inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr);
-        h2o_socketpool_init_by_address(&server->handover, reinterpret_cast<sockaddr *>(&target),
-                                       sizeof(target), 0, unlimited);
-        h2o_socketpool_set_timeout(&server->handover, this->loop.h2oLoop(), noTimeout);
     }
     return *server;
 }
 
-h2o_socketpool_t *ConnectionStore::offerConnection(const HostAddress &server, TimePoint &openedAt)
+h2o_socket_t *ConnectionStore::take(const HostAddress &server, TimePoint &openedAt)
 {
     Server &entry = this->serverOf(server);
     const TimePoint usedBefore = this->loop.now() - rest;
     const auto found = std::find_if(
             entry.idle.rbegin(), entry.idle.rend(),
             [&](const std::unique_ptr<Idle> &idle) { return idle->idleSince <= usedBefore; });
-    if (found != entry.idle.rend()) {
-        const std::unique_ptr<Idle> idle = std::move(*found);
-        entry.idle.erase(std::next(found).base());
-        h2o_socket_read_stop(idle->socket);
-        openedAt = idle->openedAt;
-        h2o_socketpool_return(&entry.handover, idle->socket);
+    if (found == entry.idle.rend()) {
+        return nullptr;
     }
-    return &entry.handover;
-}
-
-h2o_socketpool_t *ConnectionStore::emptyPool(const HostAddress &server)
-{
-    return &this->serverOf(server).handover;
+    const std::unique_ptr<Idle> idle = std::move(*found);
+    entry.idle.erase(std::next(found).base());
+    h2o_socket_read_stop(idle->socket);
+    openedAt = idle->openedAt;
+    return idle->socket;
 }
 
 void ConnectionStore::keep(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt)
--- a/src/connection/connectionstore.h
+++ b/src/connection/connectionstore.h
@@ -9,8 +9,6 @@
 #include <vector>
 
 typedef struct st_h2o_socket_t h2o_socket_t;
-typedef struct st_h2o_http1client_ctx_t h2o_http1client_ctx_t;
-typedef struct st_h2o_socketpool_t h2o_socketpool_t;
 
 namespace cassiaroad {
 
@@ -27,18 +25,12 @@
     ConnectionStore &operator=(const ConnectionStore &) = delete;
 
     EventLoop &eventLoop() const { return this->loop; }
-    h2o_http1client_ctx_t *clientContext() const;
 
     /**
-     * Returns h2o's pool through which a connection to @p server is handed to h2o's client. It
-     * holds the idle connection used last that has been quiet for a moment, if there is one, and is
-     * empty otherwise. @p openedAt receives the time at which that connection was opened; it is
-     * unchanged if there is none.
+     * Takes the idle connection to @p server used last that has been quiet for a moment; null if
+     * there is none. @p openedAt receives the time at which it was opened.
      */
-    h2o_socketpool_t *offerConnection(const HostAddress &server, TimePoint &openedAt);
-
-    /** Returns h2o's pool of @p server without a connection in it. */
-    h2o_socketpool_t *emptyPool(const HostAddress &server);
+    h2o_socket_t *take(const HostAddress &server, TimePoint &openedAt);
 
     /** Takes a connection that has carried a whole answer and nothing after it. */
     void keep(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt);
@@ -52,13 +44,11 @@
 private:
     struct Idle;
     struct Server;
-    struct H2oContext;
 
     Server &serverOf(const HostAddress &address);
     static void closeIfUsed(h2o_socket_t *socket, const char *error);
 
     EventLoop &loop;
-    std::unique_ptr<H2oContext> context;
     std::map<HostAddress, std::unique_ptr<Server>> servers;
 };
 
--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -1,6 +1,6 @@
 #include "connection/httpcall.h"
 
-#include "process/lowercase.h"
+#include "connection/socketaddress.h"
 
 #include <algorithm>
 
@@ -12,13 +12,6 @@
 
 namespace {
 
-constexpr int switchingProtocols = 101;
-
-std::string_view view(const h2o_iovec_t &bytes)
-{
-    return { bytes.base, bytes.len };
-}
-
 // Bytes acknowledged by the peer and received from it; grows with each progress of the connection.
 std::uint64_t bytesMoved(h2o_socket_t *socket)
 {
@@ -30,76 +23,25 @@
     return info.tcpi_bytes_acked + info.tcpi_bytes_received;
 }
 
-// How the end of an answer is marked, from its headers.
-struct Framing
-{
-    int contentLengths = 0;
-    int transferEncodings = 0;
-    bool closes = false;
-
-    bool isChunked() const { return this->transferEncodings > 0; }
-    bool isProvable() const { return this->contentLengths + this->transferEncodings == 1; }
-    bool isAmbiguous() const { return this->contentLengths + this->transferEncodings > 1; }
-};
-
-Framing framingOf(const std::vector<std::pair<std::string, std::string>> &headers)
-{
-    Framing framing;
-    for (const auto &[name, value] : headers) {
-        framing.contentLengths += name == "content-length" ? 1 : 0;
-        framing.transferEncodings += name == "transfer-encoding" ? 1 : 0;
-        framing.closes = framing.closes || (name == "connection" && lowerCase(value) == "close");
-    }
-    return framing;
-}
-
 } // namespace
 
 struct HttpCall::Callbacks
 {
-    static HttpCall *callOf(h2o_http1client_t *client)
-    {
-        return static_cast<HttpCall *>(client->data);
-    }
+    static HttpCall *callOf(h2o_socket_t *socket) { return static_cast<HttpCall *>(socket->data); }
 
-    static h2o_http1client_head_cb onConnect(h2o_http1client_t *client, const char *error,
-                                             h2o_iovec_t **buffers, std::size_t *count,
-                                             int *methodIsHead)
+    static void onConnected(h2o_socket_t *socket, const char *error)
     {
-        HttpCall *call = callOf(client);
-        call->client = client;
-        if (!call->onConnected(error)) {
-            return nullptr;
-        }
-        static thread_local h2o_iovec_t parts[2];
-        parts[0] = h2o_iovec_init(call->head.data(), call->head.size());
-        parts[1] = h2o_iovec_init(call->request.body.data(), call->request.body.size());
-        *buffers = parts;
-        *count = call->request.body.empty() ? 1 : 2;
-        *methodIsHead = call->request.method == "HEAD" ? 1 : 0;
-        return &Callbacks::onHead;
+        callOf(socket)->onConnected(error);
     }
 
-    static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error,
-                                          int minorVersion, int status, h2o_iovec_t /*reason*/,
-                                          h2o_header_t *headers, std::size_t count, int headLength)
+    static void onWritten(h2o_socket_t *socket, const char *error)
     {
-        const bool ended = error == h2o_http1client_error_is_eos;
-        if (error != nullptr && !ended) {
-            callOf(client)->onHeadError(error);
-            return nullptr;
-        }
-        HttpCall *call = callOf(client);
-        call->keepConnection = minorVersion > 0;
-        return call->onHead(ended, status, headers, count, static_cast<std::size_t>(headLength))
-                       ? &Callbacks::onBody
-                       : nullptr;
+        callOf(socket)->onWritten(error);
     }
 
-    static int onBody(h2o_http1client_t *client, const char *error)
+    static void onReadable(h2o_socket_t *socket, const char *error)
     {
-        const bool ended = error == h2o_http1client_error_is_eos;
-        return callOf(client)->onBody(ended ? nullptr : error, ended) ? 0 : -1;
+        callOf(socket)->onReadable(error);
     }
 };
 
@@ -108,14 +50,19 @@
     : store(std::move(store))
     , server(std::move(server))
     , request(std::move(request))
-    , maxAnswerBytes(maxAnswerBytes)
+    , parser(this->request.method == "HEAD", maxAnswerBytes)
     , progress(this->store->eventLoop().now())
 { }
 
 HttpCall::~HttpCall()
 {
-    if (this->client != nullptr) {
-        h2o_http1client_cancel(this->client);
+    this->closeSocket();
+}
+
+void HttpCall::closeSocket()
+{
+    if (this->socket != nullptr) {
+        h2o_socket_close(std::exchange(this->socket, nullptr));
     }
 }
 
@@ -126,16 +73,30 @@
     this->mayWrite = std::move(mayWrite);
     this->head = this->buildHead();
     this->openedAt = this->store->eventLoop().now();
-    h2o_socketpool_t *pool = reuse == Reuse::Allowed
-                                     ? this->store->offerConnection(this->server, this->openedAt)
-                                     : this->store->emptyPool(this->server);
     this->starting = true;
-    h2o_http1client_t *created = nullptr;
-    h2o_http1client_connect_with_pool(&created, this, this->store->clientContext(), pool,
-                                      &Callbacks::onConnect);
+    if (reuse == Reuse::Allowed) {
+        this->socket = this->store->take(this->server, this->openedAt);
+    }
+    if (this->socket != nullptr) {
+        this->reused = true;
+        this->socket->data = this;
+        this->write();
+    } else {
+        this->connect();
+    }
     this->starting = false;
-    // A failure within the call above has already freed the client.
-    this->client = this->finished ? nullptr : created;
+}
+
+void HttpCall::connect()
+{
+    SocketAddress address = toSocketAddress(this->server);
+    this->socket = h2o_socket_connect(this->store->eventLoop().h2oLoop(), address.data(),
+                                      address.length, &Callbacks::onConnected);
+    if (this->socket == nullptr) {
+        this->fail(HttpFailure::Stage::Connect, "connection failed");
+        return;
+    }
+    this->socket->data = this;
 }
 
 std::string HttpCall::buildHead() const
@@ -158,64 +119,66 @@
     return text;
 }
 
-bool HttpCall::onConnected(const char *error)
+void HttpCall::onConnected(const char *error)
 {
     if (error != nullptr) {
         this->fail(HttpFailure::Stage::Connect, error);
-        return false;
-    }
-    // h2o hands over a kept connection at once; a new one takes at least one turn of the loop.
-    this->reused = this->starting;
-    if (!this->reused) {
-        this->openedAt = this->store->eventLoop().now();
+        return;
     }
+    this->openedAt = this->store->eventLoop().now();
+    this->write();
+}
+
+void HttpCall::write()
+{
     this->progress = this->store->eventLoop().now();
     if (this->mayWrite && !this->mayWrite()) {
         this->fail(HttpFailure::Stage::Withdrawn, "withdrawn before the first byte was written");
-        return false;
+        return;
     }
     this->sent = true;
-    return true;
+    h2o_iovec_t parts[2] = { h2o_iovec_init(this->head.data(), this->head.size()),
+                             h2o_iovec_init(this->request.body.data(),
+                                            this->request.body.size()) };
+    h2o_socket_read_start(this->socket, &Callbacks::onReadable);
+    h2o_socket_write(this->socket, parts, this->request.body.empty() ? 1 : 2,
+                     &Callbacks::onWritten);
 }
 
-void HttpCall::onHeadError(const char *error)
+// After a write error, an answer that was sent before it may still be read.
+void HttpCall::onWritten(const char *error)
 {
-    const bool began = this->client->sock != nullptr && this->client->sock->input->size > 0;
-    this->fail(began ? HttpFailure::Stage::AnswerCut : HttpFailure::Stage::Sent, error);
+    this->written = error == nullptr;
 }
 
-bool HttpCall::onHead(bool ended, int status, h2o_header_t *headers, std::size_t count,
-                      std::size_t headLength)
+void HttpCall::onReadable(const char *error)
 {
-    this->progress = this->store->eventLoop().now();
-    this->answer.status = status;
-    this->answer.headers.reserve(count);
-    for (std::size_t i = 0; i < count; ++i) {
-        this->answer.headers.emplace_back(lowerCase(view(*headers[i].name)),
-                                          std::string(view(headers[i].value)));
-    }
-    const Framing framing = framingOf(this->answer.headers);
-    // h2o does not tell whether bytes follow the last chunk, so such a connection is not used
-    // again.
-    this->chunked = framing.isChunked();
-    this->keepConnection = this->keepConnection && !framing.closes && !this->chunked;
-    if (status == switchingProtocols || framing.isAmbiguous()
-        || (!ended && !framing.isProvable())) {
-        this->fail(HttpFailure::Stage::AnswerCut, "the end of the answer cannot be determined");
-        return false;
-    }
-    if (!this->isOwnAnswer()) {
-        this->fail(HttpFailure::Stage::AnswerCut, "the answer belongs to another request");
-        return false;
+    h2o_buffer_t *&input = this->socket->input;
+    if (input->size > 0) {
+        this->progress = this->store->eventLoop().now();
+        const AnswerParser::State state = this->parser.feed({ input->bytes, input->size });
+        h2o_buffer_consume(&input, input->size);
+        if (state == AnswerParser::State::Invalid) {
+            this->fail(HttpFailure::Stage::AnswerCut, this->parser.reason());
+            return;
+        }
+        if (this->parser.hasHead() && !this->isOwnAnswer()) {
+            this->fail(HttpFailure::Stage::AnswerCut, "the answer belongs to another request");
+            return;
+        }
+        if (state == AnswerParser::State::Complete) {
+            this->finishAnswer();
+            return;
+        }
+        this->began = true;
     }
-    if (ended) {
-        this->finishAnswer(this->client->sock->input->size > headLength);
+    if (error != nullptr) {
+        this->fail(this->began ? HttpFailure::Stage::AnswerCut : HttpFailure::Stage::Sent, error);
     }
-    return true;
 }
 
 // An upstream that repeats the identity header proves which request it answers.
-bool HttpCall::isOwnAnswer() const
+bool HttpCall::isOwnAnswer()
 {
     const auto find = [this](const auto &headers) {
         const auto found = std::find_if(headers.begin(), headers.end(), [this](const auto &header) {
@@ -223,48 +186,29 @@
         });
         return found == headers.end() ? std::string_view() : std::string_view(found->second);
     };
-    const std::string_view repeated = find(this->answer.headers);
+    const std::string_view repeated = find(this->parser.answer().headers);
     if (repeated.empty()) {
-        const bool isSuccess = this->answer.status >= 200 && this->answer.status < 300;
+        const int status = this->parser.answer().status;
+        const bool isSuccess = status >= 200 && status < 300;
         return !this->request.requiresIdentity || !isSuccess;
     }
     return repeated == find(this->request.headers);
 }
 
-bool HttpCall::onBody(const char *error, bool ended)
-{
-    h2o_socket_t *socket = this->client->sock;
-    const std::size_t size = socket->input->size;
-    // h2o takes a connection that closes between two chunks for the end of the answer. The last
-    // chunk leaves fewer bytes in the buffer than were read, because its marks are removed.
-    if (error != nullptr || (ended && this->chunked && size >= socket->bytes_read)) {
-        this->fail(HttpFailure::Stage::AnswerCut, error != nullptr ? error : "last chunk missing");
-        return false;
-    }
-    this->progress = this->store->eventLoop().now();
-    if (this->answer.body.size() + size > this->maxAnswerBytes) {
-        this->fail(HttpFailure::Stage::AnswerCut, "the answer is too large");
-        return false;
-    }
-    this->answer.body.append(socket->input->bytes, size);
-    h2o_buffer_consume(&socket->input, size);
-    if (ended) {
-        // h2o has cut bytes after the body off the buffer.
-        this->finishAnswer(socket->bytes_read > size);
-    }
-    return true;
-}
-
-void HttpCall::finishAnswer(bool hasTrailingBytes)
+void HttpCall::finishAnswer()
 {
-    h2o_socket_t *socket = h2o_http1client_steal_socket(this->client);
-    h2o_buffer_consume(&socket->input, socket->input->size);
-    if (this->keepConnection && !hasTrailingBytes) {
-        this->store->keep(this->server, socket, this->openedAt);
+    // An answer that came before the whole request was written leaves a connection on which the
+    // server still expects the rest. A second answer may follow chunks unnoticed.
+    const bool keep = this->written && this->parser.keepsConnection()
+                      && !this->parser.isChunked() && !this->parser.hasTrailingBytes();
+    h2o_socket_t *used = std::exchange(this->socket, nullptr);
+    h2o_socket_read_stop(used);
+    if (keep) {
+        this->store->keep(this->server, used, this->openedAt);
     } else {
-        h2o_socket_close(socket);
+        h2o_socket_close(used);
     }
-    this->finish(std::move(this->answer));
+    this->finish(std::move(this->parser.answer()));
 }
 
 void HttpCall::fail(HttpFailure::Stage stage, std::string reason)
@@ -274,8 +218,7 @@
 
 void HttpCall::finish(HttpResult result)
 {
-    this->finished = true;
-    this->client = nullptr;
+    this->closeSocket();
     if (this->starting) {
         this->deferred = this->store->eventLoop().callAfter(
                 {}, [this, result = std::move(result)]() mutable {
@@ -288,8 +231,8 @@
 
 TimePoint HttpCall::lastProgress() const
 {
-    if (this->client != nullptr && this->client->sock != nullptr) {
-        const std::uint64_t moved = bytesMoved(this->client->sock);
+    if (this->socket != nullptr) {
+        const std::uint64_t moved = bytesMoved(this->socket);
         if (moved != this->bytesSeen) {
             this->bytesSeen = moved;
             this->progress = this->store->eventLoop().now();
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -1,14 +1,11 @@
 #pragma once
 
+#include "connection/answerparser.h"
 #include "connection/connectionstore.h"
-#include "connection/httpclient.h"
-
-typedef struct st_h2o_http1client_t h2o_http1client_t;
-struct st_h2o_header_t;
 
 namespace cassiaroad {
 
-/** One request on h2o's client. Loop thread only. */
+/** One request on a socket of h2o's loop. Loop thread only. */
 class HttpCall : public HttpClient::Call
 {
 public:
@@ -30,26 +27,26 @@
 private:
     struct Callbacks;
 
-    bool onConnected(const char *error);
-    void onHeadError(const char *error);
-    bool onHead(bool ended, int status, st_h2o_header_t *headers, std::size_t count,
-                std::size_t headLength);
-    bool isOwnAnswer() const;
-    bool onBody(const char *error, bool ended);
-    void finishAnswer(bool hasTrailingBytes);
+    void connect();
+    void onConnected(const char *error);
+    void write();
+    void onWritten(const char *error);
+    void onReadable(const char *error);
+    bool isOwnAnswer();
+    void finishAnswer();
     void fail(HttpFailure::Stage stage, std::string reason);
     void finish(HttpResult result);
+    void closeSocket();
     std::string buildHead() const;
 
     std::shared_ptr<ConnectionStore> store;
     HostAddress server;
     HttpRequest request;
-    std::size_t maxAnswerBytes;
+    AnswerParser parser;
     std::function<void(HttpResult)> done;
     std::function<bool()> mayWrite;
     std::string head;
-    HttpAnswer answer;
-    h2o_http1client_t *client = nullptr;
+    h2o_socket_t *socket = nullptr;
     EventLoop::Timer deferred;
     TimePoint openedAt;
     mutable TimePoint progress;
@@ -57,9 +54,8 @@
     bool starting = false;
     bool reused = false;
     bool sent = false;
-    bool finished = false;
-    bool chunked = false;
-    bool keepConnection = true;
+    bool written = false; // the whole request
+    bool began = false; // a part of the answer has arrived
 };
 
 } // namespace cassiaroad
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -48,9 +48,17 @@
     return poll(&entry, 1, 0) > 0;
 }
 
-void closeSoon(h2o_socket_t *socket)
+void closeSoon(ServerConnection &connection)
 {
-    shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+    connection.closing = true;
+    shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
+}
+
+// Whether bytes have arrived that h2o has not read.
+bool hasUnreadBytes(h2o_socket_t *socket)
+{
+    char byte = 0;
+    return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 bool isHeadTooLong(const h2o_socket_t &socket)
@@ -181,7 +189,8 @@
 {
     auto *d = static_cast<Private *>(reinterpret_cast<RequestHandler *>(self)->server);
     h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
-    if (d->orphaned) {
+    auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
+    if (d->orphaned || connection->closing) {
         return d->refuse(request, 503, "Service Unavailable");
     }
     if (headBytes(*request) > maxHeadBytes) {
@@ -196,7 +205,6 @@
     if (d->shuttingDown) {
         request->http1_is_persistent = 0;
     }
-    auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
     connection->receiving = false;
     auto exchange = std::make_shared<H2oExchange>(request, connection->shared_from_this());
     H2oExchange::attach(exchange);
@@ -280,8 +288,8 @@
     if (buffered == 0) {
         connection.receiving = false;
         const Milliseconds limit = this->shuttingDown ? shutdownIdle : this->limits.idle;
-        if (now - connection.idleSince > limit) {
-            closeSoon(connection.socket);
+        if (now - connection.idleSince > limit && !hasUnreadBytes(connection.socket)) {
+            closeSoon(connection);
         }
         return;
     }
@@ -292,7 +300,7 @@
     const Milliseconds allowed
             = this->limits.receiveGrace + Milliseconds { buffered * 1000 / minBytesPerSecond };
     if (now - connection.receivingSince > allowed || isHeadTooLong(*connection.socket)) {
-        closeSoon(connection.socket);
+        closeSoon(connection);
     }
 }
 
@@ -318,7 +326,7 @@
     }
     this->d->orphaned = true;
     for (const std::shared_ptr<ServerConnection> &connection : this->d->connections) {
-        closeSoon(connection->socket);
+        closeSoon(*connection);
     }
 }
 
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -20,6 +20,7 @@
     TimePoint idleSince; // accepted, or the last exchange ended
     TimePoint receivingSince; // valid while a part of a request is buffered
     bool receiving = false;
+    bool closing = false; // shut down by the server; a request that still arrives is dropped
     std::uint32_t openExchanges = 0;
     H2oExchange *watched = nullptr; // exchange that wants to know when the client goes
     bool watchedByPoll = false; // the client sent more data; its end is found by polling
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -177,7 +177,7 @@
     double bestCost = 0.0;
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteUpstream &known = upstream->upstream();
-        if (known.service != service || known.phase != UpstreamPhase::Ready
+        if (known.service != service || known.phase != UpstreamPhase::Ready || upstream->isReplaced()
             || std::find(tried.begin(), tried.end(), id) != tried.end()) {
             continue;
         }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -158,6 +158,10 @@
         this->waitForOwner();
         return;
     }
+    if (owner->isReplaced()) {
+        this->waitForOwner();
+        return;
+    }
     if (owner->isSuspected(this->core.eventLoop().now())) {
         this->refuse("owner does not answer");
         return;
@@ -378,15 +382,25 @@
         this->target->admission().finishShed(this->core.eventLoop().now());
         this->core.startWaiting(*this->target);
     }
+    const std::string_view answering
+            = HopHeaders::find(answer.headers, this->core.outsideCodec().headers().upstreamId);
+    if (misdirected && !answering.empty() && answering != this->target->upstream().life.id) {
+        // Another upstream has the address now, so this one has ended.
+        this->target->markReplaced();
+    }
     if (this->left() <= this->typicalDuration() || !this->mayRepeat()) {
         this->refuse(misdirected ? "owner has changed" : "upstream is full");
         return;
     }
     if (!this->keyed) {
         this->repeatAfter({});
-        return;
+    } else if (!misdirected) {
+        this->repeatAfter(shedDelay);
+    } else if (this->sends == 1 && !this->target->isReplaced()) {
+        this->repeatAfter(misdirectedDelay);
+    } else {
+        this->waitForOwner();
     }
-    this->repeatAfter(misdirected ? misdirectedDelay : shedDelay);
 }
 
 void GatewayRequest::onFailure(const HttpFailure &failure)
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -46,6 +46,10 @@
     /** The answer was a failure of the upstream's own. */
     void noteError(TimePoint now);
 
+    /** Another upstream has answered at its address. */
+    void markReplaced() { this->replaced = true; }
+    bool isReplaced() const { return this->replaced; }
+
     /** Whether requests should rather go to others. */
     bool isSuspected(TimePoint now) const { return now < this->suspectedUntil; }
 
@@ -67,6 +71,7 @@
     double errorShare = 0.0; // smoothed
     std::uint32_t failuresInRow = 0;
     TimePoint suspectedUntil;
+    bool replaced = false;
     UpstreamTiming timing;
 };
 
