version: Move the neighbours of a hot key; measure service time without queues

Cause: the planner chose the densest range, which always held the hot key, refused the move as too heavy and left its neighbours on the full upstream; durations of answers that had queued were left out, so a full upstream kept the default of 100 ms and attracted more keys.

--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -81,16 +81,15 @@
         this->load = told;
         this->inFlightAtLoad = this->requests.inFlight();
     }
-    const bool waited = told && told->waiting > 0;
-    if (waited) {
-        return;
-    }
-    const auto sample = static_cast<double>(duration.count);
+    // Requests ahead in the upstream's queue take their share of the duration.
+    const bool queues = told && told->slots > 0;
+    const double turns = queues ? 1.0 + static_cast<double>(told->waiting) / told->slots : 1.0;
+    const double sample = static_cast<double>(duration.count) / turns;
     this->serviceMilliseconds += (sample - this->serviceMilliseconds)
                                  * (this->serviceMilliseconds == 0.0 ? 1.0 : smoothing);
     if (this->distance != Distance::OtherRegion) {
         ++this->timing.requests;
-        this->timing.milliseconds += static_cast<std::uint64_t>(duration.count);
+        this->timing.milliseconds += static_cast<std::uint64_t>(sample);
     }
 }
 
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -67,7 +67,7 @@
     UpstreamAdmission requests;
     std::optional<ToldLoad> load;
     std::uint32_t inFlightAtLoad = 0;
-    double serviceMilliseconds = 0.0; // smoothed; of answers that did not wait at the upstream
+    double serviceMilliseconds = 0.0; // smoothed; without the wait in the upstream's queue
     double errorShare = 0.0; // smoothed
     std::uint32_t failuresInRow = 0;
     TimePoint suspectedUntil;
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -12,6 +12,10 @@
 constexpr double imbalanceFactor = 1.25;
 // ... and at least this busy: below it, queues are short whatever the balance.
 constexpr double leastBusy = 0.4;
+// Less than this part of the wanted load is not worth a move.
+constexpr double smallestUsefulPart = 0.15;
+// Moving all keys costs as much as this part of the wanted load.
+constexpr double costOfAllKeys = 4.0;
 // The receiver must end up clearly less busy than the giver was, else keys swing back and forth.
 constexpr double receiverFactor = 0.85;
 // Share of a fair part that an upstream without keys gets first; it is slow after its start.
@@ -161,10 +165,12 @@
     return count == 0 ? 0.0 : sum / static_cast<double>(count);
 }
 
-// Returns the fewest neighbouring keys of one range of @p owner that have @p rate together.
-std::optional<KeyRange> RangePlanner::densestRange(const UpstreamLife &owner, double rate) const
+// Returns neighbouring keys of one range of @p owner that have about @p rate together and not more.
+// A key that is busier by itself stays where it is, and its neighbours move.
+std::optional<KeyRange> RangePlanner::rangeWithRate(const UpstreamLife &owner, double rate) const
 {
     std::optional<KeyRange> best;
+    double bestValue = smallestUsefulPart;
     for (const RangeOwner &entry : this->view.table.owners()) {
         if (entry.owner != owner) {
             continue;
@@ -173,12 +179,19 @@
         KeyNumber from = entry.range.from;
         for (KeyNumber to = entry.range.from; to <= entry.range.to; ++to) {
             sum += this->view.load.rate(to);
-            while (from < to && sum - this->view.load.rate(from) >= rate) {
+            while (from <= to && sum > rate) {
                 sum -= this->view.load.rate(from);
                 ++from;
             }
-            if (sum >= rate && (!best || to - from + 1 < best->size())) {
+            if (from > to) {
+                sum = 0.0;
+                continue;
+            }
+            const double value
+                    = sum / rate - costOfAllKeys * static_cast<double>(to - from + 1) / keyCount;
+            if (value > bestValue) {
                 best = KeyRange { from, to };
+                bestValue = value;
             }
         }
     }
@@ -205,7 +218,7 @@
         const double rate = std::min(giver->rate / 2.0,
                                      firstPart * mean * millisecondsPerSecond * empty->holder.slots
                                              / empty->holder.serviceMilliseconds);
-        if (const auto range = this->densestRange(from, rate); range && rate > 0.0) {
+        if (const auto range = this->rangeWithRate(from, rate); range && rate > 0.0) {
             return RangeTransfer { *range, empty->holder.life, {} };
         }
         // Without load, half of the giver's first range makes the newcomer useful.
@@ -219,7 +232,7 @@
     if (busy < leastBusy || busy < imbalanceFactor * mean) {
         return std::nullopt;
     }
-    HolderLoad *receiver = this->bestReceiver(0.0, from);
+    HolderLoad *receiver = this->bestReceiver(giver->rate / 4.0, from);
     if (receiver == nullptr || receiver->busy(0.0) > busy * receiverFactor) {
         return std::nullopt;
     }
@@ -227,7 +240,7 @@
             = giver->holder.serviceMilliseconds / std::max(giver->holder.slots, 1U)
               + receiver->holder.serviceMilliseconds / std::max(receiver->holder.slots, 1U);
     const double rate = (busy - receiver->busy(0.0)) * millisecondsPerSecond / perRequest;
-    const auto range = this->densestRange(from, std::min(rate, giver->rate * 0.6));
+    const auto range = this->rangeWithRate(from, rate);
     if (!range || receiver->busy(this->view.load.rate(*range)) > busy * receiverFactor) {
         return std::nullopt;
     }
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -70,7 +70,7 @@
 
     HolderLoad *find(const UpstreamLife &life);
     HolderLoad *bestReceiver(double extraRate, const UpstreamLife &except);
-    std::optional<KeyRange> densestRange(const UpstreamLife &owner, double rate) const;
+    std::optional<KeyRange> rangeWithRate(const UpstreamLife &owner, double rate) const;
     double meanBusy() const;
 
     PlacementView view;
--- a/src/version/upstreammonitor.cpp
+++ b/src/version/upstreammonitor.cpp
@@ -80,8 +80,17 @@
 double UpstreamMonitor::serviceMilliseconds(const std::string &id) const
 {
     const auto found = this->durations.find(id);
-    return found == this->durations.end() ? defaultServiceMilliseconds
-                                          : std::max(found->second, 1.0);
+    if (found != this->durations.end()) {
+        return std::max(found->second, 1.0);
+    }
+    if (this->durations.empty()) {
+        return defaultServiceMilliseconds;
+    }
+    double sum = 0.0;
+    for (const auto &[other, duration] : this->durations) {
+        sum += duration;
+    }
+    return sum / static_cast<double>(this->durations.size());
 }
 
 TimePoint UpstreamMonitor::firstSeen(const UpstreamLife &life) const
