--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -8,7 +8,9 @@
 
 constexpr Milliseconds connectTimeout { 300 };
 // A leader answers within 400 ms; the rest covers the way and a slow host.
-constexpr Milliseconds answerTimeout { 900 };
+constexpr Milliseconds answerTimeout { 750 };
+// Other members go on naming a leader that has stopped until they elect the next one.
+constexpr Milliseconds avoidance { 1500 };
 constexpr Milliseconds retryDelay { 60 };
 
 } // namespace
@@ -60,9 +62,21 @@
             all.push_back(seed);
         }
     }
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        const std::string &ip = all[this->nextIndex++ % all.size()];
+        if (!this->hasFailedLately(ip)) {
+            return ip;
+        }
+    }
     return all.empty() ? std::string() : all[this->nextIndex++ % all.size()];
 }
 
+bool RegistryWatcher::hasFailedLately(const std::string &ip) const
+{
+    const auto found = this->failedAt.find(ip);
+    return found != this->failedAt.end() && this->loop.now() - found->second < avoidance;
+}
+
 void RegistryWatcher::call()
 {
     if (this->target.empty()) {
@@ -101,6 +115,7 @@
 {
     if (const auto *update = std::get_if<GatewayUpdate>(&answer)) {
         this->setConnected(true);
+        this->failedAt.clear();
         this->handlers.update(*update);
         this->callAfter({});
         return;
@@ -117,7 +132,8 @@
             this->members.push_back(ip);
         }
     }
-    const bool isNew = !hint.leaderIp.empty() && hint.leaderIp != this->target;
+    const bool isNew = !hint.leaderIp.empty() && hint.leaderIp != this->target
+                       && !this->hasFailedLately(hint.leaderIp);
     this->target = isNew ? hint.leaderIp : this->nextTarget();
     this->callAfter(isNew ? Milliseconds {} : retryDelay);
 }
@@ -125,6 +141,7 @@
 void RegistryWatcher::onFailure()
 {
     this->setConnected(false);
+    this->failedAt[this->target] = this->loop.now();
     this->target = this->nextTarget();
     this->callAfter(retryDelay);
 }
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -40,6 +40,7 @@
     void follow(const GroupHint &hint);
     void callAfter(Milliseconds delay);
     std::string nextTarget();
+    bool hasFailedLately(const std::string &ip) const;
     RpcConnection &connectionTo(const std::string &ip);
     void setConnected(bool value);
     void taskFailed(kj::Exception &&exception) override;
@@ -53,6 +54,7 @@
     std::vector<std::string> members;
     std::string target;
     std::size_t nextIndex = 0;
+    std::map<std::string, TimePoint> failedAt; // by ip
     bool connected = false;
     std::map<std::string, std::unique_ptr<RpcConnection>> connections; // by ip
     EventLoop::Timer timer;
--- /dev/null
+++ b/tests/gateway/test_gatewayupstream.cpp
@@ -0,0 +1,84 @@
+#include "gateway/gatewayupstream.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const TimePoint now { 1000000 };
+
+GatewayUpstream upstream(Distance distance = Distance::SameZone)
+{
+    RoutedUpstream routed;
+    routed.upstream.life = { "i-1", 1 };
+    routed.upstream.slots = 6;
+    return { routed, distance };
+}
+
+} // namespace
+
+TEST(GatewayUpstream, readsTheToldLoad)
+{
+    EXPECT_EQ(parseLoad("3,1,6", now), (ToldLoad { 3, 1, 6, now }));
+    EXPECT_EQ(parseLoad("", now), std::nullopt);
+    EXPECT_EQ(parseLoad("3,1", now), std::nullopt);
+    EXPECT_EQ(parseLoad("a,b,c", now), std::nullopt);
+}
+
+// Load: an upstream is full. Guards against a full upstream that looks slow forever, or fast
+// because only its quick answers count.
+TEST(GatewayUpstream, measuresServiceTimeWithoutTheQueue)
+{
+    GatewayUpstream first = upstream();
+    first.noteAnswer({ 300 }, ToldLoad { 6, 12, 6, now }, now);
+    const UpstreamTiming timing = first.takeTiming();
+    EXPECT_EQ(timing.requests, 1U);
+    EXPECT_EQ(timing.milliseconds, 100U);
+    EXPECT_EQ(first.takeTiming().requests, 0U);
+}
+
+// Guards against uploads that cross the narrow link between regions while a near upstream is idle.
+TEST(GatewayUpstream, costsMoreInAnotherRegion)
+{
+    EXPECT_LT(upstream().cost(now), upstream(Distance::SameRegion).cost(now));
+    EXPECT_LT(upstream(Distance::SameRegion).cost(now), upstream(Distance::OtherRegion).cost(now));
+}
+
+// Pattern: an upstream fails a part of its requests while its health is good.
+TEST(GatewayUpstream, costsMoreWhileItFails)
+{
+    GatewayUpstream first = upstream();
+    const double before = first.cost(now);
+    for (int i = 0; i < 5; ++i) {
+        first.noteError(now);
+    }
+    EXPECT_GT(first.cost(now), 2.0 * before);
+}
+
+// Guards against every request waiting for the timeout of an upstream that is gone.
+TEST(GatewayUpstream, isSuspectedAfterTwoFailuresAndClearedByAnAnswer)
+{
+    GatewayUpstream first = upstream();
+    first.noteFailure(now);
+    EXPECT_FALSE(first.isSuspected(now));
+    first.noteFailure(now);
+    EXPECT_TRUE(first.isSuspected(now + Milliseconds { 399 }));
+    EXPECT_FALSE(first.isSuspected(now + Milliseconds { 401 }));
+    first.noteFailure(now);
+    EXPECT_TRUE(first.isSuspected(now + Milliseconds { 799 }));
+    first.noteAnswer({ 50 }, std::nullopt, now);
+    EXPECT_FALSE(first.isSuspected(now));
+}
+
+// Guards against one gateway that fills the queue of an upstream, which then may never answer.
+TEST(GatewayUpstream, usesItsShareOfTheSlots)
+{
+    GatewayUpstream first = upstream();
+    first.setShare(0.1);
+    UpstreamAdmission &admission = first.admission();
+    const TimePoint late = now + Milliseconds { 10000 };
+    EXPECT_EQ(admission.enter({ 1, 1, late }, now), Admission::Start);
+    EXPECT_EQ(admission.enter({ 2, 1, late }, now), Admission::Start);
+    EXPECT_EQ(admission.enter({ 3, 1, late }, now), Admission::Wait);
+}
--- /dev/null
+++ b/tests/platform/test_platformcodec.cpp
@@ -0,0 +1,168 @@
+#include "platform/platformcodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const PlatformCodec codec;
+
+const std::string heartbeat
+        = R"({"address":"10.128.0.9:8080","born":1781664962410,"info":{"service":"huvo11a",)"
+          R"("version":"v1","zone":"mafraq","maxConcurrency":6},"status":{"state":"ready",)"
+          R"("sequence":4,"warmupLeftS":1.5},"holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})";
+
+const std::string document
+        = R"({"version":"0000000c","routes":{"r-1":{"host":"ficu95.example",)"
+          R"("pathPrefix":"/pufi791/","routeType":"unsafe","timeoutS":0.8,"targetLatencyS":0.4,)"
+          R"("priority":1,"service":"huvo11a","attempts":2},"r-2":{"host":"ficu95.example",)"
+          R"("pathPrefix":"/lohu930/","routeType":"safe","timeoutS":1.2,"targetLatencyS":0.3,)"
+          R"("priority":2,"weightedServices":[{"service":"huvo11a","weight":90},)"
+          R"({"service":"wuno96b","weight":10}],"attempts":2}},"services":{"huvo11a":)"
+          R"({"healthPath":"/health","maxConnections":110,"protocol":"h1","tls":false,)"
+          R"("sharded":true,"warmS":2.0,"grants":"heartbeat"},"wuno96b":{"healthPath":"/health",)"
+          R"("maxConnections":110,"protocol":"h1","tls":false}},"limits":{"maxHeaderBytes":16384,)"
+          R"("maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}})";
+
+ControlCall heartbeatCall(const std::string &body)
+{
+    return codec.decodeCall({ "POST", "/-/Instances.Heartbeat/i-7f3a91c2", "", body });
+}
+
+std::string replaced(std::string text, const std::string &what, const std::string &with)
+{
+    text.replace(text.find(what), what.size(), with);
+    return text;
+}
+
+bool isRefused(const std::string &body)
+{
+    return std::holds_alternative<MalformedCall>(heartbeatCall(body));
+}
+
+} // namespace
+
+TEST(PlatformCodec, readsAHeartbeat)
+{
+    const ControlCall call = heartbeatCall(heartbeat);
+    ASSERT_TRUE(std::holds_alternative<HeartbeatCall>(call));
+    UpstreamReport expected;
+    expected.life = { "i-7f3a91c2", 1781664962410 };
+    expected.service = "huvo11a";
+    expected.address = { "10.128.0.9", 8080 };
+    expected.zone = "mafraq";
+    expected.slots = 6;
+    expected.sequence = 4;
+    expected.warmupLeft = { 1500 };
+    expected.holds = { { { 0, 4095 }, 7, {} } };
+    expected.releases = { { { 4096, 8191 }, "5c0e" } };
+    EXPECT_EQ(std::get<HeartbeatCall>(call).report, expected);
+}
+
+// Guards against an upstream that is used though its heartbeat is not one.
+TEST(PlatformCodec, refusesOtherHeartbeats)
+{
+    EXPECT_TRUE(isRefused(""));
+    EXPECT_TRUE(isRefused("[]"));
+    EXPECT_TRUE(isRefused(heartbeat.substr(0, 50)));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "1781664962410", "1.5")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "\"born\"", "\"bron\"")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "\"ready\"", "\"resting\"")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "\"ready\"", "7")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "\"huvo11a\"", "null")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, ":6}", ":\"6\"}")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "\"sequence\":4", "\"sequence\":-4")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "[0,4095,7]", "[0,70000,7]")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "[0,4095,7]", "[9,4,7]")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "10.128.0.9:8080", "nowhere")));
+}
+
+TEST(PlatformCodec, writesAGrant)
+{
+    UpstreamGrant grant;
+    grant.keyed = true;
+    grant.holds = { { { 0, 4095 }, 7, "" }, { { 9000, 9999 }, 12, "7a21" } };
+    grant.hold = { 4000 };
+    grant.nextAddress = { "10.0.0.4", 8166 };
+    EXPECT_EQ(codec.encodeGrant(grant),
+              R"({"heartbeatUri":"10.0.0.4:8166","holdS":4.0,)"
+              R"("holds":[[0,4095,7,""],[9000,9999,12,"7a21"]]})");
+    EXPECT_EQ(codec.encodeGrant({}), "{}");
+}
+
+TEST(PlatformCodec, readsAConfiguration)
+{
+    const auto decoded = codec.decodeConfiguration(document);
+    ASSERT_TRUE(std::holds_alternative<SiteConfiguration>(decoded));
+    const auto &configuration = std::get<SiteConfiguration>(decoded);
+    EXPECT_EQ(configuration.version, 12U);
+    EXPECT_EQ(findFault(configuration), std::nullopt);
+    const SiteRoute &route = configuration.routes.at("r-2");
+    EXPECT_EQ(route.kind, RouteKind::Safe);
+    EXPECT_EQ(route.timeout, Milliseconds { 1200 });
+    EXPECT_EQ(route.targetLatency, Milliseconds { 300 });
+    EXPECT_EQ(route.priority, 2U);
+    EXPECT_EQ(route.attempts, 2U);
+    EXPECT_EQ(route.services,
+              (std::vector<WeightedService> { { "huvo11a", 90.0 }, { "wuno96b", 10.0 } }));
+    EXPECT_TRUE(configuration.services.at("huvo11a").keyed);
+    EXPECT_EQ(configuration.services.at("huvo11a").warm, Milliseconds { 2000 });
+    EXPECT_FALSE(configuration.services.at("wuno96b").keyed);
+    EXPECT_EQ(configuration.limits.idleTimeout, Milliseconds { 15000 });
+}
+
+// Guards against acknowledging a configuration that cannot be read in full.
+TEST(PlatformCodec, refusesOtherDocuments)
+{
+    const auto isFault = [](const std::string &text) {
+        return std::holds_alternative<DocumentFault>(codec.decodeConfiguration(text));
+    };
+    EXPECT_TRUE(isFault(document.substr(0, document.size() - 1)));
+    EXPECT_TRUE(isFault(document + "}"));
+    EXPECT_TRUE(isFault(replaced(document, "\"unsafe\"", "\"sometimes\"")));
+    EXPECT_TRUE(isFault(replaced(document, "0000000c", "c")));
+    EXPECT_TRUE(isFault(replaced(document, "\"timeoutS\":0.8,", "")));
+    EXPECT_TRUE(isFault(replaced(document, "\"weight\":90", "\"weight\":\"90\"")));
+    EXPECT_TRUE(isFault("[]"));
+}
+
+TEST(PlatformCodec, readsTheOtherCalls)
+{
+    const ControlCall put = codec.decodeCall({ "POST", "/-/Config.Put", "00000005", "x" });
+    ASSERT_TRUE(std::holds_alternative<PutCall>(put));
+    EXPECT_EQ(std::get<PutCall>(put).base, 5U);
+    EXPECT_TRUE(std::holds_alternative<PutCall>(
+            codec.decodeCall({ "POST", "/-/Config.Put", "0", "x" })));
+    EXPECT_TRUE(std::holds_alternative<MalformedCall>(
+            codec.decodeCall({ "POST", "/-/Config.Put", "", "x" })));
+    EXPECT_TRUE(std::holds_alternative<ReadCall>(
+            codec.decodeCall({ "GET", "/-/Config.Get", "", "" })));
+    const ControlCall leave
+            = codec.decodeCall({ "POST", "/-/Instances.Deregister/i-1", "", R"({"born":7})" });
+    ASSERT_TRUE(std::holds_alternative<LeaveCall>(leave));
+    EXPECT_EQ(std::get<LeaveCall>(leave).life, (UpstreamLife { "i-1", 7 }));
+    EXPECT_TRUE(std::holds_alternative<UnknownCall>(codec.decodeCall({ "GET", "/", "", "" })));
+}
+
+// Guards against a writer whose bytes end a control host.
+RC_GTEST_PROP(PlatformCodec, acceptsAnyBytes, (const std::string &body))
+{
+    (void)heartbeatCall(body);
+    (void)codec.decodeConfiguration(body);
+    (void)codec.decodeCall({ "POST", "/-/Instances.Deregister/i-1", body, body });
+}
+
+// Guards against a changed field that ends a control host or is taken for another.
+RC_GTEST_PROP(PlatformCodec, acceptsAnyChangedByte, ())
+{
+    std::string changed = heartbeat;
+    const auto position = *rc::gen::inRange<std::size_t>(0, changed.size());
+    changed[position] = *rc::gen::arbitrary<char>();
+    (void)heartbeatCall(changed);
+    std::string configuration = document;
+    configuration[*rc::gen::inRange<std::size_t>(0, configuration.size())]
+            = *rc::gen::arbitrary<char>();
+    (void)codec.decodeConfiguration(configuration);
+}
--- /dev/null
+++ b/tests/request/test_upstreamadmission.cpp
@@ -0,0 +1,84 @@
+#include "request/upstreamadmission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const TimePoint now { 1000000 };
+const TimePoint far { 1010000 };
+
+AdmissionTicket ticket(GatewayRequestId id, std::uint32_t priority, TimePoint finishBy = far)
+{
+    return { id, priority, finishBy };
+}
+
+} // namespace
+
+// Load: more than an upstream can serve. Guards against urgent requests behind less urgent ones.
+TEST(UpstreamAdmission, servesTheMostUrgentFirstAndTheOldestAmongEquals)
+{
+    UpstreamAdmission admission;
+    admission.setCapacity(1);
+    EXPECT_EQ(admission.enter(ticket(1, 2), now), Admission::Start);
+    EXPECT_EQ(admission.enter(ticket(2, 2), now), Admission::Wait);
+    EXPECT_EQ(admission.enter(ticket(3, 1), now), Admission::Wait);
+    EXPECT_EQ(admission.enter(ticket(4, 1), now), Admission::Wait);
+    EXPECT_EQ(admission.next(), std::nullopt);
+    admission.finish({ 100 });
+    EXPECT_EQ(admission.next(), 3U);
+    admission.finish({ 100 });
+    EXPECT_EQ(admission.next(), 4U);
+    admission.finish({ 100 });
+    EXPECT_EQ(admission.next(), 2U);
+}
+
+// Load: more than an upstream can serve. Guards against requests that wait although their answer
+// cannot come in time.
+TEST(UpstreamAdmission, refusesAtOnceWhatCannotBeAnsweredInTime)
+{
+    UpstreamAdmission admission;
+    admission.setCapacity(1);
+    EXPECT_EQ(admission.enter(ticket(1, 1), now), Admission::Start);
+    EXPECT_EQ(admission.enter(ticket(2, 1, now + Milliseconds { 150 }), now), Admission::Refuse);
+    EXPECT_EQ(admission.enter(ticket(3, 1, now + Milliseconds { 250 }), now), Admission::Wait);
+    EXPECT_EQ(admission.enter(ticket(4, 1, now + Milliseconds { 250 }), now), Admission::Refuse);
+    // A more urgent one goes ahead of the waiting one.
+    EXPECT_EQ(admission.enter(ticket(5, 0, now + Milliseconds { 250 }), now), Admission::Wait);
+}
+
+// Guards against a place that is never given back.
+TEST(UpstreamAdmission, forgetsARequestThatLeft)
+{
+    UpstreamAdmission admission;
+    admission.setCapacity(1);
+    EXPECT_EQ(admission.enter(ticket(1, 1), now), Admission::Start);
+    EXPECT_EQ(admission.enter(ticket(2, 1), now), Admission::Wait);
+    admission.remove(2);
+    admission.finishWithoutAnswer();
+    EXPECT_EQ(admission.next(), std::nullopt);
+    EXPECT_TRUE(admission.hasRoom());
+}
+
+// Guards against more requests in flight than the gateway's share, in any order of events.
+RC_GTEST_PROP(UpstreamAdmission, neverExceedsItsCapacity, (const std::vector<std::uint8_t> &events))
+{
+    UpstreamAdmission admission;
+    admission.setCapacity(3);
+    GatewayRequestId id = 0;
+    for (const std::uint8_t event : events) {
+        if (event % 3 == 0) {
+            admission.enter(ticket(++id, event % 4), now);
+        } else if (event % 3 == 1 && admission.inFlight() > 0) {
+            admission.finish({ event });
+        } else if (admission.inFlight() > 0) {
+            admission.finishShed(now);
+        }
+        while (admission.next()) {
+        }
+        RC_ASSERT(admission.inFlight() <= 3U);
+        RC_ASSERT(admission.waitingCount() == 0 || admission.inFlight() > 0);
+    }
+}
--- /dev/null
+++ b/tests/version/test_rangetable.cpp
@@ -0,0 +1,48 @@
+#include "version/rangetable.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+UpstreamLife life(int number)
+{
+    return { "i-" + std::to_string(number), number };
+}
+
+} // namespace
+
+// Guards against keys that lose their owner, get two, or keep an old fencing token when ranges are
+// cut in any order.
+RC_GTEST_PROP(RangeTable, keepsOneOwnerForEachKeyAndRaisesTheFence, ())
+{
+    RangeTable table;
+    table.transfer({ { { 0, lastKey }, life(0), {} } });
+    const auto count = *rc::gen::inRange(1, 30);
+    for (int i = 1; i <= count; ++i) {
+        const auto from = *rc::gen::inRange<KeyNumber>(0, lastKey);
+        const auto to = *rc::gen::inRange<KeyNumber>(from, lastKey);
+        const Fence before = table.lastFence();
+        table.transfer({ { { from, to }, life(i), "h" } });
+        RC_ASSERT(table.find(from)->owner == life(i));
+        RC_ASSERT(table.find(to)->fence > before);
+    }
+    KeyNumber next = 0;
+    for (const RangeOwner &entry : table.owners()) {
+        RC_ASSERT(entry.range.from == next);
+        RC_ASSERT(entry.range.to >= entry.range.from);
+        next = entry.range.to + 1;
+    }
+    RC_ASSERT(next == keyCount);
+}
+
+// Guards against a lookup that returns the neighbour of a missing range.
+TEST(RangeTable, findsNothingInAGap)
+{
+    const RangeTable table({ { { 10, 20 }, life(1), 1, {} } }, 1);
+    EXPECT_EQ(table.find(9), nullptr);
+    EXPECT_EQ(table.find(21), nullptr);
+    ASSERT_NE(table.find(20), nullptr);
+}
--- /dev/null
+++ b/tests/version/test_registrymanager.cpp
@@ -0,0 +1,408 @@
+#include "version/registrymanager.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace cassiaroad;
+
+namespace {
+
+constexpr std::int64_t heartbeat = 1000;
+constexpr std::int64_t step = 10;
+const std::string service = "ledger";
+
+RegistryTiming testTiming()
+{
+    RegistryTiming timing;
+    timing.holds.hold = { 3500 };
+    timing.holds.longest = { 3820 };
+    timing.ranges.heartbeat = { heartbeat };
+    return timing;
+}
+
+std::shared_ptr<const SiteConfiguration> testConfiguration()
+{
+    auto configuration = std::make_shared<SiteConfiguration>();
+    configuration->version = 1;
+    configuration->services[service].keyed = true;
+    return configuration;
+}
+
+/** An upstream that holds ranges as the protocol tells it. Its clock runs 2% slow. */
+struct HeldRange
+{
+    RangeHold hold;
+    double leftMs = 0.0;
+};
+
+struct TestUpstream
+{
+    UpstreamLife life;
+    HostAddress address;
+    std::uint64_t sequence = 0;
+    std::int64_t nextBeat = 0;
+    std::vector<HeldRange> held;
+    std::vector<RangeRelease> released;
+    std::map<Fence, bool> seen;
+    std::int64_t frozenUntil = 0;
+    bool up = true;
+    bool draining = false;
+};
+
+/** An answer on its way, or one that the upstream will never get. */
+struct TravellingAnswer
+{
+    std::string upstream;
+    std::int64_t born = 0;
+    std::int64_t sentAt = 0; // of the heartbeat
+    std::int64_t arrivesAt = 0;
+    UpstreamGrant grant;
+};
+
+enum class FaultKind { Freeze, Crash, Restart, NewLeader, LoseAnswers, Drain };
+
+struct SiteFault
+{
+    FaultKind kind = FaultKind::Freeze;
+    int wait = 0; // steps after the previous one
+    int target = 0;
+    int span = 0; // steps
+};
+
+/** Leader, upstreams and messages between them at virtual time. */
+class SiteSimulation
+{
+public:
+    SiteSimulation()
+        : manager(std::make_unique<RegistryManager>(this->state, testTiming()))
+    {
+        this->newLeader();
+        for (int i = 0; i < 5; ++i) {
+            TestUpstream upstream;
+            upstream.life = { "i-" + std::to_string(i), 1 };
+            upstream.address = { "10.0.0." + std::to_string(i + 1), 80 };
+            upstream.nextBeat = i * heartbeat / 5;
+            this->upstreams.push_back(upstream);
+        }
+    }
+
+    void run(int steps)
+    {
+        for (int i = 0; i < steps; ++i) {
+            this->now += step;
+            this->stepOnce();
+        }
+    }
+
+    void apply(const SiteFault &fault)
+    {
+        this->run(fault.wait);
+        TestUpstream &target = this->upstreams[static_cast<std::size_t>(fault.target)];
+        switch (fault.kind) {
+        case FaultKind::Freeze:
+            target.frozenUntil = this->now + fault.span * step;
+            break;
+        case FaultKind::Crash:
+            target.up = false;
+            target.held.clear();
+            break;
+        case FaultKind::Restart:
+            target = TestUpstream { { target.life.id, this->now }, target.address, 0, this->now, {},
+                                    {}, {}, 0, true, false };
+            break;
+        case FaultKind::NewLeader:
+            this->newLeader();
+            break;
+        case FaultKind::LoseAnswers:
+            this->losingUntil = this->now + fault.span * step;
+            break;
+        case FaultKind::Drain:
+            target.draining = true;
+            break;
+        }
+    }
+
+    std::string violation() const { return this->broken; }
+
+    std::uint32_t heldKeys() const
+    {
+        std::uint32_t keys = 0;
+        for (const TestUpstream &upstream : this->upstreams) {
+            for (const HeldRange &held : upstream.held) {
+                keys += held.hold.range.size();
+            }
+        }
+        return keys;
+    }
+
+    std::uint32_t keysOf(int number) const
+    {
+        std::uint32_t keys = 0;
+        for (const HeldRange &held : this->upstreams[static_cast<std::size_t>(number)].held) {
+            keys += held.hold.range.size();
+        }
+        return keys;
+    }
+
+private:
+    TimePoint time() const { return { this->now }; }
+    bool isRunning(const TestUpstream &upstream) const
+    {
+        return upstream.up && this->now >= upstream.frozenUntil;
+    }
+
+    // Commands are committed at once; a new leader has applied all of them.
+    void commit(const std::vector<RegistryCommand> &commands)
+    {
+        for (const RegistryCommand &command : commands) {
+            this->state.apply(command);
+            this->manager->commandEnded(command);
+        }
+    }
+
+    void newLeader()
+    {
+        this->manager = std::make_unique<RegistryManager>(this->state, testTiming());
+        this->manager->setConfiguration(testConfiguration());
+        this->manager->startTerm(this->time());
+    }
+
+    void stepOnce()
+    {
+        this->deliver();
+        for (TestUpstream &upstream : this->upstreams) {
+            this->expire(upstream);
+            if (this->isRunning(upstream) && this->now >= upstream.nextBeat) {
+                this->beat(upstream);
+            }
+        }
+        this->commit(this->manager->dueCommands(this->time()));
+        this->check();
+    }
+
+    // The clock that measures holds runs slow, and goes on while an upstream is frozen.
+    void expire(TestUpstream &upstream)
+    {
+        for (HeldRange &held : upstream.held) {
+            held.leftMs -= step * 0.98;
+        }
+        std::erase_if(upstream.held, [](const HeldRange &held) { return held.leftMs <= 0.0; });
+    }
+
+    void beat(TestUpstream &upstream)
+    {
+        upstream.nextBeat = this->now + heartbeat;
+        UpstreamReport report;
+        report.life = upstream.life;
+        report.service = service;
+        report.address = upstream.address;
+        report.zone = "a";
+        report.slots = 6;
+        report.draining = upstream.draining;
+        report.sequence = ++upstream.sequence;
+        for (const HeldRange &held : upstream.held) {
+            report.holds.push_back({ held.hold.range, held.hold.fence, {} });
+        }
+        report.releases = upstream.released;
+        const ReportResult result = this->manager->onReport(report, this->time());
+        if (result.verdict == ReportVerdict::Outdated) {
+            return;
+        }
+        this->commit(result.commands);
+        const UpstreamGrant grant = this->manager->answer(report, this->time());
+        if (this->now >= this->losingUntil) {
+            this->answers.push_back(
+                    { upstream.life.id, upstream.life.born, this->now, this->now + 3 * step, grant });
+        }
+    }
+
+    void deliver()
+    {
+        while (!this->answers.empty() && this->answers.front().arrivesAt <= this->now) {
+            const TravellingAnswer answer = this->answers.front();
+            this->answers.pop_front();
+            for (TestUpstream &upstream : this->upstreams) {
+                const bool meant
+                        = upstream.life == UpstreamLife { answer.upstream, answer.born };
+                if (meant && this->isRunning(upstream) && answer.grant.keyed) {
+                    this->take(upstream, answer);
+                }
+            }
+        }
+    }
+
+    void take(TestUpstream &upstream, const TravellingAnswer &answer)
+    {
+        const double left = static_cast<double>(answer.grant.hold.count)
+                            - static_cast<double>(this->now - answer.sentAt);
+        std::vector<HeldRange> held;
+        for (const RangeHold &hold : answer.grant.holds) {
+            held.push_back({ hold, left });
+            this->noteFence(hold, upstream);
+        }
+        upstream.released.clear();
+        bool released = false;
+        for (const HeldRange &before : upstream.held) {
+            const bool kept = std::any_of(held.begin(), held.end(), [&](const HeldRange &now) {
+                return now.hold.range.contains(before.hold.range);
+            });
+            if (!kept) {
+                upstream.released.push_back({ before.hold.range, "handover" });
+                released = true;
+            }
+        }
+        upstream.held = left > 0.0 ? held : std::vector<HeldRange> {};
+        if (released) {
+            upstream.nextBeat = std::min(upstream.nextBeat, this->now + 5 * step);
+        }
+    }
+
+    // A key that moves to another life must come with a higher fencing token.
+    void noteFence(const RangeHold &hold, const TestUpstream &upstream)
+    {
+        const auto [entry, isNew] = this->fenceOwners.try_emplace(hold.fence, upstream.life);
+        if (!isNew && entry->second != upstream.life) {
+            this->broken = "two lives got fencing token " + std::to_string(hold.fence);
+        }
+    }
+
+    void check()
+    {
+        std::vector<std::pair<KeyRange, std::size_t>> all;
+        for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
+            for (const HeldRange &held : this->upstreams[i].held) {
+                all.emplace_back(held.hold.range, i);
+            }
+        }
+        std::sort(all.begin(), all.end());
+        for (std::size_t i = 1; i < all.size(); ++i) {
+            if (all[i - 1].first.overlaps(all[i].first) && all[i - 1].second != all[i].second) {
+                this->broken = "two upstreams hold key " + std::to_string(all[i].first.from)
+                               + " at " + std::to_string(this->now);
+            }
+        }
+    }
+
+    std::int64_t now = 1000000;
+    std::int64_t losingUntil = 0;
+    RegistryState state;
+    std::unique_ptr<RegistryManager> manager;
+    std::vector<TestUpstream> upstreams;
+    std::deque<TravellingAnswer> answers;
+    std::map<Fence, UpstreamLife> fenceOwners;
+    std::string broken;
+};
+
+} // namespace
+
+namespace cassiaroad {
+
+void showValue(const SiteFault &fault, std::ostream &out)
+{
+    out << "{kind " << static_cast<int>(fault.kind) << ", wait " << fault.wait << ", target "
+        << fault.target << ", span " << fault.span << "}";
+}
+
+} // namespace cassiaroad
+
+namespace rc {
+
+template <>
+struct Arbitrary<SiteFault>
+{
+    static Gen<SiteFault> arbitrary()
+    {
+        return gen::build<SiteFault>(
+                gen::set(&SiteFault::kind,
+                         gen::map(gen::inRange(0, 6),
+                                  [](int value) { return static_cast<FaultKind>(value); })),
+                gen::set(&SiteFault::wait, gen::inRange(1, 250)),
+                gen::set(&SiteFault::target, gen::inRange(0, 5)),
+                gen::set(&SiteFault::span, gen::inRange(10, 600)));
+    }
+};
+
+} // namespace rc
+
+// Guards the promise of one owner for each key against freezes, crashes, restarts under the same
+// id, lost answers, drains and leader changes, with upstream clocks 2% slow.
+RC_GTEST_PROP(RegistryManagerProperties, neverGivesAKeyToTwoUpstreams,
+              (const std::vector<SiteFault> &faults))
+{
+    SiteSimulation simulation;
+    simulation.run(300);
+    for (const SiteFault &fault : faults) {
+        simulation.apply(fault);
+        RC_ASSERT(simulation.violation() == "");
+    }
+    simulation.run(1000);
+    RC_ASSERT(simulation.violation() == "");
+}
+
+// Guards against keys that nobody holds after the start of a site.
+TEST(RegistryManager, assignsAllKeysAtFirst)
+{
+    SiteSimulation simulation;
+    simulation.run(400);
+    EXPECT_EQ(simulation.heldKeys(), keyCount);
+}
+
+// Guards against keys that stay with an upstream that is gone.
+TEST(RegistryManager, movesTheKeysOfACrashedUpstream)
+{
+    SiteSimulation simulation;
+    simulation.run(400);
+    simulation.apply({ FaultKind::Crash, 1, 2, 0 });
+    simulation.run(600);
+    EXPECT_EQ(simulation.heldKeys(), keyCount);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
+// Guards against an upstream that leaves with keys that nobody takes over.
+TEST(RegistryManager, movesTheKeysOfADrainingUpstreamWithinTwoHeartbeats)
+{
+    SiteSimulation simulation;
+    simulation.run(400);
+    simulation.apply({ FaultKind::Drain, 1, 2, 0 });
+    simulation.run(250);
+    EXPECT_EQ(simulation.keysOf(2), 0U);
+    EXPECT_EQ(simulation.heldKeys(), keyCount);
+}
+
+// Guards against a restarted upstream that waits for the hold of its earlier life.
+TEST(RegistryManager, givesARestartedUpstreamItsKeysAtOnce)
+{
+    SiteSimulation simulation;
+    simulation.run(400);
+    simulation.apply({ FaultKind::Restart, 1, 2, 0 });
+    simulation.run(120);
+    EXPECT_EQ(simulation.heldKeys(), keyCount);
+    EXPECT_EQ(simulation.violation(), "");
+}
+
+// Guards against a late heartbeat of an ended life that replaces the present one.
+TEST(RegistryManager, ignoresReportsOfEndedLives)
+{
+    RegistryState state;
+    RegistryManager manager(state, testTiming());
+    manager.startTerm({ 1000 });
+    UpstreamReport report;
+    report.life = { "i-1", 50 };
+    report.service = service;
+    report.address = { "10.0.0.1", 80 };
+    report.sequence = 9;
+    for (const RegistryCommand &command : manager.onReport(report, { 1000 }).commands) {
+        state.apply(command);
+    }
+    UpstreamReport late = report;
+    late.life = { "i-0", 40 };
+    EXPECT_EQ(manager.onReport(late, { 1100 }).verdict, ReportVerdict::Outdated);
+    late.life = { "i-1", 40 };
+    EXPECT_EQ(manager.onReport(late, { 1100 }).verdict, ReportVerdict::Outdated);
+    EXPECT_EQ(manager.onReport(report, { 1100 }).verdict, ReportVerdict::Outdated);
+    report.sequence = 10;
+    EXPECT_EQ(manager.onReport(report, { 1100 }).verdict, ReportVerdict::Accepted);
+}
--- /dev/null
+++ b/tests/version/test_registrystate.cpp
@@ -0,0 +1,121 @@
+#include "version/registrystate.h"
+#include "version/sitewatch.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const UpstreamLife life { "i-1", 100 };
+
+RegistryState sample()
+{
+    RegistryState state;
+    state.apply(PutConfiguration { 2, 0, "first" });
+    state.apply(AssignSlot { 1, "10.0.0.1", "" });
+    state.apply(RegisterSiteUpstream {
+            { life, "ledger", { "10.0.1.1", 80 }, "a", 6, UpstreamPhase::Ready } });
+    state.apply(TransferRanges { "ledger", { { { 0, lastKey }, life, "x" } } });
+    return state;
+}
+
+} // namespace
+
+// Guards against two changes on one version that are both acknowledged, and against refusing an
+// order that was accepted and is sent again.
+TEST(RegistryState, acceptsOneChangeOnEachVersion)
+{
+    RegistryState state;
+    EXPECT_EQ(state.apply(PutConfiguration { 2, 0, "first" }), PutOutcome::Accepted);
+    EXPECT_EQ(state.apply(PutConfiguration { 5, 2, "mine" }), PutOutcome::Accepted);
+    EXPECT_EQ(state.apply(PutConfiguration { 5, 2, "theirs" }), PutOutcome::Conflict);
+    EXPECT_EQ(state.apply(PutConfiguration { 6, 2, "late" }), PutOutcome::Conflict);
+    EXPECT_EQ(state.apply(PutConfiguration { 4, 5, "lower" }), PutOutcome::Conflict);
+    EXPECT_EQ(state.apply(PutConfiguration { 5, 2, "mine" }), PutOutcome::Repeated);
+    EXPECT_EQ(state.apply(PutConfiguration { 2, 0, "first" }), PutOutcome::Repeated);
+    EXPECT_EQ(state.version(), 5U);
+    EXPECT_EQ(state.document(), "mine");
+}
+
+// Guards against two hosts in one slot of the control group.
+TEST(RegistryState, givesASlotToTheFirstThatAsked)
+{
+    RegistryState state = sample();
+    state.apply(AssignSlot { 2, "10.0.0.2", "" });
+    state.apply(AssignSlot { 2, "10.0.0.3", "" });
+    EXPECT_EQ(state.members().at(2), "10.0.0.2");
+    state.apply(AssignSlot { 2, "10.0.0.3", "10.0.0.2" });
+    EXPECT_EQ(state.members().at(2), "10.0.0.3");
+}
+
+// Guards against an earlier life that replaces a later one, or that changes its phase.
+TEST(RegistryState, keepsTheLatestLifeOfAnId)
+{
+    RegistryState state = sample();
+    const UpstreamLife earlier { "i-1", 90 };
+    state.apply(RegisterSiteUpstream {
+            { earlier, "ledger", { "10.0.1.9", 80 }, "a", 6, UpstreamPhase::Ready } });
+    state.apply(SetUpstreamPhase { earlier, UpstreamPhase::Gone });
+    state.apply(RemoveSiteUpstream { earlier });
+    ASSERT_NE(state.find(life), nullptr);
+    EXPECT_EQ(state.find(life)->phase, UpstreamPhase::Ready);
+    EXPECT_EQ(state.find(earlier), nullptr);
+}
+
+// Guards against state that is lost in a snapshot.
+TEST(RegistryState, survivesItsEncoding)
+{
+    const RegistryState state = sample();
+    EXPECT_EQ(RegistryState::decode(state.encode()), state);
+}
+
+TEST(RegistryState, commandsSurviveTheirEncoding)
+{
+    const RegistryCommand commands[] = {
+        PutConfiguration { 2, 0, "first" },
+        AssignSlot { 2, "10.0.0.2", "" },
+        RegisterSiteUpstream { { life, "ledger", { "10.0.1.1", 80 }, "a", 6, {} } },
+        SetUpstreamPhase { life, UpstreamPhase::Gone },
+        RemoveSiteUpstream { life },
+        TransferRanges { "ledger", { { { 0, 9 }, life, "x" } } },
+    };
+    for (const RegistryCommand &command : commands) {
+        EXPECT_EQ(decodeRegistryCommand(encodeCommand(command)), command);
+    }
+}
+
+// Guards against a message that ends a control host or a gateway.
+RC_GTEST_PROP(SiteMessages, decodersAcceptAnyBytes, (const std::string &bytes))
+{
+    (void)decodeRegistryCommand(bytes);
+    (void)RegistryState::decode(bytes);
+    (void)decodeGatewayReport(bytes);
+    (void)decodeWatchAnswer(bytes);
+    (void)decodeGroupHint(bytes);
+    (void)decodeJoinRequest(bytes);
+}
+
+TEST(SiteMessages, surviveTheirEncoding)
+{
+    GatewayUpdate update;
+    update.tableTag = 9;
+    update.upstreamsTag = 8;
+    update.upstreams = { { { life, "ledger", { "10.0.1.1", 80 }, "a", 6, {} }, true, false } };
+    update.ranges = { { "ledger",
+                        { { { 0, 9 }, "i-1", RangePhase::Owned },
+                          { { 10, lastKey }, "i-2", RangePhase::Pending } } } };
+    update.version = 4;
+    update.document = "text";
+    update.trafficShare = 0.25;
+    update.gateways = 8;
+    EXPECT_EQ(decodeWatchAnswer(encode(WatchAnswer(update))), WatchAnswer(update));
+    const GroupHint hint { true, "10.0.0.1", { { 1, "10.0.0.1" }, { 2, "10.0.0.2" } }, 2 };
+    EXPECT_EQ(decodeWatchAnswer(encode(WatchAnswer(hint))), WatchAnswer(hint));
+    EXPECT_EQ(decodeGroupHint(encode(hint)), hint);
+    const GatewayReport report { "g", "a", 9, 8, 4, 100, { { "ledger", 7, 3 } }, { { "i-1", 3, 90 } } };
+    EXPECT_EQ(decodeGatewayReport(encode(report)), report);
+    const JoinRequest request { "10.0.0.1", true };
+    EXPECT_EQ(decodeJoinRequest(encode(request)), request);
+}
