version: Take a range for released only after an answer without it was known

Cause: a heartbeat sent before the owner had the answer that left a range out counted as its release, so a grant on its way could make two owners. Tests: codec, ranges, holds, planner, manager, budgets, admission, parser.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	@ctest --test-dir $(BUILD) --output-on-failure
 
 format:
-	@git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' | xargs clang-format -i
+	@git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tools/*.h' 'tools/*.cpp' 'tests/*.h' 'tests/*.cpp' 'platform/*.h' 'platform/*.cpp' | xargs clang-format -i
 
 demo: build
 	@python3 tools/demo.py --build $(BUILD)
--- a/src/cassiaroad/controlengine.cpp
+++ b/src/cassiaroad/controlengine.cpp
@@ -86,7 +86,9 @@
                },
                [this](std::uint64_t proposal) { this->dispatch(ProposalFailed { proposal }); },
                [this] { this->checkLeadership(); },
-               [this] { return this->controlState.snapshot(); }, {}, std::move(failed) })
+               [this] { return this->controlState.snapshot(); },
+               {},
+               std::move(failed) })
 { }
 
 std::string ControlEngine::start(bool bootstrap)
--- a/src/connection/answerparser.cpp
+++ b/src/connection/answerparser.cpp
@@ -157,8 +157,7 @@
         }
         if (HTTP_PARSER_ERRNO(&this->d->parser) != HPE_OK) {
             if (this->d->invalid.empty()) {
-                this->d->invalid
-                        = http_errno_description(HTTP_PARSER_ERRNO(&this->d->parser));
+                this->d->invalid = http_errno_description(HTTP_PARSER_ERRNO(&this->d->parser));
             }
             return State::Invalid;
         }
--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -102,9 +102,8 @@
 std::string HttpCall::buildHead() const
 {
     std::string text = this->request.method + " " + this->request.path + " HTTP/1.1\r\n";
-    const bool hasHost
-            = std::any_of(this->request.headers.begin(), this->request.headers.end(),
-                          [](const auto &header) { return header.first == "host"; });
+    const bool hasHost = std::any_of(this->request.headers.begin(), this->request.headers.end(),
+                                     [](const auto &header) { return header.first == "host"; });
     if (!hasHost) {
         text += "host: " + this->server.toString() + "\r\n";
     }
@@ -138,8 +137,7 @@
     }
     this->sent = true;
     h2o_iovec_t parts[2] = { h2o_iovec_init(this->head.data(), this->head.size()),
-                             h2o_iovec_init(this->request.body.data(),
-                                            this->request.body.size()) };
+                             h2o_iovec_init(this->request.body.data(), this->request.body.size()) };
     h2o_socket_read_start(this->socket, &Callbacks::onReadable);
     h2o_socket_write(this->socket, parts, this->request.body.empty() ? 1 : 2,
                      &Callbacks::onWritten);
@@ -199,8 +197,8 @@
 {
     // An answer that came before the whole request was written leaves a connection on which the
     // server still expects the rest. A second answer may follow chunks unnoticed.
-    const bool keep = this->written && this->parser.keepsConnection()
-                      && !this->parser.isChunked() && !this->parser.hasTrailingBytes();
+    const bool keep = this->written && this->parser.keepsConnection() && !this->parser.isChunked()
+                      && !this->parser.hasTrailingBytes();
     h2o_socket_t *used = std::exchange(this->socket, nullptr);
     h2o_socket_read_stop(used);
     if (keep) {
--- a/src/connection/metricsserver.cpp
+++ b/src/connection/metricsserver.cpp
@@ -3,16 +3,16 @@
 namespace cassiaroad {
 
 MetricsServer::MetricsServer(EventLoop &loop, const Metrics &metrics, std::function<void()> update)
-    : server(loop, {},
-             [&metrics, update = std::move(update)](const std::shared_ptr<HttpExchange> &exchange) {
-                 if (exchange->path() != "/metrics") {
-                     exchange->answer(404, {}, {});
-                     return;
-                 }
-                 update();
-                 exchange->answer(200, { { "content-type", Metrics::contentType } },
-                                  metrics.text());
-             })
+    : server(
+            loop, {},
+            [&metrics, update = std::move(update)](const std::shared_ptr<HttpExchange> &exchange) {
+                if (exchange->path() != "/metrics") {
+                    exchange->answer(404, {}, {});
+                    return;
+                }
+                update();
+                exchange->answer(200, { { "content-type", Metrics::contentType } }, metrics.text());
+            })
 { }
 
 } // namespace cassiaroad
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -12,8 +12,8 @@
 constexpr Milliseconds idleCheck { 500 };
 // Idle connections that are kept to one upstream beyond those in use.
 constexpr std::size_t idleConnections = 4;
-const std::vector<double> secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6,
-                                           0.8,  1.0,   1.5,  2.0, 3.0, 5.0 };
+const std::vector<double> secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4,
+                                           0.6,  0.8,   1.0,  1.5, 2.0, 3.0, 5.0 };
 
 const char *kindName(RouteKind kind)
 {
@@ -116,8 +116,8 @@
             kept.emplace(id, known->second);
             continue;
         }
-        kept.emplace(id, std::make_shared<GatewayUpstream>(
-                                 routed, this->distanceTo(routed.upstream.zone)));
+        kept.emplace(id, std::make_shared<GatewayUpstream>(routed,
+                                                           this->distanceTo(routed.upstream.zone)));
     }
     for (const auto &[id, upstream] : this->upstreams) {
         if (!kept.contains(id) || kept.at(id) != upstream) {
@@ -177,8 +177,8 @@
     double bestCost = 0.0;
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteUpstream &known = upstream->upstream();
-        if (known.service != service || known.phase != UpstreamPhase::Ready || upstream->isReplaced()
-            || std::find(tried.begin(), tried.end(), id) != tried.end()) {
+        if (known.service != service || known.phase != UpstreamPhase::Ready
+            || upstream->isReplaced() || std::find(tried.begin(), tried.end(), id) != tried.end()) {
             continue;
         }
         double cost = upstream->cost(now);
@@ -204,8 +204,8 @@
 SiteRetryBudget &GatewayCore::budget(const std::string &service)
 {
     const SiteBounds &bounds = this->settings.bounds;
-    const auto [entry, isNew] = this->budgets.try_emplace(
-            service, bounds.retryShare, bounds.retrySlack, bounds.retryWindow);
+    const auto [entry, isNew] = this->budgets.try_emplace(service, bounds.retryShare,
+                                                          bounds.retrySlack, bounds.retryWindow);
     if (isNew) {
         entry->second.setGateways(this->routing.gateways);
     }
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -84,8 +84,7 @@
 
 std::string GatewayProcess::start()
 {
-    this->log.write(
-            { "start", Event::Weight::Always, { { "role", std::string("gateway") } } });
+    this->log.write({ "start", Event::Weight::Always, { { "role", std::string("gateway") } } });
     const auto &role = std::get<GatewaySettings>(this->settings.role);
     std::string reason = this->callers.listen(role.callers);
     if (reason.empty()) {
@@ -122,9 +121,8 @@
     }
     this->stopping = true;
     this->log.write({ "stop", Event::Weight::Always, {} });
-    this->closeTimer = this->loop.callAfter(balancerDelay, [this] {
-        this->callers.shutDown([this] { this->finish(); });
-    });
+    this->closeTimer = this->loop.callAfter(
+            balancerDelay, [this] { this->callers.shutDown([this] { this->finish(); }); });
     this->endTimer = this->loop.callAfter(this->settings.bounds.stopGrace - killMargin,
                                           [this] { this->finish(); });
 }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -441,8 +441,8 @@
 
 void GatewayRequest::repeatAfter(Milliseconds delay)
 {
-    this->waitTimer = this->core.eventLoop().callAfter(
-            delay, this->callback(&GatewayRequest::dispatch));
+    this->waitTimer
+            = this->core.eventLoop().callAfter(delay, this->callback(&GatewayRequest::dispatch));
 }
 
 void GatewayRequest::onDeadline()
@@ -476,8 +476,8 @@
     const Milliseconds clientLeft
             = this->clientTime - (this->core.eventLoop().now() - this->arrived);
     const Milliseconds wanted = std::max(this->typicalDuration(), shortestRetryAfter);
-    const Milliseconds after = std::clamp(wanted, Milliseconds {},
-                                          std::max(clientLeft / 3, Milliseconds {}));
+    const Milliseconds after
+            = std::clamp(wanted, Milliseconds {}, std::max(clientLeft / 3, Milliseconds {}));
     this->finish(statusUnavailable, { { "retry-after", secondsText(after) } }, {}, reason);
 }
 
@@ -495,10 +495,9 @@
     this->releaseUpstream();
     this->logOutcome(status, outcome);
     if (this->route != nullptr) {
-        const std::string group = status < statusBadRequest ? "answered"
+        const std::string group = status < statusBadRequest     ? "answered"
                                   : status == statusUnavailable ? "refused"
-                                  : status == statusBadGateway
-                                                  || status == statusGatewayTimeout
+                                  : status == statusBadGateway || status == statusGatewayTimeout
                                           ? "unknown"
                                           : "failed";
         this->core.countOutcome(this->route->kind, group,
@@ -536,8 +535,7 @@
         { "in_flight",
           this->target ? std::int64_t(this->target->admission().inFlight()) : std::int64_t(0) },
         { "sends", std::int64_t(this->sends) },
-        { "configuration",
-          std::int64_t(this->active ? this->active->configuration.version : 0) },
+        { "configuration", std::int64_t(this->active ? this->active->configuration.version : 0) },
         { "table", std::int64_t(view.tableTag) },
         { "table_age_ms", (now - view.tableAt).count },
     };
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -65,8 +65,7 @@
 void GatewayUpstream::setShare(double trafficShare)
 {
     const double part = this->routed.warming ? warmingPart : 1.0;
-    const double capacity
-            = trafficShare * requestsPerSlot * part * this->routed.upstream.slots;
+    const double capacity = trafficShare * requestsPerSlot * part * this->routed.upstream.slots;
     this->requests.setCapacity(
             std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::ceil(capacity))));
 }
@@ -101,8 +100,8 @@
     }
     const std::uint32_t doublings
             = std::min<std::uint32_t>(this->failuresInRow - failuresBeforeSuspicion, 4);
-    const Milliseconds span = std::min(shortestSuspicion * (std::int64_t(1) << doublings),
-                                       longestSuspicion);
+    const Milliseconds span
+            = std::min(shortestSuspicion * (std::int64_t(1) << doublings), longestSuspicion);
     this->suspectedUntil = now + span;
 }
 
--- a/src/process/eventlog.cpp
+++ b/src/process/eventlog.cpp
@@ -61,8 +61,8 @@
     const double seconds
             = static_cast<double>((now - allowance.refilled).count) / millisecondsPerSecond;
     allowance.refilled = now;
-    allowance.lines = std::min(allowance.lines + seconds * rateOf(weight),
-                               rateOf(weight) * burstSeconds);
+    allowance.lines
+            = std::min(allowance.lines + seconds * rateOf(weight), rateOf(weight) * burstSeconds);
     return allowance;
 }
 
--- a/src/process/pipeappender.cpp
+++ b/src/process/pipeappender.cpp
@@ -34,7 +34,8 @@
         line.push_back('\n');
     }
     if (!hasRoom(this->descriptor)
-        || ::write(this->descriptor, line.data(), line.size()) != static_cast<ssize_t>(line.size())) {
+        || ::write(this->descriptor, line.data(), line.size())
+                   != static_cast<ssize_t>(line.size())) {
         ++this->dropped;
     }
 }
--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -61,10 +61,10 @@
     } else if (std::holds_alternative<ReadCall>(call)) {
         this->handleRead(exchange);
     } else if (const auto *malformed = std::get_if<MalformedCall>(&call)) {
-        this->log.write({ "call_malformed",
-                          Event::Weight::Important,
-                          { { "path", std::string(exchange->path()) },
-                            { "reason", malformed->reason } } });
+        this->log.write(
+                { "call_malformed",
+                  Event::Weight::Important,
+                  { { "path", std::string(exchange->path()) }, { "reason", malformed->reason } } });
         answer(exchange, statusBadRequest);
     } else {
         answer(exchange, statusNotFound);
@@ -82,10 +82,9 @@
         return;
     }
     const HostAddress leader { notLeading.leaderIp, this->address.port };
-    exchange->answer(statusRedirect,
-                     { { "location",
-                         "http://" + leader.toString() + std::string(exchange->path()) } },
-                     {});
+    exchange->answer(
+            statusRedirect,
+            { { "location", "http://" + leader.toString() + std::string(exchange->path()) } }, {});
 }
 
 void ControlService::handleHeartbeat(const Exchange &exchange, const UpstreamReport &report)
--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -188,8 +188,8 @@
                       Event::Weight::Always,
                       { { "slot", std::int64_t(start.slot) }, { "founds", start.found } } });
     this->memberSettings = this->replicaSettings(start.slot);
-    this->driver = std::make_unique<ReplicaDriver>(this->loop, *this->memberSettings,
-                                                   this->metrics, this->handlers);
+    this->driver = std::make_unique<ReplicaDriver>(this->loop, *this->memberSettings, this->metrics,
+                                                   this->handlers);
     this->connect();
     return this->driver->start(start.found);
 }
@@ -232,9 +232,8 @@
     }
     // Without the file the members are found through the seeds.
     if (const auto error = replaceFile(this->role.dataFolder, membersFile, list.dump())) {
-        this->log.write({ "members_unsaved",
-                          Event::Weight::Always,
-                          { { "reason", error->toString() } } });
+        this->log.write(
+                { "members_unsaved", Event::Weight::Always, { { "reason", error->toString() } } });
     }
 }
 
@@ -296,8 +295,8 @@
 {
     const Replica *replica = this->driver ? this->driver->replica() : nullptr;
     return replica != nullptr
-           && replica->configuration().voters.size() >= std::max<std::size_t>(
-                      std::size_t(2) * this->settings.toleratedLosses, 1);
+           && replica->configuration().voters.size()
+                      >= std::max<std::size_t>(std::size_t(2) * this->settings.toleratedLosses, 1);
 }
 
 std::string GroupMember::leaderIp() const
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -61,7 +61,9 @@
               [this](std::uint64_t proposal) {
                   this->endProposal(proposal, false, PutOutcome::Conflict);
               },
-              [this] { this->checkLeadership(); }, [this] { return this->state.encode(); }, {},
+              [this] { this->checkLeadership(); },
+              [this] { return this->state.encode(); },
+              {},
               std::move(failed) })
 { }
 
@@ -334,13 +336,12 @@
         return hint;
     }
     auto paf = kj::newPromiseAndFulfiller<GroupHint>();
-    auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<GroupHint>>>(
-            kj::mv(paf.fulfiller));
+    auto fulfiller
+            = std::make_shared<kj::Own<kj::PromiseFulfiller<GroupHint>>>(kj::mv(paf.fulfiller));
     const auto done = [this, fulfiller, slot = *slot, ip = request.ip](bool committed, PutOutcome) {
         GroupHint result = this->group.hint();
         const auto owner = this->state.members().find(slot);
-        const bool given = committed && owner != this->state.members().end()
-                           && owner->second == ip;
+        const bool given = committed && owner != this->state.members().end() && owner->second == ip;
         result.slot = given ? slot : 0;
         (*fulfiller)->fulfill(kj::mv(result));
     };
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -99,8 +99,7 @@
     void readConfiguration();
     bool mayAnswer() const { return this->group.leads() && this->group.hasLease(); }
     NotLeading notLeading() const { return { this->group.leaderIp() }; }
-    void answerReport(const UpstreamReport &report,
-                      const std::function<void(GrantResult)> &done);
+    void answerReport(const UpstreamReport &report, const std::function<void(GrantResult)> &done);
     void refreshTable();
     void wakeGateways();
     bool isCurrent(const GatewayReport &report) const;
--- a/src/registry/registryprocess.cpp
+++ b/src/registry/registryprocess.cpp
@@ -31,10 +31,9 @@
                     kj::heap<RegistryService>(this->engine))
         , control(loop, this->engine, codec, this->log)
         , metricsServer(loop, this->metrics, [this] { this->updateMetrics(); })
-        , watcher(loop, settingsFile, this->log,
-                  [this](const SiteSettings &changed) {
-                      this->engine.member().setSeeds(changed.seeds);
-                  })
+        , watcher(loop, settingsFile, this->log, [this](const SiteSettings &changed) {
+            this->engine.member().setSeeds(changed.seeds);
+        })
     { }
 
     std::string start();
@@ -79,7 +78,8 @@
 
 void RegistryProcess::stop()
 {
-    this->log.write({ "stop", Event::Weight::Always, { { "leads", this->engine.member().leads() } } });
+    this->log.write(
+            { "stop", Event::Weight::Always, { { "leads", this->engine.member().leads() } } });
     this->stopUntil = this->loop.now() + transferBound;
     this->engine.member().leaveLeadership();
     this->waitForSuccessor();
--- a/src/registry/registryprocess.h
+++ b/src/registry/registryprocess.h
@@ -6,8 +6,8 @@
 namespace cassiaroad {
 
 /**
- * Runs `cassiaroad registry` until SIGTERM or SIGINT and returns the exit status. @p settingsFile is
- * read again on SIGHUP and when it has changed.
+ * Runs `cassiaroad registry` until SIGTERM or SIGINT and returns the exit status. @p settingsFile
+ * is read again on SIGHUP and when it has changed.
  */
 int runRegistryProcess(const SiteSettings &settings, const std::string &settingsFile,
                        const OutsideCodec &codec);
--- a/src/registry/slotfinder.h
+++ b/src/registry/slotfinder.h
@@ -2,7 +2,6 @@
 
 #include "version/sitewatch.h"
 
-
 namespace cassiaroad {
 
 /** What a control host is to do after it has asked for the group. */
--- a/src/request/upstreamadmission.cpp
+++ b/src/request/upstreamadmission.cpp
@@ -34,8 +34,8 @@
     if (this->limit.hasRoom()) {
         return typical;
     }
-    const auto ahead = std::distance(this->waiting.begin(),
-                                     this->waiting.lower_bound({ priority + 1, 0 }));
+    const auto ahead
+            = std::distance(this->waiting.begin(), this->waiting.lower_bound({ priority + 1, 0 }));
     return typical + typical * (ahead + 1) / static_cast<std::int64_t>(this->limit.limit());
 }
 
--- a/src/version/holdledger.cpp
+++ b/src/version/holdledger.cpp
@@ -31,7 +31,8 @@
 {
     LifeHolds &known = this->lives[life];
     known.lastReport = holds;
-    known.reportedSinceAnswer = known.answered && sequence > known.answeredSequence;
+    known.answerBeforeReport = known.lastAnswer;
+    known.reportedAfterAnswer = known.answered && sequence > known.answeredSequence;
 }
 
 void HoldLedger::noteAnswer(const UpstreamLife &life, std::uint64_t sequence,
@@ -70,7 +71,9 @@
     if (!this->mayHold(service, owner, holds, now)) {
         return true;
     }
-    return holds != nullptr && holds->reportedSinceAnswer && !overlapsAny(holds->lastReport, range)
+    // The report must have been sent by an upstream that knew that the range was left out.
+    return holds != nullptr && holds->reportedAfterAnswer && !overlapsAny(holds->lastReport, range)
+           && !overlapsAny(holds->answerBeforeReport, range)
            && !overlapsAny(holds->lastAnswer, range);
 }
 
--- a/src/version/holdledger.h
+++ b/src/version/holdledger.h
@@ -60,10 +60,11 @@
     {
         std::map<Fence, TimePoint> grantedUntil;
         std::vector<RangeHold> lastAnswer;
+        std::vector<RangeHold> answerBeforeReport; // the last one before the last report
         std::vector<RangeHold> lastReport;
         std::uint64_t answeredSequence = 0;
         bool answered = false;
-        bool reportedSinceAnswer = false;
+        bool reportedAfterAnswer = false;
     };
 
     bool mayHold(const std::string &service, const RangeOwner &owner, const LifeHolds *holds,
--- a/src/version/keyrange.h
+++ b/src/version/keyrange.h
@@ -34,7 +34,8 @@
 /** Fencing token of a range; each change of owner takes the next one of its service. */
 using Fence = std::uint64_t;
 
-/** One start of an upstream. A later start may have the same id; it then knows nothing of before. */
+/** One start of an upstream. A later start may have the same id; it then knows nothing of before.
+ */
 struct UpstreamLife
 {
     std::string id;
--- a/src/version/outsidecodec.h
+++ b/src/version/outsidecodec.h
@@ -76,7 +76,8 @@
 
 /**
  * Translates between the messages of the surroundings (clients' headers, heartbeats, operators'
- * calls) and the types of the program. Implementations hold no state and decide nothing. Thread-safe.
+ * calls) and the types of the program. Implementations hold no state and decide nothing.
+ * Thread-safe.
  */
 class OutsideCodec
 {
@@ -89,8 +90,8 @@
     virtual ControlCall decodeCall(const ReceivedCall &call) const = 0;
     virtual std::string encodeGrant(const UpstreamGrant &grant) const = 0;
     /** Reads a document; it is not checked, see findFault(). */
-    virtual std::variant<SiteConfiguration, DocumentFault>
-    decodeConfiguration(std::string_view document) const = 0;
+    virtual std::variant<SiteConfiguration, DocumentFault> decodeConfiguration(
+            std::string_view document) const = 0;
 };
 
 } // namespace cassiaroad
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -63,8 +63,7 @@
     return found == this->loads.end() ? nullptr : &*found;
 }
 
-std::vector<RangeTransfer>
-RangePlanner::firstAssignment(const std::vector<RangeHolder> &holders)
+std::vector<RangeTransfer> RangePlanner::firstAssignment(const std::vector<RangeHolder> &holders)
 {
     std::vector<RangeTransfer> transfers;
     std::uint64_t slots = 0;
@@ -204,9 +203,9 @@
     if (giver == nullptr || giver->keys < 2) {
         return std::nullopt;
     }
-    const auto ranges = std::count_if(this->view.table.owners().begin(),
-                                      this->view.table.owners().end(),
-                                      [&](const RangeOwner &o) { return o.owner == from; });
+    const auto ranges
+            = std::count_if(this->view.table.owners().begin(), this->view.table.owners().end(),
+                            [&](const RangeOwner &o) { return o.owner == from; });
     if (static_cast<std::size_t>(ranges) >= mostRangesOfHolder) {
         return std::nullopt;
     }
@@ -222,9 +221,9 @@
             return RangeTransfer { *range, empty->holder.life, {} };
         }
         // Without load, half of the giver's first range makes the newcomer useful.
-        const auto first = std::find_if(this->view.table.owners().begin(),
-                                        this->view.table.owners().end(),
-                                        [&](const RangeOwner &o) { return o.owner == from; });
+        const auto first
+                = std::find_if(this->view.table.owners().begin(), this->view.table.owners().end(),
+                               [&](const RangeOwner &o) { return o.owner == from; });
         const KeyNumber middle = first->range.from + first->range.size() / 2;
         return RangeTransfer { { middle, first->range.to }, empty->holder.life, {} };
     }
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -20,7 +20,8 @@
     bool operator==(const RangeHolder &) const = default;
 };
 
-/** Keys of one service, their load and the upstreams that may hold them. Views; see RangePlanner. */
+/** Keys of one service, their load and the upstreams that may hold them. Views; see RangePlanner.
+ */
 struct PlacementView
 {
     const RangeTable &table;
--- a/src/version/rangetable.cpp
+++ b/src/version/rangetable.cpp
@@ -14,7 +14,8 @@
 {
     for (const RangeTransfer &transfer : transfers) {
         this->cut(transfer.range);
-        this->ownerList.push_back({ transfer.range, transfer.to, ++this->fence, transfer.handover });
+        this->ownerList.push_back(
+                { transfer.range, transfer.to, ++this->fence, transfer.handover });
         std::sort(this->ownerList.begin(), this->ownerList.end(),
                   [](const RangeOwner &a, const RangeOwner &b) { return a.range < b.range; });
     }
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -12,12 +12,9 @@
 
 SiteUpstream toUpstream(const UpstreamReport &report)
 {
-    return { report.life,
-             report.service,
-             report.address,
-             report.zone,
-             report.slots,
-             report.draining ? UpstreamPhase::Draining : UpstreamPhase::Ready };
+    return { report.life,    report.service,
+             report.address, report.zone,
+             report.slots,   report.draining ? UpstreamPhase::Draining : UpstreamPhase::Ready };
 }
 
 } // namespace
@@ -248,8 +245,9 @@
 
 std::uint32_t RegistryManager::gatewayCount(TimePoint now) const
 {
-    const auto count = std::count_if(this->gateways.begin(), this->gateways.end(),
-                                     [&](const auto &g) { return now - g.second.last < gatewayLost; });
+    const auto count
+            = std::count_if(this->gateways.begin(), this->gateways.end(),
+                            [&](const auto &g) { return now - g.second.last < gatewayLost; });
     return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(count, 1));
 }
 
--- a/src/version/registrystate.cpp
+++ b/src/version/registrystate.cpp
@@ -25,8 +25,9 @@
 
 // In the order of the alternatives of RegistryCommand; new commands go to the end.
 constexpr CommandReader commandReaders[] = {
-    &readCommand<PutConfiguration>, &readCommand<AssignSlot>, &readCommand<RegisterSiteUpstream>,
-    &readCommand<SetUpstreamPhase>, &readCommand<RemoveSiteUpstream>, &readCommand<TransferRanges>,
+    &readCommand<PutConfiguration>,     &readCommand<AssignSlot>,
+    &readCommand<RegisterSiteUpstream>, &readCommand<SetUpstreamPhase>,
+    &readCommand<RemoveSiteUpstream>,   &readCommand<TransferRanges>,
 };
 static_assert(std::size(commandReaders) == std::variant_size_v<RegistryCommand>);
 
@@ -53,8 +54,8 @@
 
 std::string encodeCommand(const RegistryCommand &command)
 {
-    const json value = std::visit([](const auto &alternative) { return json(alternative); },
-                                  command);
+    const json value
+            = std::visit([](const auto &alternative) { return json(alternative); }, command);
     return toCborText(json::array({ command.index(), value }));
 }
 
--- a/src/version/siteconfiguration.h
+++ b/src/version/siteconfiguration.h
@@ -89,8 +89,8 @@
     explicit RouteIndex(const SiteConfiguration &configuration);
 
     /**
-     * Returns the route of @p host whose prefix is the longest that begins @p path, or null. @p host
-     * may contain a port; its case is ignored.
+     * Returns the route of @p host whose prefix is the longest that begins @p path, or null. @p
+     * host may contain a port; its case is ignored.
      */
     const SiteRoute *find(std::string_view host, std::string_view path) const;
 
--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -86,9 +86,8 @@
     grant.holds = { { { 0, 4095 }, 7, "" }, { { 9000, 9999 }, 12, "7a21" } };
     grant.hold = { 4000 };
     grant.nextAddress = { "10.0.0.4", 8166 };
-    EXPECT_EQ(codec.encodeGrant(grant),
-              R"({"heartbeatUri":"10.0.0.4:8166","holdS":4.0,)"
-              R"("holds":[[0,4095,7,""],[9000,9999,12,"7a21"]]})");
+    EXPECT_EQ(codec.encodeGrant(grant), R"({"heartbeatUri":"10.0.0.4:8166","holdS":4.0,)"
+                                        R"("holds":[[0,4095,7,""],[9000,9999,12,"7a21"]]})");
     EXPECT_EQ(codec.encodeGrant({}), "{}");
 }
 
@@ -137,8 +136,8 @@
             codec.decodeCall({ "POST", "/-/Config.Put", "0", "x" })));
     EXPECT_TRUE(std::holds_alternative<MalformedCall>(
             codec.decodeCall({ "POST", "/-/Config.Put", "", "x" })));
-    EXPECT_TRUE(std::holds_alternative<ReadCall>(
-            codec.decodeCall({ "GET", "/-/Config.Get", "", "" })));
+    EXPECT_TRUE(
+            std::holds_alternative<ReadCall>(codec.decodeCall({ "GET", "/-/Config.Get", "", "" })));
     const ControlCall leave
             = codec.decodeCall({ "POST", "/-/Instances.Deregister/i-1", "", R"({"born":7})" });
     ASSERT_TRUE(std::holds_alternative<LeaveCall>(leave));
--- a/tests/request/test_upstreamadmission.cpp
+++ b/tests/request/test_upstreamadmission.cpp
@@ -76,8 +76,7 @@
         } else if (admission.inFlight() > 0) {
             admission.finishShed(now);
         }
-        while (admission.next()) {
-        }
+        while (admission.next()) { }
         RC_ASSERT(admission.inFlight() <= 3U);
         RC_ASSERT(admission.waitingCount() == 0 || admission.inFlight() > 0);
     }
--- a/tests/version/test_registrymanager.cpp
+++ b/tests/version/test_registrymanager.cpp
@@ -110,8 +110,16 @@
             target.held.clear();
             break;
         case FaultKind::Restart:
-            target = TestUpstream { { target.life.id, this->now }, target.address, 0, this->now, {},
-                                    {}, {}, 0, true, false };
+            target = TestUpstream { { target.life.id, this->now },
+                                    target.address,
+                                    0,
+                                    this->now,
+                                    {},
+                                    {},
+                                    {},
+                                    0,
+                                    true,
+                                    false };
             break;
         case FaultKind::NewLeader:
             this->newLeader();
@@ -214,8 +222,8 @@
         this->commit(result.commands);
         const UpstreamGrant grant = this->manager->answer(report, this->time());
         if (this->now >= this->losingUntil) {
-            this->answers.push_back(
-                    { upstream.life.id, upstream.life.born, this->now, this->now + 3 * step, grant });
+            this->answers.push_back({ upstream.life.id, upstream.life.born, this->now,
+                                      this->now + 3 * step, grant });
         }
     }
 
@@ -225,8 +233,7 @@
             const TravellingAnswer answer = this->answers.front();
             this->answers.pop_front();
             for (TestUpstream &upstream : this->upstreams) {
-                const bool meant
-                        = upstream.life == UpstreamLife { answer.upstream, answer.born };
+                const bool meant = upstream.life == UpstreamLife { answer.upstream, answer.born };
                 if (meant && this->isRunning(upstream) && answer.grant.keyed) {
                     this->take(upstream, answer);
                 }
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -114,7 +114,9 @@
     const GroupHint hint { true, "10.0.0.1", { { 1, "10.0.0.1" }, { 2, "10.0.0.2" } }, 2 };
     EXPECT_EQ(decodeWatchAnswer(encode(WatchAnswer(hint))), WatchAnswer(hint));
     EXPECT_EQ(decodeGroupHint(encode(hint)), hint);
-    const GatewayReport report { "g", "a", 9, 8, 4, 100, { { "ledger", 7, 3 } }, { { "i-1", 3, 90 } } };
+    const GatewayReport report {
+        "g", "a", 9, 8, 4, 100, { { "ledger", 7, 3 } }, { { "i-1", 3, 90 } }
+    };
     EXPECT_EQ(decodeGatewayReport(encode(report)), report);
     const JoinRequest request { "10.0.0.1", true };
     EXPECT_EQ(decodeJoinRequest(encode(request)), request);
