version, gateway: Estimate load from the first second; use free slots beyond the share

Cause: one quick answer made an upstream look fast and the planner moved a whole busy neighbourhood to it; gateways queued at idle upstreams because their share was one request.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaycore.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -28,6 +30,13 @@
     return "unknown";
 }
 
+// Returns a number from 0 to 1 that is the same for the same text.
+double ditherOf(const std::string &text)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(XXH3_64bits(text.data(), text.size()) % steps) / steps;
+}
+
 double toSeconds(Milliseconds span)
 {
     return static_cast<double>(span.count) / 1000.0;
@@ -75,7 +84,7 @@
         this->takeTable(table);
     }
     for (const auto &[id, upstream] : this->upstreams) {
-        upstream->setShare(update.trafficShare);
+        upstream->setShare(update.trafficShare, ditherOf(this->settings.host + id));
     }
     for (auto &[service, budget] : this->budgets) {
         budget.setGateways(update.gateways);
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -366,7 +366,7 @@
     this->core.startWaiting(*this->target);
     if (answer.status >= statusServerError && this->route->kind == RouteKind::Safe
         && this->left() > this->typicalDuration() && this->mayRepeat()) {
-        this->repeatAfter({});
+        this->repeatAfter({}, "upstream failed");
         return;
     }
     this->finish(answer.status, HopHeaders::ofAnswer(answer.headers), std::move(answer.body),
@@ -395,11 +395,11 @@
         return;
     }
     if (!this->keyed) {
-        this->repeatAfter({});
+        this->repeatAfter({}, "upstream is full");
     } else if (!misdirected) {
-        this->repeatAfter(shedDelay);
+        this->repeatAfter(shedDelay, "upstream is full");
     } else if (this->sends == 1 && !this->target->isReplaced()) {
-        this->repeatAfter(misdirectedDelay);
+        this->repeatAfter(misdirectedDelay, "owner has changed");
     } else {
         this->waitForOwner();
     }
@@ -409,20 +409,20 @@
 {
     this->callTimer = EventLoop::Timer();
     this->releaseUpstream();
-    this->target->noteFailure(this->core.eventLoop().now());
+    this->target->noteFailure(this->sentAt, this->core.eventLoop().now());
     const bool notSent = failure.stage == HttpFailure::Stage::Connect
                          || failure.stage == HttpFailure::Stage::Withdrawn;
     const bool useful = this->left() > this->typicalDuration();
     if (notSent) {
         if (useful && this->sends < mostSends) {
-            this->repeatAfter(reconnectDelay);
+            this->repeatAfter(reconnectDelay, "cannot connect to upstream: " + failure.reason);
         } else {
             this->refuse("cannot connect to upstream: " + failure.reason);
         }
         return;
     }
     if (this->route->kind == RouteKind::Safe && useful && this->mayRepeat()) {
-        this->repeatAfter({});
+        this->repeatAfter({}, "connection failed: " + failure.reason);
         return;
     }
     this->outcomeUnknown = true;
@@ -441,8 +441,9 @@
     return this->core.budget(this->service).take(this->core.eventLoop().now());
 }
 
-void GatewayRequest::repeatAfter(Milliseconds delay)
+void GatewayRequest::repeatAfter(Milliseconds delay, const std::string &reason)
 {
+    this->logEvent("request_repeated", Event::Weight::Important, 0, reason);
     this->waitTimer
             = this->core.eventLoop().callAfter(delay, this->callback(&GatewayRequest::dispatch));
 }
@@ -451,7 +452,7 @@
 {
     if (this->call && this->call->isSent()) {
         this->outcomeUnknown = true;
-        this->target->noteFailure(this->core.eventLoop().now());
+        this->target->noteFailure(this->sentAt, this->core.eventLoop().now());
         this->fail(statusGatewayTimeout, "no answer in time");
         return;
     }
@@ -521,7 +522,12 @@
 {
     const bool isUsual = status >= statusOk && status < statusServerError;
     const auto weight = isUsual ? Event::Weight::Sampled : Event::Weight::Important;
-    const char *const name = isUsual ? "request" : "request_failed";
+    this->logEvent(isUsual ? "request" : "request_failed", weight, status, outcome);
+}
+
+void GatewayRequest::logEvent(const char *name, Event::Weight weight, int status,
+                              const std::string &outcome)
+{
     EventLog &log = this->core.events();
     if (!log.hasRoom(name, weight)) {
         return;
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -38,13 +38,14 @@
     void onDeadline();
     void onClientGone();
     bool mayRepeat() const;
-    void repeatAfter(Milliseconds delay);
+    void repeatAfter(Milliseconds delay, const std::string &reason);
     void releaseUpstream();
     void refuse(const std::string &reason);
     void refuseUntil(Milliseconds comeBack, const std::string &reason);
     void fail(int status, const std::string &reason);
     void finish(int status, Headers headers, std::string body, const std::string &outcome);
     void logOutcome(int status, const std::string &outcome);
+    void logEvent(const char *name, Event::Weight weight, int status, const std::string &outcome);
     void stopWaiting();
     Milliseconds left() const;
     Milliseconds typicalDuration() const;
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -13,6 +13,8 @@
 // in the gateways, where the most urgent goes first.
 constexpr double requestsPerSlot = 2.5;
 constexpr double warmingPart = 0.5;
+constexpr std::uint32_t unknownLoadExtra = 1;
+constexpr std::uint32_t mostExtra = 3;
 constexpr double smoothing = 0.15;
 constexpr double defaultMilliseconds = 100.0;
 constexpr Milliseconds loadMaxAge { 1500 };
@@ -62,23 +64,39 @@
     this->timing.upstream = this->routed.upstream.life.id;
 }
 
-void GatewayUpstream::setShare(double trafficShare)
+void GatewayUpstream::setShare(double trafficShare, double dither)
 {
     const double part = this->routed.warming ? warmingPart : 1.0;
     const double capacity = trafficShare * requestsPerSlot * part * this->routed.upstream.slots;
-    this->requests.setCapacity(
-            std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::ceil(capacity))));
+    this->share
+            = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::floor(capacity + dither)));
+    this->updateCapacity();
+}
+
+// While the upstream tells of free slots, the gateway may use some beyond its share. Gateways do
+// not see each other and may all do so at once, so it is only a part of them.
+void GatewayUpstream::updateCapacity()
+{
+    std::uint32_t extra = unknownLoadExtra;
+    if (this->load) {
+        const std::uint32_t busy = this->load->running + this->load->waiting;
+        const std::uint32_t free = this->load->slots > busy ? this->load->slots - busy : 0;
+        extra = std::min(free / 2, mostExtra);
+    }
+    this->requests.setCapacity(this->share + extra);
 }
 
 void GatewayUpstream::noteAnswer(Milliseconds duration, const std::optional<ToldLoad> &told,
-                                 TimePoint /*now*/)
+                                 TimePoint now)
 {
+    this->answeredAt = now;
     this->failuresInRow = 0;
     this->suspectedUntil = {};
     this->errorShare *= 1.0 - smoothing;
     if (told) {
         this->load = told;
         this->inFlightAtLoad = this->requests.inFlight();
+        this->updateCapacity();
     }
     // Requests ahead in the upstream's queue take their share of the duration.
     const bool queues = told && told->slots > 0;
@@ -92,8 +110,12 @@
     }
 }
 
-void GatewayUpstream::noteFailure(TimePoint now)
+void GatewayUpstream::noteFailure(TimePoint sentAt, TimePoint now)
 {
+    // An upstream that has answered another request meanwhile is busy, not gone.
+    if (this->answeredAt > sentAt) {
+        return;
+    }
     ++this->failuresInRow;
     if (this->failuresInRow < failuresBeforeSuspicion) {
         return;
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -33,16 +33,19 @@
     const RoutedUpstream &routedUpstream() const { return this->routed; }
     Distance distanceOf() const { return this->distance; }
     void setRouted(const RoutedUpstream &value) { this->routed = value; }
-    /** Sets the part of the upstream's slots that this gateway may use. */
-    void setShare(double trafficShare);
+    /**
+     * Sets the part of the upstream's slots that this gateway may use. @p dither, from 0 to 1,
+     * differs between gateways, so that their whole numbers add up to the slots.
+     */
+    void setShare(double trafficShare, double dither);
 
     UpstreamAdmission &admission() { return this->requests; }
     const UpstreamAdmission &admission() const { return this->requests; }
 
     /** An answer arrived @p duration after the request was sent. */
     void noteAnswer(Milliseconds duration, const std::optional<ToldLoad> &load, TimePoint now);
-    /** A connection could not be opened, or a request got no answer in time. */
-    void noteFailure(TimePoint now);
+    /** A connection could not be opened since @p sentAt, or a request got no answer in time. */
+    void noteFailure(TimePoint sentAt, TimePoint now);
     /** The answer was a failure of the upstream's own. */
     void noteError(TimePoint now);
 
@@ -61,14 +64,17 @@
 
 private:
     double busySlots(TimePoint now) const;
+    void updateCapacity();
 
     RoutedUpstream routed;
     Distance distance;
     UpstreamAdmission requests;
+    std::uint32_t share = 1; // requests in flight that this gateway may always have
     std::optional<ToldLoad> load;
     std::uint32_t inFlightAtLoad = 0;
     double serviceMilliseconds = 0.0; // smoothed; without the wait in the upstream's queue
     double errorShare = 0.0; // smoothed
+    TimePoint answeredAt; // the last time
     std::uint32_t failuresInRow = 0;
     TimePoint suspectedUntil;
     bool replaced = false;
--- a/src/version/keyload.cpp
+++ b/src/version/keyload.cpp
@@ -1,5 +1,6 @@
 #include "version/keyload.h"
 
+#include <algorithm>
 #include <cmath>
 #include <numeric>
 
@@ -10,6 +11,7 @@
 // Short enough to see a hot key within a second or two, long enough to average a few hundred
 // requests of a small site.
 constexpr double memorySeconds = 2.5;
+constexpr double shortestSeconds = 0.3;
 constexpr Milliseconds fadeInterval { 200 };
 
 } // namespace
@@ -23,6 +25,10 @@
     if (key > lastKey) {
         return;
     }
+    if (!this->began) {
+        this->began = true;
+        this->beganAt = now;
+    }
     this->fade(now);
     this->weights[key] += static_cast<float>(requests);
 }
@@ -41,16 +47,24 @@
     }
 }
 
+// Time that the faded requests stand for; less than the memory in the first seconds.
+double KeyLoad::seconds() const
+{
+    const auto age = static_cast<double>((this->fadedAt - this->beganAt).count) / 1000.0;
+    const double part = 1.0 - std::exp(-std::max(age, shortestSeconds) / memorySeconds);
+    return memorySeconds * part;
+}
+
 double KeyLoad::rate(const KeyRange &range) const
 {
     const auto begin = this->weights.begin() + range.from;
     const auto end = this->weights.begin() + range.to + 1;
-    return std::accumulate(begin, end, 0.0) / memorySeconds;
+    return std::accumulate(begin, end, 0.0) / this->seconds();
 }
 
 double KeyLoad::rate(KeyNumber key) const
 {
-    return static_cast<double>(this->weights[key]) / memorySeconds;
+    return static_cast<double>(this->weights[key]) / this->seconds();
 }
 
 } // namespace cassiaroad
--- a/src/version/keyload.h
+++ b/src/version/keyload.h
@@ -25,8 +25,12 @@
     double total() const { return this->rate({ 0, lastKey }); }
 
 private:
+    double seconds() const;
+
     std::vector<float> weights; // requests, faded
     TimePoint fadedAt;
+    TimePoint beganAt; // of the first request
+    bool began = false;
 };
 
 } // namespace cassiaroad
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -12,16 +12,22 @@
 constexpr double imbalanceFactor = 1.25;
 // ... and at least this busy: below it, queues are short whatever the balance.
 constexpr double leastBusy = 0.4;
+// A key with this part of its holder's requests moves to a faster holder, if that holder will be
+// busy by at most this part of what the present one is.
+constexpr double hotKeyPart = 0.5;
+constexpr double hotKeyGain = 0.75;
 // Less than this part of the wanted load is not worth a move.
 constexpr double smallestUsefulPart = 0.15;
 // Moving all keys costs as much as this part of the wanted load.
 constexpr double costOfAllKeys = 4.0;
 // The receiver must end up clearly less busy than the giver was, else keys swing back and forth.
 constexpr double receiverFactor = 0.85;
+// A receiver ends up at most this much busier than the mean: the load of the keys is an estimate.
+constexpr double receiverOvershoot = 1.15;
 // Share of a fair part that an upstream without keys gets first; it is slow after its start.
 constexpr double firstPart = 0.5;
 // A second without an owner costs about as much as this share of busy slots.
-constexpr double busyPerSecondOfWait = 0.4;
+constexpr double busyPerSecondOfWait = 1.0;
 // A range of a leaving holder is split so that no piece adds more than this to a receiver.
 constexpr double largestPiece = 0.15;
 constexpr std::size_t mostRangesOfHolder = 24; // an answer to a heartbeat has 4 KiB at most
@@ -41,6 +47,13 @@
     return this->busy(extraRate) + wait * busyPerSecondOfWait;
 }
 
+// Requests per second until the holder is busier than @p target.
+double RangePlanner::HolderLoad::roomFor(double target) const
+{
+    return (target * receiverOvershoot - this->busy(0.0)) * millisecondsPerSecond
+           * std::max(this->holder.slots, 1U) / this->holder.serviceMilliseconds;
+}
+
 RangePlanner::RangePlanner(const PlacementView &view)
     : view(view)
 {
@@ -92,7 +105,7 @@
     HolderLoad *best = nullptr;
     double bestCost = 0.0;
     for (HolderLoad &load : this->loads) {
-        if (!load.holder.receives || load.holder.life == except) {
+        if (!load.holder.receives || load.holder.isSettling || load.holder.life == except) {
             continue;
         }
         const double cost = load.cost(extraRate);
@@ -197,9 +210,55 @@
     return best;
 }
 
+// Returns the transfer of a key that keeps most of @p giver busy to an upstream that serves it
+// clearly faster, if there is one.
+std::optional<RangeTransfer> RangePlanner::moveHotKey(const HolderLoad &giver)
+{
+    KeyNumber hottest = 0;
+    double rate = 0.0;
+    for (const RangeOwner &entry : this->view.table.owners()) {
+        if (entry.owner != giver.holder.life) {
+            continue;
+        }
+        for (KeyNumber key = entry.range.from; key <= entry.range.to; ++key) {
+            if (this->view.load.rate(key) > rate) {
+                rate = this->view.load.rate(key);
+                hottest = key;
+            }
+        }
+    }
+    if (rate < giver.rate * hotKeyPart) {
+        return std::nullopt;
+    }
+    const HolderLoad *receiver = this->bestReceiver(rate, giver.holder.life);
+    if (receiver == nullptr || receiver->busy(rate) > giver.busy(0.0) * hotKeyGain) {
+        return std::nullopt;
+    }
+    return RangeTransfer { { hottest, hottest }, receiver->holder.life, {} };
+}
+
+std::optional<RangeTransfer> RangePlanner::feedNewcomer(const HolderLoad &giver,
+                                                        const HolderLoad &newcomer)
+{
+    const double fair = this->meanBusy() * millisecondsPerSecond * newcomer.holder.slots
+                        / newcomer.holder.serviceMilliseconds;
+    const double rate = std::min(giver.rate / 2.0, firstPart * fair);
+    if (rate > 0.0) {
+        if (const auto range = this->rangeWithRate(giver.holder.life, rate)) {
+            return RangeTransfer { *range, newcomer.holder.life, {} };
+        }
+    }
+    // Without load, half of the giver's first range makes the newcomer useful.
+    const auto first = std::find_if(
+            this->view.table.owners().begin(), this->view.table.owners().end(),
+            [&](const RangeOwner &entry) { return entry.owner == giver.holder.life; });
+    const KeyNumber middle = first->range.from + first->range.size() / 2;
+    return RangeTransfer { { middle, first->range.to }, newcomer.holder.life, {} };
+}
+
 std::optional<RangeTransfer> RangePlanner::relieve(const UpstreamLife &from)
 {
-    HolderLoad *giver = this->find(from);
+    const HolderLoad *giver = this->find(from);
     if (giver == nullptr || giver->keys < 2) {
         return std::nullopt;
     }
@@ -210,35 +269,32 @@
         return std::nullopt;
     }
     const double mean = this->meanBusy();
-    const auto empty = std::find_if(this->loads.begin(), this->loads.end(), [](const auto &load) {
-        return load.holder.receives && load.keys == 0;
-    });
-    if (empty != this->loads.end() && giver->busy(0.0) >= mean) {
-        const double rate = std::min(giver->rate / 2.0,
-                                     firstPart * mean * millisecondsPerSecond * empty->holder.slots
-                                             / empty->holder.serviceMilliseconds);
-        if (const auto range = this->rangeWithRate(from, rate); range && rate > 0.0) {
-            return RangeTransfer { *range, empty->holder.life, {} };
-        }
-        // Without load, half of the giver's first range makes the newcomer useful.
-        const auto first
-                = std::find_if(this->view.table.owners().begin(), this->view.table.owners().end(),
-                               [&](const RangeOwner &o) { return o.owner == from; });
-        const KeyNumber middle = first->range.from + first->range.size() / 2;
-        return RangeTransfer { { middle, first->range.to }, empty->holder.life, {} };
-    }
     const double busy = giver->busy(0.0);
+    const auto newcomer
+            = std::find_if(this->loads.begin(), this->loads.end(), [](const HolderLoad &load) {
+                  return load.holder.receives && !load.holder.isSettling && load.keys == 0;
+              });
+    if (newcomer != this->loads.end() && busy >= mean) {
+        return this->feedNewcomer(*giver, *newcomer);
+    }
     if (busy < leastBusy || busy < imbalanceFactor * mean) {
         return std::nullopt;
     }
-    HolderLoad *receiver = this->bestReceiver(giver->rate / 4.0, from);
+    if (const auto hotKey = this->moveHotKey(*giver)) {
+        return hotKey;
+    }
+    const HolderLoad *receiver = this->bestReceiver(giver->rate / 4.0, from);
     if (receiver == nullptr || receiver->busy(0.0) > busy * receiverFactor) {
         return std::nullopt;
     }
     const double perRequest
             = giver->holder.serviceMilliseconds / std::max(giver->holder.slots, 1U)
               + receiver->holder.serviceMilliseconds / std::max(receiver->holder.slots, 1U);
-    const double rate = (busy - receiver->busy(0.0)) * millisecondsPerSecond / perRequest;
+    const double wanted = (busy - receiver->busy(0.0)) * millisecondsPerSecond / perRequest;
+    const double rate = std::min(wanted, receiver->roomFor(std::max(mean, leastBusy)));
+    if (rate <= 0.0) {
+        return std::nullopt;
+    }
     const auto range = this->rangeWithRate(from, rate);
     if (!range || receiver->busy(this->view.load.rate(*range)) > busy * receiverFactor) {
         return std::nullopt;
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -16,6 +16,7 @@
     double serviceMilliseconds = 100.0; // that one request takes
     Milliseconds nextReport { 0 }; // until its next heartbeat is expected
     bool receives = false; // is ready, and its heartbeats arrive
+    bool isSettling = false; // is already getting keys whose load is not known yet
 
     bool operator==(const RangeHolder &) const = default;
 };
@@ -67,11 +68,14 @@
 
         double busy(double extraRate) const;
         double cost(double extraRate) const;
+        double roomFor(double target) const;
     };
 
     HolderLoad *find(const UpstreamLife &life);
     HolderLoad *bestReceiver(double extraRate, const UpstreamLife &except);
     std::optional<KeyRange> rangeWithRate(const UpstreamLife &owner, double rate) const;
+    std::optional<RangeTransfer> moveHotKey(const HolderLoad &giver);
+    std::optional<RangeTransfer> feedNewcomer(const HolderLoad &giver, const HolderLoad &newcomer);
     double meanBusy() const;
 
     PlacementView view;
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -137,20 +137,19 @@
     if (isMoving || isResting) {
         return;
     }
-    const std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
+    std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
+    for (RangeHolder &candidate : candidates) {
+        candidate.isSettling = std::any_of(
+                this->releasing.begin(), this->releasing.end(),
+                [&](const ReleasingRange &release) { return release.to == candidate.life; });
+    }
     RangePlanner planner({ *this->table(context), this->load, candidates });
     const std::optional<RangeTransfer> transfer = planner.relieve(life);
     if (!transfer || this->isReleasing(transfer->range)) {
         return;
     }
-    // A receiver that is already getting keys is left alone until their load is known.
-    const bool isReceiving
-            = std::any_of(this->releasing.begin(), this->releasing.end(),
-                          [&](const ReleasingRange &r) { return r.to == transfer->to; });
-    if (!isReceiving) {
-        this->releasing.push_back({ transfer->range, life, transfer->to });
-        this->lastMove[life] = context.now;
-    }
+    this->releasing.push_back({ transfer->range, life, transfer->to });
+    this->lastMove[life] = context.now;
 }
 
 std::vector<RangeHold> RangeSupervisor::answer(const UpstreamLife &life,
@@ -206,8 +205,8 @@
             first = std::min(first, context.monitor.firstSeen(holder.life));
         }
     }
-    // All upstreams that run have sent a heartbeat after a little more than one interval.
-    if (!any || context.now - first < this->timing.heartbeat * 5 / 4) {
+    // Upstreams that reached no leader at first come back after one or two intervals.
+    if (!any || context.now - first < this->timing.heartbeat * 5 / 2) {
         return {};
     }
     return RangePlanner::firstAssignment(candidates);
--- a/src/version/upstreammonitor.cpp
+++ b/src/version/upstreammonitor.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 constexpr double defaultServiceMilliseconds = 100.0;
-// Share of a new mean in the smoothed duration, for each request that it is the mean of.
-constexpr double weightPerRequest = 0.03;
-constexpr double largestWeight = 0.5;
+// Requests that count towards a mean; earlier ones fade.
+constexpr double rememberedRequests = 60.0;
+// The first few requests of an upstream may be unusually short or long, so the mean of all
+// upstreams counts as this many requests.
+constexpr double priorRequests = 8.0;
 
 } // namespace
 
@@ -41,12 +43,11 @@
     if (requests == 0) {
         return;
     }
+    ServiceTime &time = this->serviceTimes[id];
+    time.requests = std::min(time.requests + requests, rememberedRequests);
     const double mean = static_cast<double>(duration.count) / requests;
-    const auto [entry, isNew] = this->durations.try_emplace(id, mean);
-    if (!isNew) {
-        const double weight = std::min(largestWeight, weightPerRequest * requests);
-        entry->second += (mean - entry->second) * weight;
-    }
+    const double weight = std::min(1.0, requests / time.requests);
+    time.milliseconds += (mean - time.milliseconds) * weight;
 }
 
 TimePoint UpstreamMonitor::lastSeen(const UpstreamLife &life) const
@@ -77,20 +78,27 @@
     return wait;
 }
 
-double UpstreamMonitor::serviceMilliseconds(const std::string &id) const
+double UpstreamMonitor::meanServiceMilliseconds() const
 {
-    const auto found = this->durations.find(id);
-    if (found != this->durations.end()) {
-        return std::max(found->second, 1.0);
+    double sum = defaultServiceMilliseconds;
+    double weight = 1.0;
+    for (const auto &[id, time] : this->serviceTimes) {
+        sum += time.milliseconds * time.requests;
+        weight += time.requests;
     }
-    if (this->durations.empty()) {
-        return defaultServiceMilliseconds;
-    }
-    double sum = 0.0;
-    for (const auto &[other, duration] : this->durations) {
-        sum += duration;
+    return sum / weight;
+}
+
+double UpstreamMonitor::serviceMilliseconds(const std::string &id) const
+{
+    const double prior = this->meanServiceMilliseconds();
+    const auto found = this->serviceTimes.find(id);
+    if (found == this->serviceTimes.end()) {
+        return prior;
     }
-    return sum / static_cast<double>(this->durations.size());
+    const ServiceTime &time = found->second;
+    const double sum = prior * priorRequests + time.milliseconds * time.requests;
+    return std::max(sum / (priorRequests + time.requests), 1.0);
 }
 
 TimePoint UpstreamMonitor::firstSeen(const UpstreamLife &life) const
@@ -102,7 +110,7 @@
 void UpstreamMonitor::forget(const UpstreamLife &life)
 {
     this->lives.erase(life);
-    this->durations.erase(life.id);
+    this->serviceTimes.erase(life.id);
 }
 
 } // namespace cassiaroad
--- a/src/version/upstreammonitor.h
+++ b/src/version/upstreammonitor.h
@@ -45,12 +45,20 @@
         std::uint64_t sequence = 0;
     };
 
+    /** Mean duration of the requests that an upstream answered. */
+    struct ServiceTime
+    {
+        double milliseconds = 0.0;
+        double requests = 0.0; // that the mean is made of
+    };
+
+    double meanServiceMilliseconds() const;
     TimePoint lastSeen(const UpstreamLife &life) const;
 
     Milliseconds heartbeat;
     TimePoint termStart;
     std::map<UpstreamLife, Seen> lives;
-    std::map<std::string, double> durations; // by id
+    std::map<std::string, ServiceTime> serviceTimes; // by id
 };
 
 } // namespace cassiaroad
--- a/tests/gateway/test_gatewayupstream.cpp
+++ b/tests/gateway/test_gatewayupstream.cpp
@@ -60,25 +60,50 @@
 TEST(GatewayUpstream, isSuspectedAfterTwoFailuresAndClearedByAnAnswer)
 {
     GatewayUpstream first = upstream();
-    first.noteFailure(now);
+    first.noteFailure(now, now);
     EXPECT_FALSE(first.isSuspected(now));
-    first.noteFailure(now);
+    first.noteFailure(now, now);
     EXPECT_TRUE(first.isSuspected(now + Milliseconds { 399 }));
     EXPECT_FALSE(first.isSuspected(now + Milliseconds { 401 }));
-    first.noteFailure(now);
+    first.noteFailure(now, now);
     EXPECT_TRUE(first.isSuspected(now + Milliseconds { 799 }));
     first.noteAnswer({ 50 }, std::nullopt, now);
     EXPECT_FALSE(first.isSuspected(now));
 }
 
+// Load: an upstream is full. Guards against refusing requests because a few of many were late.
+TEST(GatewayUpstream, isNotSuspectedWhileItAnswersOthers)
+{
+    GatewayUpstream first = upstream();
+    first.noteAnswer({ 50 }, std::nullopt, now);
+    first.noteFailure(now - Milliseconds { 1000 }, now);
+    first.noteFailure(now - Milliseconds { 900 }, now);
+    EXPECT_FALSE(first.isSuspected(now));
+}
+
 // Guards against one gateway that fills the queue of an upstream, which then may never answer.
 TEST(GatewayUpstream, usesItsShareOfTheSlots)
 {
     GatewayUpstream first = upstream();
-    first.setShare(0.1);
+    first.noteAnswer({ 50 }, ToldLoad { 6, 0, 6, now }, now);
+    first.setShare(0.1, 0.5);
     UpstreamAdmission &admission = first.admission();
     const TimePoint late = now + Milliseconds { 10000 };
     EXPECT_EQ(admission.enter({ 1, 1, late }, now), Admission::Start);
     EXPECT_EQ(admission.enter({ 2, 1, late }, now), Admission::Start);
     EXPECT_EQ(admission.enter({ 3, 1, late }, now), Admission::Wait);
 }
+
+// Load: light. Guards against requests that wait in a gateway while the upstream is idle.
+TEST(GatewayUpstream, usesFreeSlotsBeyondItsShare)
+{
+    GatewayUpstream first = upstream();
+    first.setShare(0.1, 0.5);
+    first.noteAnswer({ 50 }, ToldLoad { 1, 0, 6, now }, now);
+    UpstreamAdmission &admission = first.admission();
+    const TimePoint late = now + Milliseconds { 10000 };
+    for (GatewayRequestId id = 1; id <= 4; ++id) {
+        EXPECT_EQ(admission.enter({ id, 1, late }, now), Admission::Start);
+    }
+    EXPECT_EQ(admission.enter({ 5, 1, late }, now), Admission::Wait);
+}
--- a/tests/version/test_rangeplanner.cpp
+++ b/tests/version/test_rangeplanner.cpp
@@ -83,6 +83,19 @@
     EXPECT_GT(this->load.rate(transfer->range), 0.0);
 }
 
+// Load: one key alone is more than a slow upstream can serve. Guards against leaving it there while
+// an upstream that is twice as fast has room.
+TEST_F(ThreeHolders, moveAHotKeyToAFasterUpstream)
+{
+    this->holders = { holder(1, 250.0), holder(2, 200.0), holder(3, 100.0) };
+    this->load.add(1000, 600, start);
+    this->request(1100, 1199, 1);
+    const auto transfer = this->relieve(1);
+    ASSERT_TRUE(transfer.has_value());
+    EXPECT_EQ(transfer->range, (KeyRange { 1000, 1000 }));
+    EXPECT_EQ(transfer->to, life(3));
+}
+
 // Pattern: servers join. Guards against upstreams that stay without keys, and thus without work.
 TEST_F(ThreeHolders, giveKeysToANewcomer)
 {
