--- a/src/cassiaroad/membersettings.cpp
+++ b/src/cassiaroad/membersettings.cpp
@@ -12,6 +12,7 @@
     options.electionMin = settings.timing.electionMin;
     options.electionMax = settings.timing.electionMax;
     options.leaderLease = settings.timing.leaderLease;
+    options.entriesKeptBehindSnapshot = std::get<ControlSettings>(settings.role).entriesKept;
     if (settings.region != settings.group) {
         // The tie-breaking member stands in another region.
         options.electionDelay = settings.timing.electionMax - settings.timing.electionMin;
--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -14,8 +14,6 @@
 const Log replicaLog("replica");
 const Log storageLog("storage");
 
-// A snapshot encodes the whole state, so it is due when the log outgrows the last one.
-constexpr std::size_t minBytesBetweenSnapshots = std::size_t(4) * 1024 * 1024;
 constexpr Milliseconds reopenInterval { 1000 };
 const std::vector<double> syncBuckets { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5 };
 
@@ -325,7 +323,9 @@
 
 void ReplicaDriver::saveSnapshotIfDue()
 {
-    const std::size_t due = std::max(minBytesBetweenSnapshots, this->snapshotBytes);
+    // A snapshot encodes the whole state, so it is due when the log outgrows the last one.
+    const std::size_t least = std::get<ControlSettings>(this->settings.role).snapshotBytes;
+    const std::size_t due = std::max(least, this->snapshotBytes);
     if (this->bytesSinceSnapshot < due || !this->folder) {
         return;
     }
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaycore.h"
 
+#include "process/textpack.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -96,7 +98,8 @@
 
 void GatewayCore::takeDocument(const std::string &document)
 {
-    auto decoded = this->codec.decodeConfiguration(document);
+    const std::optional<std::string> text = unpackText(document);
+    auto decoded = this->codec.decodeConfiguration(text.value_or(""));
     if (const auto *fault = std::get_if<DocumentFault>(&decoded)) {
         this->log.write({ "configuration_unreadable",
                           Event::Weight::Always,
--- a/src/process/settings.h
+++ b/src/process/settings.h
@@ -123,6 +123,8 @@
     std::uint32_t member = 0; // number of the own [member.<number>] section
     std::string dataFolder;
     std::string operatorToken; // read from operator-token-file
+    std::size_t snapshotBytes = std::size_t(4) * 1024 * 1024; // of the log between two snapshots
+    std::uint64_t entriesKept = 1000; // behind a snapshot, for members that lag a little
 
     bool operator==(const ControlSettings &) const = default;
 };
--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -20,6 +20,10 @@
 constexpr Milliseconds askTimeout { 500 };
 // A voter that has been silent for this long loses its slot to a host that asks for one.
 constexpr Milliseconds successionDelay { 3000 };
+// A host that has lost its disk gets the state and this much of the log; more would fill the link
+// of the leader and delay its heartbeats.
+constexpr std::size_t snapshotBytes = std::size_t(128) * 1024;
+constexpr std::uint64_t entriesKept = 50;
 constexpr const char *groupName = "site";
 constexpr const char *membersFile = "members.json";
 
@@ -174,6 +178,8 @@
     ControlSettings control;
     control.member = slot;
     control.dataFolder = this->logFolder();
+    control.snapshotBytes = snapshotBytes;
+    control.entriesKept = entriesKept;
     result.role = control;
     result.timing.heartbeat = replicaHeartbeat;
     result.timing.electionMin = electionMin;
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -1,6 +1,7 @@
 #include "registry/registryengine.h"
 
 #include "connection/rpcdelay.h"
+#include "process/textpack.h"
 
 #include <algorithm>
 #include <utility>
@@ -81,7 +82,6 @@
         KJ_REQUIRE(decoded.has_value(), "the snapshot cannot be decoded");
         this->state = std::move(*decoded);
     }
-    this->readConfiguration();
     this->group.setMembers(this->state.members());
 }
 
@@ -91,8 +91,10 @@
     KJ_REQUIRE(command.has_value(), "a committed command cannot be decoded");
     const PutOutcome outcome = this->state.apply(*command);
     if (std::holds_alternative<PutConfiguration>(*command) && outcome == PutOutcome::Accepted) {
-        this->readConfiguration();
         this->putCount.Increment();
+        if (this->leading) {
+            this->readConfiguration();
+        }
     }
     if (std::holds_alternative<AssignSlot>(*command)) {
         this->group.setMembers(this->state.members());
@@ -149,6 +151,7 @@
                       Event::Weight::Always,
                       { { "leads", leads }, { "term", std::int64_t(this->leadingTerm) } } });
     if (leads) {
+        this->readConfiguration();
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
         this->tableTag = this->leadingTerm << tagBitsOfTerm;
@@ -171,12 +174,16 @@
     this->wakeGateways();
 }
 
+// Only the leader needs it: a member that starts applies hundreds of configurations.
 void RegistryEngine::readConfiguration()
 {
-    if (this->state.version() == 0) {
+    if (this->state.version() == this->decodedVersion) {
         return;
     }
-    auto decoded = this->codec.decodeConfiguration(this->state.document());
+    this->decodedVersion = this->state.version();
+    const std::optional<std::string> text = unpackText(this->state.document());
+    KJ_REQUIRE(text.has_value(), "the accepted configuration is damaged");
+    auto decoded = this->codec.decodeConfiguration(*text);
     const auto *configuration = std::get_if<SiteConfiguration>(&decoded);
     KJ_REQUIRE(configuration != nullptr, "the accepted configuration cannot be read");
     this->manager.setConfiguration(std::make_shared<const SiteConfiguration>(*configuration));
@@ -258,7 +265,8 @@
         done(InvalidDocument { *fault });
         return;
     }
-    const PutConfiguration command { configuration.version, call.base, call.document };
+    const PutConfiguration command
+            = makePutConfiguration(configuration.version, call.base, call.document);
     const PutOutcome expected = this->state.outcomeOf(command);
     if (expected != PutOutcome::Accepted) {
         done(expected);
@@ -274,7 +282,7 @@
     if (!this->mayAnswer() || this->state.version() == 0) {
         return this->notLeading();
     }
-    return Document { this->state.document() };
+    return Document { unpackText(this->state.document()).value_or("") };
 }
 
 bool RegistryEngine::isCurrent(const GatewayReport &report) const
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -117,6 +117,7 @@
 
     RegistryState state;
     RegistryManager manager;
+    ConfigurationVersion decodedVersion = 0; // of the configuration that the manager has
     bool leading = false;
     Term leadingTerm = 0;
     std::uint64_t lastProposal = 0;
--- a/src/version/registrystate.cpp
+++ b/src/version/registrystate.cpp
@@ -1,5 +1,6 @@
 #include "version/registrystate.h"
 
+#include "process/textpack.h"
 #include "version/sitejson.h"
 
 #include <xxhash.h>
@@ -10,11 +11,6 @@
 
 using nlohmann::json;
 
-std::uint64_t digestOf(const std::string &document)
-{
-    return XXH3_64bits(document.data(), document.size());
-}
-
 template <typename Command>
 RegistryCommand readCommand(const json &value)
 {
@@ -52,6 +48,12 @@
 
 } // namespace
 
+PutConfiguration makePutConfiguration(ConfigurationVersion version, ConfigurationVersion base,
+                                      const std::string &text)
+{
+    return { version, base, packText(text), XXH3_64bits(text.data(), text.size()) };
+}
+
 std::string encodeCommand(const RegistryCommand &command)
 {
     const json value
@@ -76,7 +78,7 @@
 PutOutcome RegistryState::outcomeOf(const PutConfiguration &put) const
 {
     const auto accepted = this->digests.find(put.version);
-    if (accepted != this->digests.end() && accepted->second == digestOf(put.document)) {
+    if (accepted != this->digests.end() && accepted->second == put.digest) {
         return PutOutcome::Repeated;
     }
     if (put.base != this->current || put.version <= this->current) {
@@ -92,7 +94,7 @@
         if (outcome == PutOutcome::Accepted) {
             this->current = put->version;
             this->currentDocument = put->document;
-            this->digests[put->version] = digestOf(put->document);
+            this->digests[put->version] = put->digest;
         }
         return outcome;
     }
@@ -169,7 +171,7 @@
         upstreamList.push_back(upstream);
     }
     return toCborText({ { "version", this->current },
-                        { "document", this->currentDocument },
+                        { "document", toBinary(this->currentDocument) },
                         { "digests", digestList },
                         { "members", memberList },
                         { "upstreams", upstreamList },
@@ -182,7 +184,7 @@
         const json value = json::from_cbor(bytes.begin(), bytes.end());
         RegistryState state;
         state.current = value.at("version").get<ConfigurationVersion>();
-        state.currentDocument = value.at("document").get<std::string>();
+        state.currentDocument = fromBinary(value.at("document"));
         for (const json &entry : value.at("digests")) {
             state.digests[entry.at(0).get<ConfigurationVersion>()] = entry.at(1);
         }
--- a/src/version/registrystate.h
+++ b/src/version/registrystate.h
@@ -38,7 +38,8 @@
 {
     ConfigurationVersion version = 0;
     ConfigurationVersion base = 0;
-    std::string document; // as the operator sent it
+    std::string document; // as the operator sent it, see packText()
+    std::uint64_t digest = 0; // of the text that the operator sent
 
     bool operator==(const PutConfiguration &) const = default;
 };
@@ -88,6 +89,10 @@
 using RegistryCommand = std::variant<PutConfiguration, AssignSlot, RegisterSiteUpstream,
                                      SetUpstreamPhase, RemoveSiteUpstream, TransferRanges>;
 
+/** Returns the command for a document as an operator sent it. Thread-safe. */
+PutConfiguration makePutConfiguration(ConfigurationVersion version, ConfigurationVersion base,
+                                      const std::string &text);
+
 std::string encodeCommand(const RegistryCommand &command);
 /** Returns nothing if @p bytes are not a command. */
 std::optional<RegistryCommand> decodeRegistryCommand(std::string_view bytes);
@@ -110,6 +115,7 @@
     PutOutcome outcomeOf(const PutConfiguration &put) const;
 
     ConfigurationVersion version() const { return this->current; }
+    /** See packText(). */
     const std::string &document() const { return this->currentDocument; }
     /** Ip addresses of the members by slot. */
     const std::map<std::uint32_t, std::string> &members() const { return this->memberIps; }
--- a/src/version/sitejson.h
+++ b/src/version/sitejson.h
@@ -14,7 +14,33 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RangeOwner, range, owner, fence, handover)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RangeTransfer, range, to, handover)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SiteUpstream, life, service, address, zone, slots, phase)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PutConfiguration, version, base, document)
+/** Bytes that are no text. */
+inline nlohmann::json toBinary(const std::string &bytes)
+{
+    return nlohmann::json::binary({ bytes.begin(), bytes.end() });
+}
+
+/** Throws nlohmann::json::exception if @p value holds no bytes. */
+inline std::string fromBinary(const nlohmann::json &value)
+{
+    const nlohmann::json::binary_t &bytes = value.get_binary();
+    return { bytes.begin(), bytes.end() };
+}
+
+inline void to_json(nlohmann::json &value, const PutConfiguration &put)
+{
+    value = { { "version", put.version },
+              { "base", put.base },
+              { "document", toBinary(put.document) },
+              { "digest", put.digest } };
+}
+
+inline void from_json(const nlohmann::json &value, PutConfiguration &put)
+{
+    put = { value.at("version"), value.at("base"), fromBinary(value.at("document")),
+            value.at("digest") };
+}
+
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AssignSlot, slot, ip, replaces)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterSiteUpstream, upstream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SetUpstreamPhase, life, phase)
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -109,7 +109,7 @@
         value["ranges"] = toJson(*update.ranges);
     }
     if (update.document) {
-        value["document"] = *update.document;
+        value["document"] = toBinary(*update.document);
     }
     return value;
 }
@@ -129,7 +129,7 @@
         update.ranges = toRanges(value.at("ranges"));
     }
     if (value.contains("document")) {
-        update.document = value.at("document").get<std::string>();
+        update.document = fromBinary(value.at("document"));
     }
     return update;
 }
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -49,7 +49,7 @@
     std::optional<std::vector<RoutedUpstream>> upstreams; // if the gateway has others
     std::optional<RoutedRanges> ranges; // if the gateway has another table
     ConfigurationVersion version = 0;
-    std::optional<std::string> document; // if the gateway has an older one
+    std::optional<std::string> document; // if the gateway has an older one; see packText()
     double trafficShare = 1.0; // of this gateway in the requests of all
     std::uint32_t gateways = 1;
 
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -1,3 +1,4 @@
+#include "process/textpack.h"
 #include "version/registrystate.h"
 #include "version/sitewatch.h"
 
@@ -13,7 +14,7 @@
 RegistryState sample()
 {
     RegistryState state;
-    state.apply(PutConfiguration { 2, 0, "first" });
+    state.apply(makePutConfiguration(2, 0, "first"));
     state.apply(AssignSlot { 1, "10.0.0.1", "" });
     state.apply(RegisterSiteUpstream {
             { life, "ledger", { "10.0.1.1", 80 }, "a", 6, UpstreamPhase::Ready } });
@@ -28,15 +29,15 @@
 TEST(RegistryState, acceptsOneChangeOnEachVersion)
 {
     RegistryState state;
-    EXPECT_EQ(state.apply(PutConfiguration { 2, 0, "first" }), PutOutcome::Accepted);
-    EXPECT_EQ(state.apply(PutConfiguration { 5, 2, "mine" }), PutOutcome::Accepted);
-    EXPECT_EQ(state.apply(PutConfiguration { 5, 2, "theirs" }), PutOutcome::Conflict);
-    EXPECT_EQ(state.apply(PutConfiguration { 6, 2, "late" }), PutOutcome::Conflict);
-    EXPECT_EQ(state.apply(PutConfiguration { 4, 5, "lower" }), PutOutcome::Conflict);
-    EXPECT_EQ(state.apply(PutConfiguration { 5, 2, "mine" }), PutOutcome::Repeated);
-    EXPECT_EQ(state.apply(PutConfiguration { 2, 0, "first" }), PutOutcome::Repeated);
+    EXPECT_EQ(state.apply(makePutConfiguration(2, 0, "first")), PutOutcome::Accepted);
+    EXPECT_EQ(state.apply(makePutConfiguration(5, 2, "mine")), PutOutcome::Accepted);
+    EXPECT_EQ(state.apply(makePutConfiguration(5, 2, "theirs")), PutOutcome::Conflict);
+    EXPECT_EQ(state.apply(makePutConfiguration(6, 2, "late")), PutOutcome::Conflict);
+    EXPECT_EQ(state.apply(makePutConfiguration(4, 5, "lower")), PutOutcome::Conflict);
+    EXPECT_EQ(state.apply(makePutConfiguration(5, 2, "mine")), PutOutcome::Repeated);
+    EXPECT_EQ(state.apply(makePutConfiguration(2, 0, "first")), PutOutcome::Repeated);
     EXPECT_EQ(state.version(), 5U);
-    EXPECT_EQ(state.document(), "mine");
+    EXPECT_EQ(unpackText(state.document()), "mine");
 }
 
 // Guards against two hosts in one slot of the control group.
@@ -74,7 +75,7 @@
 TEST(RegistryState, commandsSurviveTheirEncoding)
 {
     const RegistryCommand commands[] = {
-        PutConfiguration { 2, 0, "first" },
+        makePutConfiguration(2, 0, "first"),
         AssignSlot { 2, "10.0.0.2", "" },
         RegisterSiteUpstream { { life, "ledger", { "10.0.1.1", 80 }, "a", 6, {} } },
         SetUpstreamPhase { life, UpstreamPhase::Gone },
