--- a/src/cassiaroad/main.cpp
+++ b/src/cassiaroad/main.cpp
@@ -1,6 +1,7 @@
 #include "cassiaroad/commandline.h"
 #include "cassiaroad/controlprocess.h"
 #include "cassiaroad/entryprocess.h"
+#include "cassiaroad/explaincommand.h"
 #include "cassiaroad/operatorcommands.h"
 #include "cassiaroad/settingsfile.h"
 #include "gateway/gatewayprocess.h"
@@ -141,6 +142,12 @@
     { "check-config",
       { "", false, 1, 1, "check-config FILE", "Checks a settings file." },
       runCheckConfig },
+    { "explain",
+      { "", false, 1, 1000, "explain ID [FILE...]",
+        "Prints the history of a request from the logs of gateways and registries (default: "
+        "standard\n"
+        "input)." },
+      runExplainCommand },
     { "version", { "", false, 0, 0, "version", "Prints the version." }, runVersion },
 };
 
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -72,11 +72,15 @@
     this->routing.gateways = update.gateways;
     this->routing.tableAt = this->loop.now();
     // A leader of an earlier term counts lower.
-    const bool hasNewTable = update.ranges && update.tableTag > this->routing.tableTag;
+    std::optional<RoutedRanges> ranges;
+    if (update.encodedRanges && update.tableTag > this->routing.tableTag) {
+        ranges = decodeRoutedRanges(*update.encodedRanges);
+    }
+    const bool hasNewTable = ranges.has_value();
     if (hasNewTable) {
         this->routing.tableTag = update.tableTag;
         RoutingTable table;
-        table.ranges = *update.ranges;
+        table.ranges = std::move(*ranges);
         if (update.upstreams) {
             this->routing.upstreamsTag = update.upstreamsTag;
             table.upstreams = *update.upstreams;
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -54,6 +54,10 @@
     /** A request at @p upstream has ended: starts those that wait. */
     void startWaiting(GatewayUpstream &upstream);
 
+    /** From now on no request that an upstream works at is given up. */
+    void setStopping() { this->stopping = true; }
+    bool isStopping() const { return this->stopping; }
+
     GatewayRequestId nextRequestId() { return ++this->lastRequestId; }
 
     EventLoop &eventLoop() { return this->loop; }
@@ -87,6 +91,7 @@
     std::map<GatewayRequestId, std::function<void()>> roomWaits;
     std::uint64_t lastWait = 0;
     GatewayRequestId lastRequestId = 0;
+    bool stopping = false;
     EventLoop::Timer idleTimer;
 };
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -91,7 +91,7 @@
         reason = this->readiness.listen(role.readiness);
     }
     if (reason.empty() && this->settings.metricsPort != 0) {
-        reason = this->metricsServer.listen({ this->settings.ip, this->settings.metricsPort });
+        reason = this->metricsServer.listen({ this->settings.bindIp, this->settings.metricsPort });
     }
     if (reason.empty()) {
         this->watcher.start();
@@ -120,6 +120,7 @@
         return;
     }
     this->stopping = true;
+    this->core.setStopping();
     this->log.write({ "stop", Event::Weight::Always, {} });
     this->closeTimer = this->loop.callAfter(
             balancerDelay, [this] { this->callers.shutDown([this] { this->finish(); }); });
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -294,33 +294,46 @@
 // Gives up connections that do not open, and idempotent requests that take far too long.
 void GatewayRequest::watchCall()
 {
-    this->callTimer = this->core.eventLoop().callAfter(callCheck, [weak = this->weak_from_this()] {
-        const auto request = weak.lock();
-        if (!request || request->ended || !request->call) {
-            return;
-        }
-        const Milliseconds taken = request->core.eventLoop().now() - request->sentAt;
-        if (!request->call->isSent()) {
-            if (taken >= connectTimeout) {
-                request->call.reset();
-                request->onFailure({ HttpFailure::Stage::Connect, "connect timeout", false });
-                return;
-            }
-        } else if (request->route->kind == RouteKind::Safe) {
-            const Milliseconds slow
-                    = std::max(request->typicalDuration() * slowFactor, shortestSlow);
-            const bool useful = request->left() > request->typicalDuration();
-            if (taken >= slow && useful && request->mayRepeat()) {
-                const TimePoint openedAt = request->call->connectionOpenedAt();
-                request->call.reset();
-                request->core.client().closeIdle(request->target->upstream().address,
-                                                 openedAt + Milliseconds { 1 });
-                request->onFailure({ HttpFailure::Stage::Sent, "no answer", false });
-                return;
-            }
-        }
-        request->watchCall();
-    });
+    this->callTimer = this->core.eventLoop().callAfter(callCheck,
+                                                       this->callback(&GatewayRequest::checkCall));
+}
+
+void GatewayRequest::checkCall()
+{
+    if (!this->call) {
+        return;
+    }
+    const Milliseconds taken = this->core.eventLoop().now() - this->sentAt;
+    if (!this->call->isSent() && taken >= connectTimeout) {
+        this->call.reset();
+        this->onFailure({ HttpFailure::Stage::Connect, "connect timeout", false });
+        return;
+    }
+    if (this->call->isSent() && this->isWorthRepeating(taken) && this->mayRepeat()) {
+        const TimePoint openedAt = this->call->connectionOpenedAt();
+        this->call.reset();
+        this->core.client().closeIdle(this->target->upstream().address,
+                                      openedAt + Milliseconds { 1 });
+        this->onFailure({ HttpFailure::Stage::Sent, "no answer", false });
+        return;
+    }
+    this->watchCall();
+}
+
+// Whether the answer of a request that was sent @p taken ago seems to be lost, and another try can
+// start at once and end in time.
+bool GatewayRequest::isWorthRepeating(Milliseconds taken) const
+{
+    const Milliseconds typical = this->typicalDuration();
+    if (this->route->kind != RouteKind::Safe || this->core.isStopping()
+        || taken < std::max(typical * slowFactor, shortestSlow) || this->left() <= typical) {
+        return false;
+    }
+    if (this->keyed) {
+        return this->target->admission().hasRoom();
+    }
+    const std::shared_ptr<GatewayUpstream> other = this->core.choose(this->service, this->tried);
+    return other && other->admission().hasRoom();
 }
 
 void GatewayRequest::onResult(HttpResult result)
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -31,6 +31,8 @@
     void send();
     HttpRequest buildRequest() const;
     void watchCall();
+    void checkCall();
+    bool isWorthRepeating(Milliseconds taken) const;
     void onResult(HttpResult result);
     void onAnswer(HttpAnswer answer);
     void onNotExecuted(const HttpAnswer &answer);
--- a/src/process/sectionreader.cpp
+++ b/src/process/sectionreader.cpp
@@ -129,6 +129,11 @@
     return {};
 }
 
+std::string SectionReader::nameOr(const std::string &key, const std::string &fallback)
+{
+    return this->find(key) != nullptr ? this->name(key) : fallback;
+}
+
 std::string SectionReader::choice(const std::string &key, const std::vector<std::string> &choices)
 {
     const std::string allowed = "one of " + joined(choices);
--- a/src/process/sectionreader.h
+++ b/src/process/sectionreader.h
@@ -26,6 +26,9 @@
     /** Reads a required value of 1 to 64 characters of [A-Za-z0-9._-]. */
     std::string name(const std::string &key);
 
+    /** Reads an optional name. */
+    std::string nameOr(const std::string &key, const std::string &fallback);
+
     /** Reads a name that must be one of @p choices. */
     std::string choice(const std::string &key, const std::vector<std::string> &choices);
 
--- a/src/process/sitesettings.cpp
+++ b/src/process/sitesettings.cpp
@@ -69,6 +69,7 @@
     SectionReader host = this->reader("host");
     this->settings.host = host.name("name");
     this->settings.ip = host.name("ip");
+    this->settings.bindIp = host.nameOr("bind-ip", this->settings.ip);
     this->settings.zone = host.name("zone");
     this->settings.internalPort
             = static_cast<std::uint16_t>(host.integer("internal-port", 1, largestPort));
--- a/src/process/sitesettings.h
+++ b/src/process/sitesettings.h
@@ -42,7 +42,9 @@
 struct SiteSettings
 {
     std::string host;
-    std::string ip;
+    std::string ip; // that others connect to
+    std::string
+            bindIp; // that the own listeners use; the same unless a relay stands before the host
     std::string zone;
     std::map<std::string, std::string> regions; // by zone
     std::uint16_t internalPort = 0; // of the members of the control group
--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -41,10 +41,10 @@
     , server(loop, limits(), [this](const Exchange &exchange) { this->handle(exchange); })
 { }
 
-std::string ControlService::listen(const HostAddress &listenAddress)
+std::string ControlService::listen(const HostAddress &ownAddress, const std::string &bindIp)
 {
-    this->address = listenAddress;
-    return this->server.listen(listenAddress);
+    this->address = ownAddress;
+    return this->server.listen({ bindIp, ownAddress.port });
 }
 
 void ControlService::handle(const Exchange &exchange)
--- a/src/registry/controlservice.h
+++ b/src/registry/controlservice.h
@@ -13,8 +13,10 @@
     ControlService(EventLoop &loop, RegistryEngine &engine, const OutsideCodec &codec,
                    EventLog &log);
 
-    /** Returns an empty text, or why it failed. */
-    std::string listen(const HostAddress &address);
+    /**
+     * Listens at @p bindIp for calls to @p address. Returns an empty text, or why it failed.
+     */
+    std::string listen(const HostAddress &address, const std::string &bindIp);
 
     /** See HttpServer::shutDown(). */
     void shutDown(std::function<void()> done) { this->server.shutDown(std::move(done)); }
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -13,6 +13,7 @@
 constexpr Milliseconds tickInterval { 50 };
 // Longest time that a watch call waits; the load of gateways is reported as often.
 constexpr Milliseconds watchHold { 400 };
+constexpr Milliseconds shortestWakeInterval { 30 };
 constexpr int tagBitsOfTerm = 24; // changes of the routing table in one term
 
 // Two heartbeats may be lost, and a new leader may take a second to be elected.
@@ -229,8 +230,12 @@
     UpstreamGrant grant = this->manager.answer(report, this->loop.now());
     grant.nextAddress = std::get<RegistrySettings>(this->settings.role).control;
     done(std::move(grant));
-    this->commitDue();
-    this->refreshTable();
+    if (this->manager.isReleasingFrom(report.life)) {
+        this->commitDue();
+    }
+    if (this->manager.changeCount() != this->tableChanges) {
+        this->refreshTable();
+    }
 }
 
 void RegistryEngine::leave(const UpstreamLife &life, std::function<void(LeaveResult)> done)
@@ -302,7 +307,7 @@
         update.upstreams = this->table.upstreams;
     }
     if (report.tableTag != this->tableTag) {
-        update.ranges = this->table.ranges;
+        update.encodedRanges = this->encodedRanges;
     }
     update.version = this->state.version();
     if (report.version < update.version) {
@@ -368,6 +373,7 @@
 
 void RegistryEngine::refreshTable()
 {
+    this->tableChanges = this->manager.changeCount();
     RoutingTable current = this->manager.routingTable(this->loop.now());
     if (current != this->table) {
         ++this->tableTag;
@@ -375,12 +381,19 @@
             this->upstreamsTag = this->tableTag;
         }
         this->table = std::move(current);
+        this->encodedRanges = encode(this->table.ranges);
         this->wakeGateways();
     }
 }
 
+// Changes that follow each other closely are sent together.
 void RegistryEngine::wakeGateways()
 {
+    this->wakeDue = this->loop.now() - this->wokenAt < shortestWakeInterval;
+    if (this->wakeDue) {
+        return;
+    }
+    this->wokenAt = this->loop.now();
     for (kj::Own<kj::PromiseFulfiller<void>> &waiter : std::exchange(this->waiting, {})) {
         waiter->fulfill();
     }
@@ -394,6 +407,9 @@
     }
     this->commitDue();
     this->refreshTable();
+    if (this->wakeDue) {
+        this->wakeGateways();
+    }
 }
 
 void RegistryEngine::logCommand(const RegistryCommand &command, PutOutcome outcome) const
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -124,6 +124,10 @@
     std::map<std::uint64_t, Proposal> proposals;
     RoutingTable table;
     std::uint64_t tableTag = 0;
+    std::string encodedRanges; // of the table
+    std::uint64_t tableChanges = 0; // of the manager when the table was made
+    TimePoint wokenAt; // when the gateways were last told of a change
+    bool wakeDue = false;
     std::uint64_t upstreamsTag = 0; // of the table in which the upstreams last changed
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waiting; // watch calls
     EventLoop::Timer tickTimer;
--- a/src/registry/registryprocess.cpp
+++ b/src/registry/registryprocess.cpp
@@ -66,12 +66,13 @@
     this->log.write({ "start",
                       Event::Weight::Always,
                       { { "role", std::string("registry") }, { "bootstrap", role.bootstrap } } });
-    std::string reason = this->rpcServer.listen({ this->settings.ip, this->settings.internalPort });
+    std::string reason
+            = this->rpcServer.listen({ this->settings.bindIp, this->settings.internalPort });
     if (reason.empty()) {
-        reason = this->control.listen(role.control);
+        reason = this->control.listen(role.control, this->settings.bindIp);
     }
     if (reason.empty() && this->settings.metricsPort != 0) {
-        reason = this->metricsServer.listen({ this->settings.ip, this->settings.metricsPort });
+        reason = this->metricsServer.listen({ this->settings.bindIp, this->settings.metricsPort });
     }
     return reason.empty() ? this->engine.start() : reason;
 }
--- a/src/version/holdledger.cpp
+++ b/src/version/holdledger.cpp
@@ -35,16 +35,20 @@
     known.reportedAfterAnswer = known.answered && sequence > known.answeredSequence;
 }
 
-void HoldLedger::noteAnswer(const UpstreamLife &life, std::uint64_t sequence,
+bool HoldLedger::noteAnswer(const UpstreamLife &life, std::uint64_t sequence,
                             const std::vector<RangeHold> &holds, TimePoint now)
 {
     LifeHolds &known = this->lives[life];
     known.answered = true;
     known.answeredSequence = sequence;
     known.lastAnswer = holds;
+    bool isFirst = false;
     for (const RangeHold &hold : holds) {
-        known.grantedUntil[hold.fence] = now + this->times.longest;
+        const auto [granted, isNew] = known.grantedUntil.try_emplace(hold.fence);
+        granted->second = now + this->times.longest;
+        isFirst = isFirst || isNew;
     }
+    return isFirst;
 }
 
 bool HoldLedger::mayHold(const std::string &service, const RangeOwner &owner,
--- a/src/version/holdledger.h
+++ b/src/version/holdledger.h
@@ -38,8 +38,11 @@
     void noteReport(const UpstreamLife &life, std::uint64_t sequence,
                     const std::vector<RangeHold> &holds);
 
-    /** The heartbeat with @p sequence is being answered with @p holds. */
-    void noteAnswer(const UpstreamLife &life, std::uint64_t sequence,
+    /**
+     * The heartbeat with @p sequence is being answered with @p holds. Returns whether one of them
+     * is granted for the first time in this term.
+     */
+    bool noteAnswer(const UpstreamLife &life, std::uint64_t sequence,
                     const std::vector<RangeHold> &holds, TimePoint now);
 
     /** Drops what is known of a life that has ended. */
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -58,6 +58,7 @@
     : view(view)
 {
     for (const RangeHolder &holder : view.holders) {
+        this->positions[holder.life] = this->loads.size();
         this->loads.push_back({ holder, 0.0, 0 });
     }
     for (const RangeOwner &entry : view.table.owners()) {
@@ -70,12 +71,31 @@
 
 RangePlanner::HolderLoad *RangePlanner::find(const UpstreamLife &life)
 {
-    const auto found
-            = std::find_if(this->loads.begin(), this->loads.end(),
-                           [&](const HolderLoad &load) { return load.holder.life == life; });
+    const auto found = this->positions.find(life);
+    return found == this->positions.end() ? nullptr : &this->loads[found->second];
+}
+
+// Returns an upstream that has no keys yet, or null.
+const RangePlanner::HolderLoad *RangePlanner::newcomer() const
+{
+    const auto found = std::find_if(this->loads.begin(), this->loads.end(), [](const auto &load) {
+        return load.holder.receives && !load.holder.isSettling && load.keys == 0;
+    });
     return found == this->loads.end() ? nullptr : &*found;
 }
 
+bool RangePlanner::mayRelieve(const UpstreamLife &from) const
+{
+    const auto found = this->positions.find(from);
+    if (found == this->positions.end()) {
+        return false;
+    }
+    const double busy = this->loads[found->second].busy(0.0);
+    const double mean = this->meanBusy();
+    return (busy >= mean && this->newcomer() != nullptr)
+           || (busy >= leastBusy && busy >= imbalanceFactor * mean);
+}
+
 std::vector<RangeTransfer> RangePlanner::firstAssignment(const std::vector<RangeHolder> &holders)
 {
     std::vector<RangeTransfer> transfers;
@@ -270,12 +290,9 @@
     }
     const double mean = this->meanBusy();
     const double busy = giver->busy(0.0);
-    const auto newcomer
-            = std::find_if(this->loads.begin(), this->loads.end(), [](const HolderLoad &load) {
-                  return load.holder.receives && !load.holder.isSettling && load.keys == 0;
-              });
-    if (newcomer != this->loads.end() && busy >= mean) {
-        return this->feedNewcomer(*giver, *newcomer);
+    const HolderLoad *empty = this->newcomer();
+    if (empty != nullptr && busy >= mean) {
+        return this->feedNewcomer(*giver, *empty);
     }
     if (busy < leastBusy || busy < imbalanceFactor * mean) {
         return std::nullopt;
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -39,6 +39,9 @@
 public:
     explicit RangePlanner(const PlacementView &view);
 
+    /** Whether relieve() may return something for @p from: it is busy, or a newcomer waits. */
+    bool mayRelieve(const UpstreamLife &from) const;
+
     /** Splits all keys evenly by slots. Precondition: a holder receives. */
     static std::vector<RangeTransfer> firstAssignment(const std::vector<RangeHolder> &holders);
 
@@ -72,6 +75,7 @@
     };
 
     HolderLoad *find(const UpstreamLife &life);
+    const HolderLoad *newcomer() const;
     HolderLoad *bestReceiver(double extraRate, const UpstreamLife &except);
     std::optional<KeyRange> rangeWithRate(const UpstreamLife &owner, double rate) const;
     std::optional<RangeTransfer> moveHotKey(const HolderLoad &giver);
@@ -80,6 +84,7 @@
 
     PlacementView view;
     std::vector<HolderLoad> loads;
+    std::map<UpstreamLife, std::size_t> positions; // in `loads`
 };
 
 } // namespace cassiaroad
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -9,6 +9,7 @@
 
 // Handovers are used within a second; older ones belong to moves that were given up.
 constexpr std::size_t mostHandovers = 256;
+constexpr Milliseconds crowdedInterval { 200 };
 
 // Returns the parts of @p range that @p removed does not contain.
 std::vector<KeyRange> without(const KeyRange &range, const KeyRange &removed)
@@ -116,6 +117,30 @@
     RangePlanner planner({ *this->table(context), this->load, candidates });
     for (const RangeTransfer &transfer : planner.replaceHolder(ranges)) {
         this->releasing.push_back({ transfer.range, life, transfer.to });
+        ++this->changes;
+    }
+}
+
+bool RangeSupervisor::isReleasingFrom(const UpstreamLife &life) const
+{
+    return std::any_of(this->releasing.begin(), this->releasing.end(),
+                       [&](const ReleasingRange &release) { return release.from == life; });
+}
+
+// The load of all keys is added up here, a few times a second, and not at each heartbeat.
+void RangeSupervisor::findCrowded(const RangeContext &context)
+{
+    if (context.now - this->crowdedAt < crowdedInterval) {
+        return;
+    }
+    this->crowdedAt = context.now;
+    this->crowded.clear();
+    const std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
+    const RangePlanner planner({ *this->table(context), this->load, candidates });
+    for (const RangeHolder &candidate : candidates) {
+        if (planner.mayRelieve(candidate.life)) {
+            this->crowded.insert(candidate.life);
+        }
     }
 }
 
@@ -129,12 +154,13 @@
         this->releaseAll(life, context);
         return;
     }
-    const bool isMoving = std::any_of(this->releasing.begin(), this->releasing.end(),
-                                      [&](const ReleasingRange &r) { return r.from == life; });
+    if (!this->crowded.contains(life)) {
+        return;
+    }
     const auto moved = this->lastMove.find(life);
     const bool isResting = moved != this->lastMove.end()
                            && context.now - moved->second < this->timing.betweenMoves;
-    if (isMoving || isResting) {
+    if (isResting || this->isReleasingFrom(life)) {
         return;
     }
     std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
@@ -149,6 +175,7 @@
         return;
     }
     this->releasing.push_back({ transfer->range, life, transfer->to });
+    ++this->changes;
     this->lastMove[life] = context.now;
 }
 
@@ -233,6 +260,7 @@
                     { release.range, *to, this->handoverOf(release.from, release.range) });
         }
     }
+    this->changes += open.size() == this->releasing.size() ? 0 : 1;
     this->releasing = std::move(open);
     return transfers;
 }
@@ -279,6 +307,7 @@
     if (this->table(context) == nullptr) {
         transfers = this->firstTransfers(context);
     } else {
+        this->findCrowded(context);
         transfers = this->finishedReleases(context);
         const std::vector<RangeTransfer> lost = this->lostRanges(context);
         // A released range whose receiver is gone appears among the lost ones at the next call.
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -7,6 +7,7 @@
 #include "version/upstreammonitor.h"
 
 #include <optional>
+#include <set>
 
 namespace cassiaroad {
 
@@ -71,6 +72,11 @@
     /** The transfers were committed, or will never be. */
     void transfersEnded() { this->transfersInFlight = false; }
 
+    /** Number of changes of what routedRanges() returns, apart from commits and first grants. */
+    std::uint64_t changeCount() const { return this->changes; }
+    /** Whether @p life was told to release a range. */
+    bool isReleasingFrom(const UpstreamLife &life) const;
+
     /** Appends the ranges as gateways are to see them. */
     std::vector<RoutedRange> routedRanges(const RangeContext &context) const;
 
@@ -98,6 +104,7 @@
     std::vector<RangeTransfer> firstTransfers(const RangeContext &context) const;
     std::vector<RangeTransfer> finishedReleases(const RangeContext &context);
     std::vector<RangeTransfer> lostRanges(const RangeContext &context) const;
+    void findCrowded(const RangeContext &context);
     std::string handoverOf(const UpstreamLife &from, const KeyRange &range) const;
     bool isReleasing(const KeyRange &range) const;
     std::vector<KeyRange> keptParts(const RangeOwner &entry) const;
@@ -110,6 +117,9 @@
     std::vector<Handover> handovers;
     std::map<UpstreamLife, TimePoint> leavingSince;
     std::map<UpstreamLife, TimePoint> lastMove;
+    std::set<UpstreamLife> crowded; // that may have to give keys away
+    TimePoint crowdedAt; // when they were found
+    std::uint64_t changes = 0;
     bool transfersInFlight = false;
 };
 
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -126,10 +126,27 @@
     grant.keyed = true;
     grant.hold = this->timing.holds.hold;
     grant.holds = keyed->answer(report.life, this->context(now));
-    this->ledger.noteAnswer(report.life, report.sequence, grant.holds, now);
+    if (this->ledger.noteAnswer(report.life, report.sequence, grant.holds, now)) {
+        ++this->firstGrants;
+    }
     return grant;
 }
 
+bool RegistryManager::isReleasingFrom(const UpstreamLife &life) const
+{
+    return std::any_of(this->supervisors.begin(), this->supervisors.end(),
+                       [&](const auto &entry) { return entry.second.isReleasingFrom(life); });
+}
+
+std::uint64_t RegistryManager::changeCount() const
+{
+    std::uint64_t count = this->firstGrants;
+    for (const auto &[service, supervisor] : this->supervisors) {
+        count += supervisor.changeCount();
+    }
+    return count;
+}
+
 std::vector<RegistryCommand> RegistryManager::onLeave(const UpstreamLife &life, TimePoint now)
 {
     const auto found = this->state.upstreams().find(life.id);
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -52,6 +52,12 @@
     /** Returns the answer to a heartbeat whose commands are committed. */
     UpstreamGrant answer(const UpstreamReport &report, TimePoint now);
 
+    /** Whether a heartbeat of @p life may show that a range was released. */
+    bool isReleasingFrom(const UpstreamLife &life) const;
+
+    /** Number of changes of routingTable(), apart from commits and the passing of time. */
+    std::uint64_t changeCount() const;
+
     /** An upstream says that it ends. @p life may have no start time: then any life of the id. */
     std::vector<RegistryCommand> onLeave(const UpstreamLife &life, TimePoint now);
 
@@ -92,6 +98,7 @@
     std::map<std::string, RangeSupervisor> supervisors; // of keyed services
     std::map<std::string, GatewayLoad> gateways;
     std::set<UpstreamLife> removing;
+    std::uint64_t firstGrants = 0; // of a range in this term
 };
 
 } // namespace cassiaroad
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -105,8 +105,8 @@
     if (update.upstreams) {
         value["upstreams"] = *update.upstreams;
     }
-    if (update.ranges) {
-        value["ranges"] = toJson(*update.ranges);
+    if (update.encodedRanges) {
+        value["ranges"] = toBinary(*update.encodedRanges);
     }
     if (update.document) {
         value["document"] = toBinary(*update.document);
@@ -126,7 +126,7 @@
         update.upstreams = value.at("upstreams").get<std::vector<RoutedUpstream>>();
     }
     if (value.contains("ranges")) {
-        update.ranges = toRanges(value.at("ranges"));
+        update.encodedRanges = fromBinary(value.at("ranges"));
     }
     if (value.contains("document")) {
         update.document = fromBinary(value.at("document"));
@@ -146,6 +146,16 @@
 
 } // namespace
 
+std::string encode(const RoutedRanges &ranges)
+{
+    return toCborText(toJson(ranges));
+}
+
+std::optional<RoutedRanges> decodeRoutedRanges(std::string_view bytes)
+{
+    return decodeWith<RoutedRanges>(bytes, toRanges);
+}
+
 std::string encode(const GatewayReport &report)
 {
     return toCborText(report);
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -47,7 +47,7 @@
     std::uint64_t tableTag = 0;
     std::uint64_t upstreamsTag = 0;
     std::optional<std::vector<RoutedUpstream>> upstreams; // if the gateway has others
-    std::optional<RoutedRanges> ranges; // if the gateway has another table
+    std::optional<std::string> encodedRanges; // if the gateway has another table
     ConfigurationVersion version = 0;
     std::optional<std::string> document; // if the gateway has an older one; see packText()
     double trafficShare = 1.0; // of this gateway in the requests of all
@@ -79,10 +79,12 @@
 };
 
 // CBOR forms; a decoder returns nothing if the bytes do not hold such a value. Thread-safe.
+std::string encode(const RoutedRanges &ranges);
 std::string encode(const GatewayReport &report);
 std::string encode(const WatchAnswer &answer);
 std::string encode(const GroupHint &hint);
 std::string encode(const JoinRequest &request);
+std::optional<RoutedRanges> decodeRoutedRanges(std::string_view bytes);
 std::optional<GatewayReport> decodeGatewayReport(std::string_view bytes);
 std::optional<WatchAnswer> decodeWatchAnswer(std::string_view bytes);
 std::optional<GroupHint> decodeGroupHint(std::string_view bytes);
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -94,6 +94,7 @@
     (void)RegistryState::decode(bytes);
     (void)decodeGatewayReport(bytes);
     (void)decodeWatchAnswer(bytes);
+    (void)decodeRoutedRanges(bytes);
     (void)decodeGroupHint(bytes);
     (void)decodeJoinRequest(bytes);
 }
@@ -104,9 +105,11 @@
     update.tableTag = 9;
     update.upstreamsTag = 8;
     update.upstreams = { { { life, "ledger", { "10.0.1.1", 80 }, "a", 6, {} }, true, false } };
-    update.ranges = { { "ledger",
-                        { { { 0, 9 }, "i-1", RangePhase::Owned },
-                          { { 10, lastKey }, "i-2", RangePhase::Pending } } } };
+    const RoutedRanges ranges { { "ledger",
+                                  { { { 0, 9 }, "i-1", RangePhase::Owned },
+                                    { { 10, lastKey }, "i-2", RangePhase::Pending } } } };
+    update.encodedRanges = encode(ranges);
+    EXPECT_EQ(decodeRoutedRanges(*update.encodedRanges), ranges);
     update.version = 4;
     update.document = "text";
     update.trafficShare = 0.25;
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,347 @@
+#!/usr/bin/env python3
+"""Randomized soak of gateways and registries as real processes on loopback.
+
+Injects faults from outside the processes (kills, pauses, restarts, lost disks, cut, delayed and
+silenced links, upstreams that crash, drain and restart) and checks the promises of docs/PROMISES.md
+from what callers and upstreams see. Usage: soak.py --build DIR [--seed N] [--seconds S]
+"""
+import argparse
+import asyncio
+import json
+import pathlib
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from soak.relay import Relay  # noqa: E402
+from soak.upstreams import Checks, Upstream, http  # noqa: E402
+
+TOLERATED = 2  # control hosts that may be down or cut off at the same time
+CONTROLS, GATEWAYS, UPSTREAMS = 5, 2, 5
+RECOVERY_S = 15
+CONFIG_IN_FORCE_S = 5.0  # 2.5 s, and the stretch while the group elects a leader
+
+
+class Host:
+    """A process of the system and the relays before its listeners."""
+
+    def __init__(self, name, role, number, ports, folder, binary):
+        self.name, self.role, self.binary = name, role, binary
+        self.ip, self.bind_ip = f"127.0.1.{number}", f"127.0.2.{number}"
+        self.ports = ports
+        self.data = folder / name
+        self.file = folder / f"{name}.ini"
+        self.log = open(folder / f"{name}.log", "ab")
+        self.process = None
+        self.paused = False
+        relayed = ports["internal"], ports["control"]
+        self.relays = [Relay(f"{self.ip}:{port}", f"{self.bind_ip}:{port}") for port in relayed]
+
+    def write_settings(self, seeds, bootstrap):
+        ports = self.ports
+        role = (f"[registry]\ncontrol = {self.ip}:{ports['control']}\ndata-folder = {self.data}\n"
+                f"bootstrap = {str(bootstrap).lower()}\ncounted = true\n"
+                if self.role == "registry" else
+                f"[gateway]\ncallers = {self.ip}:{ports['callers']}\n"
+                f"readiness = {self.ip}:{ports['ready']}\n")
+        self.file.write_text(
+            f"[host]\nname = {self.name}\nip = {self.ip}\nbind-ip = {self.bind_ip}\nzone = a\n"
+            f"internal-port = {ports['internal']}\nseeds = {','.join(seeds)}\n"
+            f"tolerated-losses = {TOLERATED}\nheartbeat-s = 0.5\n{role}"
+            "[bounds]\nretry-slack = 50\nstop-grace-s = 4\n[regions]\na = r\n")
+
+    def start(self):
+        self.process = subprocess.Popen([self.binary, self.role, "-c", str(self.file)],
+                                        stdout=self.log, stderr=self.log)
+        self.paused = False
+
+    def is_up(self):
+        return self.process is not None and self.process.poll() is None and not self.paused
+
+    def signal(self, number):
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self):
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+
+class Soak:
+    def __init__(self, build, seed, seconds):
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cassiaroad-soak-"))
+        base = 20000 + self.random.randrange(8000)
+        self.ports = {"internal": base, "control": base + 1, "callers": base + 2,
+                      "ready": base + 3}
+        binary = str(pathlib.Path(build) / "cassiaroad")
+        make = lambda name, role, number: Host(name, role, number, self.ports, self.folder, binary)
+        self.controls = [make(f"core-{i}", "registry", i) for i in range(1, CONTROLS + 1)]
+        self.gateways = [make(f"front-{i}", "gateway", 10 + i) for i in range(1, GATEWAYS + 1)]
+        self.seeds = [f"{host.ip}:{self.ports['control']}" for host in self.controls]
+        self.checks = Checks()
+        self.upstreams = []
+        self.version = 0  # last acknowledged configuration
+        self.acknowledged_at = 0.0
+        self.counts = {"served": 0, "refused": 0, "unknown": 0}
+        self.outcomes = []  # (time, whether served)
+        self.next_id = 0
+        self.events = []
+
+    def note(self, text):
+        self.events.append(f"{time.monotonic() - self.began:6.2f} {text}")
+
+    async def run(self):
+        self.began = time.monotonic()
+        for host in self.controls + self.gateways:
+            host.write_settings(self.seeds[:3], True)
+            for relay in host.relays if host.role == "registry" else []:
+                await relay.start()
+            host.start()
+        for host in self.controls:
+            host.write_settings(self.seeds[:3], False)
+        for i in range(UPSTREAMS):
+            await self.add_upstream(f"i-{i}", f"127.0.3.{i + 1}:{self.ports['callers']}")
+        await self.put_configuration(20.0)
+        await asyncio.sleep(3.0)
+        callers = [asyncio.create_task(self.call_forever()) for _ in range(12)]
+        reader = asyncio.create_task(self.read_forever())
+        end = time.monotonic() + self.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await self.inject()
+        await self.heal()
+        await asyncio.sleep(RECOVERY_S)
+        mark = time.monotonic()
+        await asyncio.sleep(3.0)
+        for task in callers + [reader]:
+            task.cancel()
+        late = [served for at, served in self.outcomes if at > mark]
+        if not late or sum(late) < 0.9 * len(late):
+            self.checks.violations.append(
+                f"after the faults {sum(late)} of {len(late)} requests were served")
+
+    async def add_upstream(self, name, address):
+        upstream = Upstream(name, address, "orders", self.seeds, self.checks, self.upstreams)
+        await upstream.start()
+        self.upstreams[:] = [u for u in self.upstreams if u.address != address] + [upstream]
+
+    async def put_configuration(self, patience):
+        """Sends the next version until it is acknowledged or patience ends."""
+        version = self.version + self.random.randrange(1, 4)
+        kinds = {"/read/": "safe", "/order/": "unsafe", f"/v{version}/": "safe"}
+        body = json.dumps({
+            "version": f"{version:08x}",
+            "routes": {prefix.strip("/"): {
+                "host": "maps.example", "pathPrefix": prefix, "routeType": kind, "timeoutS": 1.5,
+                "targetLatencyS": 0.5, "priority": 1, "service": "orders", "attempts": 2}
+                for prefix, kind in kinds.items()},
+            "services": {"orders": {"healthPath": "/health", "maxConnections": 100,
+                                    "sharded": True, "warmS": 0}}})
+        end = time.monotonic() + patience
+        while time.monotonic() < end:
+            status = await self.control("POST", "/-/Config.Put", body,
+                                        {"X-Cassiaroad-Base-Version": f"{self.version:08x}"})
+            if status[0] == 200:
+                self.version, self.acknowledged_at = version, time.monotonic()
+                return
+            if status[0] in (400, 412):
+                self.checks.violations.append(f"version {version} was refused: {status[0]}")
+                return
+            await asyncio.sleep(0.2)
+        # The order may be in force; the next one builds on what a read shows.
+        self.version = max(self.version, await self.read_version(10.0))
+
+    async def control(self, method, path, body="", headers=None):
+        target = self.random.choice(self.seeds)
+        for _ in range(3):
+            status, received, text = await http(method, target, path, body, headers or {}, 2.0)
+            if status != 307:
+                break
+            target = received["location"].split("/")[2]
+        return status, text
+
+    async def read_version(self, patience):
+        end = time.monotonic() + patience
+        while time.monotonic() < end:
+            status, text = await self.control("GET", "/-/Config.Get")
+            if status == 200:
+                return int(json.loads(text)["version"], 16)
+            await asyncio.sleep(0.2)
+        return 0
+
+    async def read_forever(self):
+        while True:
+            await asyncio.sleep(0.3)
+            known = self.version
+            status, text = await self.control("GET", "/-/Config.Get")
+            if status == 200 and int(json.loads(text)["version"], 16) < known:
+                self.checks.violations.append(f"version {known} was acknowledged, a read gave less")
+
+    async def call_forever(self):
+        while True:
+            await asyncio.sleep(self.random.uniform(0.01, 0.1))
+            self.next_id += 1
+            request_id = f"r{self.next_id:07d}"
+            method, path = self.random.choice([("GET", "/read/x"), ("POST", "/order/x")])
+            gateway = self.random.choice(self.gateways)
+            status, _, text = await http(
+                method, f"{gateway.ip}:{self.ports['callers']}", path, "abc",
+                {"X-Cassiaroad-Request-Id": request_id, "X-Cassiaroad-Deadline-Ms": "1500",
+                 "X-Cassiaroad-Shard-Key": str(self.random.randrange(65536))}, 3.0)
+            self.outcomes.append((time.monotonic(), status == 200))
+            if status == 200:
+                self.counts["served"] += 1
+                if text != f"{request_id}:3":
+                    self.checks.violations.append(f"{request_id} got the answer {text}")
+            elif status in (503, 429, 421, 408):
+                self.counts["refused"] += 1
+                self.checks.was_refused(request_id)
+            else:
+                self.counts["unknown"] += 1
+            if status == 404:
+                self.checks.violations.append(f"{request_id} got 404 on a route of all versions")
+
+    def impaired(self):
+        return [host for host in self.controls
+                if not host.is_up() or any(relay.mode != "open" for relay in host.relays)]
+
+    async def inject(self):
+        actions = [self.hit_control, self.hit_control, self.hit_gateway, self.hit_upstream,
+                   self.hit_upstream, self.change, self.reset, self.end_trouble,
+                   self.end_trouble, self.kill_all]
+        weights = [3, 3, 2, 3, 2, 4, 2, 3, 3, 0.5]
+        await self.random.choices(actions, weights)[0]()
+
+    async def hit_control(self):
+        if len(self.impaired()) >= TOLERATED:
+            return
+        host = self.random.choice([h for h in self.controls if h not in self.impaired()])
+        kind = self.random.choice(["kill", "wipe", "pause", "term", "silent", "half", "delay",
+                                   "refuse"])
+        self.note(f"{kind} {host.name}")
+        if kind in ("kill", "wipe"):
+            host.end()
+            if kind == "wipe":
+                shutil.rmtree(host.data, ignore_errors=True)
+        elif kind == "pause":
+            host.signal(signal.SIGSTOP)
+            host.paused = True
+        elif kind == "term":
+            host.signal(signal.SIGTERM)
+        else:
+            for relay in host.relays:
+                relay.mode = kind
+
+    async def end_trouble(self):
+        hosts = [host for host in self.controls + self.gateways
+                 if host in self.impaired() or not host.is_up()]
+        if hosts:
+            self.restore(self.random.choice(hosts))
+
+    def restore(self, host):
+        self.note(f"restore {host.name}")
+        if host.paused:
+            host.signal(signal.SIGCONT)
+            host.paused = False
+        if host.process.poll() is not None:
+            host.start()
+        for relay in host.relays:
+            relay.mode = "open"
+
+    async def hit_gateway(self):
+        if not all(host.is_up() for host in self.gateways):
+            return
+        host = self.random.choice(self.gateways)
+        kind = self.random.choice([signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP])
+        self.note(f"{kind.name} {host.name}")
+        host.signal(kind)
+        host.paused = kind == signal.SIGSTOP
+
+    async def hit_upstream(self):
+        upstream = self.random.choice(self.upstreams)
+        kind = self.random.choice(["crash", "restart", "drain"])
+        if kind == "drain" or sum(u.up and not u.draining for u in self.upstreams) <= 2:
+            others = [u for u in self.upstreams if not u.up or u.draining]
+            if others:
+                back = self.random.choice(others)
+                self.note(f"upstream {back.name} starts anew")
+                if back.up:
+                    await back.crash()
+                await self.add_upstream(back.name, back.address)
+                return
+        self.note(f"{kind} {upstream.name}")
+        if kind == "drain":
+            upstream.draining = True
+            return
+        if upstream.up:
+            await upstream.crash()
+        if kind == "restart":
+            await self.add_upstream(upstream.name, upstream.address)
+
+    async def change(self):
+        self.note("configuration")
+        await self.put_configuration(3.0)
+
+    async def reset(self):
+        host = self.random.choice(self.controls)
+        self.note(f"reset connections of {host.name}")
+        for relay in host.relays:
+            relay.reset_all()
+
+    async def kill_all(self):
+        if self.impaired():
+            return
+        self.note("kill all control hosts")
+        for host in self.controls:
+            host.end()
+        await asyncio.sleep(0.5)
+        for host in self.controls:
+            host.start()
+
+    async def heal(self):
+        self.note("heal")
+        for host in self.controls + self.gateways:
+            self.restore(host)
+        for upstream in list(self.upstreams):
+            if not upstream.up or upstream.draining:
+                if upstream.up:
+                    await upstream.crash()
+                await self.add_upstream(upstream.name, upstream.address)
+
+    def stop(self):
+        for host in self.controls + self.gateways:
+            host.end()
+            host.log.close()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int, default=random.randrange(10**6))
+    parser.add_argument("--seconds", type=float, default=20.0)
+    arguments = parser.parse_args()
+    soak = Soak(arguments.build, arguments.seed, arguments.seconds)
+    try:
+        asyncio.run(soak.run())
+    finally:
+        soak.stop()
+    violations = soak.checks.violations
+    print(f"soak seed {arguments.seed}: {'broken' if violations else 'held'}, {soak.counts}, "
+          f"{len(soak.events)} faults, configuration {soak.version}")
+    if violations:
+        print("\n".join(violations[:10] + soak.events), f"\nlogs in {soak.folder}", sep="\n")
+        sys.exit(1)
+    shutil.rmtree(soak.folder)
+
+
+if __name__ == "__main__":
+    main()
