version, registry: Send changes of the routing table, plan at most 40 times a second

Cause: with 477 upstreams and 77 gateways the leader sent whole tables and added up the load of all keys at most heartbeats while newcomers waited; it fell behind, lost its lease, and the next one had to send everything again. Also: a call on an RPC connection that had ended closed the process; requests that were sent again took two from the budget and failed.

--- a/src/connection/rpcsession.cpp
+++ b/src/connection/rpcsession.cpp
@@ -9,6 +9,7 @@
                                 [this](kj::Own<RpcStream> &&stream) {
                                     this->stream = kj::mv(stream);
                                     this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
+                                    this->watchEnd();
                                 },
                                 [this](kj::Exception &&exception) {
                                     this->closed = true;
@@ -17,6 +18,13 @@
                         .fork())
 { }
 
+void RpcSession::watchEnd()
+{
+    this->ended = this->client->onDisconnect()
+                          .then([this] { this->closed = true; })
+                          .eagerlyEvaluate([this](const kj::Exception &) { this->closed = true; });
+}
+
 bool RpcSession::isClosed() const
 {
     return this->closed || (this->isConnected() && this->stream->isClosed());
@@ -25,6 +33,10 @@
 rpc::Member::Client RpcSession::member()
 {
     KJ_REQUIRE(this->isConnected(), "the session is not connected");
+    // Cap'n Proto ends the process when a call is made after its connection has ended.
+    if (this->isClosed()) {
+        kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "the connection has ended"));
+    }
     return this->client->bootstrap().castAs<rpc::Member>();
 }
 
--- a/src/connection/rpcsession.h
+++ b/src/connection/rpcsession.h
@@ -21,16 +21,22 @@
     bool isConnected() const { return this->client.get() != nullptr; }
     bool isClosed() const;
 
-    /** Capability of the member. Precondition: isConnected(). */
+    /**
+     * Capability of the member; throws a kj::Exception if the connection has ended. Precondition:
+     * isConnected().
+     */
     rpc::Member::Client member();
 
     /** Closes the connection; calls in progress are rejected. */
     void close(const std::string &reason);
 
 private:
+    void watchEnd();
+
     bool closed = false;
     kj::Own<RpcStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
+    kj::Promise<void> ended { nullptr };
     kj::ForkedPromise<void> connected;
 };
 
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gatewaycore.h"
 
 #include "process/textpack.h"
+#include "version/routingchange.h"
 
 #include <xxhash.h>
 
@@ -72,23 +73,7 @@
     this->routing.gateways = update.gateways;
     this->routing.tableAt = this->loop.now();
     // A leader of an earlier term counts lower.
-    std::optional<RoutedRanges> ranges;
-    if (update.encodedRanges && update.tableTag > this->routing.tableTag) {
-        ranges = decodeRoutedRanges(*update.encodedRanges);
-    }
-    const bool hasNewTable = ranges.has_value();
-    if (hasNewTable) {
-        this->routing.tableTag = update.tableTag;
-        RoutingTable table;
-        table.ranges = std::move(*ranges);
-        if (update.upstreams) {
-            this->routing.upstreamsTag = update.upstreamsTag;
-            table.upstreams = *update.upstreams;
-        } else if (this->routing.table) {
-            table.upstreams = this->routing.table->upstreams;
-        }
-        this->takeTable(table);
-    }
+    const bool hasNewTable = this->takeChange(update);
     for (const auto &[id, upstream] : this->upstreams) {
         upstream->setShare(update.trafficShare, ditherOf(this->settings.host + id));
     }
@@ -100,6 +85,24 @@
     }
 }
 
+// Returns whether the table is another one now.
+bool GatewayCore::takeChange(const GatewayUpdate &update)
+{
+    const bool fits = update.fromTag == 0 || update.fromTag == this->routing.tableTag;
+    if (!update.change || !fits || update.tableTag <= this->routing.tableTag) {
+        return false;
+    }
+    const std::optional<RoutingChange> change = decodeRoutingChange(*update.change);
+    if (!change) {
+        this->log.write({ "table_unreadable", Event::Weight::Important, {} });
+        return false;
+    }
+    const bool isWhole = update.fromTag == 0 || !this->routing.table;
+    this->takeTable(applied(isWhole ? RoutingTable() : *this->routing.table, *change));
+    this->routing.tableTag = update.tableTag;
+    return true;
+}
+
 void GatewayCore::takeDocument(const std::string &document)
 {
     const std::optional<std::string> text = unpackText(document);
@@ -162,7 +165,6 @@
     report.gateway = this->settings.host;
     report.zone = this->settings.zone;
     report.tableTag = this->routing.tableTag;
-    report.upstreamsTag = this->routing.upstreamsTag;
     report.version = this->routing.version();
     report.requests = std::exchange(this->requestCount, 0);
     for (const auto &[key, requests] : std::exchange(this->keyRequests, {})) {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -70,6 +70,7 @@
                       Milliseconds queued);
 
 private:
+    bool takeChange(const GatewayUpdate &update);
     void takeDocument(const std::string &document);
     void takeTable(const RoutingTable &table);
     Distance distanceTo(const std::string &zone) const;
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -83,7 +83,16 @@
 
 Milliseconds GatewayRequest::typicalDuration() const
 {
-    return this->target ? this->target->admission().typicalDuration() : Milliseconds { 100 };
+    if (this->target && this->target->admission().knowsDuration()) {
+        return this->target->admission().typicalDuration();
+    }
+    return this->usualDuration();
+}
+
+// Routes are set up so that most answers come well within the target.
+Milliseconds GatewayRequest::usualDuration() const
+{
+    return this->route != nullptr ? this->route->targetLatency / 3 : Milliseconds { 100 };
 }
 
 void GatewayRequest::start()
@@ -188,7 +197,8 @@
         return;
     }
     const TimePoint now = this->core.eventLoop().now();
-    const Milliseconds rest = this->arrived + ownerWait - now;
+    const Milliseconds patience = std::max(ownerWait, this->route->targetLatency / 2);
+    const Milliseconds rest = this->arrived + patience - now;
     if (rest <= Milliseconds {}) {
         this->refuseUntil(outageRetryAfter, "key has no owner");
         return;
@@ -208,7 +218,8 @@
 {
     this->target = std::move(chosen);
     const TimePoint now = this->core.eventLoop().now();
-    const AdmissionTicket ticket { this->id, this->route->priority, this->finishBy };
+    const AdmissionTicket ticket { this->id, this->route->priority, this->finishBy,
+                                   this->usualDuration() };
     switch (this->target->admission().enter(ticket, now)) {
     case Admission::Start:
         this->occupies = true;
@@ -314,7 +325,9 @@
         this->call.reset();
         this->core.client().closeIdle(this->target->upstream().address,
                                       openedAt + Milliseconds { 1 });
-        this->onFailure({ HttpFailure::Stage::Sent, "no answer", false });
+        this->releaseUpstream();
+        this->target->noteFailure(this->sentAt, this->core.eventLoop().now());
+        this->repeatAfter({}, "no answer");
         return;
     }
     this->watchCall();
@@ -326,6 +339,7 @@
 {
     const Milliseconds typical = this->typicalDuration();
     if (this->route->kind != RouteKind::Safe || this->core.isStopping()
+        || !this->target->admission().knowsDuration()
         || taken < std::max(typical * slowFactor, shortestSlow) || this->left() <= typical) {
         return false;
     }
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -51,6 +51,7 @@
     void stopWaiting();
     Milliseconds left() const;
     Milliseconds typicalDuration() const;
+    Milliseconds usualDuration() const;
     std::function<void()> callback(Step step);
 
     GatewayCore &core;
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -7,8 +7,8 @@
 namespace {
 
 constexpr Milliseconds connectTimeout { 300 };
-// A leader answers within 400 ms; the rest covers the way and a slow host.
-constexpr Milliseconds answerTimeout { 750 };
+// Beyond the time that the leader holds a call: the way and a slow host.
+constexpr Milliseconds answerMargin { 350 };
 // Other members go on naming a leader that has stopped until they elect the next one.
 constexpr Milliseconds avoidance { 1500 };
 constexpr Milliseconds retryDelay { 60 };
@@ -93,7 +93,7 @@
         });
     };
     this->tasks.add(this->connectionTo(this->target)
-                            .call<std::string>(answerTimeout, send)
+                            .call<std::string>(this->hold + answerMargin, send)
                             .then(
                                     [this](const std::string &bytes) {
                                         const auto answer = decodeWatchAnswer(bytes);
@@ -116,6 +116,7 @@
     if (const auto *update = std::get_if<GatewayUpdate>(&answer)) {
         this->setConnected(true);
         this->failedAt.clear();
+        this->hold = update->hold;
         this->handlers.update(*update);
         this->callAfter({});
         return;
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -56,6 +56,7 @@
     std::size_t nextIndex = 0;
     std::map<std::string, TimePoint> failedAt; // by ip
     bool connected = false;
+    Milliseconds hold { 400 }; // as the leader told
     std::map<std::string, std::unique_ptr<RpcConnection>> connections; // by ip
     EventLoop::Timer timer;
     kj::TaskSet tasks;
--- a/src/gateway/routingview.h
+++ b/src/gateway/routingview.h
@@ -27,7 +27,6 @@
     std::shared_ptr<const ActiveConfiguration> active; // null: none yet
     std::shared_ptr<const RoutingTable> table; // null: none yet
     std::uint64_t tableTag = 0;
-    std::uint64_t upstreamsTag = 0;
     TimePoint tableAt; // when the leader last confirmed it
     double trafficShare = 1.0;
     std::uint32_t gateways = 1;
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -11,9 +11,18 @@
 namespace {
 
 constexpr Milliseconds tickInterval { 50 };
-// Longest time that a watch call waits; the load of gateways is reported as often.
-constexpr Milliseconds watchHold { 400 };
+// What changes with time alone (silent and warming upstreams) is looked for as often.
+constexpr Milliseconds refreshInterval { 200 };
+// Longest time that a watch call waits; the load of gateways is reported as often. With many
+// gateways the calls would take much of the leader's processor.
+constexpr Milliseconds shortestWatchHold { 400 };
+constexpr Milliseconds watchHoldPerGateway { 8 };
+constexpr Milliseconds longestWatchHold { 1000 };
 constexpr Milliseconds shortestWakeInterval { 30 };
+// Telling a gateway of a change takes a slow leader about as long.
+constexpr Milliseconds wakeCost { 1 };
+// Gateways that lag further behind get the whole table.
+constexpr std::size_t mostFormerTables = 40;
 constexpr int tagBitsOfTerm = 24; // changes of the routing table in one term
 
 // Two heartbeats may be lost, and a new leader may take a second to be elected.
@@ -103,9 +112,13 @@
     this->logCommand(*command, outcome);
     this->manager.commandEnded(*command);
     this->endProposal(proposal, true, outcome);
-    if (this->leading) {
-        this->refreshTable();
+    if (!this->leading) {
+        return;
+    }
+    if (std::holds_alternative<PutConfiguration>(*command)) {
         this->wakeGateways();
+    } else {
+        this->refreshTable();
     }
 }
 
@@ -156,8 +169,9 @@
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
         this->tableTag = this->leadingTerm << tagBitsOfTerm;
-        this->upstreamsTag = this->tableTag;
         this->table = {};
+        this->formerTables.clear();
+        this->changes.clear();
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { founderSlot, this->settings.ip, "" } },
                          [](bool, PutOutcome) {});
@@ -295,6 +309,25 @@
     return report.tableTag == this->tableTag && report.version >= this->state.version();
 }
 
+Milliseconds RegistryEngine::watchHold() const
+{
+    const auto gateways = static_cast<std::int64_t>(this->manager.gatewayCount(this->loop.now()));
+    return std::clamp(watchHoldPerGateway * gateways, shortestWatchHold, longestWatchHold);
+}
+
+// Most gateways have the same former table, so the change from it is made once.
+const std::string &RegistryEngine::changeFrom(std::uint64_t tag) const
+{
+    const auto [entry, isNew] = this->changes.try_emplace(tag);
+    if (isNew) {
+        const auto former = this->formerTables.find(tag);
+        const RoutingTable &before
+                = former == this->formerTables.end() ? RoutingTable() : former->second;
+        entry->second = encode(changeBetween(before, this->table));
+    }
+    return entry->second;
+}
+
 WatchAnswer RegistryEngine::update(const GatewayReport &report) const
 {
     if (!this->mayAnswer()) {
@@ -302,12 +335,9 @@
     }
     GatewayUpdate update;
     update.tableTag = this->tableTag;
-    update.upstreamsTag = this->upstreamsTag;
-    if (report.upstreamsTag != this->upstreamsTag) {
-        update.upstreams = this->table.upstreams;
-    }
     if (report.tableTag != this->tableTag) {
-        update.encodedRanges = this->encodedRanges;
+        update.fromTag = this->formerTables.contains(report.tableTag) ? report.tableTag : 0;
+        update.change = this->changeFrom(update.fromTag);
     }
     update.version = this->state.version();
     if (report.version < update.version) {
@@ -315,6 +345,7 @@
     }
     update.trafficShare = this->manager.trafficShare(report.gateway);
     update.gateways = this->manager.gatewayCount(this->loop.now());
+    update.hold = this->watchHold();
     return update;
 }
 
@@ -329,7 +360,7 @@
     }
     auto paf = kj::newPromiseAndFulfiller<void>();
     this->waiting.push_back(kj::mv(paf.fulfiller));
-    return paf.promise.exclusiveJoin(rpcDelay(this->loop, watchHold))
+    return paf.promise.exclusiveJoin(rpcDelay(this->loop, this->watchHold()))
             .then([this, report = std::move(report)] { return this->update(report); });
 }
 
@@ -373,15 +404,17 @@
 
 void RegistryEngine::refreshTable()
 {
+    this->refreshedAt = this->loop.now();
     this->tableChanges = this->manager.changeCount();
     RoutingTable current = this->manager.routingTable(this->loop.now());
     if (current != this->table) {
-        ++this->tableTag;
-        if (current.upstreams != this->table.upstreams) {
-            this->upstreamsTag = this->tableTag;
+        this->formerTables[this->tableTag] = std::move(this->table);
+        if (this->formerTables.size() > mostFormerTables) {
+            this->formerTables.erase(this->formerTables.begin());
         }
+        this->changes.clear();
+        ++this->tableTag;
         this->table = std::move(current);
-        this->encodedRanges = encode(this->table.ranges);
         this->wakeGateways();
     }
 }
@@ -389,7 +422,9 @@
 // Changes that follow each other closely are sent together.
 void RegistryEngine::wakeGateways()
 {
-    this->wakeDue = this->loop.now() - this->wokenAt < shortestWakeInterval;
+    const auto gateways = static_cast<std::int64_t>(this->waiting.size());
+    const Milliseconds interval = std::max(shortestWakeInterval, wakeCost * gateways);
+    this->wakeDue = this->loop.now() - this->wokenAt < interval;
     if (this->wakeDue) {
         return;
     }
@@ -406,7 +441,9 @@
         return;
     }
     this->commitDue();
-    this->refreshTable();
+    if (this->loop.now() - this->refreshedAt >= refreshInterval) {
+        this->refreshTable();
+    }
     if (this->wakeDue) {
         this->wakeGateways();
     }
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -3,6 +3,7 @@
 #include "registry/groupmember.h"
 #include "version/outsidecodec.h"
 #include "version/registrymanager.h"
+#include "version/routingchange.h"
 
 #include <functional>
 #include <list>
@@ -100,9 +101,11 @@
     bool mayAnswer() const { return this->group.leads() && this->group.hasLease(); }
     NotLeading notLeading() const { return { this->group.leaderIp() }; }
     void answerReport(const UpstreamReport &report, const std::function<void(GrantResult)> &done);
+    Milliseconds watchHold() const;
     void refreshTable();
     void wakeGateways();
     bool isCurrent(const GatewayReport &report) const;
+    const std::string &changeFrom(std::uint64_t tag) const;
     WatchAnswer update(const GatewayReport &report) const;
     void logCommand(const RegistryCommand &command, PutOutcome outcome) const;
     void tick();
@@ -124,11 +127,12 @@
     std::map<std::uint64_t, Proposal> proposals;
     RoutingTable table;
     std::uint64_t tableTag = 0;
-    std::string encodedRanges; // of the table
+    std::map<std::uint64_t, RoutingTable> formerTables; // by tag
+    mutable std::map<std::uint64_t, std::string> changes; // encoded, to the table, by former tag
     std::uint64_t tableChanges = 0; // of the manager when the table was made
     TimePoint wokenAt; // when the gateways were last told of a change
     bool wakeDue = false;
-    std::uint64_t upstreamsTag = 0; // of the table in which the upstreams last changed
+    TimePoint refreshedAt; // when the table was last made
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waiting; // watch calls
     EventLoop::Timer tickTimer;
     GroupMember group; // its handlers use the members above
--- a/src/request/upstreamadmission.cpp
+++ b/src/request/upstreamadmission.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr Milliseconds defaultDuration { 100 };
 constexpr std::uint32_t firstCapacity = 2;
 constexpr std::size_t mostWaiting = 200;
 
@@ -25,7 +24,7 @@
 Milliseconds UpstreamAdmission::typicalDuration() const
 {
     const Milliseconds typical = this->limit.typicalDuration();
-    return typical.count > 0 ? typical : defaultDuration;
+    return typical.count > 0 ? typical : this->usual;
 }
 
 Milliseconds UpstreamAdmission::expectedAnswer(std::uint32_t priority) const
@@ -41,6 +40,7 @@
 
 Admission UpstreamAdmission::enter(const AdmissionTicket &ticket, TimePoint now)
 {
+    this->usual = ticket.usual;
     if (now >= ticket.finishBy) {
         return Admission::Refuse;
     }
--- a/src/request/upstreamadmission.h
+++ b/src/request/upstreamadmission.h
@@ -17,6 +17,7 @@
     GatewayRequestId id = 0;
     std::uint32_t priority = 0; // 0 is the most urgent
     TimePoint finishBy; // a later answer is of no use
+    Milliseconds usual { 100 }; // duration of a request, until some were seen
 };
 
 enum class Admission {
@@ -56,6 +57,8 @@
     /** Expected time until a request of @p priority could be answered. */
     Milliseconds expectedAnswer(std::uint32_t priority) const;
     Milliseconds typicalDuration() const;
+    /** Whether typicalDuration() is measured. */
+    bool knowsDuration() const { return this->limit.typicalDuration().count > 0; }
     std::uint32_t inFlight() const { return this->limit.inFlight(); }
     std::size_t waitingCount() const { return this->waiting.size(); }
     bool hasRoom() const { return this->waiting.empty() && this->limit.hasRoom(); }
@@ -63,6 +66,7 @@
 private:
     using Place = std::pair<std::uint32_t, GatewayRequestId>; // ids ascend with time
 
+    Milliseconds usual { 100 };
     ConcurrencyLimit limit;
     std::map<Place, AdmissionTicket> waiting;
 };
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -177,10 +177,12 @@
     if (isUsable && first->keys == 0) {
         return planned;
     }
-    const HolderLoad *best = this->bestReceiver(this->view.load.rate(range), from);
+    const double rate = this->view.load.rate(range);
+    HolderLoad *best = this->bestReceiver(rate, from);
     if (best == nullptr) {
         return std::nullopt;
     }
+    best->rate += rate;
     return best->holder.life;
 }
 
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -10,6 +10,9 @@
 // Handovers are used within a second; older ones belong to moves that were given up.
 constexpr std::size_t mostHandovers = 256;
 constexpr Milliseconds crowdedInterval { 200 };
+// Looking for a range adds up the load of all keys; with hundreds of upstreams, most heartbeats
+// would do so while newcomers wait for keys.
+constexpr Milliseconds shortestPlanInterval { 25 };
 
 // Returns the parts of @p range that @p removed does not contain.
 std::vector<KeyRange> without(const KeyRange &range, const KeyRange &removed)
@@ -160,9 +163,11 @@
     const auto moved = this->lastMove.find(life);
     const bool isResting = moved != this->lastMove.end()
                            && context.now - moved->second < this->timing.betweenMoves;
-    if (isResting || this->isReleasingFrom(life)) {
+    const bool isTooSoon = context.now - this->plannedAt < shortestPlanInterval;
+    if (isResting || isTooSoon || this->isReleasingFrom(life)) {
         return;
     }
+    this->plannedAt = context.now;
     std::vector<RangeHolder> candidates = this->holders(context, this->timing.release);
     for (RangeHolder &candidate : candidates) {
         candidate.isSettling = std::any_of(
@@ -243,6 +248,7 @@
 {
     std::vector<RangeTransfer> transfers;
     std::vector<ReleasingRange> open;
+    std::vector<ReleasingRange> finished;
     for (const ReleasingRange &release : this->releasing) {
         const RangeOwner *entry = this->table(context)->find(release.range.from);
         if (entry == nullptr || entry->owner != release.from) {
@@ -252,12 +258,17 @@
             open.push_back(release);
             continue;
         }
+        finished.push_back(release);
+    }
+    if (!finished.empty()) {
         // Work in progress delays a release, so another receiver may report sooner by now.
         const std::vector<RangeHolder> candidates = this->holders(context, this->timing.commit);
         RangePlanner planner({ *this->table(context), this->load, candidates });
-        if (const auto to = planner.receiverOf(release.range, release.from, release.to)) {
-            transfers.push_back(
-                    { release.range, *to, this->handoverOf(release.from, release.range) });
+        for (const ReleasingRange &release : finished) {
+            if (const auto to = planner.receiverOf(release.range, release.from, release.to)) {
+                transfers.push_back(
+                        { release.range, *to, this->handoverOf(release.from, release.range) });
+            }
         }
     }
     this->changes += open.size() == this->releasing.size() ? 0 : 1;
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -119,6 +119,7 @@
     std::map<UpstreamLife, TimePoint> lastMove;
     std::set<UpstreamLife> crowded; // that may have to give keys away
     TimePoint crowdedAt; // when they were found
+    TimePoint plannedAt; // when a release was last looked for
     std::uint64_t changes = 0;
     bool transfersInFlight = false;
 };
--- /dev/null
+++ b/src/version/routingchange.cpp
@@ -0,0 +1,163 @@
+#include "version/routingchange.h"
+
+#include "process/textpack.h"
+#include "version/sitejson.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cassiaroad {
+
+using nlohmann::json;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RoutedUpstream, upstream, silent, warming)
+
+namespace {
+
+bool isBefore(const RoutedRange &a, const RoutedRange &b)
+{
+    return a.range < b.range;
+}
+
+// A range is [first key, last key, position of the upstream's id in the list, phase].
+json toJson(const RoutedRanges &ranges)
+{
+    json ids = json::array();
+    std::map<std::string, std::size_t> positions;
+    json services = json::object();
+    for (const auto &[service, list] : ranges) {
+        json rows = json::array();
+        for (const RoutedRange &range : list) {
+            const auto [position, isNew] = positions.try_emplace(range.upstream, positions.size());
+            if (isNew) {
+                ids.push_back(range.upstream);
+            }
+            rows.push_back(json::array(
+                    { range.range.from, range.range.to, position->second, range.phase }));
+        }
+        services[service] = std::move(rows);
+    }
+    return json::array({ ids, services });
+}
+
+RoutedRanges toRanges(const json &value)
+{
+    const json &ids = value.at(0);
+    RoutedRanges ranges;
+    for (const auto &[service, rows] : value.at(1).items()) {
+        std::vector<RoutedRange> &list = ranges[service];
+        for (const json &row : rows) {
+            const std::string id = ids.at(row.at(2).get<std::size_t>());
+            list.push_back({ { row.at(0), row.at(1) }, id, row.at(3).get<RangePhase>() });
+        }
+    }
+    return ranges;
+}
+
+std::vector<RoutedRange> changedRanges(const std::vector<RoutedRange> &before,
+                                       const std::vector<RoutedRange> &after)
+{
+    std::vector<RoutedRange> changed;
+    for (const RoutedRange &range : after) {
+        const auto known = std::lower_bound(before.begin(), before.end(), range, isBefore);
+        if (known == before.end() || *known != range) {
+            changed.push_back(range);
+        }
+    }
+    return changed;
+}
+
+std::vector<RoutedRange> merged(const std::vector<RoutedRange> &ranges,
+                                const std::vector<RoutedRange> &replacing)
+{
+    std::vector<RoutedRange> result = replacing;
+    for (const RoutedRange &range : ranges) {
+        const bool replaced
+                = std::any_of(replacing.begin(), replacing.end(), [&](const RoutedRange &other) {
+                      return other.range.overlaps(range.range);
+                  });
+        if (!replaced) {
+            result.push_back(range);
+        }
+    }
+    std::sort(result.begin(), result.end(), isBefore);
+    return result;
+}
+
+} // namespace
+
+RoutingChange changeBetween(const RoutingTable &before, const RoutingTable &after)
+{
+    RoutingChange change;
+    std::map<std::string, const RoutedUpstream *> known;
+    for (const RoutedUpstream &upstream : before.upstreams) {
+        known[upstream.upstream.life.id] = &upstream;
+    }
+    for (const RoutedUpstream &upstream : after.upstreams) {
+        const auto found = known.find(upstream.upstream.life.id);
+        if (found == known.end() || *found->second != upstream) {
+            change.upstreams.push_back(upstream);
+        }
+        if (found != known.end()) {
+            known.erase(found);
+        }
+    }
+    for (const auto &[id, upstream] : known) {
+        change.removedUpstreams.push_back(id);
+    }
+    for (const auto &[service, list] : after.ranges) {
+        const auto found = before.ranges.find(service);
+        std::vector<RoutedRange> changed
+                = found == before.ranges.end() ? list : changedRanges(found->second, list);
+        if (!changed.empty() || found == before.ranges.end()) {
+            change.ranges[service] = std::move(changed);
+        }
+    }
+    return change;
+}
+
+RoutingTable applied(const RoutingTable &table, const RoutingChange &change)
+{
+    std::map<std::string, RoutedUpstream> upstreams;
+    for (const RoutedUpstream &upstream : table.upstreams) {
+        upstreams[upstream.upstream.life.id] = upstream;
+    }
+    for (const std::string &id : change.removedUpstreams) {
+        upstreams.erase(id);
+    }
+    for (const RoutedUpstream &upstream : change.upstreams) {
+        upstreams[upstream.upstream.life.id] = upstream;
+    }
+    RoutingTable result;
+    for (auto &[id, upstream] : upstreams) {
+        result.upstreams.push_back(std::move(upstream));
+    }
+    result.ranges = table.ranges;
+    for (const auto &[service, list] : change.ranges) {
+        result.ranges[service] = merged(result.ranges[service], list);
+    }
+    return result;
+}
+
+std::string encode(const RoutingChange &change)
+{
+    return packText(toCborText(
+            json::array({ change.upstreams, change.removedUpstreams, toJson(change.ranges) })));
+}
+
+std::optional<RoutingChange> decodeRoutingChange(std::string_view bytes)
+{
+    const std::optional<std::string> text = unpackText(bytes);
+    if (!text) {
+        return std::nullopt;
+    }
+    try {
+        const json value = json::from_cbor(text->begin(), text->end());
+        return RoutingChange { value.at(0).get<std::vector<RoutedUpstream>>(),
+                               value.at(1).get<std::vector<std::string>>(), toRanges(value.at(2)) };
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace cassiaroad
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -7,7 +7,6 @@
 using nlohmann::json;
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(JoinRequest, ip, wantsSlot)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RoutedUpstream, upstream, silent, warming)
 
 // Keys, timings and ranges are the bulk of the messages, so they are arrays without names.
 
@@ -31,8 +30,8 @@
     timing = { value.at(0), value.at(1), value.at(2) };
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GatewayReport, gateway, zone, tableTag, upstreamsTag, version,
-                                   requests, keys, timings)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GatewayReport, gateway, zone, tableTag, version, requests, keys,
+                                   timings)
 
 namespace {
 
@@ -60,53 +59,13 @@
     return hint;
 }
 
-// A range is [first key, last key, position of the upstream's id in the list, phase].
-json toJson(const RoutedRanges &ranges)
-{
-    json ids = json::array();
-    std::map<std::string, std::size_t> positions;
-    json services = json::object();
-    for (const auto &[service, list] : ranges) {
-        json rows = json::array();
-        for (const RoutedRange &range : list) {
-            const auto [position, isNew] = positions.try_emplace(range.upstream, positions.size());
-            if (isNew) {
-                ids.push_back(range.upstream);
-            }
-            rows.push_back(json::array(
-                    { range.range.from, range.range.to, position->second, range.phase }));
-        }
-        services[service] = std::move(rows);
-    }
-    return json::array({ ids, services });
-}
-
-RoutedRanges toRanges(const json &value)
-{
-    const json &ids = value.at(0);
-    RoutedRanges ranges;
-    for (const auto &[service, rows] : value.at(1).items()) {
-        std::vector<RoutedRange> &list = ranges[service];
-        for (const json &row : rows) {
-            const std::string id = ids.at(row.at(2).get<std::size_t>());
-            list.push_back({ { row.at(0), row.at(1) }, id, row.at(3).get<RangePhase>() });
-        }
-    }
-    return ranges;
-}
-
 json toJson(const GatewayUpdate &update)
 {
-    json value = { { "tag", update.tableTag },
-                   { "upstreamsTag", update.upstreamsTag },
-                   { "version", update.version },
-                   { "share", update.trafficShare },
-                   { "gateways", update.gateways } };
-    if (update.upstreams) {
-        value["upstreams"] = *update.upstreams;
-    }
-    if (update.encodedRanges) {
-        value["ranges"] = toBinary(*update.encodedRanges);
+    json value = { { "tag", update.tableTag },      { "fromTag", update.fromTag },
+                   { "version", update.version },   { "share", update.trafficShare },
+                   { "gateways", update.gateways }, { "hold", update.hold.count } };
+    if (update.change) {
+        value["change"] = toBinary(*update.change);
     }
     if (update.document) {
         value["document"] = toBinary(*update.document);
@@ -121,12 +80,10 @@
     update.version = value.at("version");
     update.trafficShare = value.at("share");
     update.gateways = value.at("gateways");
-    update.upstreamsTag = value.at("upstreamsTag");
-    if (value.contains("upstreams")) {
-        update.upstreams = value.at("upstreams").get<std::vector<RoutedUpstream>>();
-    }
-    if (value.contains("ranges")) {
-        update.encodedRanges = fromBinary(value.at("ranges"));
+    update.hold = { value.at("hold").get<std::int64_t>() };
+    update.fromTag = value.at("fromTag");
+    if (value.contains("change")) {
+        update.change = fromBinary(value.at("change"));
     }
     if (value.contains("document")) {
         update.document = fromBinary(value.at("document"));
@@ -146,16 +103,6 @@
 
 } // namespace
 
-std::string encode(const RoutedRanges &ranges)
-{
-    return toCborText(toJson(ranges));
-}
-
-std::optional<RoutedRanges> decodeRoutedRanges(std::string_view bytes)
-{
-    return decodeWith<RoutedRanges>(bytes, toRanges);
-}
-
 std::string encode(const GatewayReport &report)
 {
     return toCborText(report);
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -32,7 +32,6 @@
     std::string gateway;
     std::string zone;
     std::uint64_t tableTag = 0; // of the routing table that it has; 0: none
-    std::uint64_t upstreamsTag = 0; // of the table with which it got its upstreams
     ConfigurationVersion version = 0; // of the configuration that it has
     std::uint32_t requests = 0; // since the previous report
     std::vector<KeyRequests> keys;
@@ -45,13 +44,13 @@
 struct GatewayUpdate
 {
     std::uint64_t tableTag = 0;
-    std::uint64_t upstreamsTag = 0;
-    std::optional<std::vector<RoutedUpstream>> upstreams; // if the gateway has others
-    std::optional<std::string> encodedRanges; // if the gateway has another table
+    std::uint64_t fromTag = 0; // of the table that the change applies to; 0: the empty one
+    std::optional<std::string> change; // if the gateway has another table; a RoutingChange
     ConfigurationVersion version = 0;
     std::optional<std::string> document; // if the gateway has an older one; see packText()
     double trafficShare = 1.0; // of this gateway in the requests of all
     std::uint32_t gateways = 1;
+    Milliseconds hold { 400 }; // longest time that the next call may wait for a change
 
     bool operator==(const GatewayUpdate &) const = default;
 };
@@ -79,12 +78,10 @@
 };
 
 // CBOR forms; a decoder returns nothing if the bytes do not hold such a value. Thread-safe.
-std::string encode(const RoutedRanges &ranges);
 std::string encode(const GatewayReport &report);
 std::string encode(const WatchAnswer &answer);
 std::string encode(const GroupHint &hint);
 std::string encode(const JoinRequest &request);
-std::optional<RoutedRanges> decodeRoutedRanges(std::string_view bytes);
 std::optional<GatewayReport> decodeGatewayReport(std::string_view bytes);
 std::optional<WatchAnswer> decodeWatchAnswer(std::string_view bytes);
 std::optional<GroupHint> decodeGroupHint(std::string_view bytes);
--- /dev/null
+++ b/tests/connection/test_rpcsession.cpp
@@ -0,0 +1,24 @@
+#include "connection/rpcsession.h"
+
+#include "support/fakepeer.h"
+#include "support/loopwait.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+// Guards against a process that ends because a member closed its connection just before a call.
+TEST(RpcSession, refusesACallAfterItsConnectionHasEnded)
+{
+    EventLoop loop;
+    FakePeer peer(loop, [](FakePeer::Connection &) {});
+    auto session
+            = kj::refcounted<RpcSession>(loop, HostAddress { "127.0.0.1", peer.port },
+                                         Milliseconds { 1000 }, std::make_shared<ByteCounters>());
+    loop.wait(session->whenConnected());
+    ASSERT_TRUE(waitUntil(loop, [&] { return !peer.connections.empty(); }));
+    const rpc::Member::Client member = session->member(); // begins to read
+    peer.connections[0]->disconnect();
+    ASSERT_TRUE(waitUntil(loop, [&] { return session->isClosed(); }));
+    EXPECT_ANY_THROW(session->member());
+}
--- /dev/null
+++ b/tests/version/test_routingchange.cpp
@@ -0,0 +1,71 @@
+#include "version/routingchange.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const std::string service = "ledger";
+
+RoutedUpstream upstream(int number, bool silent)
+{
+    return { { { "i-" + std::to_string(number), 1 }, service, { "10.0.0.1", 80 }, "a", 6, {} },
+             silent,
+             false };
+}
+
+RoutingTable arbitraryTable()
+{
+    RoutingTable table;
+    for (int number = 0; number < 5; ++number) {
+        const int kind = *rc::gen::inRange(0, 3);
+        if (kind > 0) {
+            table.upstreams.push_back(upstream(number, kind == 2));
+        }
+    }
+    KeyNumber from = 0;
+    while (from <= lastKey) {
+        const auto to = *rc::gen::inRange<KeyNumber>(from, lastKey + 1);
+        const auto owner = *rc::gen::inRange(0, 5);
+        const auto phase = static_cast<RangePhase>(*rc::gen::inRange(0, 3));
+        table.ranges[service].push_back({ { from, to }, "i-" + std::to_string(owner), phase });
+        from = to + 1;
+    }
+    return table;
+}
+
+} // namespace
+
+// Guards against gateways whose table differs from the leader's after some changes.
+RC_GTEST_PROP(RoutingChange, turnsOneTableIntoTheOther, ())
+{
+    const RoutingTable before = arbitraryTable();
+    const RoutingTable after = arbitraryTable();
+    const auto change = decodeRoutingChange(encode(changeBetween(before, after)));
+    RC_ASSERT(change.has_value());
+    RC_ASSERT(applied(before, *change) == after);
+}
+
+// Guards against bytes between regions that nobody needs.
+TEST(RoutingChange, containsOnlyWhatDiffers)
+{
+    RoutingTable before;
+    before.upstreams = { upstream(1, false), upstream(2, false) };
+    before.ranges[service] = { { { 0, 99 }, "i-1", RangePhase::Owned },
+                               { { 100, lastKey }, "i-2", RangePhase::Owned } };
+    RoutingTable after = before;
+    after.upstreams[1].silent = true;
+    after.ranges[service][0].phase = RangePhase::Releasing;
+    const RoutingChange change = changeBetween(before, after);
+    EXPECT_EQ(change.upstreams.size(), 1U);
+    EXPECT_EQ(change.ranges.at(service).size(), 1U);
+    EXPECT_TRUE(change.removedUpstreams.empty());
+    EXPECT_TRUE(changeBetween(after, after).ranges.empty());
+}
+
+RC_GTEST_PROP(RoutingChange, acceptsAnyBytes, (const std::string &bytes))
+{
+    (void)decodeRoutingChange(bytes);
+}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,8 +18,8 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from soak.relay import Relay  # noqa: E402
-from soak.upstreams import Checks, Upstream, http  # noqa: E402
+from soaklib.relay import Relay  # noqa: E402
+from soaklib.upstreams import Checks, Upstream, http  # noqa: E402
 
 TOLERATED = 2  # control hosts that may be down or cut off at the same time
 CONTROLS, GATEWAYS, UPSTREAMS = 5, 2, 5
--- a/tools/soak/relay.py
+++ b/tools/soaklib/relay.py
@@ -52,6 +52,6 @@
                     await asyncio.sleep(0.15)
                 writer.write(data)
                 await writer.drain()
-        except (OSError, ConnectionError):
+        except (OSError, asyncio.CancelledError):
             pass
         writer.close()
--- a/tools/soak/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -87,7 +87,7 @@
                              f"X-Cassiaroad-Server-Load: 1,0,6\r\nX-Cassiaroad-Request-Id: "
                              f"{headers.get('x-cassiaroad-request-id', '')}\r\n\r\n{text}".encode())
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, ValueError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
             pass
         finally:
             writer.close()
