--- a/src/cassiaroad/requesthistory.cpp
+++ b/src/cassiaroad/requesthistory.cpp
@@ -128,7 +128,10 @@
             continue;
         }
         const std::string text = value.is_string() ? value.get<std::string>() : value.dump();
-        result.fields += (result.fields.empty() ? "" : " ") + name + "=" + text;
+        if (!result.fields.empty()) {
+            result.fields += ' ';
+        }
+        result.fields.append(name).append("=").append(text);
     }
     return result;
 }
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -147,8 +147,8 @@
     const double service
             = this->serviceMilliseconds > 0.0 ? this->serviceMilliseconds : defaultMilliseconds;
     const double slots = std::max<double>(this->routed.upstream.slots, 1.0);
-    const double queue
-            = std::max(1.0, (this->busySlots(now) + this->requests.waitingCount() + 1.0) / slots);
+    const auto waiting = static_cast<double>(this->requests.waitingCount());
+    const double queue = std::max(1.0, (this->busySlots(now) + waiting + 1.0) / slots);
     // A part of the requests fails at once; they take the time of further attempts.
     const double errors = 1.0 + 4.0 * this->errorShare;
     const double warming = this->routed.warming ? 1.0 / warmingPart : 1.0;
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -12,6 +12,9 @@
 // Other members go on naming a leader that has stopped until they elect the next one.
 constexpr Milliseconds avoidance { 1500 };
 constexpr Milliseconds retryDelay { 60 };
+// Between an update and the next call, so that a gateway that cannot use an update does not take up
+// the leader's processor.
+constexpr Milliseconds updateDelay { 10 };
 
 } // namespace
 
@@ -118,7 +121,7 @@
         this->failedAt.clear();
         this->hold = update->hold;
         this->handlers.update(*update);
-        this->callAfter({});
+        this->callAfter(updateDelay);
         return;
     }
     this->follow(std::get<GroupHint>(answer));
--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -30,6 +30,7 @@
 std::vector<std::string> ipsOf(const std::vector<HostAddress> &addresses)
 {
     std::vector<std::string> ips;
+    ips.reserve(addresses.size());
     for (const HostAddress &address : addresses) {
         ips.push_back(address.ip);
     }
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -89,7 +89,9 @@
     this->state = RegistryState();
     if (snapshot) {
         auto decoded = RegistryState::decode(*snapshot->data);
-        KJ_REQUIRE(decoded.has_value(), "the snapshot cannot be decoded");
+        if (!decoded) {
+            kj::throwFatalException(KJ_EXCEPTION(FAILED, "the snapshot cannot be decoded"));
+        }
         this->state = std::move(*decoded);
     }
     this->group.setMembers(this->state.members());
@@ -204,7 +206,8 @@
     this->manager.setConfiguration(std::make_shared<const SiteConfiguration>(*configuration));
 }
 
-void RegistryEngine::report(const UpstreamReport &report, std::function<void(GrantResult)> done)
+void RegistryEngine::report(const UpstreamReport &report,
+                            const std::function<void(GrantResult)> &done)
 {
     if (!this->mayAnswer()) {
         done(this->notLeading());
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -61,7 +61,7 @@
     /** See GroupMember::start(). */
     std::string start();
 
-    void report(const UpstreamReport &report, std::function<void(GrantResult)> done);
+    void report(const UpstreamReport &report, const std::function<void(GrantResult)> &done);
     void leave(const UpstreamLife &life, std::function<void(LeaveResult)> done);
     void put(const PutCall &call, std::function<void(PutResult)> done);
     ReadResult read() const;
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -299,7 +299,7 @@
     if (busy < leastBusy || busy < imbalanceFactor * mean) {
         return std::nullopt;
     }
-    if (const auto hotKey = this->moveHotKey(*giver)) {
+    if (auto hotKey = this->moveHotKey(*giver)) {
         return hotKey;
     }
     const HolderLoad *receiver = this->bestReceiver(giver->rate / 4.0, from);
--- a/tests/version/test_registrymanager.cpp
+++ b/tests/version/test_registrymanager.cpp
@@ -72,6 +72,12 @@
     int span = 0; // steps
 };
 
+void showValue(const SiteFault &fault, std::ostream &out)
+{
+    out << "{kind " << static_cast<int>(fault.kind) << ", wait " << fault.wait << ", target "
+        << fault.target << ", span " << fault.span << "}";
+}
+
 /** Leader, upstreams and messages between them at virtual time. */
 class SiteSimulation
 {
@@ -305,16 +311,6 @@
 
 } // namespace
 
-namespace cassiaroad {
-
-void showValue(const SiteFault &fault, std::ostream &out)
-{
-    out << "{kind " << static_cast<int>(fault.kind) << ", wait " << fault.wait << ", target "
-        << fault.target << ", span " << fault.span << "}";
-}
-
-} // namespace cassiaroad
-
 namespace rc {
 
 template <>
