--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -287,7 +287,6 @@
 {
     ++this->sends;
     this->sentAt = this->core.eventLoop().now();
-    this->outcomeUnknown = false;
     const std::string &upstreamId = this->target->upstream().life.id;
     if (std::find(this->tried.begin(), this->tried.end(), upstreamId) == this->tried.end()) {
         this->tried.push_back(upstreamId);
@@ -452,7 +451,6 @@
         this->repeatAfter({}, "connection failed: " + failure.reason);
         return;
     }
-    this->outcomeUnknown = true;
     this->fail(statusBadGateway, "outcome unknown: " + failure.reason);
 }
 
@@ -478,7 +476,6 @@
 void GatewayRequest::onDeadline()
 {
     if (this->call && this->call->isSent()) {
-        this->outcomeUnknown = true;
         this->target->noteFailure(this->sentAt, this->core.eventLoop().now());
         this->fail(statusGatewayTimeout, "no answer in time");
         return;
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -71,7 +71,6 @@
     std::unique_ptr<HttpClient::Call> call;
     std::vector<std::string> tried; // ids of upstreams that the request was sent to
     std::uint32_t sends = 0;
-    bool outcomeUnknown = false; // the last send may have run
     TimePoint sentAt;
     TimePoint queuedAt;
     Milliseconds queued { 0 };
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -30,8 +30,6 @@
     GatewayUpstream(RoutedUpstream routed, Distance distance);
 
     const SiteUpstream &upstream() const { return this->routed.upstream; }
-    const RoutedUpstream &routedUpstream() const { return this->routed; }
-    Distance distanceOf() const { return this->distance; }
     void setRouted(const RoutedUpstream &value) { this->routed = value; }
     /**
      * Sets the part of the upstream's slots that this gateway may use. @p dither, from 0 to 1,
