version, registry, gateway: Make decisions cheaper for large sites

Profile of the new tools/registryload at that size: the mean service time was added up for every upstream of every plan, ids of lives were compared character by character, an exponential was computed for each key, and the routing table was built at each change although gateways are told of it much less often. 1,000 watch calls a second went to the leader.

Ruled out: storage (1 ms a sync), JSON of heartbeats (2 ms a second).

Changes: TableFeed holds the routing table with its former versions and is set when gateways are told, at most every 3 ms for each gateway; a watch call may take 700 ms longer than its hold, as a call that is given up costs the leader a new connection; two failures far apart raise no suspicion; a stopping gateway refuses requests that still wait before it ends; a leaving upstream without successor gets requests for 1.5 s, as 2 s plus the way of the table passed the bound of 2.5 s by 6 ms.

Conclusion: the leader's calls, not its decisions, come next.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -257,6 +257,27 @@
     this->roomWaits.emplace(id, std::move(start));
 }
 
+void GatewayCore::addOpenRequest(GatewayRequestId id, std::function<void()> refuse)
+{
+    this->openRequests.emplace(id, std::move(refuse));
+}
+
+void GatewayCore::refuseWaitingRequests()
+{
+    // Each call may end others, which then start at an upstream or are refused in their turn.
+    std::vector<GatewayRequestId> ids;
+    for (const auto &[id, refuse] : this->openRequests) {
+        ids.push_back(id);
+    }
+    for (const GatewayRequestId id : ids) {
+        const auto found = this->openRequests.find(id);
+        if (found != this->openRequests.end()) {
+            const std::function<void()> refuse = found->second;
+            refuse();
+        }
+    }
+}
+
 void GatewayCore::startWaiting(GatewayUpstream &upstream)
 {
     while (const std::optional<GatewayRequestId> id = upstream.admission().next()) {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -58,6 +58,12 @@
     void setStopping() { this->stopping = true; }
     bool isStopping() const { return this->stopping; }
 
+    /** Calls @p refuse if the process is about to end before the request has. */
+    void addOpenRequest(GatewayRequestId id, std::function<void()> refuse);
+    void removeOpenRequest(GatewayRequestId id) { this->openRequests.erase(id); }
+    /** The process is about to end: refuses the requests that no upstream has got. */
+    void refuseWaitingRequests();
+
     GatewayRequestId nextRequestId() { return ++this->lastRequestId; }
 
     EventLoop &eventLoop() { return this->loop; }
@@ -90,6 +96,7 @@
     std::uint32_t requestCount = 0;
     std::map<std::uint64_t, std::function<void()>> tableWaits;
     std::map<GatewayRequestId, std::function<void()>> roomWaits;
+    std::map<GatewayRequestId, std::function<void()>> openRequests;
     std::uint64_t lastWait = 0;
     GatewayRequestId lastRequestId = 0;
     bool stopping = false;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds balancerDelay { 2300 };
 // The process ends this long before it would be killed.
 constexpr Milliseconds killMargin { 300 };
+// Requests that still wait for an upstream are refused this long before the process ends.
+constexpr Milliseconds refusalMargin { 700 };
 constexpr std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
 constexpr std::uint32_t maxClients = 2500;
 
@@ -79,6 +81,7 @@
     SettingsWatcher settingsWatcher;
     bool stopping = false;
     EventLoop::Timer closeTimer;
+    EventLoop::Timer refusalTimer;
     EventLoop::Timer endTimer;
 };
 
@@ -124,6 +127,9 @@
     this->log.write({ "stop", Event::Weight::Always, {} });
     this->closeTimer = this->loop.callAfter(
             balancerDelay, [this] { this->callers.shutDown([this] { this->finish(); }); });
+    this->refusalTimer
+            = this->loop.callAfter(this->settings.bounds.stopGrace - killMargin - refusalMargin,
+                                   [this] { this->core.refuseWaitingRequests(); });
     this->endTimer = this->loop.callAfter(this->settings.bounds.stopGrace - killMargin,
                                           [this] { this->finish(); });
 }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -101,6 +101,7 @@
         return;
     }
     this->core.countRequest(this->service, this->key);
+    this->core.addOpenRequest(this->id, this->callback(&GatewayRequest::onGatewayEnds));
     this->exchange->onClientGone(this->callback(&GatewayRequest::onClientGone));
     this->deadlineTimer = this->core.eventLoop().callAfter(
             this->left(), this->callback(&GatewayRequest::onDeadline));
@@ -486,11 +487,25 @@
 void GatewayRequest::onClientGone()
 {
     this->logOutcome(0, "client gone");
+    this->end();
+    const std::shared_ptr<GatewayRequest> kept = std::move(this->self);
+}
+
+void GatewayRequest::onGatewayEnds()
+{
+    if (this->call && this->call->isSent()) {
+        return;
+    }
+    this->refuse("gateway ends");
+}
+
+void GatewayRequest::end()
+{
     this->ended = true;
+    this->core.removeOpenRequest(this->id);
     this->stopWaiting();
     this->call.reset();
     this->releaseUpstream();
-    const std::shared_ptr<GatewayRequest> kept = std::move(this->self);
 }
 
 // Refuses a request for which there is no room just now.
@@ -522,10 +537,7 @@
 void GatewayRequest::finish(int status, Headers headers, std::string body,
                             const std::string &outcome)
 {
-    this->ended = true;
-    this->stopWaiting();
-    this->call.reset();
-    this->releaseUpstream();
+    this->end();
     this->logOutcome(status, outcome);
     if (this->route != nullptr) {
         const std::string group = status < statusBadRequest     ? "answered"
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -39,6 +39,8 @@
     void onFailure(const HttpFailure &failure);
     void onDeadline();
     void onClientGone();
+    void onGatewayEnds();
+    void end();
     bool mayRepeat() const;
     void repeatAfter(Milliseconds delay, const std::string &reason);
     void releaseUpstream();
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds shortestSuspicion { 400 };
 constexpr Milliseconds longestSuspicion { 3000 };
 constexpr std::uint32_t failuresBeforeSuspicion = 2;
+// An upstream that gets few requests from this gateway may have answered others in the meantime.
+constexpr Milliseconds failuresBelongTogether { 4000 };
 // Traffic between regions is slow and paid by volume.
 constexpr double sameRegionMilliseconds = 3.0;
 constexpr double otherRegionMilliseconds = 150.0;
@@ -116,6 +118,10 @@
     if (this->answeredAt > sentAt) {
         return;
     }
+    if (now - this->failedAt > failuresBelongTogether) {
+        this->failuresInRow = 0;
+    }
+    this->failedAt = now;
     ++this->failuresInRow;
     if (this->failuresInRow < failuresBeforeSuspicion) {
         return;
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -74,6 +74,7 @@
     double errorShare = 0.0; // smoothed
     TimePoint answeredAt; // the last time
     std::uint32_t failuresInRow = 0;
+    TimePoint failedAt; // the last time
     TimePoint suspectedUntil;
     bool replaced = false;
     UpstreamTiming timing;
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -7,10 +7,11 @@
 namespace {
 
 constexpr Milliseconds connectTimeout { 300 };
-// Beyond the time that the leader holds a call: the way and a slow host.
-constexpr Milliseconds answerMargin { 350 };
+// Beyond the time that the leader holds a call: the way, a full link and a busy leader. A call that
+// is given up costs the leader a new connection.
+constexpr Milliseconds answerMargin { 700 };
 // Other members go on naming a leader that has stopped until they elect the next one.
-constexpr Milliseconds avoidance { 1500 };
+constexpr Milliseconds avoidance { 800 };
 constexpr Milliseconds retryDelay { 60 };
 // Between an update and the next call, so that a gateway that cannot use an update does not take up
 // the leader's processor.
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -18,12 +18,9 @@
 constexpr Milliseconds shortestWatchHold { 400 };
 constexpr Milliseconds watchHoldPerGateway { 8 };
 constexpr Milliseconds longestWatchHold { 1000 };
-constexpr Milliseconds shortestWakeInterval { 30 };
-// Telling a gateway of a change takes a slow leader about as long.
-constexpr Milliseconds wakeCost { 1 };
-// Gateways that lag further behind get the whole table.
-constexpr std::size_t mostFormerTables = 40;
-constexpr int tagBitsOfTerm = 24; // changes of the routing table in one term
+constexpr Milliseconds shortestTellInterval { 30 };
+// Telling a gateway of a change takes a slow leader a good part of a millisecond.
+constexpr Milliseconds tellCost { 3 };
 
 // Two heartbeats may be lost, and a new leader may take a second to be elected.
 Milliseconds holdOf(const SiteSettings &settings)
@@ -117,11 +114,7 @@
     if (!this->leading) {
         return;
     }
-    if (std::holds_alternative<PutConfiguration>(*command)) {
-        this->wakeGateways();
-    } else {
-        this->refreshTable();
-    }
+    this->tellGateways();
 }
 
 void RegistryEngine::endProposal(std::uint64_t proposal, bool committed, PutOutcome outcome)
@@ -170,10 +163,8 @@
         this->readConfiguration();
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
-        this->tableTag = this->leadingTerm << tagBitsOfTerm;
-        this->table = {};
-        this->formerTables.clear();
-        this->changes.clear();
+        this->feed.startTerm(this->leadingTerm);
+        this->toldAt = {};
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { founderSlot, this->settings.ip, "" } },
                          [](bool, PutOutcome) {});
@@ -244,14 +235,15 @@
         done(OutcomeUnknown {});
         return;
     }
+    const std::uint64_t changes = this->manager.changeCount();
     UpstreamGrant grant = this->manager.answer(report, this->loop.now());
     grant.nextAddress = std::get<RegistrySettings>(this->settings.role).control;
     done(std::move(grant));
     if (this->manager.isReleasingFrom(report.life)) {
         this->commitDue();
     }
-    if (this->manager.changeCount() != this->tableChanges) {
-        this->refreshTable();
+    if (this->manager.changeCount() != changes) {
+        this->tellGateways();
     }
 }
 
@@ -309,7 +301,7 @@
 
 bool RegistryEngine::isCurrent(const GatewayReport &report) const
 {
-    return report.tableTag == this->tableTag && report.version >= this->state.version();
+    return report.tableTag == this->feed.tag() && report.version >= this->state.version();
 }
 
 Milliseconds RegistryEngine::watchHold() const
@@ -318,29 +310,16 @@
     return std::clamp(watchHoldPerGateway * gateways, shortestWatchHold, longestWatchHold);
 }
 
-// Most gateways have the same former table, so the change from it is made once.
-const std::string &RegistryEngine::changeFrom(std::uint64_t tag) const
-{
-    const auto [entry, isNew] = this->changes.try_emplace(tag);
-    if (isNew) {
-        const auto former = this->formerTables.find(tag);
-        const RoutingTable &before
-                = former == this->formerTables.end() ? RoutingTable() : former->second;
-        entry->second = encode(changeBetween(before, this->table));
-    }
-    return entry->second;
-}
-
-WatchAnswer RegistryEngine::update(const GatewayReport &report) const
+WatchAnswer RegistryEngine::update(const GatewayReport &report)
 {
     if (!this->mayAnswer()) {
         return this->group.hint();
     }
     GatewayUpdate update;
-    update.tableTag = this->tableTag;
-    if (report.tableTag != this->tableTag) {
-        update.fromTag = this->formerTables.contains(report.tableTag) ? report.tableTag : 0;
-        update.change = this->changeFrom(update.fromTag);
+    update.tableTag = this->feed.tag();
+    if (report.tableTag != update.tableTag) {
+        update.fromTag = this->feed.baseOf(report.tableTag);
+        update.change = this->feed.changeFrom(update.fromTag);
     }
     update.version = this->state.version();
     if (report.version < update.version) {
@@ -405,33 +384,26 @@
     }
 }
 
-void RegistryEngine::refreshTable()
+// Changes that follow each other closely are sent together.
+void RegistryEngine::tellGateways()
 {
-    this->refreshedAt = this->loop.now();
-    this->tableChanges = this->manager.changeCount();
-    RoutingTable current = this->manager.routingTable(this->loop.now());
-    if (current != this->table) {
-        this->formerTables[this->tableTag] = std::move(this->table);
-        if (this->formerTables.size() > mostFormerTables) {
-            this->formerTables.erase(this->formerTables.begin());
-        }
-        this->changes.clear();
-        ++this->tableTag;
-        this->table = std::move(current);
+    const auto gateways = static_cast<std::int64_t>(this->waiting.size());
+    const Milliseconds interval = std::max(shortestTellInterval, tellCost * gateways);
+    const TimePoint now = this->loop.now();
+    this->tellDue = now - this->toldAt < interval;
+    if (this->tellDue) {
+        return;
+    }
+    this->toldAt = now;
+    const bool isOtherTable = this->feed.set(this->manager.routingTable(now));
+    if (isOtherTable || this->toldVersion != this->state.version()) {
+        this->toldVersion = this->state.version();
         this->wakeGateways();
     }
 }
 
-// Changes that follow each other closely are sent together.
 void RegistryEngine::wakeGateways()
 {
-    const auto gateways = static_cast<std::int64_t>(this->waiting.size());
-    const Milliseconds interval = std::max(shortestWakeInterval, wakeCost * gateways);
-    this->wakeDue = this->loop.now() - this->wokenAt < interval;
-    if (this->wakeDue) {
-        return;
-    }
-    this->wokenAt = this->loop.now();
     for (kj::Own<kj::PromiseFulfiller<void>> &waiter : std::exchange(this->waiting, {})) {
         waiter->fulfill();
     }
@@ -444,11 +416,8 @@
         return;
     }
     this->commitDue();
-    if (this->loop.now() - this->refreshedAt >= refreshInterval) {
-        this->refreshTable();
-    }
-    if (this->wakeDue) {
-        this->wakeGateways();
+    if (this->tellDue || this->loop.now() - this->toldAt >= refreshInterval) {
+        this->tellGateways();
     }
 }
 
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -4,6 +4,7 @@
 #include "version/outsidecodec.h"
 #include "version/registrymanager.h"
 #include "version/routingchange.h"
+#include "version/tablefeed.h"
 
 #include <functional>
 #include <list>
@@ -102,11 +103,10 @@
     NotLeading notLeading() const { return { this->group.leaderIp() }; }
     void answerReport(const UpstreamReport &report, const std::function<void(GrantResult)> &done);
     Milliseconds watchHold() const;
-    void refreshTable();
+    void tellGateways();
     void wakeGateways();
     bool isCurrent(const GatewayReport &report) const;
-    const std::string &changeFrom(std::uint64_t tag) const;
-    WatchAnswer update(const GatewayReport &report) const;
+    WatchAnswer update(const GatewayReport &report);
     void logCommand(const RegistryCommand &command, PutOutcome outcome) const;
     void tick();
 
@@ -125,14 +125,10 @@
     Term leadingTerm = 0;
     std::uint64_t lastProposal = 0;
     std::map<std::uint64_t, Proposal> proposals;
-    RoutingTable table;
-    std::uint64_t tableTag = 0;
-    std::map<std::uint64_t, RoutingTable> formerTables; // by tag
-    mutable std::map<std::uint64_t, std::string> changes; // encoded, to the table, by former tag
-    std::uint64_t tableChanges = 0; // of the manager when the table was made
-    TimePoint wokenAt; // when the gateways were last told of a change
-    bool wakeDue = false;
-    TimePoint refreshedAt; // when the table was last made
+    TableFeed feed;
+    ConfigurationVersion toldVersion = 0; // when the gateways were last told
+    TimePoint toldAt;
+    bool tellDue = false; // the table may have changed since
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waiting; // watch calls
     EventLoop::Timer tickTimer;
     GroupMember group; // its handlers use the members above
--- a/src/version/keyload.cpp
+++ b/src/version/keyload.cpp
@@ -28,6 +28,7 @@
     if (!this->began) {
         this->began = true;
         this->beganAt = now;
+        this->updateSeconds();
     }
     this->fade(now);
     this->weights[key] += static_cast<float>(requests);
@@ -45,26 +46,27 @@
     for (float &weight : this->weights) {
         weight *= factor;
     }
+    this->updateSeconds();
 }
 
-// Time that the faded requests stand for; less than the memory in the first seconds.
-double KeyLoad::seconds() const
+// The requests stand for less than the memory in the first seconds.
+void KeyLoad::updateSeconds()
 {
     const auto age = static_cast<double>((this->fadedAt - this->beganAt).count) / 1000.0;
     const double part = 1.0 - std::exp(-std::max(age, shortestSeconds) / memorySeconds);
-    return memorySeconds * part;
+    this->seconds = memorySeconds * part;
 }
 
 double KeyLoad::rate(const KeyRange &range) const
 {
     const auto begin = this->weights.begin() + range.from;
     const auto end = this->weights.begin() + range.to + 1;
-    return std::accumulate(begin, end, 0.0) / this->seconds();
+    return std::accumulate(begin, end, 0.0) / this->seconds;
 }
 
 double KeyLoad::rate(KeyNumber key) const
 {
-    return static_cast<double>(this->weights[key]) / this->seconds();
+    return static_cast<double>(this->weights[key]) / this->seconds;
 }
 
 } // namespace cassiaroad
--- a/src/version/keyload.h
+++ b/src/version/keyload.h
@@ -25,9 +25,10 @@
     double total() const { return this->rate({ 0, lastKey }); }
 
 private:
-    double seconds() const;
+    void updateSeconds();
 
     std::vector<float> weights; // requests, faded
+    double seconds = 1.0; // that the faded requests stand for
     TimePoint fadedAt;
     TimePoint beganAt; // of the first request
     bool began = false;
--- a/src/version/keyrange.h
+++ b/src/version/keyrange.h
@@ -41,7 +41,16 @@
     std::string id;
     std::int64_t born = 0; // Unix time in milliseconds
 
-    auto operator<=>(const UpstreamLife &) const = default;
+    // Ids mostly begin alike and starts mostly differ, so starts are compared first.
+    bool operator==(const UpstreamLife &other) const
+    {
+        return this->born == other.born && this->id == other.id;
+    }
+    std::strong_ordering operator<=>(const UpstreamLife &other) const
+    {
+        const std::strong_ordering byStart = this->born <=> other.born;
+        return byStart != 0 ? byStart : this->id <=> other.id;
+    }
 };
 
 } // namespace cassiaroad
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -19,7 +19,7 @@
     Milliseconds commit { 40 };
     // How long an upstream that has announced its end still gets requests for keys that no other
     // upstream has taken over.
-    Milliseconds leavingService { 2000 };
+    Milliseconds leavingService { 1500 };
     Milliseconds betweenMoves { 700 }; // of one upstream
 
     bool operator==(const RangeTiming &) const = default;
--- a/src/version/upstreammonitor.cpp
+++ b/src/version/upstreammonitor.cpp
@@ -43,11 +43,21 @@
     if (requests == 0) {
         return;
     }
-    ServiceTime &time = this->serviceTimes[id];
+    ServiceTime time = this->serviceTimes[id];
     time.requests = std::min(time.requests + requests, rememberedRequests);
     const double mean = static_cast<double>(duration.count) / requests;
     const double weight = std::min(1.0, requests / time.requests);
     time.milliseconds += (mean - time.milliseconds) * weight;
+    this->setServiceTime(id, time);
+}
+
+void UpstreamMonitor::setServiceTime(const std::string &id, const ServiceTime &time)
+{
+    ServiceTime &known = this->serviceTimes[id];
+    this->allRequests += time.requests - known.requests;
+    this->allMilliseconds
+            += time.milliseconds * time.requests - known.milliseconds * known.requests;
+    known = time;
 }
 
 TimePoint UpstreamMonitor::lastSeen(const UpstreamLife &life) const
@@ -80,13 +90,7 @@
 
 double UpstreamMonitor::meanServiceMilliseconds() const
 {
-    double sum = defaultServiceMilliseconds;
-    double weight = 1.0;
-    for (const auto &[id, time] : this->serviceTimes) {
-        sum += time.milliseconds * time.requests;
-        weight += time.requests;
-    }
-    return sum / weight;
+    return (defaultServiceMilliseconds + this->allMilliseconds) / (1.0 + this->allRequests);
 }
 
 double UpstreamMonitor::serviceMilliseconds(const std::string &id) const
@@ -110,6 +114,7 @@
 void UpstreamMonitor::forget(const UpstreamLife &life)
 {
     this->lives.erase(life);
+    this->setServiceTime(life.id, {});
     this->serviceTimes.erase(life.id);
 }
 
--- a/src/version/upstreammonitor.h
+++ b/src/version/upstreammonitor.h
@@ -53,12 +53,15 @@
     };
 
     double meanServiceMilliseconds() const;
+    void setServiceTime(const std::string &id, const ServiceTime &time);
     TimePoint lastSeen(const UpstreamLife &life) const;
 
     Milliseconds heartbeat;
     TimePoint termStart;
     std::map<UpstreamLife, Seen> lives;
     std::map<std::string, ServiceTime> serviceTimes; // by id
+    double allRequests = 0.0; // of serviceTimes
+    double allMilliseconds = 0.0; // that these requests took in all
 };
 
 } // namespace cassiaroad
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -8,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace cassiaroad;
 
 namespace {
@@ -293,6 +295,28 @@
     EXPECT_EQ(client->received(), "");
 }
 
+// Load: full upstreams while a gateway stops. Guards against requests that wait in the gateway
+// until its process ends and get no answer; those at an upstream are left alone.
+TEST_F(GatewayRequestTest, refusesWaitingRequestsBeforeTheGatewayEnds)
+{
+    this->serve([](FakePeer::Connection &) {});
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 40; ++i) {
+        clients.push_back(this->request("POST", "/order/1"));
+    }
+    runFor(this->loop, { 200 });
+    this->core.setStopping();
+    this->core.refuseWaitingRequests();
+    runFor(this->loop, { 200 });
+    const auto refused = static_cast<std::size_t>(
+            std::count_if(clients.begin(), clients.end(), [](const auto &client) {
+                return client->received().find("HTTP/1.1 503") != std::string::npos;
+            }));
+    EXPECT_GT(refused, 0U);
+    EXPECT_GT(this->peer->connections.size(), 0U);
+    EXPECT_EQ(refused + this->peer->connections.size(), clients.size());
+}
+
 // Guards against breaking a slow request off when there is no room to send it again.
 TEST_F(GatewayRequestTest, leavesASlowRequestAloneWhenTheUpstreamIsBusy)
 {
--- a/tests/gateway/test_gatewayupstream.cpp
+++ b/tests/gateway/test_gatewayupstream.cpp
@@ -71,6 +71,19 @@
     EXPECT_FALSE(first.isSuspected(now));
 }
 
+// Load: hundreds of upstreams, so that a gateway rarely uses each. Guards against refusing the
+// requests for an upstream's keys because two of them failed far apart.
+TEST(GatewayUpstream, isNotSuspectedAfterFailuresFarApart)
+{
+    GatewayUpstream first = upstream();
+    first.noteFailure(now, now);
+    const TimePoint later = now + Milliseconds { 5000 };
+    first.noteFailure(later, later);
+    EXPECT_FALSE(first.isSuspected(later));
+    first.noteFailure(later, later);
+    EXPECT_TRUE(first.isSuspected(later));
+}
+
 // Load: an upstream is full. Guards against refusing requests because a few of many were late.
 TEST(GatewayUpstream, isNotSuspectedWhileItAnswersOthers)
 {
--- /dev/null
+++ b/tools/registryload.cpp
@@ -0,0 +1,280 @@
+/**
+ * Measures what a leading registry spends on the decisions for a large site: heartbeats of many
+ * upstreams, reports of many gateways, moves of busy keys. Runs the pure code at virtual time and
+ * prints the processor time of each step. Usage: registryload [UPSTREAMS GATEWAYS REQUESTS/S]
+ */
+#include "platform/platformcodec.h"
+#include "version/registrymanager.h"
+#include "version/routingchange.h"
+
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <random>
+
+#include <nlohmann/json.hpp>
+
+using namespace cassiaroad;
+
+namespace {
+
+constexpr std::int64_t runMilliseconds = 20000;
+constexpr std::int64_t heartbeat = 1500;
+constexpr std::int64_t watchInterval = 600;
+constexpr std::int64_t refreshInterval = 200;
+constexpr std::int64_t commitDelay = 40;
+constexpr std::int64_t answerDelay = 10;
+const std::string service = "ledger";
+
+enum Step { Decode, Report, Answer, Due, Gateways, Table, Change, Update, StepCount };
+constexpr std::array<const char *, StepCount> stepNames {
+    "decode heartbeat", "take heartbeat", "answer heartbeat", "find transfers",
+    "take load",        "build table",    "encode change",    "encode update",
+};
+
+struct LoadedUpstream
+{
+    UpstreamReport report;
+    std::int64_t nextBeat = 0;
+};
+
+class LoadRun
+{
+public:
+    LoadRun(int upstreams, int gateways, double requests)
+        : manager(this->state, timing())
+        , gatewayCount(gateways)
+        , requestsPerSecond(requests)
+    {
+        auto configuration = std::make_shared<SiteConfiguration>();
+        configuration->services[service].keyed = true;
+        this->manager.setConfiguration(configuration);
+        this->manager.startTerm({ this->now });
+        for (int i = 0; i < upstreams; ++i) {
+            LoadedUpstream upstream;
+            upstream.report.life = { "i-" + std::to_string(1000000 + i), this->now + i };
+            upstream.report.service = service;
+            upstream.report.address
+                    = { "10.0." + std::to_string(i / 250) + "." + std::to_string(i % 250 + 1), 80 };
+            upstream.report.zone = "a";
+            upstream.report.slots = 6;
+            upstream.nextBeat = this->now + i * heartbeat / upstreams;
+            this->upstreams.push_back(upstream);
+        }
+    }
+
+    void run()
+    {
+        const std::int64_t end = this->now + runMilliseconds;
+        std::int64_t nextReport = this->now;
+        int gateway = 0;
+        for (; this->now < end; ++this->now) {
+            while (!this->commits.empty() && this->commits.front().first <= this->now) {
+                this->apply(this->commits.front().second);
+                this->commits.pop_front();
+            }
+            for (LoadedUpstream &upstream : this->upstreams) {
+                if (upstream.nextBeat <= this->now) {
+                    this->beat(upstream);
+                }
+            }
+            while (nextReport <= this->now) {
+                this->reportLoad(gateway++ % this->gatewayCount);
+                nextReport += watchInterval / this->gatewayCount;
+            }
+            if (this->now % 50 == 0) {
+                this->commitDue();
+            }
+            if (this->now % refreshInterval == 0) {
+                this->refresh();
+            }
+        }
+    }
+
+    void print() const
+    {
+        double all = 0.0;
+        for (std::size_t i = 0; i < StepCount; ++i) {
+            const double each = this->counts[i] == 0 ? 0.0 : this->spent[i] / this->counts[i];
+            std::printf("%-18s %9d times %9.1f us each %9.2f ms a second\n", stepNames[i],
+                        this->counts[i], each, this->spent[i] / runMilliseconds);
+            all += this->spent[i] / runMilliseconds;
+        }
+        const auto &ranges = this->state.ranges().at(service).owners();
+        std::printf("all %.2f ms a second, %zu ranges, %d transfers\n", all, ranges.size(),
+                    this->transfers);
+    }
+
+private:
+    static RegistryTiming timing()
+    {
+        RegistryTiming result;
+        result.holds.hold = { 4500 };
+        result.holds.longest = { 4840 };
+        result.ranges.heartbeat = { heartbeat };
+        return result;
+    }
+
+    template <typename Work>
+    auto measure(Step step, Work work)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        auto result = work();
+        this->spent[step] += std::chrono::duration<double, std::micro>(
+                                     std::chrono::steady_clock::now() - start)
+                                     .count();
+        ++this->counts[step];
+        return result;
+    }
+
+    void propose(const std::vector<RegistryCommand> &commands)
+    {
+        for (const RegistryCommand &command : commands) {
+            this->commits.emplace_back(this->now + commitDelay, command);
+        }
+    }
+
+    void apply(const RegistryCommand &command)
+    {
+        if (const auto *moved = std::get_if<TransferRanges>(&command)) {
+            this->transfers += static_cast<int>(moved->transfers.size());
+        }
+        this->state.apply(command);
+        this->manager.commandEnded(command);
+        this->refresh();
+    }
+
+    void beat(LoadedUpstream &upstream)
+    {
+        UpstreamReport &report = upstream.report;
+        ++report.sequence;
+        const std::string body = heartbeatBody(report);
+        this->measure(Decode, [&] {
+            return this->codec.decodeCall(
+                    { "POST", "/-/Instances.Heartbeat/" + report.life.id, "", body });
+        });
+        const ReportResult result = this->measure(
+                Report, [&] { return this->manager.onReport(report, { this->now }); });
+        this->propose(result.commands);
+        const UpstreamGrant grant = this->measure(Answer, [&] {
+            UpstreamGrant answer = this->manager.answer(report, { this->now });
+            this->codec.encodeGrant(answer);
+            return answer;
+        });
+        upstream.nextBeat = this->now + heartbeat;
+        const bool releases = grant.holds.size() < report.holds.size();
+        report.holds = grant.holds;
+        if (releases) {
+            upstream.nextBeat = this->now + answerDelay;
+        }
+        if (this->manager.isReleasingFrom(report.life)) {
+            this->commitDue();
+        }
+        if (this->manager.changeCount() != this->changeCount) {
+            this->refresh();
+        }
+    }
+
+    static std::string heartbeatBody(const UpstreamReport &report)
+    {
+        nlohmann::json holds = nlohmann::json::array();
+        for (const RangeHold &hold : report.holds) {
+            holds.push_back({ hold.range.from, hold.range.to, hold.fence });
+        }
+        return nlohmann::json(
+                       { { "address", report.address.toString() },
+                         { "born", report.life.born },
+                         { "holds", holds },
+                         { "info",
+                           { { "service", service },
+                             { "version", "v1" },
+                             { "zone", "a" },
+                             { "maxConcurrency", 6 } } },
+                         { "status", { { "state", "ready" }, { "sequence", report.sequence } } } })
+                .dump();
+    }
+
+    void commitDue()
+    {
+        this->propose(this->measure(Due, [&] { return this->manager.dueCommands({ this->now }); }));
+    }
+
+    // A tenth of the keys gets half of the requests, and which tenth changes.
+    KeyNumber drawKey()
+    {
+        std::uniform_real_distribution<double> part(0.0, 1.0);
+        const double hot = static_cast<double>(this->now / 5000 % 10) / 10.0;
+        const double place
+                = part(this->random) < 0.5 ? hot + part(this->random) / 10.0 : part(this->random);
+        return static_cast<KeyNumber>(place * lastKey);
+    }
+
+    void reportLoad(int gateway)
+    {
+        GatewayReport report;
+        report.gateway = "front-" + std::to_string(gateway);
+        report.requests = static_cast<std::uint32_t>(this->requestsPerSecond * watchInterval
+                                                     / 1000.0 / this->gatewayCount);
+        for (std::uint32_t i = 0; i < report.requests; ++i) {
+            report.keys.push_back({ service, this->drawKey(), 1 });
+            const std::size_t upstream = this->random() % this->upstreams.size();
+            report.timings.push_back({ this->upstreams[upstream].report.life.id, 1, 500 });
+        }
+        const std::string bytes = encode(report);
+        this->measure(Gateways, [&] {
+            this->manager.onGatewayReport(*decodeGatewayReport(bytes), { this->now });
+            return 0;
+        });
+        this->measure(Update, [&] {
+            GatewayUpdate update;
+            update.change = this->lastChange;
+            update.trafficShare = this->manager.trafficShare(report.gateway);
+            update.gateways = this->manager.gatewayCount({ this->now });
+            return encode(WatchAnswer(update));
+        });
+    }
+
+    void refresh()
+    {
+        this->changeCount = this->manager.changeCount();
+        RoutingTable current
+                = this->measure(Table, [&] { return this->manager.routingTable({ this->now }); });
+        if (current != this->table) {
+            this->lastChange = this->measure(
+                    Change, [&] { return encode(changeBetween(this->table, current)); });
+            this->table = std::move(current);
+        }
+    }
+
+    std::int64_t now = 1000000;
+    RegistryState state;
+    RegistryManager manager;
+    PlatformCodec codec;
+    std::vector<LoadedUpstream> upstreams;
+    std::deque<std::pair<std::int64_t, RegistryCommand>> commits;
+    RoutingTable table;
+    std::string lastChange;
+    std::uint64_t changeCount = 0;
+    int gatewayCount;
+    double requestsPerSecond;
+    int transfers = 0;
+    std::mt19937 random { 1 };
+    std::array<double, StepCount> spent {};
+    std::array<int, StepCount> counts {};
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const int upstreams = argc > 1 ? std::atoi(argv[1]) : 400;
+    const int gateways = argc > 2 ? std::atoi(argv[2]) : 77;
+    const double requests = argc > 3 ? std::atof(argv[3]) : 2300.0;
+    LoadRun run(upstreams, gateways, requests);
+    run.run();
+    run.print();
+    return 0;
+}
