gateway: Refuse late requests of a stopping gateway; send nothing queued to former owners

Cause: clients send requests on kept connections until the listener has closed and their connection got an answer.

Ruled out: the listener (closed after 2.3 s), the end of the grace time.

Before: the tests sendsNothingFromTheQueueToAFormerOwner and refusesRequestsThatArriveLateWhileTheGatewayStops fail without the checks. After: they pass. From SIGTERM on each answer ends its connection; in the second half of the grace time new requests are refused (503, not run). A gateway stops using a leaving upstream 1.5 s after it learned of it, also when it has lost the leader since.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -102,6 +102,7 @@
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
     LingeringClose lingering;
     EventLoop::Timer sweeper;
+    bool closesAfterAnswers = false;
     bool shuttingDown = false;
     bool orphaned = false;
     std::function<void()> shutDownDone;
@@ -202,7 +203,7 @@
         && hasAmbiguousLength({ socket->input->bytes, socket->input->size })) {
         return d->refuse(request, 400, "Bad Request");
     }
-    if (d->shuttingDown) {
+    if (d->closesAfterAnswers) {
         request->http1_is_persistent = 0;
     }
     connection->receiving = false;
@@ -359,9 +360,15 @@
     return {};
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    this->d->closesAfterAnswers = true;
+}
+
 void HttpServer::shutDown(std::function<void()> done)
 {
     this->d->closeListener();
+    this->closeAfterAnswers();
     this->d->shuttingDown = true;
     this->d->shutDownDone = std::move(done);
     const TimePoint now = this->d->loop.now();
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -67,6 +67,9 @@
     /** Binds and listens. Returns an empty text, or why it failed. */
     std::string listen(const HostAddress &address);
 
+    /** From now on each HTTP/1.1 connection is closed after its next answer, which says so. */
+    void closeAfterAnswers();
+
     /** Stops accepting and closes connections after their current request (graceful shutdown). */
     void shutDown(std::function<void()> done);
 
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -131,12 +131,14 @@
         const bool isSame = known != this->upstreams.end()
                             && known->second->upstream().life == routed.upstream.life;
         if (isSame) {
-            known->second->setRouted(routed);
+            known->second->setRouted(routed, this->loop.now());
             kept.emplace(id, known->second);
             continue;
         }
-        kept.emplace(id, std::make_shared<GatewayUpstream>(routed,
-                                                           this->distanceTo(routed.upstream.zone)));
+        auto added
+                = std::make_shared<GatewayUpstream>(routed, this->distanceTo(routed.upstream.zone));
+        added->setRouted(routed, this->loop.now());
+        kept.emplace(id, std::move(added));
     }
     for (const auto &[id, upstream] : this->upstreams) {
         if (!kept.contains(id) || kept.at(id) != upstream) {
@@ -257,6 +259,16 @@
     this->roomWaits.emplace(id, std::move(start));
 }
 
+void GatewayCore::stop(Milliseconds grace)
+{
+    this->refusesFrom = this->loop.now() + grace / 2;
+}
+
+bool GatewayCore::refusesRequests() const
+{
+    return this->refusesFrom && this->loop.now() >= *this->refusesFrom;
+}
+
 void GatewayCore::addOpenRequest(GatewayRequestId id, std::function<void()> refuse)
 {
     this->openRequests.emplace(id, std::move(refuse));
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -54,9 +54,14 @@
     /** A request at @p upstream has ended: starts those that wait. */
     void startWaiting(GatewayUpstream &upstream);
 
-    /** From now on no request that an upstream works at is given up. */
-    void setStopping() { this->stopping = true; }
-    bool isStopping() const { return this->stopping; }
+    /**
+     * The process ends after @p grace. From now on no request that an upstream works at is given
+     * up; in the second half of the grace, new requests are refused.
+     */
+    void stop(Milliseconds grace);
+    bool isStopping() const { return this->refusesFrom.has_value(); }
+    /** Whether a request that arrives now could not be answered before the process ends. */
+    bool refusesRequests() const;
 
     /** Calls @p refuse if the process is about to end before the request has. */
     void addOpenRequest(GatewayRequestId id, std::function<void()> refuse);
@@ -99,7 +104,7 @@
     std::map<GatewayRequestId, std::function<void()>> openRequests;
     std::uint64_t lastWait = 0;
     GatewayRequestId lastRequestId = 0;
-    bool stopping = false;
+    std::optional<TimePoint> refusesFrom; // of a gateway that stops
     EventLoop::Timer idleTimer;
 };
 
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -123,7 +123,8 @@
         return;
     }
     this->stopping = true;
-    this->core.setStopping();
+    this->core.stop(this->settings.bounds.stopGrace);
+    this->callers.closeAfterAnswers();
     this->log.write({ "stop", Event::Weight::Always, {} });
     this->closeTimer = this->loop.callAfter(
             balancerDelay, [this] { this->callers.shutDown([this] { this->finish(); }); });
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -117,6 +117,10 @@
         this->clientTime = { std::max<std::int64_t>(*wait, 1) };
     }
     this->finishBy = this->arrived + this->clientTime;
+    if (this->core.refusesRequests()) {
+        this->refuse("gateway stops");
+        return false;
+    }
     this->active = this->core.view().active;
     if (!this->active) {
         this->refuseUntil(outageRetryAfter, "no configuration yet");
@@ -170,10 +174,6 @@
         this->waitForOwner();
         return;
     }
-    if (owner->isReplaced()) {
-        this->waitForOwner();
-        return;
-    }
     if (owner->isSuspected(this->core.eventLoop().now())) {
         this->refuseUntil(outageRetryAfter, "owner does not answer");
         return;
@@ -187,7 +187,32 @@
     if (range == nullptr || range->phase != RangePhase::Owned) {
         return nullptr;
     }
-    return this->core.upstream(range->upstream);
+    std::shared_ptr<GatewayUpstream> owner = this->core.upstream(range->upstream);
+    const bool isUsable
+            = owner && !owner->isReplaced() && !owner->hasLeft(this->core.eventLoop().now());
+    return isUsable ? owner : nullptr;
+}
+
+// Whether the request, which has waited for its upstream, may still be sent to it.
+bool GatewayRequest::maySendToTarget() const
+{
+    if (this->keyed) {
+        return this->findOwner() == this->target;
+    }
+    return this->target->upstream().phase == UpstreamPhase::Ready && !this->target->isReplaced();
+}
+
+void GatewayRequest::startFromQueue()
+{
+    this->queued = this->core.eventLoop().now() - this->queuedAt;
+    this->waitTimer = EventLoop::Timer();
+    if (!this->maySendToTarget()) {
+        this->target->admission().finishWithoutAnswer();
+        this->dispatch();
+        return;
+    }
+    this->occupies = true;
+    this->send();
 }
 
 void GatewayRequest::waitForOwner()
@@ -233,16 +258,7 @@
         break;
     }
     this->queuedAt = now;
-    this->core.waitForRoom(this->id, [weak = this->weak_from_this()] {
-        const auto request = weak.lock();
-        if (!request || request->ended) {
-            return;
-        }
-        request->occupies = true;
-        request->queued = request->core.eventLoop().now() - request->queuedAt;
-        request->waitTimer = EventLoop::Timer();
-        request->send();
-    });
+    this->core.waitForRoom(this->id, this->callback(&GatewayRequest::startFromQueue));
     const Milliseconds useful = this->left() - this->typicalDuration() * 3 / 4;
     this->waitTimer = this->core.eventLoop().callAfter(
             std::max(useful, Milliseconds {}), [weak = this->weak_from_this()] {
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -27,7 +27,9 @@
     void dispatch();
     std::shared_ptr<GatewayUpstream> findOwner() const;
     void waitForOwner();
-    void enter(std::shared_ptr<GatewayUpstream> target);
+    void enter(std::shared_ptr<GatewayUpstream> chosen);
+    bool maySendToTarget() const;
+    void startFromQueue();
     void send();
     HttpRequest buildRequest() const;
     void watchCall();
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -23,6 +23,9 @@
 constexpr std::uint32_t failuresBeforeSuspicion = 2;
 // An upstream that gets few requests from this gateway may have answered others in the meantime.
 constexpr Milliseconds failuresBelongTogether { 4000 };
+// An upstream that has announced its end serves on for 2.5 s at least; this gateway learns of it
+// some time later.
+constexpr Milliseconds leavingService { 1500 };
 // Traffic between regions is slow and paid by volume.
 constexpr double sameRegionMilliseconds = 3.0;
 constexpr double otherRegionMilliseconds = 150.0;
@@ -66,6 +69,22 @@
     this->timing.upstream = this->routed.upstream.life.id;
 }
 
+void GatewayUpstream::setRouted(const RoutedUpstream &value, TimePoint now)
+{
+    const bool isReady = value.upstream.phase == UpstreamPhase::Ready;
+    if (isReady) {
+        this->leavingSince.reset();
+    } else if (!this->leavingSince) {
+        this->leavingSince = now;
+    }
+    this->routed = value;
+}
+
+bool GatewayUpstream::hasLeft(TimePoint now) const
+{
+    return this->leavingSince && now - *this->leavingSince > leavingService;
+}
+
 void GatewayUpstream::setShare(double trafficShare, double dither)
 {
     const double part = this->routed.warming ? warmingPart : 1.0;
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -30,7 +30,10 @@
     GatewayUpstream(RoutedUpstream routed, Distance distance);
 
     const SiteUpstream &upstream() const { return this->routed.upstream; }
-    void setRouted(const RoutedUpstream &value) { this->routed = value; }
+    /** Takes what the leader tells of it at @p now. */
+    void setRouted(const RoutedUpstream &value, TimePoint now);
+    /** Whether it has announced its end so long ago that it gets no requests any more. */
+    bool hasLeft(TimePoint now) const;
     /**
      * Sets the part of the upstream's slots that this gateway may use. @p dither, from 0 to 1,
      * differs between gateways, so that their whole numbers add up to the slots.
@@ -77,6 +80,7 @@
     TimePoint failedAt; // the last time
     TimePoint suspectedUntil;
     bool replaced = false;
+    std::optional<TimePoint> leavingSince; // when this gateway learned of it
     UpstreamTiming timing;
 };
 
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -288,13 +288,53 @@
     this->serve([](FakePeer::Connection &) {});
     const auto client = this->request("GET", "/read/1");
     runFor(this->loop, { 100 });
-    this->core.setStopping();
+    this->core.stop({ 6000 });
     runFor(this->loop, { 1000 });
     ASSERT_EQ(this->peer->connections.size(), 1U);
     EXPECT_FALSE(this->peer->connections[0]->closedByClient);
     EXPECT_EQ(client->received(), "");
 }
 
+// Guards against requests on kept connections that arrive while a gateway stops, are sent to an
+// upstream, and are cut when the process ends.
+TEST_F(GatewayRequestTest, refusesRequestsThatArriveLateWhileTheGatewayStops)
+{
+    this->serve([](FakePeer::Connection &) {});
+    this->core.stop({ 200 });
+    this->callers.closeAfterAnswers();
+    const auto early = this->request("POST", "/order/1");
+    runFor(this->loop, { 150 });
+    EXPECT_EQ(early->received(), "");
+    const auto late = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->answered(*late, "HTTP/1.1 503"));
+    EXPECT_NE(late->received().find("Connection: close"), std::string::npos);
+    EXPECT_EQ(this->peer->connections.size(), 1U);
+}
+
+// Load: full upstreams that give their keys away. Guards against requests that waited for room
+// being sent to an upstream that has left or has lost the key in the meantime.
+TEST_F(GatewayRequestTest, sendsNothingFromTheQueueToAFormerOwner)
+{
+    int received = 0;
+    this->serve([&](FakePeer::Connection &connection) {
+        received += connection.received.empty() ? 0 : 1;
+    });
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 40; ++i) {
+        clients.push_back(this->request("POST", "/order/1"));
+    }
+    runFor(this->loop, { 200 });
+    const int sent = received;
+    ASSERT_LT(sent, 40);
+    this->publish(RangePhase::Releasing);
+    for (const auto &connection : this->peer->connections) {
+        connection->write(withId(connection->received, "HTTP/1.1 200 OK\r\n")
+                          + "content-length: 0\r\n\r\n");
+    }
+    runFor(this->loop, { 200 });
+    EXPECT_EQ(received, sent);
+}
+
 // Load: full upstreams while a gateway stops. Guards against requests that wait in the gateway
 // until its process ends and get no answer; those at an upstream are left alone.
 TEST_F(GatewayRequestTest, refusesWaitingRequestsBeforeTheGatewayEnds)
@@ -305,7 +345,7 @@
         clients.push_back(this->request("POST", "/order/1"));
     }
     runFor(this->loop, { 200 });
-    this->core.setStopping();
+    this->core.stop({ 6000 });
     this->core.refuseWaitingRequests();
     runFor(this->loop, { 200 });
     const auto refused = static_cast<std::size_t>(
--- a/tests/gateway/test_gatewayupstream.cpp
+++ b/tests/gateway/test_gatewayupstream.cpp
@@ -84,6 +84,18 @@
     EXPECT_TRUE(first.isSuspected(later));
 }
 
+// Guards against requests for an upstream that has announced its end and would not run them.
+TEST(GatewayUpstream, hasLeftSomeTimeAfterItAnnouncedItsEnd)
+{
+    GatewayUpstream first = upstream();
+    RoutedUpstream leaving { first.upstream(), false, false };
+    leaving.upstream.phase = UpstreamPhase::Gone;
+    first.setRouted(leaving, now);
+    first.setRouted(leaving, now + Milliseconds { 1000 });
+    EXPECT_FALSE(first.hasLeft(now + Milliseconds { 1500 }));
+    EXPECT_TRUE(first.hasLeft(now + Milliseconds { 1501 }));
+}
+
 // Load: an upstream is full. Guards against refusing requests because a few of many were late.
 TEST(GatewayUpstream, isNotSuspectedWhileItAnswersOthers)
 {
