--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -274,6 +274,7 @@
     this->waitTimer = EventLoop::Timer();
     if (this->tableWait != 0) {
         this->core.forgetWait(std::exchange(this->tableWait, 0));
+        this->ownerWaited = this->ownerWaited + (this->core.eventLoop().now() - this->queuedAt);
     }
     this->core.forgetRoom(this->id);
     if (this->target && !this->occupies) {
@@ -572,9 +573,18 @@
 
 void GatewayRequest::logOutcome(int status, const std::string &outcome)
 {
-    const bool isUsual = status >= statusOk && status < statusServerError;
-    const auto weight = isUsual ? Event::Weight::Sampled : Event::Weight::Important;
-    this->logEvent(isUsual ? "request" : "request_failed", weight, status, outcome);
+    if (status < statusOk || status >= statusServerError) {
+        this->logEvent("request_failed", Event::Weight::Important, status, outcome);
+        return;
+    }
+    const Milliseconds taken = this->core.eventLoop().now() - this->arrived;
+    const bool isDelayed = this->ownerWaited.count > 0
+                           || (this->route != nullptr && taken > this->route->targetLatency);
+    if (isDelayed) {
+        this->logEvent("request_delayed", Event::Weight::Important, status, outcome);
+        return;
+    }
+    this->logEvent("request", Event::Weight::Sampled, status, outcome);
 }
 
 void GatewayRequest::logEvent(const char *name, Event::Weight weight, int status,
@@ -594,6 +604,7 @@
         { "status", std::int64_t(status) },
         { "ms", (now - this->arrived).count },
         { "queued_ms", this->queued.count },
+        { "owner_wait_ms", this->ownerWaited.count },
         { "left_ms", this->left().count },
         { "service", this->service },
         { "key", this->key ? std::int64_t(*this->key) : std::int64_t(-1) },
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -77,7 +77,8 @@
     std::uint32_t sends = 0;
     TimePoint sentAt;
     TimePoint queuedAt;
-    Milliseconds queued { 0 };
+    Milliseconds queued { 0 }; // for room at the target
+    Milliseconds ownerWaited { 0 }; // until the key had an owner
     std::uint64_t tableWait = 0;
     bool ended = false;
     EventLoop::Timer deadlineTimer;
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -99,7 +99,8 @@
     def note(self, text):
         self.events.append(f"{time.monotonic() - self.began:6.2f} {text}")
 
-    async def run(self):
+    async def start_site(self):
+        """Starts all processes and waits until the first configuration is in force."""
         self.began = time.monotonic()
         for host in self.controls + self.gateways:
             host.write_settings(self.seeds[:3], True)
@@ -112,6 +113,9 @@
             await self.add_upstream(f"i-{i}", f"127.0.3.{i + 1}:{self.ports['callers']}")
         await self.put_configuration(20.0)
         await asyncio.sleep(3.0)
+
+    async def run(self):
+        await self.start_site()
         callers = [asyncio.create_task(self.call_forever()) for _ in range(12)]
         reader = asyncio.create_task(self.read_forever())
         end = time.monotonic() + self.seconds
--- a/tools/soaklib/relay.py
+++ b/tools/soaklib/relay.py
@@ -39,8 +39,11 @@
             writer.transport.abort()
             return
         self.connections |= {writer, back_writer}
-        await asyncio.gather(self.pass_on(reader, back_writer, False),
-                             self.pass_on(back_reader, writer, True))
+        try:
+            await asyncio.gather(self.pass_on(reader, back_writer, False),
+                                 self.pass_on(back_reader, writer, True))
+        except asyncio.CancelledError:
+            pass  # the run has ended
         self.connections -= {writer, back_writer}
 
     async def pass_on(self, reader, writer, is_back):
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -50,6 +50,8 @@
         self.up = False
         self.draining = False
         self.next_address = None
+        self.work_s = (0.005, 0.03)  # least and most time that a request takes
+        self.cuts_answers = False  # runs requests and closes their connections
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -81,6 +83,8 @@
                                for line in head.decode().split("\r\n")[1:] if ": " in line)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 status, text = await self.handle(head.decode().split(" ", 1)[0], headers, body)
+                if self.cuts_answers:
+                    return
                 extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
                 writer.write(f"HTTP/1.1 {status} S\r\nContent-Length: {len(text)}\r\n{extra}"
                              f"X-Cassiaroad-Instance-Id: {self.name}\r\n"
@@ -99,7 +103,7 @@
         request_id = headers["x-cassiaroad-request-id"]
         self.checks.ran(request_id, method == "GET")
         self.check_owner(key)
-        await asyncio.sleep(random.uniform(0.005, 0.03))
+        await asyncio.sleep(random.uniform(*self.work_s))
         return 200, f"{request_id}:{len(body)}"
 
     def expire(self):
