version, gateway: Move keys for significant differences only; name a later return for lost owners

Requests for keys of a lost owner were asked to return after 1 s, when the keys mostly still had no owner (a hold is three heartbeats).

Before: ThreeHolders.leaveChanceDifferencesAlone fails. After: a holder gives keys away when it is busier than the mean by a quarter and by two standard deviations of the requests that were seen; refusals for lost owners name two heartbeats (clients wait for a third of their time at most).

--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -69,6 +69,9 @@
     /** The process is about to end: refuses the requests that no upstream has got. */
     void refuseWaitingRequests();
 
+    /** Time after which a key whose owner is gone probably has another one. */
+    Milliseconds ownerReplacement() const { return this->settings.heartbeat * 2; }
+
     GatewayRequestId nextRequestId() { return ++this->lastRequestId; }
 
     EventLoop &eventLoop() { return this->loop; }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -32,7 +32,7 @@
 constexpr Milliseconds shortestSlow { 600 };
 constexpr std::uint32_t mostSends = 4;
 constexpr Milliseconds shortestRetryAfter { 50 };
-// While control or an owner is away; a restart or a change of owner takes about as long.
+// While control is away; a restart takes about as long.
 constexpr Milliseconds outageRetryAfter { 1000 };
 
 template <typename Number>
@@ -175,7 +175,7 @@
         return;
     }
     if (owner->isSuspected(this->core.eventLoop().now())) {
-        this->refuseUntil(outageRetryAfter, "owner does not answer");
+        this->refuseUntil(this->core.ownerReplacement(), "owner does not answer");
         return;
     }
     this->enter(std::move(owner));
@@ -219,14 +219,14 @@
 {
     const Milliseconds useful = this->left() - this->typicalDuration();
     if (useful <= Milliseconds {}) {
-        this->refuseUntil(outageRetryAfter, "key has no owner");
+        this->refuseUntil(this->core.ownerReplacement(), "key has no owner");
         return;
     }
     const TimePoint now = this->core.eventLoop().now();
     const Milliseconds patience = std::max(ownerWait, this->route->targetLatency / 2);
     const Milliseconds rest = this->arrived + patience - now;
     if (rest <= Milliseconds {}) {
-        this->refuseUntil(outageRetryAfter, "key has no owner");
+        this->refuseUntil(this->core.ownerReplacement(), "key has no owner");
         return;
     }
     this->queuedAt = now;
@@ -235,7 +235,7 @@
             std::min(rest, useful), [weak = this->weak_from_this()] {
                 if (const auto request = weak.lock(); request && !request->ended) {
                     request->stopWaiting();
-                    request->refuseUntil(outageRetryAfter, "key has no owner");
+                    request->refuseUntil(request->core.ownerReplacement(), "key has no owner");
                 }
             });
 }
--- a/src/version/keyload.h
+++ b/src/version/keyload.h
@@ -24,6 +24,9 @@
     double rate(KeyNumber key) const;
     double total() const { return this->rate({ 0, lastKey }); }
 
+    /** Time in seconds whose requests make up the rates. */
+    double measuredSeconds() const { return this->seconds; }
+
 private:
     void updateSeconds();
 
--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -1,6 +1,7 @@
 #include "version/rangeplanner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cassiaroad {
@@ -10,6 +11,8 @@
 constexpr double millisecondsPerSecond = 1000.0;
 // A holder gives keys away when it is this much busier than the mean ...
 constexpr double imbalanceFactor = 1.25;
+// ... which must be more than the chance differences of few requests, in standard deviations ...
+constexpr double significantDeviations = 2.0;
 // ... and at least this busy: below it, queues are short whatever the balance.
 constexpr double leastBusy = 0.4;
 // A key with this part of its holder's requests moves to a faster holder, if that holder will be
@@ -92,8 +95,23 @@
     }
     const double busy = this->loads[found->second].busy(0.0);
     const double mean = this->meanBusy();
-    return (busy >= mean && this->newcomer() != nullptr)
-           || (busy >= leastBusy && busy >= imbalanceFactor * mean);
+    return (busy >= mean && this->newcomer() != nullptr) || this->isCrowded(busy, mean);
+}
+
+// Whether a holder that is @p busy is to give keys away. A holder that is as busy as the mean was
+// seen with some number of requests, and chance makes it differ by about the square root of that.
+bool RangePlanner::isCrowded(double busy, double mean) const
+{
+    double rate = 0.0;
+    std::size_t count = 0;
+    for (const HolderLoad &load : this->loads) {
+        rate += load.rate;
+        count += load.holder.receives ? 1 : 0;
+    }
+    const double requests = rate * this->view.load.measuredSeconds()
+                            / static_cast<double>(std::max<std::size_t>(count, 1));
+    const double chance = significantDeviations / std::sqrt(std::max(requests, 1.0));
+    return busy >= leastBusy && busy >= std::max(imbalanceFactor, 1.0 + chance) * mean;
 }
 
 std::vector<RangeTransfer> RangePlanner::firstAssignment(const std::vector<RangeHolder> &holders)
@@ -296,7 +314,7 @@
     if (empty != nullptr && busy >= mean) {
         return this->feedNewcomer(*giver, *empty);
     }
-    if (busy < leastBusy || busy < imbalanceFactor * mean) {
+    if (!this->isCrowded(busy, mean)) {
         return std::nullopt;
     }
     if (auto hotKey = this->moveHotKey(*giver)) {
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -81,6 +81,7 @@
     std::optional<RangeTransfer> moveHotKey(const HolderLoad &giver);
     std::optional<RangeTransfer> feedNewcomer(const HolderLoad &giver, const HolderLoad &newcomer);
     double meanBusy() const;
+    bool isCrowded(double busy, double mean) const;
 
     PlacementView view;
     std::vector<HolderLoad> loads;
--- a/tests/version/test_rangeplanner.cpp
+++ b/tests/version/test_rangeplanner.cpp
@@ -49,6 +49,26 @@
 
 } // namespace
 
+// Load: few requests for each upstream, as on sites with hundreds of them. Guards against moves
+// because of chance differences: 13 requests where 10 are usual say little, 1,300 of 1,000 do.
+TEST_F(ThreeHolders, leaveChanceDifferencesAlone)
+{
+    this->holders = { holder(1, 500.0), holder(2, 500.0), holder(3, 500.0) };
+    const auto requestAll = [&](std::uint32_t each) {
+        for (std::uint32_t i = 0; i < 13; ++i) {
+            this->load.add(100 * i, each, start);
+        }
+        for (std::uint32_t i = 0; i < 8; ++i) {
+            this->load.add(30000 + 100 * i, each, start);
+            this->load.add(50000 + 100 * i, each, start);
+        }
+    };
+    requestAll(1);
+    EXPECT_FALSE(this->relieve(1).has_value());
+    requestAll(99);
+    EXPECT_TRUE(this->relieve(1).has_value());
+}
+
 // Load: even. Guards against moves that cost warm caches and bring nothing.
 TEST_F(ThreeHolders, leaveAnEvenLoadAlone)
 {
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -60,6 +60,14 @@
                                         stdout=self.log, stderr=self.log)
         self.paused = False
 
+    async def has_started(self):
+        """Waits until the process has read its settings."""
+        log = pathlib.Path(self.log.name)
+        while b'"event":"start"' not in log.read_bytes():
+            if self.process.poll() is not None:
+                raise RuntimeError(f"{self.name} has ended: {log.read_text()}")
+            await asyncio.sleep(0.02)
+
     def is_up(self):
         return self.process is not None and self.process.poll() is None and not self.paused
 
@@ -107,6 +115,9 @@
             for relay in host.relays if host.role == "registry" else []:
                 await relay.start()
             host.start()
+        # Seeds 7, 9 and 11 failed when busy processes read the settings of later starts.
+        for host in self.controls + self.gateways:
+            await host.has_started()
         for host in self.controls:
             host.write_settings(self.seeds[:3], False)
         for i in range(UPSTREAMS):
