--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -119,7 +119,13 @@
 {
     const std::optional<std::string> text = this->wholeDocument(update);
     this->needsWholeDocument = !text.has_value();
-    auto decoded = this->codec.decodeConfiguration(text.value_or(""));
+    if (!text) {
+        this->log.write({ "configuration_unreadable",
+                          Event::Weight::Always,
+                          { { "reason", std::string("a change does not fit") } } });
+        return;
+    }
+    auto decoded = this->codec.decodeConfiguration(*text);
     if (const auto *fault = std::get_if<DocumentFault>(&decoded)) {
         this->log.write({ "configuration_unreadable",
                           Event::Weight::Always,
