--- a/tools/soak.py
+++ b/tools/soak.py
@@ -39,6 +39,7 @@
         self.log = open(folder / f"{name}.log", "ab")
         self.process = None
         self.paused = False
+        self.ending = False  # was told to end and has not been started since
         relayed = ports["internal"], ports["control"]
         self.relays = [Relay(f"{self.ip}:{port}", f"{self.bind_ip}:{port}") for port in relayed]
 
@@ -59,6 +60,7 @@
         self.process = subprocess.Popen([self.binary, self.role, "-c", str(self.file)],
                                         stdout=self.log, stderr=self.log)
         self.paused = False
+        self.ending = False
 
     async def has_started(self):
         """Waits until the process has read its settings."""
@@ -73,8 +75,14 @@
 
     def signal(self, number):
         if self.process is not None and self.process.poll() is None:
+            self.ending = self.ending or number in (signal.SIGTERM, signal.SIGKILL)
             self.process.send_signal(number)
 
+    async def has_ended(self):
+        """Waits until a process that was told to end has ended."""
+        while self.ending and self.process.poll() is None:
+            await asyncio.sleep(0.02)
+
     def end(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
@@ -325,6 +333,9 @@
     async def heal(self):
         self.note("heal")
         for host in self.controls + self.gateways:
+            # Seeds 29, 36 and 38 failed because a stopping gateway was not started again.
+            host.signal(signal.SIGCONT)
+            await host.has_ended()
             self.restore(host)
         for upstream in list(self.upstreams):
             if not upstream.up or upstream.draining:
