gateway: Promise "not run" only if no earlier send may have run

Cause: a lookup that was sent, given up or cut, and then found no owner or no room was answered 503, which says that it has not run and never will.

Ruled out: orders; they are not sent again after a send that may have run.

Before: GatewayRequestTest.promisesNothingForALookupThatMayHaveRun fails (503). After: 502, outcome unknown.

--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -340,6 +340,7 @@
     if (this->call->isSent() && this->isWorthRepeating(taken) && this->mayRepeat()) {
         const TimePoint openedAt = this->call->connectionOpenedAt();
         this->call.reset();
+        this->mayHaveRun = true;
         this->core.client().closeIdle(this->target->upstream().address,
                                       openedAt + Milliseconds { 1 });
         this->releaseUpstream();
@@ -410,6 +411,7 @@
     this->core.startWaiting(*this->target);
     if (answer.status >= statusServerError && this->route->kind == RouteKind::Safe
         && this->left() > this->typicalDuration() && this->mayRepeat()) {
+        this->mayHaveRun = true;
         this->repeatAfter({}, "upstream failed");
         return;
     }
@@ -465,6 +467,7 @@
         }
         return;
     }
+    this->mayHaveRun = true;
     if (this->route->kind == RouteKind::Safe && useful && this->mayRepeat()) {
         this->repeatAfter({}, "connection failed: " + failure.reason);
         return;
@@ -534,7 +537,7 @@
 // Answers that the request was not run and when the client should come back.
 void GatewayRequest::refuseUntil(Milliseconds comeBack, const std::string &reason)
 {
-    if (this->call && this->call->isSent()) {
+    if (this->mayHaveRun || (this->call && this->call->isSent())) {
         this->fail(statusBadGateway, "outcome unknown: " + reason);
         return;
     }
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -75,6 +75,7 @@
     std::unique_ptr<HttpClient::Call> call;
     std::vector<std::string> tried; // ids of upstreams that the request was sent to
     std::uint32_t sends = 0;
+    bool mayHaveRun = false; // an earlier send ended without proof that it did not run
     TimePoint sentAt;
     TimePoint queuedAt;
     Milliseconds queued { 0 }; // for room at the target
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -190,6 +190,18 @@
     EXPECT_TRUE(this->peer->connections.empty());
 }
 
+// Guards against the promise "not run" for a lookup that an upstream may have run before its key
+// lost its owner (soak, seed 12).
+TEST_F(GatewayRequestTest, promisesNothingForALookupThatMayHaveRun)
+{
+    this->serve([this](FakePeer::Connection &connection) {
+        this->publish(RangePhase::Pending);
+        connection.disconnect();
+    });
+    const auto client = this->request("GET", "/read/1");
+    EXPECT_TRUE(this->answered(*client, "HTTP/1.1 502"));
+}
+
 // Guards against a request that is not idempotent and runs twice.
 TEST_F(GatewayRequestTest, sendsAnUnsafeRequestOnceWhenItsConnectionBreaks)
 {
--- a/tools/soaklib/relay.py
+++ b/tools/soaklib/relay.py
@@ -22,7 +22,7 @@
         """Resets every open connection."""
         for writer in list(self.connections):
             sock = writer.get_extra_info("socket")
-            if sock is not None:
+            if sock is not None and sock.fileno() >= 0:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
