gateway, registry: Share start and log gauges; keep documents as they came

Found in the read of the whole change, behaviour unchanged:

Cause: gateway and registry started, took signals and set the gauges of the log in twin lines; waitForOwner refused in two places for one condition; a gateway compressed a whole document again that had arrived compressed.

After: runUntilStopped() and updateLogGauges() serve both processes; one condition; the received bytes are kept.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -132,7 +132,7 @@
                           { { "reason", fault->reason } } });
         return;
     }
-    this->document = packText(*text);
+    this->document = update.documentBase == 0 ? *update.document : packText(*text);
     auto &configuration = std::get<SiteConfiguration>(decoded);
     this->log.write({ "configuration",
                       Event::Weight::Always,
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -4,10 +4,9 @@
 #include "gateway/gatewayrequest.h"
 #include "gateway/registrywatcher.h"
 #include "process/settingswatcher.h"
+#include "process/siteprocess.h"
 
 #include <algorithm>
-#include <csignal>
-
 namespace cassiaroad {
 
 namespace {
@@ -152,11 +151,7 @@
             .Set(static_cast<double>((this->loop.now() - view.tableAt).count) / 1000.0);
     this->metrics.gauge("cassiaroad_gateway_connections", "Open connections of clients.")
             .Set(static_cast<double>(this->callers.connectionCount()));
-    this->metrics
-            .gauge("cassiaroad_log_lines_suppressed", "Log lines left out to bound the volume.")
-            .Set(static_cast<double>(this->log.suppressedCount()));
-    this->metrics.gauge("cassiaroad_log_lines_dropped", "Log lines that the reader did not take.")
-            .Set(static_cast<double>(this->log.droppedCount()));
+    updateLogGauges(this->metrics, this->log);
 }
 
 } // namespace
@@ -166,17 +161,7 @@
 {
     EventLoop loop;
     GatewayProcess process(loop, settings, settingsFile, codec);
-    const std::string reason = process.start();
-    if (!reason.empty()) {
-        EventLog(settings.host)
-                .write({ "failed", Event::Weight::Always, { { "reason", reason } } });
-        return 1;
-    }
-    for (const int signal : { SIGTERM, SIGINT }) {
-        loop.onSignal(signal, [&process] { process.stop(); });
-    }
-    loop.run();
-    return 0;
+    return runUntilStopped(loop, process, settings.host) ? 0 : 1;
 }
 
 } // namespace cassiaroad
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -217,27 +217,22 @@
 
 void GatewayRequest::waitForOwner()
 {
-    const Milliseconds useful = this->left() - this->typicalDuration();
-    if (useful <= Milliseconds {}) {
-        this->refuseUntil(this->core.ownerReplacement(), "key has no owner");
-        return;
-    }
     const TimePoint now = this->core.eventLoop().now();
+    const Milliseconds useful = this->left() - this->typicalDuration();
     const Milliseconds patience = std::max(ownerWait, this->route->targetLatency / 2);
-    const Milliseconds rest = this->arrived + patience - now;
-    if (rest <= Milliseconds {}) {
+    const Milliseconds wait = std::min(this->arrived + patience - now, useful);
+    if (wait <= Milliseconds {}) {
         this->refuseUntil(this->core.ownerReplacement(), "key has no owner");
         return;
     }
     this->queuedAt = now;
     this->tableWait = this->core.waitForTable(this->callback(&GatewayRequest::dispatch));
-    this->waitTimer = this->core.eventLoop().callAfter(
-            std::min(rest, useful), [weak = this->weak_from_this()] {
-                if (const auto request = weak.lock(); request && !request->ended) {
-                    request->stopWaiting();
-                    request->refuseUntil(request->core.ownerReplacement(), "key has no owner");
-                }
-            });
+    this->waitTimer = this->core.eventLoop().callAfter(wait, [weak = this->weak_from_this()] {
+        if (const auto request = weak.lock(); request && !request->ended) {
+            request->stopWaiting();
+            request->refuseUntil(request->core.ownerReplacement(), "key has no owner");
+        }
+    });
 }
 
 void GatewayRequest::enter(std::shared_ptr<GatewayUpstream> chosen)
--- a/src/registry/registryprocess.cpp
+++ b/src/registry/registryprocess.cpp
@@ -3,11 +3,10 @@
 #include "connection/metricsserver.h"
 #include "connection/rpcserver.h"
 #include "process/settingswatcher.h"
+#include "process/siteprocess.h"
 #include "registry/controlservice.h"
 #include "registry/registryservice.h"
 
-#include <csignal>
-
 namespace cassiaroad {
 
 namespace {
@@ -114,11 +113,7 @@
 {
     this->metrics.gauge("cassiaroad_registry_leads", "1 if this host leads its group.")
             .Set(this->engine.member().leads() ? 1.0 : 0.0);
-    this->metrics
-            .gauge("cassiaroad_log_lines_suppressed", "Log lines left out to bound the volume.")
-            .Set(static_cast<double>(this->log.suppressedCount()));
-    this->metrics.gauge("cassiaroad_log_lines_dropped", "Log lines that the reader did not take.")
-            .Set(static_cast<double>(this->log.droppedCount()));
+    updateLogGauges(this->metrics, this->log);
 }
 
 } // namespace
@@ -128,17 +123,7 @@
 {
     EventLoop loop;
     RegistryProcess process(loop, settings, settingsFile, codec);
-    const std::string reason = process.start();
-    if (!reason.empty()) {
-        EventLog(settings.host)
-                .write({ "failed", Event::Weight::Always, { { "reason", reason } } });
-        return 1;
-    }
-    for (const int signal : { SIGTERM, SIGINT }) {
-        loop.onSignal(signal, [&process] { process.stop(); });
-    }
-    loop.run();
-    return process.exitStatus();
+    return runUntilStopped(loop, process, settings.host) ? process.exitStatus() : 1;
 }
 
 } // namespace cassiaroad
