--- a/tools/registryload.cpp
+++ b/tools/registryload.cpp
@@ -3,7 +3,6 @@
  * upstreams, reports of many gateways, moves of busy keys. Runs the pure code at virtual time and
  * prints the processor time of each step. Usage: registryload [UPSTREAMS GATEWAYS REQUESTS/S]
  */
-#include "platform/platformcodec.h"
 #include "version/registrymanager.h"
 #include "version/routingchange.h"
 
@@ -15,8 +14,6 @@
 #include <deque>
 #include <random>
 
-#include <nlohmann/json.hpp>
-
 using namespace cassiaroad;
 
 namespace {
@@ -29,10 +26,10 @@
 constexpr std::int64_t answerDelay = 10;
 const std::string service = "ledger";
 
-enum Step { Decode, Report, Answer, Due, Gateways, Table, Change, Update, StepCount };
+enum Step { Report, Answer, Due, Gateways, Table, Change, Update, StepCount };
 constexpr std::array<const char *, StepCount> stepNames {
-    "decode heartbeat", "take heartbeat", "answer heartbeat", "find transfers",
-    "take load",        "build table",    "encode change",    "encode update",
+    "take heartbeat", "answer heartbeat", "find transfers", "take load",
+    "build table",    "encode change",    "encode update",
 };
 
 struct LoadedUpstream
@@ -151,19 +148,11 @@
     {
         UpstreamReport &report = upstream.report;
         ++report.sequence;
-        const std::string body = heartbeatBody(report);
-        this->measure(Decode, [&] {
-            return this->codec.decodeCall(
-                    { "POST", "/-/Instances.Heartbeat/" + report.life.id, "", body });
-        });
         const ReportResult result = this->measure(
                 Report, [&] { return this->manager.onReport(report, { this->now }); });
         this->propose(result.commands);
-        const UpstreamGrant grant = this->measure(Answer, [&] {
-            UpstreamGrant answer = this->manager.answer(report, { this->now });
-            this->codec.encodeGrant(answer);
-            return answer;
-        });
+        const UpstreamGrant grant = this->measure(
+                Answer, [&] { return this->manager.answer(report, { this->now }); });
         upstream.nextBeat = this->now + heartbeat;
         const bool releases = grant.holds.size() < report.holds.size();
         report.holds = grant.holds;
@@ -178,25 +167,6 @@
         }
     }
 
-    static std::string heartbeatBody(const UpstreamReport &report)
-    {
-        nlohmann::json holds = nlohmann::json::array();
-        for (const RangeHold &hold : report.holds) {
-            holds.push_back({ hold.range.from, hold.range.to, hold.fence });
-        }
-        return nlohmann::json(
-                       { { "address", report.address.toString() },
-                         { "born", report.life.born },
-                         { "holds", holds },
-                         { "info",
-                           { { "service", service },
-                             { "version", "v1" },
-                             { "zone", "a" },
-                             { "maxConcurrency", 6 } } },
-                         { "status", { { "state", "ready" }, { "sequence", report.sequence } } } })
-                .dump();
-    }
-
     void commitDue()
     {
         this->propose(this->measure(Due, [&] { return this->manager.dueCommands({ this->now }); }));
@@ -252,7 +222,6 @@
     std::int64_t now = 1000000;
     RegistryState state;
     RegistryManager manager;
-    PlatformCodec codec;
     std::vector<LoadedUpstream> upstreams;
     std::deque<std::pair<std::int64_t, RegistryCommand>> commits;
     RoutingTable table;
