process, registry, gateway: Log what a loop spends its time on

Before: control_lost names the leader; a failed watch call leaves no line unless a task fails. After: WorkMeter measures each iteration by kind of work. loop_busy names the work of iterations of 100 ms and more; watch_load and loop_work tell each second what the leader sent and did; watch_failed has the member, the duration and the received bytes; control_lost has the age of the last update. registryload can let upstreams leave and prints its busiest second.

--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -135,6 +135,7 @@
 
 void ReplicaDriver::receive(std::string_view message)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Replication);
     std::optional<ReplicaMessage> decoded = decodeReplicaMessage(message);
     if (!decoded) {
         replicaLog.warning("ignores a message that cannot be decoded");
@@ -176,6 +177,7 @@
         return;
     }
     this->isHandlingEvents = true;
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Replication);
     while (!this->queue.empty() && this->member) {
         const QueuedEvent next = std::move(this->queue.front());
         this->queue.pop_front();
@@ -318,16 +320,22 @@
         return;
     }
     const std::vector<Persist> batch = std::exchange(this->unsynced, {});
-    const TimePoint start = this->loop.now();
-    const auto error = this->folder->persist(batch);
-    this->syncSeconds.Observe(static_cast<double>((this->loop.now() - start).count) / 1000.0);
-    if (error) {
+    if (const auto error = this->writeLog(batch)) {
         this->onStorageFailed(*error);
         return;
     }
     this->dispatchEvent(LogSynced { batch.back().sequence });
 }
 
+std::optional<StorageError> ReplicaDriver::writeLog(const std::vector<Persist> &batch)
+{
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Sync);
+    const TimePoint start = this->loop.now();
+    const auto error = this->folder->persist(batch);
+    this->syncSeconds.Observe(static_cast<double>((this->loop.now() - start).count) / 1000.0);
+    return error;
+}
+
 void ReplicaDriver::saveSnapshotIfDue()
 {
     // A snapshot encodes the complete state, so the next one is due when the log since the last one
@@ -337,6 +345,7 @@
     if (this->bytesSinceSnapshot < threshold || !this->folder) {
         return;
     }
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Snapshots);
     Snapshot snapshot { this->member->snapshotMetaAt(this->appliedIndex),
                         std::make_shared<const std::string>(this->handlers.encodeState()) };
     if (const auto error = this->folder->saveSnapshot(snapshot)) {
--- a/src/cassiaroad/replicadriver.h
+++ b/src/cassiaroad/replicadriver.h
@@ -117,6 +117,7 @@
     void scheduleFlush();
     void flush();
     void sync();
+    std::optional<StorageError> writeLog(const std::vector<Persist> &batch);
     void saveSnapshotIfDue();
     void onStorageFailed(const StorageError &error);
     void reopen();
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -68,6 +68,7 @@
 
 void GatewayCore::update(const GatewayUpdate &update)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Updates);
     if (update.document && update.version > this->routing.version()) {
         this->updateConfiguration(update);
     }
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -91,6 +91,7 @@
 
 std::string GatewayProcess::start()
 {
+    logSlowIterations(this->loop, this->log);
     this->log.write({ "start", Event::Weight::Always, { { "role", std::string("gateway") } } });
     const auto &role = std::get<GatewaySettings>(this->settings.role);
     std::string reason = this->callers.listen(role.callers);
@@ -158,6 +159,7 @@
     this->metrics.gauge("cassiaroad_gateway_connections", "Open connections of clients.")
             .Set(static_cast<double>(this->callers.connectionCount()));
     updateLogGauges(this->metrics, this->log);
+    updateWorkGauges(this->metrics, this->loop.workMeter());
 }
 
 } // namespace
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -62,6 +62,7 @@
 
 void GatewayRequest::begin(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
 {
+    const WorkMeter::Scope scope(core.eventLoop().workMeter(), Work::Requests);
     const auto request = std::make_shared<GatewayRequest>(core, std::move(exchange));
     request->self = request;
     request->start();
@@ -389,6 +390,7 @@
 
 void GatewayRequest::onResult(HttpResult result)
 {
+    const WorkMeter::Scope scope(this->core.eventLoop().workMeter(), Work::Requests);
     this->callTimer = EventLoop::Timer();
     const std::unique_ptr<HttpClient::Call> endedCall = std::move(this->call);
     if (auto *response = std::get_if<HttpResponse>(&result)) {
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -88,6 +88,8 @@
     if (this->target.empty()) {
         this->target = this->nextTarget();
     }
+    this->calledAt = this->loop.now();
+    this->receivedBeforeCall = this->bytes->received;
     const std::string report = encode(this->handlers.report());
     const auto send = [report](rpc::Member::Client client) {
         auto request = client.castAs<rpc::Registry>().watchRequest();
@@ -106,10 +108,12 @@
                                         if (reply) {
                                             this->onReply(*reply);
                                         } else {
-                                            this->onFailure();
+                                            this->onFailure("the reply cannot be decoded");
                                         }
                                     },
-                                    [this](const kj::Exception &) { this->onFailure(); }));
+                                    [this](const kj::Exception &exception) {
+                                        this->onFailure(exception.getDescription().cStr());
+                                    }));
 }
 
 void RegistryWatcher::callAfter(Milliseconds delay)
@@ -121,6 +125,7 @@
 {
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
         this->setConnected(true);
+        this->confirmedAt = this->loop.now();
         this->failedAt.clear();
         this->watchTimeout = update->watchTimeout;
         this->handlers.update(*update);
@@ -146,14 +151,27 @@
     this->callAfter(hasNewLeader ? Milliseconds {} : retryDelay);
 }
 
-void RegistryWatcher::onFailure()
+void RegistryWatcher::onFailure(const std::string &reason)
 {
+    this->logFailure(reason);
     this->setConnected(false);
     this->failedAt[this->target] = this->loop.now();
     this->target = this->nextTarget();
     this->callAfter(retryDelay);
 }
 
+// The received bytes tell a reply that was too slow from one that did not come.
+void RegistryWatcher::logFailure(const std::string &reason)
+{
+    const std::uint64_t received = this->bytes->received - this->receivedBeforeCall;
+    this->log.write({ "watch_failed",
+                      Event::Weight::Important,
+                      { { "member", this->target },
+                        { "ms", (this->loop.now() - this->calledAt).count },
+                        { "received_bytes", static_cast<std::int64_t>(received) },
+                        { "reason", reason } } });
+}
+
 void RegistryWatcher::setConnected(bool value)
 {
     if (this->connected == value) {
@@ -162,14 +180,13 @@
     this->connected = value;
     this->log.write({ value ? "control_regained" : "control_lost",
                       Event::Weight::Always,
-                      { { "leader", this->target } } });
+                      { { "leader", this->target },
+                        { "update_age_ms", (this->loop.now() - this->confirmedAt).count } } });
 }
 
 void RegistryWatcher::taskFailed(kj::Exception &&exception)
 {
-    this->log.write({ "watch_failed",
-                      Event::Weight::Important,
-                      { { "reason", std::string(exception.getDescription().cStr()) } } });
+    this->logFailure(exception.getDescription().cStr());
     this->callAfter(retryDelay);
 }
 
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -39,7 +39,8 @@
 private:
     void call();
     void onReply(const GatewayWatchReply &reply);
-    void onFailure();
+    void onFailure(const std::string &reason);
+    void logFailure(const std::string &reason);
     void followHint(const GroupHint &hint);
     void callAfter(Milliseconds delay);
     std::string nextTarget();
@@ -59,6 +60,9 @@
     std::size_t nextIndex = 0;
     std::map<std::string, TimePoint> failedAt; // by ip
     bool connected = false;
+    TimePoint confirmedAt; // last update of the leader
+    TimePoint calledAt; // when the present call was sent
+    std::uint64_t receivedBeforeCall = 0; // bytes
     Milliseconds watchTimeout { 400 }; // as announced by the leader
     std::map<std::string, std::unique_ptr<RpcConnection>> connections; // by ip
     EventLoop::Timer timer;
--- a/src/process/clock.h
+++ b/src/process/clock.h
@@ -44,6 +44,9 @@
     /** Returns the monotonic time, which includes time spent suspended (CLOCK_BOOTTIME). */
     static TimePoint now();
 
+    /** Returns the same time in microseconds; for measuring how long work takes. */
+    static std::int64_t microseconds();
+
     /** Returns the wall clock in milliseconds since 1970; only for records that people read. */
     static std::int64_t wallMilliseconds();
 };
--- a/src/process/eventloop.cpp
+++ b/src/process/eventloop.cpp
@@ -61,9 +61,14 @@
 
     void runOnce(std::int64_t maxWait)
     {
+        this->meter.beginIteration();
         // Promise callbacks may be ready now, so the loop must not sleep after callbacks of h2o.
         const bool hadCallbacks = this->runCallbacks();
+        const std::int64_t pollStart = Clock::wallMilliseconds();
         h2o_evloop_run(this->h2oLoop, hadCallbacks ? 0 : static_cast<std::int32_t>(maxWait));
+        // h2o reads the wall clock when its poll returns, before it runs the callbacks.
+        const std::int64_t pollEnd = static_cast<std::int64_t>(h2o_now(this->h2oLoop));
+        this->meter.recordWait({ std::clamp<std::int64_t>(pollEnd - pollStart, 0, maxWait) });
         this->fireTimers();
     }
 
@@ -113,6 +118,7 @@
 
     static void onSignalReadable(h2o_socket_t *socket, const char *error);
 
+    WorkMeter meter;
     h2o_evloop_t *h2oLoop;
     h2o_timeout_t zeroTimeout {};
     h2o_timeout_entry_t emptyTimer {};
@@ -202,4 +208,9 @@
     return this->d->scope;
 }
 
+WorkMeter &EventLoop::workMeter()
+{
+    return this->d->meter;
+}
+
 } // namespace cassiaroad
--- a/src/process/eventloop.h
+++ b/src/process/eventloop.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "process/clock.h"
+#include "process/workmeter.h"
 
 #include <functional>
 #include <memory>
@@ -69,6 +69,9 @@
 
     kj::WaitScope &waitScope();
 
+    /** Measures how this loop spends its time. Loop thread only. */
+    WorkMeter &workMeter();
+
 private:
     struct Private;
     std::unique_ptr<Private> d;
--- a/src/process/siteprocess.h
+++ b/src/process/siteprocess.h
@@ -11,6 +11,15 @@
 /** Sets the gauges for suppressed and dropped log lines. Loop thread only. */
 void updateLogGauges(Metrics &metrics, const EventLog &log);
 
+/**
+ * Writes an event for each iteration of @p loop that took so long that callers notice it. @p log must
+ * outlive the loop's last iteration. Loop thread only.
+ */
+void logSlowIterations(EventLoop &loop, EventLog &log);
+
+/** Sets the gauges for the time that the loop has spent on each kind of work. Loop thread only. */
+void updateWorkGauges(Metrics &metrics, const WorkMeter &meter);
+
 /**
  * Starts @p process and runs @p loop until it is stopped; SIGTERM and SIGINT call
  * @p process.stop(). Returns whether the process could be started; if not, the reason is logged for
--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -35,7 +35,8 @@
 
 ControlService::ControlService(EventLoop &loop, RegistryEngine &engine, const ExternalCodec &codec,
                                EventLog &log)
-    : engine(engine)
+    : loop(loop)
+    , engine(engine)
     , codec(codec)
     , log(log)
     , server(loop, limits(), [this](const Exchange &exchange) { this->handle(exchange); })
@@ -49,6 +50,7 @@
 
 void ControlService::handle(const Exchange &exchange)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Heartbeats);
     const ControlCall call = this->codec.decodeCall(
             { exchange->method(), exchange->path(),
               exchange->header(this->codec.headers().baseVersion), exchange->body() });
--- a/src/registry/controlservice.h
+++ b/src/registry/controlservice.h
@@ -32,6 +32,7 @@
     void handleRead(const Exchange &exchange);
     void redirect(const Exchange &exchange, const NotLeading &notLeading);
 
+    EventLoop &loop;
     RegistryEngine &engine;
     const ExternalCodec &codec;
     EventLog &log;
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -24,6 +24,7 @@
 // waiting gateway. Notifying one gateway takes a slow leader a good part of a millisecond.
 constexpr Milliseconds minNotifyInterval { 30 };
 constexpr Milliseconds notifyIntervalPerGateway { 3 };
+constexpr Milliseconds watchLoadInterval { 1000 };
 
 // Returns the lease duration on the clock of an upstream. It allows for two lost heartbeats and for
 // the election of a new leader, which may take a second.
@@ -83,6 +84,8 @@
 
 std::string RegistryEngine::start()
 {
+    this->watchLoadTimer
+            = this->loop.callEvery(watchLoadInterval, [this] { this->logWatchLoad(); });
     this->tickTimer = this->loop.callEvery(tickInterval, [this] { this->tick(); });
     return this->group.start();
 }
@@ -106,6 +109,7 @@
 
 void RegistryEngine::apply(const std::string &bytes, std::uint64_t proposal)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Commands);
     const std::optional<RegistryCommand> command = decodeRegistryCommand(bytes);
     KJ_REQUIRE(command.has_value(), "a committed command cannot be decoded");
     const PutOutcome outcome = this->state.apply(*command);
@@ -222,6 +226,7 @@
         return;
     }
     this->heartbeatCount.Increment();
+    ++this->watchLoad.heartbeats;
     const ReportResult result = this->manager.onHeartbeat(report, this->loop.now());
     if (result.status == ReportStatus::Outdated) {
         this->log.write({ "heartbeat_outdated",
@@ -249,6 +254,7 @@
 void RegistryEngine::respondToHeartbeat(const UpstreamReport &report,
                                         const std::function<void(HeartbeatResult)> &done)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Heartbeats);
     if (!this->canAnswer()) {
         done(CallOutcomeUnknown {});
         return;
@@ -285,6 +291,7 @@
 
 void RegistryEngine::put(const PutConfigurationCall &call, std::function<void(PutResult)> done)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::OperatorCalls);
     if (!this->canAnswer() || !this->group.hasEnoughVoters()) {
         done(this->notLeading());
         return;
@@ -334,6 +341,7 @@
 // Returns the reply to a watch call: what the gateway does not have yet, or a hint to the leader.
 GatewayWatchReply RegistryEngine::update(const GatewayReport &report)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::WatchReplies);
     if (!this->canAnswer()) {
         return this->group.hint();
     }
@@ -347,6 +355,15 @@
     update.trafficShare = this->manager.trafficShare(report.gateway);
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
+    ++this->watchLoad.replies;
+    if (update.change) {
+        ++(update.fromTag == 0 ? this->watchLoad.fullTables : this->watchLoad.changes);
+        this->watchLoad.changeBytes += static_cast<std::int64_t>(update.change->size());
+    }
+    if (update.document) {
+        ++(update.documentBase == 0 ? this->watchLoad.fullDocuments : this->watchLoad.deltas);
+        this->watchLoad.documentBytes += static_cast<std::int64_t>(update.document->size());
+    }
     return update;
 }
 
@@ -355,6 +372,7 @@
     if (!this->canAnswer()) {
         return GatewayWatchReply(this->group.hint());
     }
+    ++this->watchLoad.calls;
     this->manager.onGatewayReport(report, this->loop.now());
     if (!this->isCurrent(report)) {
         return this->update(report);
@@ -399,6 +417,7 @@
 // Proposes the commands that the manager has due now.
 void RegistryEngine::commitDueCommands()
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Decisions);
     const std::vector<RegistryCommand> commands = this->manager.dueCommands(this->loop.now());
     if (!commands.empty()) {
         this->commit(commands, [](bool, PutOutcome) {});
@@ -417,13 +436,21 @@
         return;
     }
     this->notifiedAt = now;
-    const bool isOtherTable = this->tableHistory.set(this->manager.routingTable(now));
+    const bool isOtherTable = this->updateTable(now);
     if (isOtherTable || this->notifiedVersion != this->state.version()) {
         this->notifiedVersion = this->state.version();
         this->resumeWatchCalls();
     }
 }
 
+// Builds the routing table; returns whether it differs from the previous one.
+bool RegistryEngine::updateTable(TimePoint now)
+{
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::RoutingTable);
+    ++this->watchLoad.tables;
+    return this->tableHistory.set(this->manager.routingTable(now));
+}
+
 void RegistryEngine::resumeWatchCalls()
 {
     for (kj::Own<kj::PromiseFulfiller<void>> &waiter : std::exchange(this->waitingCalls, {})) {
@@ -443,6 +470,27 @@
     }
 }
 
+void RegistryEngine::logWatchLoad()
+{
+    const WatchLoad load = std::exchange(this->watchLoad, {});
+    if (!this->leading) {
+        return;
+    }
+    this->log.write({ "watch_load",
+                      Event::Weight::Important,
+                      { { "calls", load.calls },
+                        { "replies", load.replies },
+                        { "waiting", static_cast<std::int64_t>(this->waitingCalls.size()) },
+                        { "changes", load.changes },
+                        { "full_tables", load.fullTables },
+                        { "change_bytes", load.changeBytes },
+                        { "deltas", load.deltas },
+                        { "full_documents", load.fullDocuments },
+                        { "document_bytes", load.documentBytes },
+                        { "tables", load.tables },
+                        { "heartbeats", load.heartbeats } } });
+}
+
 void RegistryEngine::logCommand(const RegistryCommand &command, PutOutcome outcome) const
 {
     Event event { "committed", Event::Weight::Important, {} };
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -103,6 +103,21 @@
         CommitHandler done;
     };
 
+    /** What the watch calls of gateways caused since the last `watch_load` event. */
+    struct WatchLoad
+    {
+        std::int64_t calls = 0;
+        std::int64_t replies = 0;
+        std::int64_t changes = 0; // changes of the routing table, in replies
+        std::int64_t fullTables = 0;
+        std::int64_t changeBytes = 0;
+        std::int64_t deltas = 0; // of the configuration, in replies
+        std::int64_t fullDocuments = 0;
+        std::int64_t documentBytes = 0;
+        std::int64_t heartbeats = 0;
+        std::int64_t tables = 0; // built
+    };
+
     /** A command that was proposed and has neither been committed nor failed. */
     struct Proposal
     {
@@ -123,11 +138,13 @@
                             const std::function<void(HeartbeatResult)> &done);
     Milliseconds watchTimeout() const;
     void notifyGateways();
+    bool updateTable(TimePoint now);
     void resumeWatchCalls();
     bool isCurrent(const GatewayReport &report) const;
     GatewayWatchReply update(const GatewayReport &report);
     void logCommand(const RegistryCommand &command, PutOutcome outcome) const;
     void tick();
+    void logWatchLoad();
 
     EventLoop &loop;
     const SiteSettings &settings;
@@ -151,6 +168,8 @@
     bool notifyDue = false; // the table may have changed since `notifiedAt`
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
     EventLoop::Timer tickTimer;
+    WatchLoad watchLoad;
+    EventLoop::Timer watchLoadTimer;
     GroupMember group; // its handlers use the members above
 };
 
--- a/src/registry/registryprocess.cpp
+++ b/src/registry/registryprocess.cpp
@@ -29,7 +29,7 @@
         , engine(loop, settings, codec, this->metrics, this->log,
                  [this](const std::string &reason) { this->fail(reason); })
         , rpcServer(loop, { maxInternalConnections, RpcServerLimits().idleTimeout },
-                    kj::heap<RegistryService>(this->engine))
+                    kj::heap<RegistryService>(loop, this->engine))
         , control(loop, this->engine, codec, this->log)
         , metricsServer(loop, this->metrics, [this] { this->updateMetrics(); })
         , watcher(loop, settingsFile, this->log, [this](const SiteSettings &changed) {
@@ -64,6 +64,7 @@
 
 std::string RegistryProcess::start()
 {
+    logSlowIterations(this->loop, this->log);
     const auto &role = std::get<RegistrySettings>(this->settings.role);
     this->log.write({ "start",
                       Event::Weight::Always,
@@ -119,6 +120,7 @@
     this->metrics.gauge("cassiaroad_registry_leads", "1 if this host leads its group.")
             .Set(this->engine.member().isLeader() ? 1.0 : 0.0);
     updateLogGauges(this->metrics, this->log);
+    updateWorkGauges(this->metrics, this->loop.workMeter());
 }
 
 } // namespace
--- a/src/registry/registryservice.cpp
+++ b/src/registry/registryservice.cpp
@@ -19,8 +19,9 @@
 
 } // namespace
 
-RegistryService::RegistryService(RegistryEngine &engine)
-    : engine(engine)
+RegistryService::RegistryService(EventLoop &loop, RegistryEngine &engine)
+    : loop(loop)
+    , engine(engine)
 { }
 
 kj::Promise<void> RegistryService::deliver(DeliverContext context)
@@ -32,11 +33,13 @@
 
 kj::Promise<void> RegistryService::watch(WatchContext context)
 {
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::WatchReports);
     auto report = decodeGatewayReport(view(context.getParams().getReport()));
     KJ_REQUIRE(report.has_value(), "the report of a gateway cannot be decoded");
     context.releaseParams();
     return this->engine.watch(std::move(*report))
-            .then([context](const GatewayWatchReply &reply) mutable {
+            .then([this, context](const GatewayWatchReply &reply) mutable {
+                const WorkMeter::Scope replyScope(this->loop.workMeter(), Work::WatchReplies);
                 context.getResults().setAnswer(toData(encode(reply)));
             });
 }
--- a/src/registry/registryservice.h
+++ b/src/registry/registryservice.h
@@ -9,14 +9,15 @@
 class RegistryService final : public rpc::Registry::Server
 {
 public:
-    /** @p engine must outlive the service and its calls. */
-    explicit RegistryService(RegistryEngine &engine);
+    /** The arguments must outlive the service and its calls. */
+    RegistryService(EventLoop &loop, RegistryEngine &engine);
 
     kj::Promise<void> deliver(DeliverContext context) override;
     kj::Promise<void> watch(WatchContext context) override;
     kj::Promise<void> join(JoinContext context) override;
 
 private:
+    EventLoop &loop;
     RegistryEngine &engine;
 };
 
--- a/tools/registryload.cpp
+++ b/tools/registryload.cpp
@@ -1,11 +1,14 @@
 /**
  * Measures what a leading registry spends on the decisions for a large site: heartbeats of many
  * upstreams, reports of many gateways, moves of busy keys. Runs the pure code at virtual time and
- * prints the processor time of each step. Usage: registryload [UPSTREAMS GATEWAYS REQUESTS/S]
+ * prints the processor time of each step, and that of the busiest second. With LEAVING, so many
+ * upstreams announce their shutdown in the middle of the run. Usage: registryload [UPSTREAMS GATEWAYS
+ * REQUESTS/S [LEAVING]]
  */
 #include "version/registrymanager.h"
 #include "version/routingchange.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cmath>
@@ -24,6 +27,13 @@
 constexpr std::int64_t refreshInterval = 200;
 constexpr std::int64_t commitDelay = 40;
 constexpr std::int64_t releaseDelay = 10;
+// From the start of the run until upstreams begin to leave, and until the last one has announced it.
+constexpr std::int64_t leaveTime = 10000;
+constexpr std::int64_t leaveDuration = 600;
+// A leaving upstream sends heartbeats at this interval until it has released all keys, which it does
+// when the requests in progress have ended.
+constexpr std::int64_t releaseHeartbeatInterval = 100;
+constexpr std::int64_t maxReleaseDuration = 800;
 const std::string service = "ledger";
 
 enum Step { Report, Response, Due, Gateways, Table, Change, Update, StepCount };
@@ -36,12 +46,13 @@
 {
     UpstreamReport report;
     std::int64_t nextHeartbeat = 0;
+    std::int64_t leavesAt = 0; // 0: stays
 };
 
 class RegistryLoadRun
 {
 public:
-    RegistryLoadRun(int upstreams, int gateways, double requests)
+    RegistryLoadRun(int upstreams, int gateways, double requests, int leaving)
         : manager(this->state, timing())
         , gatewayCount(gateways)
         , requestsPerSecond(requests)
@@ -59,6 +70,9 @@
             upstream.report.zone = "a";
             upstream.report.slots = 6;
             upstream.nextHeartbeat = this->now + i * heartbeatInterval / upstreams;
+            if (i < leaving) {
+                upstream.leavesAt = this->now + leaveTime + i * leaveDuration / leaving;
+            }
             this->upstreams.push_back(upstream);
         }
     }
@@ -69,11 +83,15 @@
         std::int64_t nextReport = this->now;
         int gateway = 0;
         for (; this->now < end; ++this->now) {
+            if (this->now % 1000 == 0) {
+                this->startSecond();
+            }
             while (!this->commits.empty() && this->commits.front().first <= this->now) {
                 this->apply(this->commits.front().second);
                 this->commits.pop_front();
             }
             for (LoadedUpstream &upstream : this->upstreams) {
+                this->announceLeaving(upstream);
                 if (upstream.nextHeartbeat <= this->now) {
                     this->sendHeartbeat(upstream);
                 }
@@ -101,8 +119,9 @@
             millisecondsPerSecond += this->elapsed[i] / runMilliseconds;
         }
         const auto &ranges = this->state.ranges().at(service).owners();
-        std::printf("all %.2f ms a second, %zu ranges, %d transfers\n", millisecondsPerSecond,
-                    ranges.size(), this->transfers);
+        std::printf("all %.2f ms a second, %.2f ms in the busiest, %zu ranges, %d transfers\n",
+                    millisecondsPerSecond, this->busiestSecond / 1000.0, ranges.size(),
+                    this->transfers);
     }
 
 private:
@@ -120,13 +139,36 @@
     {
         const auto start = std::chrono::steady_clock::now();
         auto result = work();
-        this->elapsed[step] += std::chrono::duration<double, std::micro>(
-                                       std::chrono::steady_clock::now() - start)
-                                       .count();
+        const double duration = std::chrono::duration<double, std::micro>(
+                                        std::chrono::steady_clock::now() - start)
+                                        .count();
+        this->elapsed[step] += duration;
+        this->secondElapsed += duration;
         ++this->counts[step];
         return result;
     }
 
+    void startSecond()
+    {
+        this->busiestSecond = std::max(this->busiestSecond, this->secondElapsed);
+        this->secondElapsed = 0.0;
+    }
+
+    void announceLeaving(LoadedUpstream &upstream)
+    {
+        if (upstream.leavesAt != 0 && upstream.leavesAt <= this->now && !upstream.report.draining) {
+            upstream.report.draining = true;
+            upstream.nextHeartbeat = this->now;
+        }
+    }
+
+    // Whether a leaving upstream still has requests in progress for its keys.
+    bool isFinishingRequests(const LoadedUpstream &upstream) const
+    {
+        const std::int64_t duration = upstream.report.incarnation.born % maxReleaseDuration;
+        return upstream.report.draining && this->now < upstream.leavesAt + duration;
+    }
+
     void propose(const std::vector<RegistryCommand> &commands)
     {
         for (const RegistryCommand &command : commands) {
@@ -155,9 +197,13 @@
                 Response, [&] { return this->manager.respond(report, { this->now }); });
         upstream.nextHeartbeat = this->now + heartbeatInterval;
         const bool releases = response.leases.size() < report.leases.size();
-        report.leases = response.leases;
-        if (releases) {
-            upstream.nextHeartbeat = this->now + releaseDelay;
+        if (this->isFinishingRequests(upstream)) {
+            upstream.nextHeartbeat = this->now + releaseHeartbeatInterval;
+        } else {
+            report.leases = response.leases;
+            if (releases) {
+                upstream.nextHeartbeat = this->now + releaseDelay;
+            }
         }
         if (this->manager.isReleasingFrom(report.incarnation)) {
             this->proposeDueCommands();
@@ -234,6 +280,8 @@
     std::mt19937 random { 1 };
     std::array<double, StepCount> elapsed {};
     std::array<int, StepCount> counts {};
+    double secondElapsed = 0.0; // microseconds in the present second
+    double busiestSecond = 0.0; // microseconds
 };
 
 } // namespace
@@ -243,7 +291,8 @@
     const int upstreams = argc > 1 ? std::atoi(argv[1]) : 400;
     const int gateways = argc > 2 ? std::atoi(argv[2]) : 77;
     const double requests = argc > 3 ? std::atof(argv[3]) : 2300.0;
-    RegistryLoadRun run(upstreams, gateways, requests);
+    const int leaving = argc > 4 ? std::atoi(argv[4]) : 0;
+    RegistryLoadRun run(upstreams, gateways, requests, leaving);
     run.run();
     run.print();
     return 0;
