version: Keep decisions cheap while many ranges change their owners

What callers saw (CONFIG): 404 for routes of a configuration that had been acknowledged 2.5 s and more before; 69 of 77 gateways lost the leader for up to 5 s.

Cause: two costs that are products. The routing table checked each of about 1,000 ranges against each moving range, and a committed transfer copied and sorted the whole owner table for each of its ranges. When a fifth of the upstreams leaves at once, the leader's loop was blocked for longer than its lease (420 ms): it turned gateways, upstreams and operators away, who came back through the other hosts.

After: moving ranges are kept by their keys (MovingRanges), transfers are merged in one pass.

Conclusion: the product of two sizes was the cause, not the large configuration.

--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -14,25 +14,6 @@
 // heartbeats of hundreds of upstreams would cause a search while new upstreams wait for keys.
 constexpr Milliseconds minPlanInterval { 25 };
 
-// Returns the parts of @p ranges that @p removed does not contain.
-std::vector<KeyRange> without(const std::vector<KeyRange> &ranges, const KeyRange &removed)
-{
-    std::vector<KeyRange> parts;
-    for (const KeyRange &range : ranges) {
-        if (!range.overlaps(removed)) {
-            parts.push_back(range);
-            continue;
-        }
-        if (range.from < removed.from) {
-            parts.push_back({ range.from, removed.from - 1 });
-        }
-        if (removed.to < range.to) {
-            parts.push_back({ removed.to + 1, range.to });
-        }
-    }
-    return parts;
-}
-
 } // namespace
 
 RangeSupervisor::RangeSupervisor(std::string service, RangeTiming timing)
@@ -42,11 +23,10 @@
 
 void RangeSupervisor::startTerm()
 {
-    this->releasing.clear();
+    this->moving.clear();
     this->handovers.clear();
     this->leavingSince.clear();
     this->lastMoveAt.clear();
-    this->transfersInFlight.clear();
 }
 
 void RangeSupervisor::addLoad(KeyNumber key, std::uint32_t requests, TimePoint now)
@@ -88,37 +68,13 @@
     return result;
 }
 
-// Whether a part of @p range is being released or transferred.
-bool RangeSupervisor::isMoving(const KeyRange &range) const
-{
-    const auto overlaps = [&](const auto &moving) { return moving.range.overlaps(range); };
-    return std::any_of(this->releasing.begin(), this->releasing.end(), overlaps)
-           || std::any_of(this->transfersInFlight.begin(), this->transfersInFlight.end(), overlaps);
-}
-
-// Returns the parts of @p entry that its owner keeps: those that are neither being released nor
-// transferred.
-std::vector<KeyRange> RangeSupervisor::retainedParts(const RangeOwner &entry) const
-{
-    std::vector<KeyRange> parts { entry.range };
-    for (const ReleasingRange &release : this->releasing) {
-        if (release.from == entry.owner) {
-            parts = without(parts, release.range);
-        }
-    }
-    for (const RangeTransfer &transfer : this->transfersInFlight) {
-        parts = without(parts, transfer.range);
-    }
-    return parts;
-}
-
 // Starts the release of all ranges of @p incarnation, which leaves.
 void RangeSupervisor::releaseAll(const UpstreamIncarnation &incarnation,
                                  const RangeContext &context)
 {
     std::vector<KeyRange> ranges;
     for (const RangeOwner &entry : this->table(context)->owners()) {
-        if (entry.owner == incarnation && !this->isMoving(entry.range)) {
+        if (entry.owner == incarnation && !this->moving.overlaps(entry.range)) {
             ranges.push_back(entry.range);
         }
     }
@@ -129,17 +85,11 @@
             = this->placementCandidates(context, this->timing.release);
     RangePlanner planner({ *this->table(context), this->load, candidates });
     for (const RangeTransfer &transfer : planner.replaceOwner(ranges)) {
-        this->releasing.push_back({ transfer.range, incarnation, transfer.to });
+        this->moving.add({ transfer.range, incarnation, transfer.to });
         ++this->changes;
     }
 }
 
-bool RangeSupervisor::isReleasingFrom(const UpstreamIncarnation &incarnation) const
-{
-    return std::any_of(this->releasing.begin(), this->releasing.end(),
-                       [&](const ReleasingRange &release) { return release.from == incarnation; });
-}
-
 // Updates the set of overloaded upstreams. This adds up the load of all keys, so it is done a few
 // times a second and not at each heartbeat.
 void RangeSupervisor::findOverloaded(const RangeContext &context)
@@ -159,6 +109,18 @@
     }
 }
 
+// Returns the upstreams that are to receive a range once its owner has released it.
+std::set<UpstreamIncarnation> RangeSupervisor::receiversOfReleases() const
+{
+    std::set<UpstreamIncarnation> receivers;
+    for (const auto &[firstKey, range] : this->moving.all()) {
+        if (!range.transferProposed) {
+            receivers.insert(range.to);
+        }
+    }
+    return receivers;
+}
+
 // Starts the release of all ranges of @p incarnation if it leaves, or of one range if it is
 // overloaded.
 void RangeSupervisor::planReleases(const UpstreamIncarnation &incarnation,
@@ -179,23 +141,22 @@
     const bool movedRecently = moved != this->lastMoveAt.end()
                                && context.now - moved->second < this->timing.minMoveInterval;
     const bool plannedRecently = context.now - this->plannedAt < minPlanInterval;
-    if (movedRecently || plannedRecently || this->isReleasingFrom(incarnation)) {
+    if (movedRecently || plannedRecently || this->moving.isReleasingFrom(incarnation)) {
         return;
     }
     this->plannedAt = context.now;
     std::vector<PlacementCandidate> candidates
             = this->placementCandidates(context, this->timing.release);
+    const std::set<UpstreamIncarnation> receivers = this->receiversOfReleases();
     for (PlacementCandidate &candidate : candidates) {
-        candidate.hasIncomingKeys = std::any_of(
-                this->releasing.begin(), this->releasing.end(),
-                [&](const ReleasingRange &release) { return release.to == candidate.incarnation; });
+        candidate.hasIncomingKeys = receivers.contains(candidate.incarnation);
     }
     RangePlanner planner({ *this->table(context), this->load, candidates });
     const std::optional<RangeTransfer> transfer = planner.relieve(incarnation);
-    if (!transfer || this->isMoving(transfer->range)) {
+    if (!transfer || this->moving.overlaps(transfer->range)) {
         return;
     }
-    this->releasing.push_back({ transfer->range, incarnation, transfer->to });
+    this->moving.add({ transfer->range, incarnation, transfer->to });
     ++this->changes;
     this->lastMoveAt[incarnation] = context.now;
 }
@@ -213,7 +174,7 @@
         if (entry.owner != incarnation) {
             continue;
         }
-        for (const KeyRange &part : this->retainedParts(entry)) {
+        for (const KeyRange &part : this->moving.retainedParts(entry.range)) {
             leases.push_back({ part, entry.fence, entry.handover });
         }
     }
@@ -264,39 +225,48 @@
     return RangePlanner::firstAssignment(candidates);
 }
 
-// Returns the transfers of the ranges whose release is finished, and removes these from
-// `releasing`.
+// Returns the transfers of the ranges whose release is finished, and removes these from the moving
+// ranges.
 std::vector<RangeTransfer> RangeSupervisor::finishReleases(const RangeContext &context)
 {
-    std::vector<RangeTransfer> transfers;
-    std::vector<ReleasingRange> unfinished;
-    std::vector<ReleasingRange> finished;
-    for (const ReleasingRange &release : this->releasing) {
-        const RangeOwner *entry = this->table(context)->find(release.range.from);
+    std::vector<MovingRange> ended; // also those that have another owner by now
+    std::vector<MovingRange> released;
+    for (const auto &[firstKey, release] : this->moving.all()) {
+        const RangeOwner *entry = this->table(context)->find(firstKey);
         if (entry == nullptr || entry->owner != release.from) {
-            continue;
+            ended.push_back(release);
+        } else if (context.rangeLeases.isReleased(this->service, *entry, release.range,
+                                                  context.now)) {
+            ended.push_back(release);
+            released.push_back(release);
         }
-        if (!context.rangeLeases.isReleased(this->service, *entry, release.range, context.now)) {
-            unfinished.push_back(release);
-            continue;
-        }
-        finished.push_back(release);
     }
-    if (!finished.empty()) {
-        // Requests in progress can delay a release, so by now another target may send its next
-        // heartbeat sooner than the planned one.
-        const std::vector<PlacementCandidate> candidates
-                = this->placementCandidates(context, this->timing.commitDuration);
-        RangePlanner planner({ *this->table(context), this->load, candidates });
-        for (const ReleasingRange &release : finished) {
-            if (const auto to = planner.targetOf(release.range, release.from, release.to)) {
-                transfers.push_back(
-                        { release.range, *to, this->handoverOf(release.from, release.range) });
-            }
+    for (const MovingRange &release : ended) {
+        this->moving.remove(release.range);
+    }
+    this->changes += ended.empty() ? 0 : 1;
+    return this->transfersOf(released, context);
+}
+
+// Returns the transfers of ranges that their owners have released.
+std::vector<RangeTransfer> RangeSupervisor::transfersOf(const std::vector<MovingRange> &released,
+                                                        const RangeContext &context) const
+{
+    std::vector<RangeTransfer> transfers;
+    if (released.empty()) {
+        return transfers;
+    }
+    // Requests in progress can delay a release, so by now another target may send its next
+    // heartbeat sooner than the planned one.
+    const std::vector<PlacementCandidate> candidates
+            = this->placementCandidates(context, this->timing.commitDuration);
+    RangePlanner planner({ *this->table(context), this->load, candidates });
+    for (const MovingRange &release : released) {
+        if (const auto to = planner.targetOf(release.range, release.from, release.to)) {
+            transfers.push_back(
+                    { release.range, *to, this->handoverOf(release.from, release.range) });
         }
     }
-    this->changes += unfinished.size() == this->releasing.size() ? 0 : 1;
-    this->releasing = std::move(unfinished);
     return transfers;
 }
 
@@ -308,7 +278,7 @@
     std::vector<KeyRange> ownerless;
     std::vector<RangeTransfer> transfers;
     for (const RangeOwner &entry : this->table(context)->owners()) {
-        if (this->isUsable(entry.owner, context) || this->isMoving(entry.range)) {
+        if (this->isUsable(entry.owner, context) || this->moving.overlaps(entry.range)) {
             continue;
         }
         const bool hasEnded = context.state.find(entry.owner) == nullptr;
@@ -338,11 +308,12 @@
 std::vector<RangeTransfer> RangeSupervisor::dueTransfers(const RangeContext &context)
 {
     this->load.decay(context.now);
-    if (!this->transfersInFlight.empty()) {
+    if (this->moving.hasProposed()) {
         return {};
     }
     std::vector<RangeTransfer> transfers;
-    if (this->table(context) == nullptr) {
+    const RangeTable *ranges = this->table(context);
+    if (ranges == nullptr) {
         transfers = this->firstTransfers(context);
     } else {
         this->findOverloaded(context);
@@ -358,7 +329,12 @@
             }
         }
     }
-    this->transfersInFlight = transfers;
+    for (const RangeTransfer &transfer : transfers) {
+        const RangeOwner *entry = ranges == nullptr ? nullptr : ranges->find(transfer.range.from);
+        this->moving.add({ transfer.range,
+                           entry == nullptr ? UpstreamIncarnation() : entry->owner, transfer.to,
+                           true });
+    }
     return transfers;
 }
 
@@ -390,18 +366,13 @@
         return result;
     }
     for (const RangeOwner &entry : ranges->owners()) {
-        for (const ReleasingRange &release : this->releasing) {
-            if (release.from == entry.owner && entry.range.contains(release.range)) {
-                result.push_back({ release.range, release.to.id, RangePhase::Releasing });
-            }
-        }
-        for (const RangeTransfer &transfer : this->transfersInFlight) {
-            if (entry.range.contains(transfer.range)) {
-                result.push_back({ transfer.range, transfer.to.id, RangePhase::Releasing });
+        for (const MovingRange &range : this->moving.within(entry.range)) {
+            if (entry.range.contains(range.range)) {
+                result.push_back({ range.range, range.to.id, RangePhase::Releasing });
             }
         }
         const RangePhase phase = this->phaseOf(entry, context);
-        for (const KeyRange &part : this->retainedParts(entry)) {
+        for (const KeyRange &part : this->moving.retainedParts(entry.range)) {
             result.push_back({ part, entry.owner.id, phase });
         }
     }
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "version/movingranges.h"
 #include "version/rangeleasetable.h"
 #include "version/rangeplanner.h"
 #include "version/registrystate.h"
@@ -75,25 +76,20 @@
     std::vector<RangeTransfer> dueTransfers(const RangeContext &context);
 
     /** Handles the end of the transfers in flight: they were committed, or never will be. */
-    void onTransfersEnded() { this->transfersInFlight.clear(); }
+    void onTransfersEnded() { this->moving.removeProposed(); }
 
     /** Number of changes of routedRanges() that neither a commit nor a first lease caused. */
     std::uint64_t changeCount() const { return this->changes; }
     /** Whether @p incarnation has to release a range, and the release is not finished. */
-    bool isReleasingFrom(const UpstreamIncarnation &incarnation) const;
+    bool isReleasingFrom(const UpstreamIncarnation &incarnation) const
+    {
+        return this->moving.isReleasingFrom(incarnation);
+    }
 
     /** Returns the ranges of the service for the routing table, ascending. */
     std::vector<RoutedRange> routedRanges(const RangeContext &context) const;
 
 private:
-    /** A range that its owner has to release, and its next owner as planned. */
-    struct ReleasingRange
-    {
-        KeyRange range;
-        UpstreamIncarnation from;
-        UpstreamIncarnation to;
-    };
-
     /** A released range with the handover of its previous owner. */
     struct Handover
     {
@@ -109,17 +105,19 @@
     void releaseAll(const UpstreamIncarnation &incarnation, const RangeContext &context);
     std::vector<RangeTransfer> firstTransfers(const RangeContext &context) const;
     std::vector<RangeTransfer> finishReleases(const RangeContext &context);
+    std::vector<RangeTransfer> transfersOf(const std::vector<MovingRange> &released,
+                                           const RangeContext &context) const;
+    std::set<UpstreamIncarnation> receiversOfReleases() const;
     std::vector<RangeTransfer> replaceUnavailableOwners(const RangeContext &context) const;
     void findOverloaded(const RangeContext &context);
     std::string handoverOf(const UpstreamIncarnation &from, const KeyRange &range) const;
-    bool isMoving(const KeyRange &range) const;
-    std::vector<KeyRange> retainedParts(const RangeOwner &entry) const;
     RangePhase phaseOf(const RangeOwner &entry, const RangeContext &context) const;
 
     std::string service;
     RangeTiming timing;
     KeyLoad load;
-    std::vector<ReleasingRange> releasing;
+    // No upstream is granted a lease on these ranges meanwhile.
+    MovingRanges moving;
     std::vector<Handover> handovers;
     std::map<UpstreamIncarnation, TimePoint> leavingSince;
     std::map<UpstreamIncarnation, TimePoint> lastMoveAt;
@@ -127,8 +125,6 @@
     TimePoint overloadCheckedAt; // when `overloaded` was updated
     TimePoint plannedAt; // time of the last search for a range to release
     std::uint64_t changes = 0;
-    // Proposed and not yet committed. No upstream is granted a lease on their ranges meanwhile.
-    std::vector<RangeTransfer> transfersInFlight;
 };
 
 } // namespace cassiaroad
--- a/src/version/rangetable.h
+++ b/src/version/rangetable.h
@@ -49,7 +49,7 @@
     bool operator==(const RangeTable &) const = default;
 
 private:
-    void removeRange(const KeyRange &range);
+    void assign(std::vector<RangeOwner> assigned);
 
     std::vector<RangeOwner> ownerList;
     FencingToken fence = 0;
--- a/tests/version/test_rangetable.cpp
+++ b/tests/version/test_rangetable.cpp
@@ -38,6 +38,29 @@
     RC_ASSERT(next == keyCount);
 }
 
+// Guards against a batch of transfers with another result than the same transfers one by one, with
+// ranges that overlap each other, entries of the table or gaps between them.
+RC_GTEST_PROP(RangeTable, assignsABatchLikeSingleTransfers, ())
+{
+    RangeTable batched;
+    RangeTable single;
+    const auto batches = *rc::gen::inRange(1, 8);
+    int number = 0;
+    for (int batch = 0; batch < batches; ++batch) {
+        std::vector<RangeTransfer> transfers;
+        const auto count = *rc::gen::inRange(1, 12);
+        const auto maxSize = *rc::gen::element<KeyNumber>(8, 40);
+        for (int i = 0; i < count; ++i) {
+            const auto from = *rc::gen::inRange<KeyNumber>(0, 200);
+            const auto size = *rc::gen::inRange<KeyNumber>(1, maxSize);
+            transfers.push_back({ { from, from + size - 1 }, incarnation(++number), "h" });
+            single.transfer({ transfers.back() });
+        }
+        batched.transfer(transfers);
+        RC_ASSERT(batched == single);
+    }
+}
+
 // Guards against a lookup of a key without an owner that returns the neighbouring range.
 TEST(RangeTable, findsNothingInAGap)
 {
