registry: Let calls wait for the renewal of the leader's lease

What callers saw: during the incident, gateways logged control_lost though their leader kept leading; its watch calls fell from 640 to 9 a second while they kept asking.

Cause: a leader whose loop was busy has the replies that renew its lease in its sockets, behind the calls that arrived with them. It answered those calls as if it were not the leader. Each caller then asked the other hosts, which named the same leader: the busier it was, the more calls it got.

Before: RegistryEngine.answersCallsOnceItsLeaseIsRenewed is red without the wait (the watch call gets a hint, the heartbeat "not leading").

Conclusion: removes the amplification, whatever makes the leader slow; it is not the first cause.

--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -142,12 +142,13 @@
 
 void ControlService::handleRead(const Exchange &exchange)
 {
-    const ReadResult result = this->engine.read();
-    if (const auto *document = std::get_if<ConfigurationDocument>(&result)) {
-        answer(exchange, statusOk, document->text);
-        return;
-    }
-    this->redirect(exchange, std::get<NotLeading>(result));
+    this->engine.read([this, exchange](const ReadResult &result) {
+        if (const auto *document = std::get_if<ConfigurationDocument>(&result)) {
+            answer(exchange, statusOk, document->text);
+            return;
+        }
+        this->redirect(exchange, std::get<NotLeading>(result));
+    });
 }
 
 } // namespace cassiaroad
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -24,6 +24,9 @@
 // waiting gateway. Notifying one gateway takes a slow leader a good part of a millisecond.
 constexpr Milliseconds minNotifyInterval { 30 };
 constexpr Milliseconds notifyIntervalPerGateway { 3 };
+// How long a call waits for the confirmation of the leader's lease. Upstreams and operators try
+// another host after a second.
+constexpr Milliseconds maxLeaseWait { 400 };
 constexpr Milliseconds watchLoadInterval { 1000 };
 
 // Returns the lease duration on the clock of an upstream. It allows for two lost heartbeats and for
@@ -76,7 +79,10 @@
               [this](std::uint64_t proposal) {
                   this->endProposal(proposal, false, PutOutcome::Conflict);
               },
-              [this] { this->checkLeadership(); },
+              [this] {
+                  this->checkLeadership();
+                  this->runLeaseWaits();
+              },
               [this] { return this->state.encode(); },
               {},
               std::move(failed) })
@@ -218,8 +224,41 @@
     this->manager.setConfiguration(std::make_shared<const SiteConfiguration>(*configuration));
 }
 
+// Runs @p action at once, unless this host is the leader and its lease has expired. A busy leader
+// reads the replies that renew its lease after the calls that arrived with them. If it answered
+// those as if it were not the leader, the callers would come back through the other hosts and keep
+// it busy.
+void RegistryEngine::whenLeadershipIsCertain(std::function<void()> action)
+{
+    if (!this->isLeadershipUncertain()) {
+        action();
+        return;
+    }
+    this->leaseWaits.push_back({ this->loop.now(), std::move(action) });
+}
+
+// Runs the waiting calls if the lease is confirmed or the leadership has ended, and those that have
+// waited for too long.
+void RegistryEngine::runLeaseWaits()
+{
+    const TimePoint oldest = this->loop.now() - maxLeaseWait;
+    while (!this->leaseWaits.empty()
+           && (!this->isLeadershipUncertain() || this->leaseWaits.front().since <= oldest)) {
+        const std::function<void()> action = std::move(this->leaseWaits.front().action);
+        this->leaseWaits.pop_front();
+        action();
+    }
+}
+
 void RegistryEngine::handleHeartbeat(const UpstreamReport &report,
                                      const std::function<void(HeartbeatResult)> &done)
+{
+    this->whenLeadershipIsCertain(
+            [this, report, done] { this->handleCertainHeartbeat(report, done); });
+}
+
+void RegistryEngine::handleCertainHeartbeat(const UpstreamReport &report,
+                                            const std::function<void(HeartbeatResult)> &done)
 {
     if (!this->canAnswer()) {
         done(this->notLeading());
@@ -272,7 +311,14 @@
 }
 
 void RegistryEngine::leave(const UpstreamIncarnation &incarnation,
-                           std::function<void(LeaveResult)> done)
+                           const std::function<void(LeaveResult)> &done)
+{
+    this->whenLeadershipIsCertain(
+            [this, incarnation, done] { this->handleCertainLeave(incarnation, done); });
+}
+
+void RegistryEngine::handleCertainLeave(const UpstreamIncarnation &incarnation,
+                                        const std::function<void(LeaveResult)> &done)
 {
     if (!this->canAnswer()) {
         done(this->notLeading());
@@ -284,12 +330,19 @@
         done(std::monostate {});
         return;
     }
-    this->commit(commands, [done = std::move(done)](bool committed, PutOutcome) {
+    this->commit(commands, [done](bool committed, PutOutcome) {
         done(committed ? LeaveResult(std::monostate {}) : LeaveResult(CallOutcomeUnknown {}));
     });
 }
 
-void RegistryEngine::put(const PutConfigurationCall &call, std::function<void(PutResult)> done)
+void RegistryEngine::put(const PutConfigurationCall &call,
+                         const std::function<void(PutResult)> &done)
+{
+    this->whenLeadershipIsCertain([this, call, done] { this->handleCertainPut(call, done); });
+}
+
+void RegistryEngine::handleCertainPut(const PutConfigurationCall &call,
+                                      const std::function<void(PutResult)> &done)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::OperatorCalls);
     if (!this->canAnswer() || !this->group.hasEnoughVoters()) {
@@ -313,17 +366,20 @@
         done(expected);
         return;
     }
-    this->commit({ command }, [done = std::move(done)](bool committed, PutOutcome outcome) {
+    this->commit({ command }, [done](bool committed, PutOutcome outcome) {
         done(committed ? PutResult(outcome) : PutResult(CallOutcomeUnknown {}));
     });
 }
 
-ReadResult RegistryEngine::read() const
+void RegistryEngine::read(const std::function<void(ReadResult)> &done)
 {
-    if (!this->canAnswer() || this->state.version() == 0) {
-        return this->notLeading();
-    }
-    return ConfigurationDocument { unpackText(this->state.document()).value_or("") };
+    this->whenLeadershipIsCertain([this, done] {
+        if (!this->canAnswer() || this->state.version() == 0) {
+            done(this->notLeading());
+            return;
+        }
+        done(ConfigurationDocument { unpackText(this->state.document()).value_or("") });
+    });
 }
 
 // Whether the gateway has the present routing table and configuration.
@@ -338,8 +394,9 @@
     return std::clamp(watchTimeoutPerGateway * gateways, minWatchTimeout, maxWatchTimeout);
 }
 
-// Returns the reply to a watch call: what the gateway does not have yet, or a hint to the leader.
-GatewayWatchReply RegistryEngine::update(const GatewayReport &report)
+// Returns the reply to a watch call that arrived at @p calledAt: what the gateway does not have yet,
+// or a hint to the leader.
+GatewayWatchReply RegistryEngine::update(const GatewayReport &report, TimePoint calledAt)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::WatchReplies);
     if (!this->canAnswer()) {
@@ -367,7 +424,29 @@
     return update;
 }
 
+// Resolves when whenLeadershipIsCertain() would run an action.
+kj::Promise<void> RegistryEngine::certainLeadership()
+{
+    if (!this->isLeadershipUncertain()) {
+        return kj::READY_NOW;
+    }
+    auto paf = kj::newPromiseAndFulfiller<void>();
+    const auto fulfiller
+            = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
+    this->whenLeadershipIsCertain([fulfiller] { (*fulfiller)->fulfill(); });
+    return kj::mv(paf.promise);
+}
+
 kj::Promise<GatewayWatchReply> RegistryEngine::watch(GatewayReport report)
+{
+    const TimePoint calledAt = this->loop.now();
+    return this->certainLeadership().then([this, calledAt, report = std::move(report)]() mutable {
+        return this->handleCertainWatch(std::move(report), calledAt);
+    });
+}
+
+kj::Promise<GatewayWatchReply> RegistryEngine::handleCertainWatch(GatewayReport report,
+                                                                  TimePoint calledAt)
 {
     if (!this->canAnswer()) {
         return GatewayWatchReply(this->group.hint());
@@ -375,12 +454,15 @@
     ++this->watchLoad.calls;
     this->manager.onGatewayReport(report, this->loop.now());
     if (!this->isCurrent(report)) {
-        return this->update(report);
+        return this->update(report, calledAt);
     }
     auto paf = kj::newPromiseAndFulfiller<void>();
     this->waitingCalls.push_back(kj::mv(paf.fulfiller));
     return paf.promise.exclusiveJoin(rpcDelay(this->loop, this->watchTimeout()))
-            .then([this, report = std::move(report)] { return this->update(report); });
+            .then([this] { return this->certainLeadership(); })
+            .then([this, calledAt, report = std::move(report)] {
+                return this->update(report, calledAt);
+            });
 }
 
 kj::Promise<GroupHint> RegistryEngine::join(const JoinRequest &request)
@@ -461,6 +543,7 @@
 void RegistryEngine::tick()
 {
     this->waitingCalls.remove_if([](auto &waiter) { return !waiter->isWaiting(); });
+    this->runLeaseWaits();
     if (!this->canAnswer()) {
         return;
     }
@@ -489,6 +572,13 @@
                         { "document_bytes", load.documentBytes },
                         { "tables", load.tables },
                         { "heartbeats", load.heartbeats } } });
+    Event work { "loop_work", Event::Weight::Important, {} };
+    for (std::size_t i = 0; i < workKinds; ++i) {
+        const std::int64_t total = this->loop.workMeter().totalMicroseconds(static_cast<Work>(i));
+        const std::int64_t spent = total - std::exchange(this->workBefore[i], total);
+        work.fields.emplace_back(nameOf(static_cast<Work>(i)), spent / 1000);
+    }
+    this->log.write(work);
 }
 
 void RegistryEngine::logCommand(const RegistryCommand &command, PutOutcome outcome) const
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -7,6 +7,7 @@
 #include "version/routingchange.h"
 #include "version/routingtablehistory.h"
 
+#include <deque>
 #include <functional>
 #include <list>
 
@@ -72,11 +73,12 @@
     void handleHeartbeat(const UpstreamReport &report,
                          const std::function<void(HeartbeatResult)> &done);
     /** Handles the announcement of an upstream that it shuts down; @p done is called once. */
-    void leave(const UpstreamIncarnation &incarnation, std::function<void(LeaveResult)> done);
+    void leave(const UpstreamIncarnation &incarnation,
+               const std::function<void(LeaveResult)> &done);
     /** Checks a configuration and puts it in effect; @p done is called once. */
-    void put(const PutConfigurationCall &call, std::function<void(PutResult)> done);
-    /** Returns the configuration in effect. */
-    ReadResult read() const;
+    void put(const PutConfigurationCall &call, const std::function<void(PutResult)> &done);
+    /** Reads the configuration in effect; @p done is called once. */
+    void read(const std::function<void(ReadResult)> &done);
 
     /**
      * Resolves when the configuration or the routing table differs from those of the gateway, and
@@ -118,6 +120,13 @@
         std::int64_t tables = 0; // built
     };
 
+    /** A call that waits for the confirmation of the leader's lease. */
+    struct LeaseWait
+    {
+        TimePoint since;
+        std::function<void()> action;
+    };
+
     /** A command that was proposed and has neither been committed nor failed. */
     struct Proposal
     {
@@ -136,12 +145,23 @@
     NotLeading notLeading() const { return { this->group.leaderIp() }; }
     void respondToHeartbeat(const UpstreamReport &report,
                             const std::function<void(HeartbeatResult)> &done);
+    void whenLeadershipIsCertain(std::function<void()> action);
+    kj::Promise<void> certainLeadership();
+    bool isLeadershipUncertain() const { return this->group.isLeader() && !this->group.hasLease(); }
+    void runLeaseWaits();
+    void handleCertainHeartbeat(const UpstreamReport &report,
+                                const std::function<void(HeartbeatResult)> &done);
+    void handleCertainLeave(const UpstreamIncarnation &incarnation,
+                            const std::function<void(LeaveResult)> &done);
+    void handleCertainPut(const PutConfigurationCall &call,
+                          const std::function<void(PutResult)> &done);
+    kj::Promise<GatewayWatchReply> handleCertainWatch(GatewayReport report, TimePoint calledAt);
     Milliseconds watchTimeout() const;
     void notifyGateways();
     bool updateTable(TimePoint now);
     void resumeWatchCalls();
     bool isCurrent(const GatewayReport &report) const;
-    GatewayWatchReply update(const GatewayReport &report);
+    GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
     void logCommand(const RegistryCommand &command, PutOutcome outcome) const;
     void tick();
     void logWatchLoad();
@@ -167,8 +187,10 @@
     TimePoint notifiedAt; // when notifyGateways() last compared the table with the previous one
     bool notifyDue = false; // the table may have changed since `notifiedAt`
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
+    std::deque<LeaseWait> leaseWaits; // in order of arrival
     EventLoop::Timer tickTimer;
     WatchLoad watchLoad;
+    std::array<std::int64_t, workKinds> workBefore {};
     EventLoop::Timer watchLoadTimer;
     GroupMember group; // its handlers use the members above
 };
