gateway, version: Time leaving upstreams from the previous update of the leader

What callers saw (DRAIN): a booking reached an upstream 2.88 s after the acknowledgement that it leaves; the bound is 2.5 s.

The announcement can have been acknowledged at any time since the gateway's previous update, and a gateway that the leader had turned away heard of it late. So the time to hear of it was added to the time allowed.

Before: GatewayRequest.sendsNothingToAnUpstreamWhoseAnnouncementArrivedLate is red when the time counts from the arrival. The age of the table in logs and metrics counts in the same way.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -66,7 +66,7 @@
     });
 }
 
-void GatewayCore::update(const GatewayUpdate &update)
+void GatewayCore::update(const GatewayUpdate &update, TimePoint confirmedAt)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::Updates);
     if (update.document && update.version > this->routing.version()) {
@@ -74,9 +74,11 @@
     }
     this->routing.trafficShare = update.trafficShare;
     this->routing.gateways = update.gateways;
-    this->routing.tableConfirmedAt = this->loop.now();
     // The table of a leader of an earlier term has a lower tag and is ignored.
     const bool hasNewTable = this->updateRoutingTable(update);
+    if (this->routing.tableTag == update.tableTag) {
+        this->routing.tableConfirmedAt = confirmedAt;
+    }
     for (const auto &[id, upstream] : this->upstreams) {
         upstream->setShare(update.trafficShare, roundingOffsetOf(this->settings.host + id));
     }
@@ -145,7 +147,8 @@
     this->routing.active = std::make_shared<const ActiveConfiguration>(std::move(configuration));
 }
 
-// Also updates the upstreams; those that are still in the table keep their state.
+// Also updates the upstreams; those that are still in the table keep their state. What the table
+// tells of an upstream for the first time has happened since the leader confirmed the previous one.
 void GatewayCore::setRoutingTable(const RoutingTable &table)
 {
     this->routing.table = std::make_shared<const RoutingTable>(table);
@@ -156,13 +159,13 @@
         const bool isSame = known != this->upstreams.end()
                             && known->second->upstream().incarnation == routed.upstream.incarnation;
         if (isSame) {
-            known->second->setRouted(routed, this->loop.now());
+            known->second->setRouted(routed, this->routing.tableConfirmedAt);
             listed.emplace(id, known->second);
             continue;
         }
         auto added
                 = std::make_shared<GatewayUpstream>(routed, this->distanceTo(routed.upstream.zone));
-        added->setRouted(routed, this->loop.now());
+        added->setRouted(routed, this->routing.tableConfirmedAt);
         listed.emplace(id, std::move(added));
     }
     for (const auto &[id, upstream] : this->upstreams) {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -26,8 +26,8 @@
     GatewayCore(EventLoop &loop, const SiteSettings &settings, const ExternalCodec &codec,
                 Metrics &metrics, EventLog &log);
 
-    /** Applies an update from the leader of the control group. */
-    void update(const GatewayUpdate &update);
+    /** Applies an update that the leader of the control group made at @p confirmedAt or later. */
+    void update(const GatewayUpdate &update, TimePoint confirmedAt);
 
     /** Returns the report to the leader: the requests since the previous call. */
     GatewayReport takeReport();
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -47,7 +47,9 @@
         , core(loop, settings, codec, this->metrics, this->log)
         , watcher(loop, settings, this->log,
                   { [this] { return this->core.takeReport(); },
-                    [this](const GatewayUpdate &update) { this->core.update(update); } })
+                    [this](const GatewayUpdate &update, TimePoint confirmedAt) {
+                        this->core.update(update, confirmedAt);
+                    } })
         , callers(loop, clientLimits(),
                   [this](std::shared_ptr<HttpExchange> exchange) {
                       GatewayRequest::begin(this->core, std::move(exchange));
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -33,9 +33,12 @@
     GatewayUpstream(RoutedUpstream routed, Distance distance);
 
     const SiteUpstream &upstream() const { return this->routed.upstream; }
-    /** Applies the upstream's entry of a routing table that arrived at @p now. */
-    void setRouted(const RoutedUpstream &value, TimePoint now);
-    /** Whether it announced its shutdown so long ago that it no longer gets requests. */
+    /**
+     * Applies the upstream's entry of a routing table. What is new in it has happened after
+     * @p previousTableAt, when the leader confirmed the previous table.
+     */
+    void setRouted(const RoutedUpstream &value, TimePoint previousTableAt);
+    /** Whether it may have announced its shutdown so long ago that it no longer gets requests. */
     bool hasLeft(TimePoint now) const;
     /**
      * Sets the share of the upstream's slots that this gateway may use. It is rounded down after
@@ -88,7 +91,7 @@
     TimePoint lastFailureAt;
     TimePoint suspectedUntil;
     bool replaced = false;
-    std::optional<TimePoint> leavingSince; // when this gateway received its announcement
+    std::optional<TimePoint> leavingSince; // it announced its shutdown then or later
     UpstreamTiming timing;
 };
 
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -125,10 +125,10 @@
 {
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
         this->setConnected(true);
-        this->confirmedAt = this->loop.now();
+        this->confirmedAt = this->calledAt + update->waited;
         this->failedAt.clear();
         this->watchTimeout = update->watchTimeout;
-        this->handlers.update(*update);
+        this->handlers.update(*update, this->confirmedAt);
         this->callAfter(updateDelay);
         return;
     }
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -21,7 +21,8 @@
     struct Handlers
     {
         std::function<GatewayReport()> report; // returns the report since the previous call
-        std::function<void(const GatewayUpdate &)> update; // receives an update of the leader
+        // Receives an update of the leader, and a time at or before which the leader made it.
+        std::function<void(const GatewayUpdate &, TimePoint)> update;
     };
 
     /** The arguments must outlive the watcher. */
@@ -60,7 +61,7 @@
     std::size_t nextIndex = 0;
     std::map<std::string, TimePoint> failedAt; // by ip
     bool connected = false;
-    TimePoint confirmedAt; // last update of the leader
+    TimePoint confirmedAt; // at or before the time when the leader made its last update
     TimePoint calledAt; // when the present call was sent
     std::uint64_t receivedBeforeCall = 0; // bytes
     Milliseconds watchTimeout { 400 }; // as announced by the leader
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -412,6 +412,7 @@
     update.trafficShare = this->manager.trafficShare(report.gateway);
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
+    update.waited = this->loop.now() - calledAt;
     ++this->watchLoad.replies;
     if (update.change) {
         ++(update.fromTag == 0 ? this->watchLoad.fullTables : this->watchLoad.changes);
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -63,7 +63,8 @@
 {
     json value = { { "tag", update.tableTag },      { "fromTag", update.fromTag },
                    { "version", update.version },   { "share", update.trafficShare },
-                   { "gateways", update.gateways }, { "hold", update.watchTimeout.count } };
+                   { "gateways", update.gateways }, { "hold", update.watchTimeout.count },
+                   { "waited", update.waited.count } };
     if (update.change) {
         value["change"] = toBinary(*update.change);
     }
@@ -82,6 +83,7 @@
     update.trafficShare = value.at("share");
     update.gateways = value.at("gateways");
     update.watchTimeout = { value.at("hold").get<std::int64_t>() };
+    update.waited = { value.value("waited", std::int64_t(0)) };
     update.fromTag = value.at("fromTag");
     if (value.contains("change")) {
         update.change = fromBinary(value.at("change"));
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -57,6 +57,7 @@
     double trafficShare = 1.0; // see RegistryManager::trafficShare()
     std::uint32_t gateways = 1; // see RegistryManager::gatewayCount()
     Milliseconds watchTimeout { 400 }; // how long the next call may wait for a change
+    Milliseconds waited; // how long the call waited at the leader before this reply was made
 
     bool operator==(const GatewayUpdate &) const = default;
 };
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -101,6 +101,12 @@
 
     /** Sends the gateway a table in which all keys of the keyed upstream are in @p phase. */
     void publish(RangePhase phase)
+    {
+        this->publish(phase, UpstreamPhase::Ready, this->loop.now());
+    }
+
+    /** As above; the leader made the table, with the upstreams in @p upstreamPhase, at @p madeAt. */
+    void publish(RangePhase phase, UpstreamPhase upstreamPhase, TimePoint madeAt)
     {
         GatewayUpdate update;
         update.version = 1;
@@ -109,13 +115,14 @@
         RoutingTable table;
         for (const std::string &service : { keyedService, plainService }) {
             const SiteUpstream upstream {
-                { "i-" + service, 1 }, service, { "127.0.0.1", this->peer->port }, "a", 6, {}
+                { "i-" + service, 1 }, service, { "127.0.0.1", this->peer->port }, "a", 6,
+                upstreamPhase
             };
             table.upstreams.push_back({ upstream, false, false });
         }
         table.ranges[keyedService] = { { { 0, lastKey }, "i-" + keyedService, phase } };
         update.change = encode(changeBetween({}, table));
-        this->core.update(update);
+        this->core.update(update, madeAt);
     }
 
     std::unique_ptr<RawClient> request(const std::string &method, const std::string &path,
@@ -386,10 +393,33 @@
     update.version = 9;
     update.documentBase = 7;
     update.document = textDelta("1", "2");
-    this->core.update(update);
+    this->core.update(update, this->loop.now());
     EXPECT_EQ(this->core.takeReport().version, 0U);
 }
 
+// Guards against requests to an upstream that announced its shutdown seconds ago, when the gateway
+// hears of the announcement late because it got no updates meanwhile.
+TEST_F(GatewayRequestTest, sendsNothingToAnUpstreamWhoseAnnouncementArrivedLate)
+{
+    this->serve([](FakePeer::Connection &) {});
+    const TimePoint now = this->loop.now();
+    this->publish(RangePhase::Owned, UpstreamPhase::Ready, now - Milliseconds { 2000 });
+    this->publish(RangePhase::Owned, UpstreamPhase::Draining, now);
+    const auto late = this->request("GET", "/read/1");
+    runFor(this->loop, { 200 });
+    EXPECT_TRUE(this->peer->connections.empty());
+}
+
+// Guards against keys that nobody serves while an upstream that has just announced its shutdown still
+// owns them.
+TEST_F(GatewayRequestTest, sendsRequestsToAnUpstreamThatHasJustAnnouncedItsShutdown)
+{
+    this->serve([](FakePeer::Connection &) {});
+    this->publish(RangePhase::Owned, UpstreamPhase::Draining, this->loop.now());
+    const auto client = this->request("GET", "/read/1");
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return !this->peer->connections.empty(); }));
+}
+
 // Guards against cancelling a slow request when there is no capacity to send it again.
 TEST_F(GatewayRequestTest, doesNotCancelASlowRequestWhenTheUpstreamIsBusy)
 {
