gateway: Give watch calls more time after each timeout in a row

Cause: a gateway whose link is full opens no connection within 300 ms. It gave up after the same time at each host, and routed by its old configuration until the load fell.

After: connect and reply timeouts double with each timeout in a row, up to 1.2 s to connect, and are reset by a reply. Refused connections do not count, so the search for a leader that was killed is as fast as before.

Ruled out: a busy leader (no iteration over 100 ms on a control host from 0.5 to 11 s).

--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -38,6 +38,9 @@
         return reply.exclusiveJoin(kj::mv(timedOut)).attach(kj::mv(session));
     }
 
+    /** Sets how long connections that are opened from now on may take to open. */
+    void setConnectTimeout(Milliseconds value) { this->connectTimeout = value; }
+
     /** Address of the member. */
     const HostAddress &peer() const { return this->address; }
 
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-constexpr Milliseconds connectTimeout { 300 };
-// Time for the reply beyond the watch timeout of the leader: it covers the latency, a full link and
-// a busy leader. A call that times out costs the leader a new connection.
-constexpr Milliseconds replyMargin { 700 };
 // How long a member is not called after it failed, if there are others. Other members keep naming a
 // leader that has stopped until they have elected the next one.
 constexpr Milliseconds failedTargetDelay { 800 };
@@ -52,9 +48,10 @@
     auto &connection = this->connections[ip];
     if (!connection) {
         connection = std::make_unique<RpcConnection>(
-                this->loop, HostAddress { ip, this->settings.internalPort }, connectTimeout,
-                this->bytes);
+                this->loop, HostAddress { ip, this->settings.internalPort },
+                this->timeouts.connectTimeout(), this->bytes);
     }
+    connection->setConnectTimeout(this->timeouts.connectTimeout());
     return *connection;
 }
 
@@ -101,7 +98,7 @@
         });
     };
     this->tasks.add(this->connectionTo(this->target)
-                            .call<std::string>(this->watchTimeout + replyMargin, send)
+                            .call<std::string>(this->timeouts.replyTimeout(this->watchTimeout), send)
                             .then(
                                     [this](const std::string &bytes) {
                                         const auto reply = decodeGatewayWatchReply(bytes);
@@ -123,6 +120,7 @@
 
 void RegistryWatcher::onReply(const GatewayWatchReply &reply)
 {
+    this->timeouts.recordReply();
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
         this->setConnected(true);
         this->confirmedAt = this->calledAt + update->waited;
@@ -154,6 +152,7 @@
 void RegistryWatcher::onFailure(const std::string &reason)
 {
     this->logFailure(reason);
+    this->timeouts.recordFailure(this->loop.now() - this->calledAt);
     this->setConnected(false);
     this->failedAt[this->target] = this->loop.now();
     this->target = this->nextTarget();
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/rpcconnection.h"
+#include "gateway/watchtimeouts.h"
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
 #include "version/sitewatch.h"
@@ -65,6 +66,7 @@
     TimePoint calledAt; // when the present call was sent
     std::uint64_t receivedBeforeCall = 0; // bytes
     Milliseconds watchTimeout { 400 }; // as announced by the leader
+    WatchTimeouts timeouts;
     std::map<std::string, std::unique_ptr<RpcConnection>> connections; // by ip
     EventLoop::Timer timer;
     kj::TaskSet tasks;
