connection: Bound what responses without end cost

The users' new term: a server in trouble may send bytes without end, in a head or a body, until the caller closes.

Cause: each response was bounded by 64 MiB of body, but not all of them together, so three at once exceed the memory of a gateway; a declared length was not checked before the body came; interim responses (1xx) had no bound but the request's deadline.

After: a response may grow into half of what is free of 32 MiB, and fails otherwise; a length beyond that fails with the head; more than 16 interim responses fail. Heads, chunk sizes, extensions and trailers without end were bounded by the HTTP parser already; EndlessResponse now shows it for 12 kinds.

Conclusion: bounded memory by these tests; bounded time by the request's deadline.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -47,9 +47,11 @@
 };
 
 HttpCall::HttpCall(std::shared_ptr<IdleConnectionPool> idleConnections, HostAddress server,
-                   HttpRequest request, std::size_t maxResponseBytes)
+                   std::shared_ptr<ResponseMemory> memory, HttpRequest request,
+                   std::size_t maxResponseBytes)
     : idleConnections(std::move(idleConnections))
     , server(std::move(server))
+    , memory(std::move(memory))
     , request(std::move(request))
     , parser(this->request.method == "HEAD", maxResponseBytes)
     , progressAt(this->idleConnections->eventLoop().now())
@@ -58,6 +60,12 @@
 HttpCall::~HttpCall()
 {
     this->closeSocket();
+    this->releaseMemory();
+}
+
+void HttpCall::releaseMemory()
+{
+    this->memory->resize(std::exchange(this->heldBytes, 0), 0);
 }
 
 void HttpCall::closeSocket()
@@ -153,11 +161,9 @@
 
 void HttpCall::onReadable(const char *error)
 {
-    h2o_buffer_t *&input = this->socket->input;
-    if (input->size > 0) {
+    if (this->socket->input->size > 0) {
         this->progressAt = this->idleConnections->eventLoop().now();
-        const ResponseParser::State state = this->parser.feed({ input->bytes, input->size });
-        h2o_buffer_consume(&input, input->size);
+        const ResponseParser::State state = this->parseInput();
         if (state == ResponseParser::State::Invalid) {
             this->fail(HttpFailure::Stage::ResponseTruncated, this->parser.reason());
             return;
@@ -180,6 +186,18 @@
     }
 }
 
+// Parses what has arrived, within the memory that is free for incomplete responses.
+ResponseParser::State HttpCall::parseInput()
+{
+    h2o_buffer_t *&input = this->socket->input;
+    this->parser.limitBody(this->memory->maxSizeOf(this->heldBytes));
+    const ResponseParser::State state = this->parser.feed({ input->bytes, input->size });
+    h2o_buffer_consume(&input, input->size);
+    const std::size_t size = this->parser.response().body.size();
+    this->memory->resize(std::exchange(this->heldBytes, size), size);
+    return state;
+}
+
 // Whether the response may belong to this request. An upstream proves it by repeating the identity
 // header of the request.
 bool HttpCall::isMatchingResponse()
@@ -224,6 +242,7 @@
 void HttpCall::finish(HttpResult result)
 {
     this->closeSocket();
+    this->releaseMemory();
     if (this->starting) {
         this->deferred = this->idleConnections->eventLoop().callAfter(
                 {}, [this, result = std::move(result)]() mutable {
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/idleconnectionpool.h"
+#include "connection/responsememory.h"
 #include "connection/responseparser.h"
 
 namespace cassiaroad {
@@ -13,7 +14,8 @@
     enum class Reuse { Allowed, Never };
 
     HttpCall(std::shared_ptr<IdleConnectionPool> idleConnections, HostAddress server,
-             HttpRequest request, std::size_t maxResponseBytes);
+             std::shared_ptr<ResponseMemory> memory, HttpRequest request,
+             std::size_t maxResponseBytes);
     ~HttpCall() override;
     HttpCall(const HttpCall &) = delete;
     HttpCall &operator=(const HttpCall &) = delete;
@@ -33,6 +35,8 @@
     void write();
     void onWritten(const char *error);
     void onReadable(const char *error);
+    ResponseParser::State parseInput();
+    void releaseMemory();
     bool isMatchingResponse();
     void finishResponse();
     void fail(HttpFailure::Stage stage, std::string reason);
@@ -42,6 +46,8 @@
 
     std::shared_ptr<IdleConnectionPool> idleConnections;
     HostAddress server;
+    std::shared_ptr<ResponseMemory> memory;
+    std::size_t heldBytes = 0; // of the response's body, as recorded in `memory`
     HttpRequest request;
     ResponseParser parser;
     std::function<void(HttpResult)> done;
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -4,13 +4,23 @@
 
 namespace cassiaroad {
 
+namespace {
+
+// Bytes of incomplete responses that all calls together hold. While a response grows, its buffer takes
+// up to three times its size, and a gateway has 160 MB.
+constexpr std::size_t maxBufferedBytes = std::size_t(32) * 1024 * 1024;
+
+} // namespace
+
 struct HttpClient::Private
 {
     explicit Private(EventLoop &loop)
         : idleConnections(std::make_shared<IdleConnectionPool>(loop))
+        , memory(std::make_shared<ResponseMemory>(maxBufferedBytes))
     { }
 
     std::shared_ptr<IdleConnectionPool> idleConnections;
+    std::shared_ptr<ResponseMemory> memory;
 };
 
 HttpClient::HttpClient(EventLoop &loop)
@@ -24,8 +34,8 @@
                                                    std::function<void(HttpResult)> done,
                                                    std::function<bool()> canWrite)
 {
-    auto call = std::make_unique<HttpCall>(this->d->idleConnections, server, std::move(request),
-                                           maxResponseBytes);
+    auto call = std::make_unique<HttpCall>(this->d->idleConnections, server, this->d->memory,
+                                           std::move(request), maxResponseBytes);
     call->start(std::move(done), std::move(canWrite), HttpCall::Reuse::Allowed);
     return call;
 }
@@ -34,8 +44,8 @@
         const HostAddress &server, HttpRequest request, std::size_t maxResponseBytes,
         std::function<void(HttpResult)> done)
 {
-    auto call = std::make_unique<HttpCall>(this->d->idleConnections, server, std::move(request),
-                                           maxResponseBytes);
+    auto call = std::make_unique<HttpCall>(this->d->idleConnections, server, this->d->memory,
+                                           std::move(request), maxResponseBytes);
     call->start(std::move(done), nullptr, HttpCall::Reuse::Never);
     return call;
 }
@@ -55,6 +65,11 @@
     this->d->idleConnections->trimIdle(server, maxCount);
 }
 
+std::size_t HttpClient::bufferedBytes() const
+{
+    return this->d->memory->usedBytes();
+}
+
 std::size_t HttpClient::idleCount(const HostAddress &server) const
 {
     return this->d->idleConnections->idleCount(server);
--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -2,6 +2,9 @@
 
 #include "process/lowercase.h"
 
+#include <algorithm>
+#include <climits>
+
 #include <http_parser.h>
 
 namespace cassiaroad {
@@ -11,6 +14,8 @@
 constexpr int switchingProtocols = 101;
 constexpr int noContent = 204;
 constexpr int notModified = 304;
+// Servers send one or two interim responses; more come from a server that never sends its response.
+constexpr int maxInterimResponses = 16;
 constexpr int skipBody = 1; // returned by on_headers_complete: the response has no body
 
 bool isInterim(int status)
@@ -25,6 +30,7 @@
     Private(bool isHead, std::size_t maxBodyBytes)
         : isHead(isHead)
         , maxBodyBytes(maxBodyBytes)
+        , bodyLimit(maxBodyBytes)
     {
         http_parser_settings_init(&this->settings);
         this->settings.on_header_field = &Private::onField;
@@ -79,7 +85,7 @@
     static int onBody(http_parser *parser, const char *bytes, std::size_t size)
     {
         Private *d = privateOf(parser);
-        if (d->response.body.size() + size > d->maxBodyBytes) {
+        if (d->response.body.size() + size > d->bodyLimit) {
             d->invalidReason = "the answer is too large";
             return -1;
         }
@@ -117,6 +123,11 @@
             this->invalidReason = "the end of the answer cannot be determined";
             return;
         }
+        if (mayHaveBody && this->parser.content_length != ULLONG_MAX
+            && this->parser.content_length > this->bodyLimit) {
+            this->invalidReason = "the answer is too large";
+            return;
+        }
         this->headComplete = true;
     }
 
@@ -124,6 +135,8 @@
     http_parser parser {};
     bool isHead;
     std::size_t maxBodyBytes;
+    std::size_t bodyLimit; // at most maxBodyBytes
+    int interimResponses = 0;
     HttpResponse response;
     std::string invalidReason;
     bool inValue = false; // the last bytes belonged to a header's value, not to its name
@@ -141,6 +154,11 @@
 
 ResponseParser::~ResponseParser() = default;
 
+void ResponseParser::limitBody(std::size_t maxBytes)
+{
+    this->d->bodyLimit = std::min(maxBytes, this->d->maxBodyBytes);
+}
+
 ResponseParser::State ResponseParser::feed(std::string_view bytes)
 {
     while (!bytes.empty()) {
@@ -154,6 +172,10 @@
         if (this->d->interimEnded) {
             this->d->interimEnded = false;
             this->d->restart();
+            if (++this->d->interimResponses > maxInterimResponses) {
+                this->d->invalidReason = "too many interim responses";
+                return State::Invalid;
+            }
             continue;
         }
         if (HTTP_PARSER_ERRNO(&this->d->parser) != HPE_OK) {
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -29,6 +29,9 @@
     ResponseParser(const ResponseParser &) = delete;
     ResponseParser &operator=(const ResponseParser &) = delete;
 
+    /** Lowers the bound of the body, or raises it up to that of the constructor. */
+    void limitBody(std::size_t maxBytes);
+
     /** Parses the next bytes of the connection. Precondition: neither Complete nor Invalid. */
     State feed(std::string_view bytes);
 
--- /dev/null
+++ b/tests/connection/test_endlessresponse.cpp
@@ -0,0 +1,149 @@
+/**
+ * Servers in trouble that send bytes without end, in the head or in the body of a response, until the
+ * client closes the connection. They must cost bounded time and memory.
+ */
+#include "connection/httpclient.h"
+#include "connection/responsememory.h"
+#include "connection/responseparser.h"
+
+#include "support/fakepeer.h"
+#include "support/loopwait.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+using namespace cassiaroad;
+
+namespace {
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t megabyte = 1024 * kilobyte;
+const std::string chunkedHead = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/** Bytes that never become a complete response: a beginning, and a piece that repeats. */
+struct EndlessBytes
+{
+    const char *description;
+    std::string beginning;
+    std::string piece;
+};
+
+const std::vector<EndlessBytes> endlessBytes {
+    { "empty lines", "", "\r\n" },
+    { "a status line", "HTTP/1.1 200 ", "O" },
+    { "a header name", "HTTP/1.1 200 OK\r\n", "x" },
+    { "a header value", "HTTP/1.1 200 OK\r\nx: ", "y" },
+    { "headers", "HTTP/1.1 200 OK\r\n", "a: b\r\n" },
+    { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "a chunk size", chunkedHead, "0" },
+    { "a chunk extension", chunkedHead + "5;", "e" },
+    { "trailers", chunkedHead + "0\r\n", "a: b\r\n" },
+    { "small chunks", chunkedHead, "1\r\na\r\n" },
+    { "a body of a known length", "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n", "a" },
+    { "bytes in no protocol", "", "?" },
+};
+
+/** A peer that answers each request with bytes without end, as fast as they are read. */
+class EndlessPeer
+{
+public:
+    EndlessPeer(EventLoop &loop, std::string head)
+        : peer(loop, [head = std::move(head)](FakePeer::Connection &connection) {
+            connection.write(head);
+        })
+        , timer(loop.callEvery({ 1 }, [this] { this->writeMore(); }))
+    { }
+
+    HostAddress address() const { return { "127.0.0.1", this->peer.port }; }
+
+private:
+    void writeMore()
+    {
+        const std::string bytes(256 * kilobyte, 'a');
+        for (const auto &connection : this->peer.connections) {
+            if (!connection->received.empty()) {
+                connection->write(bytes);
+            }
+        }
+    }
+
+    FakePeer peer;
+    EventLoop::Timer timer;
+};
+
+} // namespace
+
+// Guards against a parser that reads a head or a body without end.
+TEST(EndlessResponse, isInvalidAfterABoundedNumberOfBytes)
+{
+    constexpr std::size_t maxBody = 100 * kilobyte;
+    constexpr std::size_t maxBytes = megabyte; // of the connection, with the framing of chunks
+    for (const EndlessBytes &endless : endlessBytes) {
+        ResponseParser parser(false, maxBody);
+        ResponseParser::State state = ResponseParser::State::Head;
+        if (!endless.beginning.empty()) {
+            state = parser.feed(endless.beginning);
+        }
+        std::size_t bytes = 0;
+        while (state != ResponseParser::State::Invalid && bytes < maxBytes) {
+            state = parser.feed(endless.piece);
+            bytes += endless.piece.size();
+        }
+        EXPECT_EQ(state, ResponseParser::State::Invalid) << endless.description;
+        EXPECT_LE(parser.response().body.size(), maxBody) << endless.description;
+    }
+}
+
+// Guards against a response that is read although its length already tells that it is too large.
+TEST(EndlessResponse, isInvalidOnceItsLengthIsKnown)
+{
+    ResponseParser parser(false, megabyte);
+    EXPECT_EQ(parser.feed("HTTP/1.1 200 OK\r\ncontent-length: 1048577\r\n\r\n"),
+              ResponseParser::State::Invalid);
+}
+
+// Guards against a process that runs out of memory because many calls at once get bodies without end,
+// each of them below the bound of one response.
+TEST(EndlessResponse, sharesABoundOfMemoryWithAllOthers)
+{
+    constexpr std::size_t callCount = 12;
+    constexpr std::size_t maxResponse = 64 * megabyte;
+    constexpr std::size_t maxBuffered = 32 * megabyte;
+    EventLoop loop;
+    EndlessPeer peer(loop, chunkedHead + "7fffffff\r\n");
+    HttpClient client(loop);
+    std::vector<std::unique_ptr<HttpClient::Call>> calls;
+    std::size_t failed = 0;
+    for (std::size_t i = 0; i < callCount; ++i) {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/";
+        calls.push_back(client.send(peer.address(), request, maxResponse, [&](HttpResult result) {
+            failed += std::holds_alternative<HttpFailure>(result) ? 1 : 0;
+        }));
+    }
+    std::size_t buffered = 0;
+    EXPECT_TRUE(waitUntil(loop, [&] {
+        buffered = std::max(buffered, client.bufferedBytes());
+        return failed == callCount;
+    }));
+    EXPECT_LE(buffered, maxBuffered);
+    EXPECT_EQ(client.bufferedBytes(), 0U);
+}
+
+// Guards against small responses that fail because endless ones have used up the memory.
+TEST(ResponseMemory, leavesRoomForSmallResponses)
+{
+    ResponseMemory memory(1000);
+    std::vector<std::size_t> endless(5, 0);
+    for (int round = 0; round < 100; ++round) {
+        for (std::size_t &size : endless) {
+            const std::size_t larger = std::max(size, std::min(size + 10, memory.maxSizeOf(size)));
+            memory.resize(size, larger);
+            size = larger;
+        }
+    }
+    EXPECT_LE(memory.usedBytes(), 1000U);
+    EXPECT_GE(memory.maxSizeOf(0), 50U);
+}
