gateway: Keep longer watch timeouts until the leader itself answers

Cause: the timeouts were reset by any reply.

Before: RegistryWatcher.keepsItsLongerTimeoutsWhenAnotherHostNamesTheLeader is red when a hint resets them. After: only an update of the leader resets them.

--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -120,8 +120,8 @@
 
 void RegistryWatcher::onReply(const GatewayWatchReply &reply)
 {
-    this->timeouts.recordReply();
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
+        this->timeouts.recordUpdate();
         this->setConnected(true);
         this->confirmedAt = this->calledAt + update->waited;
         this->failedAt.clear();
--- a/src/gateway/watchtimeouts.h
+++ b/src/gateway/watchtimeouts.h
@@ -31,8 +31,11 @@
         this->factor = timedOut && this->factor < maxFactor ? this->factor * 2 : this->factor;
     }
 
-    /** Records a reply. */
-    void recordReply() { this->factor = 1; }
+    /**
+     * Records an update of the leader. The reply of another host is none: a nearby host can answer in
+     * time over a link on which the leader, further away, cannot.
+     */
+    void recordUpdate() { this->factor = 1; }
 
 private:
     static constexpr Milliseconds minConnectTimeout { 300 };
--- a/tests/gateway/test_registrywatcher.cpp
+++ b/tests/gateway/test_registrywatcher.cpp
@@ -10,19 +10,19 @@
 
 namespace {
 
-/** A leader whose replies take a while to arrive, as on a full link. */
-class SlowLeader final : public rpc::Registry::Server
+/** A control host whose replies take a while to arrive, as on a full link. */
+class SlowHost final : public rpc::Registry::Server
 {
 public:
-    SlowLeader(EventLoop &loop, Milliseconds delay)
+    SlowHost(EventLoop &loop, Milliseconds delay, GatewayWatchReply reply)
         : loop(loop)
         , delay(delay)
+        , reply(encode(reply))
     { }
 
     kj::Promise<void> watch(WatchContext context) override
     {
-        return rpcDelay(this->loop, this->delay).then([context]() mutable {
-            const std::string reply = encode(GatewayWatchReply(GatewayUpdate {}));
+        return rpcDelay(this->loop, this->delay).then([context, reply = this->reply]() mutable {
             context.getResults().setAnswer(
                     kj::arrayPtr(reinterpret_cast<const kj::byte *>(reply.data()), reply.size()));
         });
@@ -31,8 +31,17 @@
 private:
     EventLoop &loop;
     Milliseconds delay;
+    std::string reply;
 };
 
+SiteSettings settingsWithSeeds(const std::vector<HostAddress> &seeds)
+{
+    SiteSettings settings;
+    settings.internalPort = seeds.front().port;
+    settings.seeds = seeds;
+    return settings;
+}
+
 } // namespace
 
 // Guards against a gateway that gives up each watch call just before its reply arrives over a full
@@ -42,11 +51,34 @@
     EventLoop loop;
     constexpr Milliseconds replyDelay { 1400 };
     constexpr Milliseconds maxWait { 2500 + 1100 }; // the bound of a change, after one timeout
-    RpcServer server(loop, {}, kj::heap<SlowLeader>(loop, replyDelay));
+    RpcServer server(loop, {}, kj::heap<SlowHost>(loop, replyDelay, GatewayUpdate {}));
     ASSERT_EQ(server.listen({ "127.0.0.1", 0 }), "");
-    SiteSettings settings;
-    settings.internalPort = server.port();
-    settings.seeds = { { "127.0.0.1", server.port() } };
+    const SiteSettings settings = settingsWithSeeds({ { "127.0.0.1", server.port() } });
+    EventLog log("front-1");
+    bool updated = false;
+    RegistryWatcher watcher(loop, settings, log,
+                            { [] { return GatewayReport(); },
+                              [&](const GatewayUpdate &, TimePoint) { updated = true; } });
+    watcher.start();
+    EXPECT_TRUE(waitUntil(loop, [&] { return updated; }, maxWait));
+}
+
+// Guards against a gateway that never reaches a distant leader, because the quick replies of a nearby
+// host, which only name the leader, reset its timeouts each time.
+TEST(RegistryWatcher, keepsItsLongerTimeoutsWhenAnotherHostNamesTheLeader)
+{
+    EventLoop loop;
+    constexpr Milliseconds leaderDelay { 1400 };
+    constexpr Milliseconds maxWait { 4500 };
+    GroupHint hint;
+    hint.groupExists = true;
+    hint.leaderIp = "127.0.0.2";
+    hint.members = { { 1, "127.0.0.1" }, { 2, "127.0.0.2" } };
+    RpcServer nearby(loop, {}, kj::heap<SlowHost>(loop, Milliseconds { 1 }, hint));
+    ASSERT_EQ(nearby.listen({ "127.0.0.1", 0 }), "");
+    RpcServer leader(loop, {}, kj::heap<SlowHost>(loop, leaderDelay, GatewayUpdate {}));
+    ASSERT_EQ(leader.listen({ "127.0.0.2", nearby.port() }), "");
+    const SiteSettings settings = settingsWithSeeds({ { "127.0.0.1", nearby.port() } });
     EventLog log("front-1");
     bool updated = false;
     RegistryWatcher watcher(loop, settings, log,
--- a/tests/gateway/test_watchtimeouts.cpp
+++ b/tests/gateway/test_watchtimeouts.cpp
@@ -17,7 +17,7 @@
     timeouts.recordFailure({ 2000 });
     timeouts.recordFailure({ 2000 });
     EXPECT_EQ(timeouts.connectTimeout(), Milliseconds { 1200 });
-    timeouts.recordReply();
+    timeouts.recordUpdate();
     EXPECT_EQ(timeouts.connectTimeout(), Milliseconds { 300 });
 }
 
