registry, tests: Split the load of watch calls from the engine; end answers without end at the deadline

Behaviour is unchanged. The gateway's test shows the bound in time of an answer without end: the request ends at its deadline, and the connection to the upstream is closed. It passes without a change of the code.

--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Bytes of incomplete responses that all calls together hold. While a response grows, its buffer takes
-// up to three times its size, and a gateway has 160 MB.
+// Bytes of incomplete responses that all calls together hold. While a response grows, its buffer
+// takes up to three times its size, and a gateway has 160 MB.
 constexpr std::size_t maxBufferedBytes = std::size_t(32) * 1024 * 1024;
 
 } // namespace
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -84,10 +84,10 @@
      * Sends @p request to @p server; @p done is called once, unless the call is destroyed before.
      * It is never called before send() returns. @p canWrite, if given, is called in the iteration
      * of the event loop in which the first byte is about to be written; if it returns false, the
-     * call fails at stage Cancelled. Responses whose body exceeds @p maxResponseBytes, or the memory
-     * that is free for incomplete responses, fail with ResponseTruncated, as do responses whose end is
-     * unknown (neither Content-Length nor chunked).
-     * There is no timeout: the owner of the call sets one and destroys the call.
+     * call fails at stage Cancelled. Responses whose body exceeds @p maxResponseBytes, or the
+     * memory that is free for incomplete responses, fail with ResponseTruncated, as do responses
+     * whose end is unknown (neither Content-Length nor chunked). There is no timeout: the owner of
+     * the call sets one and destroys the call.
      */
     [[nodiscard]] std::unique_ptr<Call> send(const HostAddress &server, HttpRequest request,
                                              std::size_t maxResponseBytes,
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -31,9 +31,9 @@
 // Failures that are further apart do not count as failures in a row: an upstream that gets few
 // requests from this gateway may have responded to other gateways in the meantime.
 constexpr Milliseconds maxFailureInterval { 4000 };
-// How long an upstream that has announced its shutdown still gets requests, from the earliest time at
-// which that can have been. It keeps serving for at least 2.5 s after the announcement; the rest is
-// for the way of a request to the upstream.
+// How long an upstream that has announced its shutdown still gets requests, from the earliest time
+// at which that can have been. It keeps serving for at least 2.5 s after the announcement; the rest
+// is for the way of a request to the upstream.
 constexpr Milliseconds leavingGracePeriod { 1800 };
 // Surcharges in milliseconds on the cost of an upstream in another zone of the region or in another
 // region. Traffic between regions is slow and paid by volume.
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -97,20 +97,21 @@
             return std::string(reply.begin(), reply.size());
         });
     };
-    this->tasks.add(this->connectionTo(this->target)
-                            .call<std::string>(this->timeouts.replyTimeout(this->watchTimeout), send)
-                            .then(
-                                    [this](const std::string &bytes) {
-                                        const auto reply = decodeGatewayWatchReply(bytes);
-                                        if (reply) {
-                                            this->onReply(*reply);
-                                        } else {
-                                            this->onFailure("the reply cannot be decoded");
-                                        }
-                                    },
-                                    [this](const kj::Exception &exception) {
-                                        this->onFailure(exception.getDescription().cStr());
-                                    }));
+    this->tasks.add(
+            this->connectionTo(this->target)
+                    .call<std::string>(this->timeouts.replyTimeout(this->watchTimeout), send)
+                    .then(
+                            [this](const std::string &bytes) {
+                                const auto reply = decodeGatewayWatchReply(bytes);
+                                if (reply) {
+                                    this->onReply(*reply);
+                                } else {
+                                    this->onFailure("the reply cannot be decoded");
+                                }
+                            },
+                            [this](const kj::Exception &exception) {
+                                this->onFailure(exception.getDescription().cStr());
+                            }));
 }
 
 void RegistryWatcher::callAfter(Milliseconds delay)
--- a/src/gateway/watchtimeouts.h
+++ b/src/gateway/watchtimeouts.h
@@ -5,9 +5,10 @@
 namespace cassiaroad {
 
 /**
- * Timeouts of the watch calls of a gateway. They double with each call in a row that timed out: on a
- * full link even a connection takes longer than it usually does, and a gateway that gave up as early
- * each time would not hear from the leader until its link is free again. Pure; not thread-safe.
+ * Timeouts of the watch calls of a gateway. They double with each call in a row that timed out: on
+ * a full link even a connection takes longer than it usually does, and a gateway that gave up as
+ * early each time would not hear from the leader until its link is free again. Pure; not
+ * thread-safe.
  */
 class WatchTimeouts
 {
@@ -16,8 +17,8 @@
     Milliseconds connectTimeout() const { return minConnectTimeout * this->factor; }
 
     /**
-     * Longest time from a call to its reply, including that for a new connection. @p watchTimeout is
-     * how long the leader may wait for a change.
+     * Longest time from a call to its reply, including that for a new connection. @p watchTimeout
+     * is how long the leader may wait for a change.
      */
     Milliseconds replyTimeout(Milliseconds watchTimeout) const
     {
@@ -32,8 +33,8 @@
     }
 
     /**
-     * Records an update of the leader. The reply of another host is none: a nearby host can answer in
-     * time over a link on which the leader, further away, cannot.
+     * Records an update of the leader. The reply of another host is none: a nearby host can answer
+     * in time over a link on which the leader, further away, cannot.
      */
     void recordUpdate() { this->factor = 1; }
 
--- a/src/process/siteprocess.cpp
+++ b/src/process/siteprocess.cpp
@@ -13,7 +13,9 @@
 void logSlowIterations(EventLoop &loop, EventLog &log)
 {
     loop.workMeter().onSlowIteration(slowIteration, [&log](const IterationReport &iteration) {
-        Event event { "loop_busy", Event::Weight::Important, { { "ms", iteration.duration.count } } };
+        Event event { "loop_busy",
+                      Event::Weight::Important,
+                      { { "ms", iteration.duration.count } } };
         for (std::size_t i = 0; i < workKinds; ++i) {
             const std::int64_t milliseconds
                     = iteration.microseconds[i] / microsecondsPerMillisecond;
--- a/src/process/siteprocess.h
+++ b/src/process/siteprocess.h
@@ -12,8 +12,8 @@
 void updateLogGauges(Metrics &metrics, const EventLog &log);
 
 /**
- * Writes an event for each iteration of @p loop that took so long that callers notice it. @p log must
- * outlive the loop's last iteration. Loop thread only.
+ * Writes an event for each iteration of @p loop that took so long that callers notice it. @p log
+ * must outlive the loop's last iteration. Loop thread only.
  */
 void logSlowIterations(EventLoop &loop, EventLog &log);
 
--- a/src/process/workmeter.h
+++ b/src/process/workmeter.h
@@ -39,8 +39,8 @@
 };
 
 /**
- * Measures how the loop of a process spends its time. Time is measured on the monotonic clock, so it
- * includes the time during which the process had no processor. Loop thread only.
+ * Measures how the loop of a process spends its time. Time is measured on the monotonic clock, so
+ * it includes the time during which the process had no processor. Loop thread only.
  */
 class WorkMeter
 {
@@ -63,7 +63,8 @@
     };
 
     /** Calls @p handler after each iteration that took at least @p threshold. */
-    void onSlowIteration(Milliseconds threshold, std::function<void(const IterationReport &)> handler);
+    void onSlowIteration(Milliseconds threshold,
+                         std::function<void(const IterationReport &)> handler);
 
     /** Ends the present iteration and begins the next one. */
     void beginIteration();
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -265,7 +265,7 @@
         return;
     }
     this->heartbeatCount.Increment();
-    ++this->watchLoad.heartbeats;
+    this->watchLoad.countHeartbeat();
     const ReportResult result = this->manager.onHeartbeat(report, this->loop.now());
     if (result.status == ReportStatus::Outdated) {
         this->log.write({ "heartbeat_outdated",
@@ -394,8 +394,8 @@
     return std::clamp(watchTimeoutPerGateway * gateways, minWatchTimeout, maxWatchTimeout);
 }
 
-// Returns the reply to a watch call that arrived at @p calledAt: what the gateway does not have yet,
-// or a hint to the leader.
+// Returns the reply to a watch call that arrived at @p calledAt: what the gateway does not have
+// yet, or a hint to the leader.
 GatewayWatchReply RegistryEngine::update(const GatewayReport &report, TimePoint calledAt)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::WatchReplies);
@@ -413,15 +413,7 @@
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
     update.waited = this->loop.now() - calledAt;
-    ++this->watchLoad.replies;
-    if (update.change) {
-        ++(update.fromTag == 0 ? this->watchLoad.fullTables : this->watchLoad.changes);
-        this->watchLoad.changeBytes += static_cast<std::int64_t>(update.change->size());
-    }
-    if (update.document) {
-        ++(update.documentBase == 0 ? this->watchLoad.fullDocuments : this->watchLoad.deltas);
-        this->watchLoad.documentBytes += static_cast<std::int64_t>(update.document->size());
-    }
+    this->watchLoad.countReply(update);
     return update;
 }
 
@@ -452,7 +444,7 @@
     if (!this->canAnswer()) {
         return GatewayWatchReply(this->group.hint());
     }
-    ++this->watchLoad.calls;
+    this->watchLoad.countCall();
     this->manager.onGatewayReport(report, this->loop.now());
     if (!this->isCurrent(report)) {
         return this->update(report, calledAt);
@@ -530,7 +522,7 @@
 bool RegistryEngine::updateTable(TimePoint now)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::RoutingTable);
-    ++this->watchLoad.tables;
+    this->watchLoad.countTable();
     return this->tableHistory.set(this->manager.routingTable(now));
 }
 
@@ -556,30 +548,11 @@
 
 void RegistryEngine::logWatchLoad()
 {
-    const WatchLoad load = std::exchange(this->watchLoad, {});
-    if (!this->leading) {
-        return;
+    if (this->leading) {
+        this->watchLoad.write(this->log, this->loop.workMeter(), this->waitingCalls.size());
+    } else {
+        this->watchLoad.clear(this->loop.workMeter());
     }
-    this->log.write({ "watch_load",
-                      Event::Weight::Important,
-                      { { "calls", load.calls },
-                        { "replies", load.replies },
-                        { "waiting", static_cast<std::int64_t>(this->waitingCalls.size()) },
-                        { "changes", load.changes },
-                        { "full_tables", load.fullTables },
-                        { "change_bytes", load.changeBytes },
-                        { "deltas", load.deltas },
-                        { "full_documents", load.fullDocuments },
-                        { "document_bytes", load.documentBytes },
-                        { "tables", load.tables },
-                        { "heartbeats", load.heartbeats } } });
-    Event work { "loop_work", Event::Weight::Important, {} };
-    for (std::size_t i = 0; i < workKinds; ++i) {
-        const std::int64_t total = this->loop.workMeter().totalMicroseconds(static_cast<Work>(i));
-        const std::int64_t spent = total - std::exchange(this->workBefore[i], total);
-        work.fields.emplace_back(nameOf(static_cast<Work>(i)), spent / 1000);
-    }
-    this->log.write(work);
 }
 
 void RegistryEngine::logCommand(const RegistryCommand &command, PutOutcome outcome) const
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "registry/groupmember.h"
+#include "registry/watchload.h"
 #include "version/configurationhistory.h"
 #include "version/externalcodec.h"
 #include "version/registrymanager.h"
@@ -105,21 +106,6 @@
         CommitHandler done;
     };
 
-    /** What the watch calls of gateways caused since the last `watch_load` event. */
-    struct WatchLoad
-    {
-        std::int64_t calls = 0;
-        std::int64_t replies = 0;
-        std::int64_t changes = 0; // changes of the routing table, in replies
-        std::int64_t fullTables = 0;
-        std::int64_t changeBytes = 0;
-        std::int64_t deltas = 0; // of the configuration, in replies
-        std::int64_t fullDocuments = 0;
-        std::int64_t documentBytes = 0;
-        std::int64_t heartbeats = 0;
-        std::int64_t tables = 0; // built
-    };
-
     /** A call that waits for the confirmation of the leader's lease. */
     struct LeaseWait
     {
@@ -190,7 +176,6 @@
     std::deque<LeaseWait> leaseWaits; // in order of arrival
     EventLoop::Timer tickTimer;
     WatchLoad watchLoad;
-    std::array<std::int64_t, workKinds> workBefore {};
     EventLoop::Timer watchLoadTimer;
     GroupMember group; // its handlers use the members above
 };
--- a/src/version/movingranges.cpp
+++ b/src/version/movingranges.cpp
@@ -19,8 +19,8 @@
 }
 
 // Returns the position of the first range that overlaps @p range or begins after it.
-std::map<KeyNumber, MovingRange>::const_iterator
-MovingRanges::firstOverlapping(const KeyRange &range) const
+std::map<KeyNumber, MovingRange>::const_iterator MovingRanges::firstOverlapping(
+        const KeyRange &range) const
 {
     const auto after = this->byFirstKey.upper_bound(range.from);
     if (after != this->byFirstKey.begin() && std::prev(after)->second.range.overlaps(range)) {
--- a/src/version/movingranges.h
+++ b/src/version/movingranges.h
@@ -19,8 +19,9 @@
 };
 
 /**
- * Ranges of one service that change their owners. They do not overlap, so a lookup takes logarithmic
- * time: when many upstreams leave at once, hundreds of ranges move. Pure; not thread-safe.
+ * Ranges of one service that change their owners. They do not overlap, so a lookup takes
+ * logarithmic time: when many upstreams leave at once, hundreds of ranges move. Pure; not
+ * thread-safe.
  */
 class MovingRanges
 {
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -331,9 +331,8 @@
     }
     for (const RangeTransfer &transfer : transfers) {
         const RangeOwner *entry = ranges == nullptr ? nullptr : ranges->find(transfer.range.from);
-        this->moving.add({ transfer.range,
-                           entry == nullptr ? UpstreamIncarnation() : entry->owner, transfer.to,
-                           true });
+        this->moving.add({ transfer.range, entry == nullptr ? UpstreamIncarnation() : entry->owner,
+                           transfer.to, true });
     }
     return transfers;
 }
--- a/src/version/rangetable.cpp
+++ b/src/version/rangetable.cpp
@@ -51,8 +51,8 @@
     this->assign(std::move(assigned));
 }
 
-// Replaces the owners of the ranges of @p assigned, in one pass over the table; an entry around such
-// a range becomes two. Precondition: the ranges are ascending and do not overlap.
+// Replaces the owners of the ranges of @p assigned, in one pass over the table; an entry around
+// such a range becomes two. Precondition: the ranges are ascending and do not overlap.
 void RangeTable::assign(std::vector<RangeOwner> assigned)
 {
     std::vector<RangeOwner> result;
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -61,9 +61,9 @@
 
 json toJson(const GatewayUpdate &update)
 {
-    json value = { { "tag", update.tableTag },      { "fromTag", update.fromTag },
-                   { "version", update.version },   { "share", update.trafficShare },
-                   { "gateways", update.gateways }, { "hold", update.watchTimeout.count },
+    json value = { { "tag", update.tableTag },       { "fromTag", update.fromTag },
+                   { "version", update.version },    { "share", update.trafficShare },
+                   { "gateways", update.gateways },  { "hold", update.watchTimeout.count },
                    { "waited", update.waited.count } };
     if (update.change) {
         value["change"] = toBinary(*update.change);
--- a/tests/connection/test_endlessresponse.cpp
+++ b/tests/connection/test_endlessresponse.cpp
@@ -1,6 +1,6 @@
 /**
- * Servers in trouble that send bytes without end, in the head or in the body of a response, until the
- * client closes the connection. They must cost bounded time and memory.
+ * Servers in trouble that send bytes without end, in the head or in the body of a response, until
+ * the client closes the connection. They must cost bounded time and memory.
  */
 #include "connection/httpclient.h"
 #include "connection/responsememory.h"
@@ -49,9 +49,8 @@
 {
 public:
     EndlessPeer(EventLoop &loop, std::string head)
-        : peer(loop, [head = std::move(head)](FakePeer::Connection &connection) {
-            connection.write(head);
-        })
+        : peer(loop, [head = std::move(head)](
+                             FakePeer::Connection &connection) { connection.write(head); })
         , timer(loop.callEvery({ 1 }, [this] { this->writeMore(); }))
     { }
 
@@ -103,8 +102,8 @@
               ResponseParser::State::Invalid);
 }
 
-// Guards against a process that runs out of memory because many calls at once get bodies without end,
-// each of them below the bound of one response.
+// Guards against a process that runs out of memory because many calls at once get bodies without
+// end, each of them below the bound of one response.
 TEST(EndlessResponse, sharesABoundOfMemoryWithAllOthers)
 {
     constexpr std::size_t callCount = 12;
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -100,12 +100,10 @@
     }
 
     /** Sends the gateway a table in which all keys of the keyed upstream are in @p phase. */
-    void publish(RangePhase phase)
-    {
-        this->publish(phase, UpstreamPhase::Ready, this->loop.now());
-    }
+    void publish(RangePhase phase) { this->publish(phase, UpstreamPhase::Ready, this->loop.now()); }
 
-    /** As above; the leader made the table, with the upstreams in @p upstreamPhase, at @p madeAt. */
+    /** As above; the leader made the table, with the upstreams in @p upstreamPhase, at @p madeAt.
+     */
     void publish(RangePhase phase, UpstreamPhase upstreamPhase, TimePoint madeAt)
     {
         GatewayUpdate update;
@@ -410,8 +408,8 @@
     EXPECT_TRUE(this->peer->connections.empty());
 }
 
-// Guards against keys that nobody serves while an upstream that has just announced its shutdown still
-// owns them.
+// Guards against keys that nobody serves while an upstream that has just announced its shutdown
+// still owns them.
 TEST_F(GatewayRequestTest, sendsRequestsToAnUpstreamThatHasJustAnnouncedItsShutdown)
 {
     this->serve([](FakePeer::Connection &) {});
@@ -420,6 +418,25 @@
     EXPECT_TRUE(waitUntil(this->loop, [&] { return !this->peer->connections.empty(); }));
 }
 
+// Guards against a request that ends only with its connection while an upstream sends a body without
+// end, slowly enough to stay below every bound of memory.
+TEST_F(GatewayRequestTest, endsAResponseWithoutEndAtTheDeadline)
+{
+    this->serve([](FakePeer::Connection &connection) {
+        connection.write(withRequestId(connection.received, "HTTP/1.1 200 OK\r\n")
+                         + "transfer-encoding: chunked\r\n\r\n7fffffff\r\n");
+    });
+    const EventLoop::Timer timer = this->loop.callEvery({ 5 }, [this] {
+        for (const auto &connection : this->peer->connections) {
+            connection->write("a");
+        }
+    });
+    const auto client = this->request("POST", "/order/1", "600");
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 50", { 1000 }));
+    EXPECT_TRUE(waitUntil(this->loop,
+                          [&] { return this->peer->connections.front()->closedByClient; }));
+}
+
 // Guards against cancelling a slow request when there is no capacity to send it again.
 TEST_F(GatewayRequestTest, doesNotCancelASlowRequestWhenTheUpstreamIsBusy)
 {
--- a/tests/gateway/test_registrywatcher.cpp
+++ b/tests/gateway/test_registrywatcher.cpp
@@ -60,11 +60,12 @@
                             { [] { return GatewayReport(); },
                               [&](const GatewayUpdate &, TimePoint) { updated = true; } });
     watcher.start();
-    EXPECT_TRUE(waitUntil(loop, [&] { return updated; }, maxWait));
+    EXPECT_TRUE(waitUntil(
+            loop, [&] { return updated; }, maxWait));
 }
 
-// Guards against a gateway that never reaches a distant leader, because the quick replies of a nearby
-// host, which only name the leader, reset its timeouts each time.
+// Guards against a gateway that never reaches a distant leader, because the quick replies of a
+// nearby host, which only name the leader, reset its timeouts each time.
 TEST(RegistryWatcher, keepsItsLongerTimeoutsWhenAnotherHostNamesTheLeader)
 {
     EventLoop loop;
@@ -85,5 +86,6 @@
                             { [] { return GatewayReport(); },
                               [&](const GatewayUpdate &, TimePoint) { updated = true; } });
     watcher.start();
-    EXPECT_TRUE(waitUntil(loop, [&] { return updated; }, maxWait));
+    EXPECT_TRUE(waitUntil(
+            loop, [&] { return updated; }, maxWait));
 }
--- a/tests/gateway/test_watchtimeouts.cpp
+++ b/tests/gateway/test_watchtimeouts.cpp
@@ -4,8 +4,8 @@
 
 using namespace cassiaroad;
 
-// Guards against a gateway on a full link that never connects to a control host, because it gives up
-// after the same short time again and again.
+// Guards against a gateway on a full link that never connects to a control host, because it gives
+// up after the same short time again and again.
 TEST(WatchTimeouts, growWithEachTimeoutInARowUpToABound)
 {
     WatchTimeouts timeouts;
--- a/tests/process/test_replicaproperties.cpp
+++ b/tests/process/test_replicaproperties.cpp
@@ -168,8 +168,8 @@
 }
 
 // Guards against the loss of an acknowledged command when a disk is lost right after the
-// acknowledgement and all other members lose power at the same moment, with the writes that they had
-// not synced.
+// acknowledgement and all other members lose power at the same moment, with the writes that they
+// had not synced.
 RC_GTEST_PROP(ReplicaProperties, keepsCommittedEntriesWhenADiskIsLostAndAllOthersLosePower, ())
 {
     ReplicaGroup group(anyNetworkConditions());
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -48,7 +48,7 @@
     TestHost(EventLoop &loop, SiteSettings hostSettings, const ExternalCodec &codec)
         : settings(std::move(hostSettings))
         , log(settings.host)
-        , engine(loop, settings, codec, metrics, log, [](const std::string &) { })
+        , engine(loop, settings, codec, metrics, log, [](const std::string &) {})
         , server(loop, {}, kj::heap<RegistryService>(loop, engine))
     { }
 
@@ -114,8 +114,8 @@
             for (const auto &host : this->hosts) {
                 GroupMember &member = host->engine.member();
                 const bool leads = member.isLeader() && member.hasLease();
-                const bool isComplete = member.hint().members.size() == hostCount
-                                        && member.hasEnoughVoters();
+                const bool isComplete
+                        = member.hint().members.size() == hostCount && member.hasEnoughVoters();
                 leader = leads && isComplete ? &host->engine : leader;
             }
             return leader != nullptr;
@@ -132,9 +132,9 @@
 
 } // namespace
 
-// Guards against a busy leader that turns away the calls of gateways and upstreams as if it were not
-// the leader, because it has not read the replies yet that renew its lease. They came back through
-// the other hosts and kept it busy.
+// Guards against a busy leader that turns away the calls of gateways and upstreams as if it were
+// not the leader, because it has not read the replies yet that renew its lease. They came back
+// through the other hosts and kept it busy.
 TEST_F(RegistryEngineTest, answersCallsOnceItsLeaseIsRenewed)
 {
     RegistryEngine *leader = this->waitForLeader();
--- a/tests/support/fakepeer.h
+++ b/tests/support/fakepeer.h
@@ -2,6 +2,7 @@
 
 #include "process/eventloop.h"
 
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -97,7 +98,9 @@
             connection.received.append(buffer, static_cast<std::size_t>(count));
             arrived = true;
         }
-        if (connection.fd >= 0 && count == 0) {
+        // A client that closes with unread bytes resets the connection.
+        const bool isReset = count < 0 && errno == ECONNRESET;
+        if (connection.fd >= 0 && (count == 0 || isReset)) {
             connection.closedByClient = true;
         }
         if (arrived) {
--- a/tests/version/test_massleave.cpp
+++ b/tests/version/test_massleave.cpp
@@ -1,6 +1,6 @@
 /**
- * Cost of decisions when a tenth of a large site's upstreams leaves at once. A leader on a slow host
- * that spends too long on them loses its lease and tells the gateways nothing meanwhile.
+ * Cost of decisions when a tenth of a large site's upstreams leaves at once. A leader on a slow
+ * host that spends too long on them loses its lease and tells the gateways nothing meanwhile.
  */
 #include "processortime.h"
 
--- a/tests/version/test_movingranges.cpp
+++ b/tests/version/test_movingranges.cpp
@@ -53,7 +53,8 @@
         RC_ASSERT(retained.contains(key) != movingKeys.contains(key));
         RC_ASSERT(overlapping.contains(key) == movingKeys.contains(key));
     }
-    const bool isWithin = retained.empty() || (*retained.begin() >= from && *retained.rbegin() <= to);
+    const bool isWithin
+            = retained.empty() || (*retained.begin() >= from && *retained.rbegin() <= to);
     RC_ASSERT(isWithin);
 }
 
--- a/tools/registryload.cpp
+++ b/tools/registryload.cpp
@@ -2,8 +2,8 @@
  * Measures what a leading registry spends on the decisions for a large site: heartbeats of many
  * upstreams, reports of many gateways, moves of busy keys. Runs the pure code at virtual time and
  * prints the processor time of each step, and that of the busiest second. With LEAVING, so many
- * upstreams announce their shutdown in the middle of the run. Usage: registryload [UPSTREAMS GATEWAYS
- * REQUESTS/S [LEAVING]]
+ * upstreams announce their shutdown in the middle of the run. Usage: registryload [UPSTREAMS
+ * GATEWAYS REQUESTS/S [LEAVING]]
  */
 #include "version/registrymanager.h"
 #include "version/routingchange.h"
@@ -27,11 +27,12 @@
 constexpr std::int64_t refreshInterval = 200;
 constexpr std::int64_t commitDelay = 40;
 constexpr std::int64_t releaseDelay = 10;
-// From the start of the run until upstreams begin to leave, and until the last one has announced it.
+// From the start of the run until upstreams begin to leave, and until the last one has announced
+// it.
 constexpr std::int64_t leaveTime = 10000;
 constexpr std::int64_t leaveDuration = 600;
-// A leaving upstream sends heartbeats at this interval until it has released all keys, which it does
-// when the requests in progress have ended.
+// A leaving upstream sends heartbeats at this interval until it has released all keys, which it
+// does when the requests in progress have ended.
 constexpr std::int64_t releaseHeartbeatInterval = 100;
 constexpr std::int64_t maxReleaseDuration = 800;
 const std::string service = "ledger";
