--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -331,7 +331,7 @@
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::Sync);
     const TimePoint start = this->loop.now();
-    const auto error = this->folder->persist(batch);
+    std::optional<StorageError> error = this->folder->persist(batch);
     this->syncSeconds.Observe(static_cast<double>((this->loop.now() - start).count) / 1000.0);
     return error;
 }
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/rpcdelay.h"
 #include "process/textpack.h"
+#include "registry/commandlog.h"
 
 #include <algorithm>
 #include <utility>
@@ -129,7 +130,10 @@
     if (std::holds_alternative<AssignSlot>(*command)) {
         this->group.setMembers(this->state.members());
     }
-    this->logCommand(*command, outcome);
+    if (const auto *transfer = std::get_if<TransferRanges>(&*command)) {
+        this->transferCount.Increment(static_cast<double>(transfer->transfers.size()));
+    }
+    logCommand(this->log, *command, outcome);
     this->manager.onCommandEnded(*command);
     this->endProposal(proposal, true, outcome);
     if (!this->leading) {
@@ -555,45 +559,4 @@
     }
 }
 
-void RegistryEngine::logCommand(const RegistryCommand &command, PutOutcome outcome) const
-{
-    Event event { "committed", Event::Weight::Important, {} };
-    if (const auto *put = std::get_if<PutConfiguration>(&command)) {
-        event.name = "configuration";
-        event.weight = Event::Weight::Always;
-        event.fields = { { "version", std::int64_t(put->version) },
-                         { "base", std::int64_t(put->base) },
-                         { "accepted", outcome == PutOutcome::Accepted } };
-    } else if (const auto *slot = std::get_if<AssignSlot>(&command)) {
-        event.name = "slot_assigned";
-        event.fields = { { "slot", std::int64_t(slot->slot) }, { "ip", slot->ip } };
-    } else if (const auto *added = std::get_if<RegisterSiteUpstream>(&command)) {
-        event.name = "upstream_registered";
-        event.fields = { { "upstream", added->upstream.incarnation.id },
-                         { "born", added->upstream.incarnation.born },
-                         { "service", added->upstream.service },
-                         { "address", added->upstream.address.toString() } };
-    } else if (const auto *phase = std::get_if<SetUpstreamPhase>(&command)) {
-        event.name = "upstream_leaving";
-        event.fields = { { "upstream", phase->incarnation.id },
-                         { "gone", phase->phase == UpstreamPhase::Gone } };
-    } else if (const auto *removed = std::get_if<RemoveSiteUpstream>(&command)) {
-        event.name = "upstream_removed";
-        event.fields = { { "upstream", removed->incarnation.id } };
-    } else if (const auto *transfer = std::get_if<TransferRanges>(&command)) {
-        this->transferCount.Increment(static_cast<double>(transfer->transfers.size()));
-        for (const RangeTransfer &moved : transfer->transfers) {
-            this->log.write({ "range_transferred",
-                              Event::Weight::Important,
-                              { { "service", transfer->service },
-                                { "from", std::int64_t(moved.range.from) },
-                                { "to", std::int64_t(moved.range.to) },
-                                { "upstream", moved.to.id },
-                                { "handover", !moved.handover.empty() } } });
-        }
-        return;
-    }
-    this->log.write(event);
-}
-
 } // namespace cassiaroad
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -148,7 +148,6 @@
     void resumeWatchCalls();
     bool isCurrent(const GatewayReport &report) const;
     GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
-    void logCommand(const RegistryCommand &command, PutOutcome outcome) const;
     void tick();
     void logWatchLoad();
 
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -418,8 +418,8 @@
     EXPECT_TRUE(waitUntil(this->loop, [&] { return !this->peer->connections.empty(); }));
 }
 
-// Guards against a request that ends only with its connection while an upstream sends a body without
-// end, slowly enough to stay below every bound of memory.
+// Guards against a request that ends only with its connection while an upstream sends a body
+// without end, slowly enough to stay below every bound of memory.
 TEST_F(GatewayRequestTest, endsAResponseWithoutEndAtTheDeadline)
 {
     this->serve([](FakePeer::Connection &connection) {
@@ -433,8 +433,8 @@
     });
     const auto client = this->request("POST", "/order/1", "600");
     EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 50", { 1000 }));
-    EXPECT_TRUE(waitUntil(this->loop,
-                          [&] { return this->peer->connections.front()->closedByClient; }));
+    EXPECT_TRUE(
+            waitUntil(this->loop, [&] { return this->peer->connections.front()->closedByClient; }));
 }
 
 // Guards against cancelling a slow request when there is no capacity to send it again.
