connection, gateway: Let attempts to connect outlive the call that started them

Cause: a gateway whose link is full gave up each attempt to connect when it called the next host, so each attempt began anew and took as long again.

--- a/src/connection/rpcconnection.cpp
+++ b/src/connection/rpcconnection.cpp
@@ -19,12 +19,21 @@
     return kj::addRef(*this->session);
 }
 
-kj::Promise<void> RpcConnection::waitForConnection(RpcSession &session)
+kj::Promise<void> RpcConnection::waitForConnection(RpcSession &session, Milliseconds maxWait)
 {
-    return session.whenConnected().catch_([](kj::Exception &&exception) {
+    kj::Promise<void> connected = session.whenConnected().catch_([](kj::Exception &&exception) {
         kj::throwFatalException(kj::Exception(kj::Exception::Type::OVERLOADED, __FILE__, __LINE__,
                                               kj::str(exception.getDescription())));
     });
+    if (session.isConnected() || maxWait >= this->connectTimeout) {
+        return connected;
+    }
+    return connected.exclusiveJoin(
+            rpcDelay(this->loop, maxWait).then([peer = this->address.toString()] {
+                kj::throwFatalException(kj::Exception(kj::Exception::Type::OVERLOADED, __FILE__,
+                                                      __LINE__,
+                                                      kj::str(peer, ": not connected yet")));
+            }));
 }
 
 kj::Exception RpcConnection::closeAfterTimeout(RpcSession &session)
--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -25,30 +25,41 @@
      */
     template <typename Reply, typename Send>
     kj::Promise<Reply> call(Milliseconds timeout, Send &&send)
+    {
+        return this->call<Reply>(timeout, timeout, std::forward<Send>(send));
+    }
+
+    /**
+     * As above. The call fails if the connection is not open after @p maxConnectWait, but the
+     * attempt to open it continues until the connect timeout, for the next call: on a full link a
+     * new attempt would take as long again.
+     */
+    template <typename Reply, typename Send>
+    kj::Promise<Reply> call(Milliseconds timeout, Milliseconds maxConnectWait, Send &&send)
     {
         kj::Own<RpcSession> session = this->openSession();
         RpcSession *current = session.get();
-        kj::Promise<Reply> reply = this->waitForConnection(*current).then(
-                [current, send = std::forward<Send>(send)]() {
-                    return kj::Promise<Reply>(send(current->member()));
-                });
+        kj::Promise<Reply> reply = this->waitForConnection(*current, maxConnectWait)
+                                           .then([current, send = std::forward<Send>(send)]() {
+                                               return kj::Promise<Reply>(send(current->member()));
+                                           });
         kj::Promise<Reply> timedOut = rpcDelay(this->loop, timeout).then([current] {
             return kj::Promise<Reply>(closeAfterTimeout(*current));
         });
         return reply.exclusiveJoin(kj::mv(timedOut)).attach(kj::mv(session));
     }
 
-    /** Sets how long connections that are opened from now on may take to open. */
-    void setConnectTimeout(Milliseconds value) { this->connectTimeout = value; }
-
     /** Address of the member. */
     const HostAddress &peer() const { return this->address; }
 
 private:
     /** Returns the present session, or starts a new one if there is none or it has ended. */
     kj::Own<RpcSession> openSession();
-    /** Resolves when @p session is connected; rejects with type OVERLOADED if that fails. */
-    static kj::Promise<void> waitForConnection(RpcSession &session);
+    /**
+     * Resolves when @p session is connected; rejects with type OVERLOADED if that fails or takes
+     * longer than @p maxWait.
+     */
+    kj::Promise<void> waitForConnection(RpcSession &session, Milliseconds maxWait);
     /** Closes @p session and returns the exception for the call that timed out. */
     static kj::Exception closeAfterTimeout(RpcSession &session);
 
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// How long an attempt to connect lasts, while other members are called. The system repeats a lost
+// first packet after one second.
+constexpr Milliseconds connectTimeout { 1500 };
 // How long a member is not called after it failed, if there are others. Other members keep naming a
 // leader that has stopped until they have elected the next one.
 constexpr Milliseconds failedTargetDelay { 800 };
@@ -48,10 +51,9 @@
     auto &connection = this->connections[ip];
     if (!connection) {
         connection = std::make_unique<RpcConnection>(
-                this->loop, HostAddress { ip, this->settings.internalPort },
-                this->timeouts.connectTimeout(), this->bytes);
+                this->loop, HostAddress { ip, this->settings.internalPort }, connectTimeout,
+                this->bytes);
     }
-    connection->setConnectTimeout(this->timeouts.connectTimeout());
     return *connection;
 }
 
@@ -97,21 +99,21 @@
             return std::string(reply.begin(), reply.size());
         });
     };
-    this->tasks.add(
-            this->connectionTo(this->target)
-                    .call<std::string>(this->timeouts.replyTimeout(this->watchTimeout), send)
-                    .then(
-                            [this](const std::string &bytes) {
-                                const auto reply = decodeGatewayWatchReply(bytes);
-                                if (reply) {
-                                    this->onReply(*reply);
-                                } else {
-                                    this->onFailure("the reply cannot be decoded");
-                                }
-                            },
-                            [this](const kj::Exception &exception) {
-                                this->onFailure(exception.getDescription().cStr());
-                            }));
+    this->tasks.add(this->connectionTo(this->target)
+                            .call<std::string>(this->timeouts.replyTimeout(this->watchTimeout),
+                                               this->timeouts.connectWait(), send)
+                            .then(
+                                    [this](const std::string &bytes) {
+                                        const auto reply = decodeGatewayWatchReply(bytes);
+                                        if (reply) {
+                                            this->onReply(*reply);
+                                        } else {
+                                            this->onFailure("the reply cannot be decoded");
+                                        }
+                                    },
+                                    [this](const kj::Exception &exception) {
+                                        this->onFailure(exception.getDescription().cStr());
+                                    }));
 }
 
 void RegistryWatcher::callAfter(Milliseconds delay)
--- a/src/gateway/watchtimeouts.h
+++ b/src/gateway/watchtimeouts.h
@@ -13,8 +13,8 @@
 class WatchTimeouts
 {
 public:
-    /** Longest time until a connection is open. */
-    Milliseconds connectTimeout() const { return minConnectTimeout * this->factor; }
+    /** How long a call waits for a connection before the gateway calls another host. */
+    Milliseconds connectWait() const { return minConnectWait * this->factor; }
 
     /**
      * Longest time from a call to its reply, including that for a new connection. @p watchTimeout
@@ -28,7 +28,7 @@
     /** Records that a call ended without a reply after @p duration. */
     void recordFailure(Milliseconds duration)
     {
-        const bool timedOut = duration >= this->connectTimeout();
+        const bool timedOut = duration >= this->connectWait();
         this->factor = timedOut && this->factor < maxFactor ? this->factor * 2 : this->factor;
     }
 
@@ -39,7 +39,7 @@
     void recordUpdate() { this->factor = 1; }
 
 private:
-    static constexpr Milliseconds minConnectTimeout { 300 };
+    static constexpr Milliseconds minConnectWait { 300 };
     // Covers the latency, a busy leader and a connection. A call that times out costs the leader a
     // new connection.
     static constexpr Milliseconds minReplyMargin { 700 };
