connection, gateway, registry: Adapt reply timeouts to the link, repeat attempts to connect

Cause: fixed timeouts between hosts of different regions. Messages of the control group were given up after 250 ms and connections after 300 ms, so with a round trip of that length on the full link between the regions (60 Mbit/s) no connection lasted until its first reply. In the traced run both control hosts of the south heard nothing from the leader in the north from 27.2 to 32.3 s, with one gap of the planned kind before; connections of gateways to upstreams in the other region timed out 200 to 900 times a second meanwhile, those within a region rarely.

A connection is attempted anew every 300 ms while the earlier attempts continue. A call counts its reply timeout from the open connection.

Ruled out: a busy leader (no loop_busy on a control host in that run), a planned cut (none from 27 s on).

--- a/src/connection/controlclient.cpp
+++ b/src/connection/controlclient.cpp
@@ -43,11 +43,11 @@
             return KJ_EXCEPTION(OVERLOADED, "no control leader answered in time");
         }
         const std::size_t member = this->leader;
-        // Reply timeout of this attempt. A call that may not be sent again waits for the deadline.
+        // Timeout of this attempt. A call that may not be sent again waits for the deadline.
         const Milliseconds bound
                 = resend == Resend::Allowed ? std::min(timeLeft, silenceTimeout) : timeLeft;
         return this->connections[member]
-                ->template call<Reply>(bound, send)
+                ->template call<Reply>({ bound, bound }, send)
                 .then(
                         [this, send, resend, deadline](Reply &&reply) -> kj::Promise<Reply> {
                             if (!reply.getReply().isNotLeader()) {
--- a/src/connection/replicalink.cpp
+++ b/src/connection/replicalink.cpp
@@ -1,14 +1,21 @@
 #include "connection/replicalink.h"
 
+#include "connection/roundtripestimate.h"
+
+#include <algorithm>
+
 namespace cassiaroad {
 
 namespace {
 
-constexpr Milliseconds connectTimeout { 300 };
-// Reply timeout of a message, without the time to transfer it. A member replies to each message at
-// once. The timeout is below the minimum election timeout of 300 ms, so that a silent connection is
-// replaced before the member becomes a candidate.
-constexpr Milliseconds baseReplyTimeout { 250 };
+constexpr Milliseconds connectTimeout { 1500 };
+// How long a message waits for a connection. Then it is lost, and the attempt to connect continues.
+constexpr Milliseconds connectWait { 250 };
+// Bounds of the reply timeout of a message, without the time to transfer it. A member replies to
+// each message at once. The lower bound is below the minimum election timeout of 300 ms, so that a
+// silent connection is replaced before the member becomes a candidate.
+constexpr Milliseconds minReplyTimeout { 250 };
+constexpr Milliseconds maxReplyTimeout { 2000 };
 // Assumed transfer rate. The link between regions carries about 3,700 bytes per millisecond, and is
 // shared.
 constexpr std::size_t bytesPerMillisecond = 1000;
@@ -21,7 +28,8 @@
 struct ReplicaLink::Peer : private kj::TaskSet::ErrorHandler
 {
     Peer(EventLoop &loop, const HostAddress &address, std::shared_ptr<ByteCounters> counters)
-        : connection(loop, address, connectTimeout, std::move(counters))
+        : loop(loop)
+        , connection(loop, address, connectTimeout, std::move(counters))
         , tasks(*this)
     { }
 
@@ -45,9 +53,38 @@
         this->bytes -= size;
     }
 
+    /** Sends a message of @p size bytes; @p deliver returns a promise of the reply. */
+    template <typename Deliver>
+    void send(std::size_t size, Deliver deliver)
+    {
+        this->add(size);
+        const Milliseconds transfer { static_cast<std::int64_t>(this->bytes
+                                                                / bytesPerMillisecond) };
+        const auto waitedSince = [this, transfer](TimePoint start) {
+            return std::max(this->loop.now() - start - transfer, Milliseconds {});
+        };
+        const auto timedDeliver = [this, waitedSince, deliver](rpc::Member::Client client) {
+            return deliver(client).then([this, waitedSince, sentAt = this->loop.now()] {
+                this->roundTrip.recordReply(waitedSince(sentAt));
+            });
+        };
+        const auto onFailure
+                = [this, waitedSince, start = this->loop.now()](const kj::Exception &exception) {
+                      if (exception.getType() != kj::Exception::Type::OVERLOADED) {
+                          this->roundTrip.recordFailure(waitedSince(start));
+                      }
+                  };
+        const Milliseconds replyTimeout = this->roundTrip.timeout() + transfer;
+        this->tasks.add(this->connection.call<void>({ connectWait, replyTimeout }, timedDeliver)
+                                .then([] {}, kj::mv(onFailure))
+                                .attach(kj::defer([this, size] { this->remove(size); })));
+    }
+
     void taskFailed(kj::Exception && /*exception*/) override { }
 
+    EventLoop &loop;
     RpcConnection connection;
+    RoundTripEstimate roundTrip { minReplyTimeout, maxReplyTimeout };
     std::size_t messages = 0;
     std::size_t bytes = 0;
     kj::TaskSet tasks;
@@ -83,12 +120,6 @@
         ++this->dropped;
         return false;
     }
-    Peer &peer = *found->second;
-    const std::size_t size = message.size();
-    peer.add(size);
-    const Milliseconds timeout
-            = baseReplyTimeout
-              + Milliseconds { static_cast<std::int64_t>(peer.bytes / bytesPerMillisecond) };
     const auto deliver = [this, message](rpc::Member::Client client) {
         auto request = client.deliverRequest();
         request.setGroup(this->group);
@@ -97,9 +128,7 @@
                 kj::arrayPtr(reinterpret_cast<const kj::byte *>(message.data()), message.size()));
         return request.send().ignoreResult();
     };
-    peer.tasks.add(peer.connection.call<void>(timeout, deliver).attach(kj::defer([&peer, size] {
-        peer.remove(size);
-    })));
+    found->second->send(message.size(), deliver);
     return true;
 }
 
--- /dev/null
+++ b/src/connection/roundtripestimate.cpp
@@ -0,0 +1,51 @@
+#include "connection/roundtripestimate.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace cassiaroad {
+
+namespace {
+
+// Weights of a new sample, as in RFC 6298: one part in so many.
+constexpr std::int64_t averageWeight = 8;
+constexpr std::int64_t variationWeight = 4;
+// The timeout is above the average by so many times the variation.
+constexpr std::int64_t variationFactor = 4;
+
+} // namespace
+
+RoundTripEstimate::RoundTripEstimate(Milliseconds minTimeout, Milliseconds maxTimeout)
+    : minTimeout(minTimeout)
+    , maxTimeout(maxTimeout)
+{ }
+
+Milliseconds RoundTripEstimate::timeout() const
+{
+    const Milliseconds expected = this->smoothed + this->variation * variationFactor;
+    const Milliseconds usual = std::max(expected, this->minTimeout);
+    return std::min(usual * this->backoff, this->maxTimeout);
+}
+
+void RoundTripEstimate::recordReply(Milliseconds roundTrip)
+{
+    this->backoff = 1;
+    if (!this->hasSample) {
+        this->hasSample = true;
+        this->smoothed = roundTrip;
+        this->variation = roundTrip / 2;
+        return;
+    }
+    const Milliseconds distance { std::abs(roundTrip.count - this->smoothed.count) };
+    this->variation = (this->variation * (variationWeight - 1) + distance) / variationWeight;
+    this->smoothed = (this->smoothed * (averageWeight - 1) + roundTrip) / averageWeight;
+}
+
+void RoundTripEstimate::recordFailure(Milliseconds waited)
+{
+    if (waited >= this->timeout() && this->timeout() < this->maxTimeout) {
+        this->backoff *= 2;
+    }
+}
+
+} // namespace cassiaroad
--- a/src/connection/rpcconnection.cpp
+++ b/src/connection/rpcconnection.cpp
@@ -38,10 +38,9 @@
 
 kj::Exception RpcConnection::closeAfterTimeout(RpcSession &session)
 {
-    const bool sent = session.isConnected();
     session.close("no reply within the bound of a call");
-    const auto type = sent ? kj::Exception::Type::DISCONNECTED : kj::Exception::Type::OVERLOADED;
-    return { type, __FILE__, __LINE__, kj::heapString("no reply within the bound of the call") };
+    return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__,
+             kj::heapString("no reply within the bound of the call") };
 }
 
 } // namespace cassiaroad
--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -15,38 +15,40 @@
 class RpcConnection
 {
 public:
+    /** @p connectTimeout is how long an attempt to connect lasts, whatever the calls wait for. */
     RpcConnection(EventLoop &loop, HostAddress address, Milliseconds connectTimeout,
                   std::shared_ptr<ByteCounters> counters);
 
-    /**
-     * Calls the member: @p send gets the member's capability and returns a promise of the reply. A
-     * failed call is rejected with type OVERLOADED if it was not sent, and otherwise with another
-     * type; such a call may have been executed. The returned promise may outlive this object.
-     */
-    template <typename Reply, typename Send>
-    kj::Promise<Reply> call(Milliseconds timeout, Send &&send)
+    /** How long the parts of a call may take. */
+    struct Timeouts
     {
-        return this->call<Reply>(timeout, timeout, std::forward<Send>(send));
-    }
+        Milliseconds connect; // until the connection is open
+        Milliseconds reply; // from then to the reply
+    };
 
     /**
-     * As above. The call fails if the connection is not open after @p maxConnectWait, but the
-     * attempt to open it continues until the connect timeout, for the next call: on a full link a
-     * new attempt would take as long again.
+     * Calls the member: @p send gets the member's capability and returns a promise of the reply. A
+     * failed call is rejected with type OVERLOADED if it was not sent, and otherwise with another
+     * type; such a call may have been executed. A call without a reply closes the connection. One
+     * that gets no connection in time does not end the attempt to open it, which continues for the
+     * next call: on a full link a new attempt would take as long again. The returned promise may
+     * outlive this object.
      */
     template <typename Reply, typename Send>
-    kj::Promise<Reply> call(Milliseconds timeout, Milliseconds maxConnectWait, Send &&send)
+    kj::Promise<Reply> call(Timeouts timeouts, Send &&send)
     {
         kj::Own<RpcSession> session = this->openSession();
         RpcSession *current = session.get();
-        kj::Promise<Reply> reply = this->waitForConnection(*current, maxConnectWait)
-                                           .then([current, send = std::forward<Send>(send)]() {
-                                               return kj::Promise<Reply>(send(current->member()));
-                                           });
-        kj::Promise<Reply> timedOut = rpcDelay(this->loop, timeout).then([current] {
-            return kj::Promise<Reply>(closeAfterTimeout(*current));
-        });
-        return reply.exclusiveJoin(kj::mv(timedOut)).attach(kj::mv(session));
+        return this->waitForConnection(*current, timeouts.connect)
+                .then([&loop = this->loop, reply = timeouts.reply, current,
+                       send = std::forward<Send>(send)]() -> kj::Promise<Reply> {
+                    kj::Promise<Reply> timedOut = rpcDelay(loop, reply).then([current] {
+                        return kj::Promise<Reply>(closeAfterTimeout(*current));
+                    });
+                    return kj::Promise<Reply>(send(current->member()))
+                            .exclusiveJoin(kj::mv(timedOut));
+                })
+                .attach(kj::mv(session));
     }
 
     /** Address of the member. */
--- a/src/connection/rpcserver.cpp
+++ b/src/connection/rpcserver.cpp
@@ -124,6 +124,7 @@
         h2o_socket_close(socket);
         return;
     }
+    ++this->accepted;
     this->connections.push_back(
             std::make_unique<Connection>(this->loop, socket, this->counters, this->bootstrap));
 }
--- a/src/connection/rpcserver.h
+++ b/src/connection/rpcserver.h
@@ -38,6 +38,9 @@
 
     std::size_t connectionCount() const { return this->connections.size(); }
 
+    /** Number of connections accepted so far. */
+    std::uint64_t acceptedCount() const { return this->accepted; }
+
     /** Bytes sent and received so far on all connections. */
     const ByteCounters &bytes() const { return *this->counters; }
 
@@ -55,6 +58,7 @@
     std::shared_ptr<ByteCounters> counters;
     h2o_socket_t *listener = nullptr;
     std::list<std::unique_ptr<Connection>> connections;
+    std::uint64_t accepted = 0; // connections
     EventLoop::Timer cleanUpTimer;
 };
 
--- a/src/connection/rpcstream.cpp
+++ b/src/connection/rpcstream.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 #include <vector>
 
 #include <h2o.h>
@@ -18,7 +19,14 @@
     return { kj::Exception::Type::DISCONNECTED, __FILE__, __LINE__, kj::heapString(reason) };
 }
 
-/** A connection attempt; closes the socket if the promise is destroyed. */
+// Interval at which a further attempt to connect begins while the earlier ones continue. The system
+// repeats a lost first packet only after a second or more.
+constexpr Milliseconds attemptInterval { 300 };
+
+/**
+ * Attempts to connect; the first that succeeds is used. Closes the other sockets, and all of them
+ * if the promise is destroyed.
+ */
 class ConnectAdapter
 {
 public:
@@ -29,31 +37,34 @@
         , loop(loop)
         , address(address)
         , counters(std::move(counters))
-        , timer(loop.callAfter(timeout, [this] { this->fail("connect timed out"); }))
+        , timeoutTimer(loop.callAfter(timeout, [this] { this->fail("connect timed out"); }))
+        , attemptTimer(loop.callEvery(attemptInterval, [this] { this->attempt(); }))
     {
-        SocketAddress socketAddress = toSocketAddress(address);
-        if (socketAddress.length > 0) {
-            this->socket = h2o_socket_connect(loop.h2oLoop(), socketAddress.data(),
-                                              socketAddress.length, &ConnectAdapter::onConnected);
-        }
-        if (this->socket == nullptr) {
-            this->fail("cannot connect");
-            return;
-        }
-        this->socket->data = this;
+        this->attempt();
     }
 
-    ~ConnectAdapter()
-    {
-        if (this->socket != nullptr) {
-            h2o_socket_close(this->socket);
-        }
-    }
+    ~ConnectAdapter() { this->end(); }
 
     ConnectAdapter(const ConnectAdapter &) = delete;
     ConnectAdapter &operator=(const ConnectAdapter &) = delete;
 
 private:
+    void attempt()
+    {
+        SocketAddress socketAddress = toSocketAddress(this->address);
+        h2o_socket_t *socket = nullptr;
+        if (socketAddress.length > 0) {
+            socket = h2o_socket_connect(this->loop.h2oLoop(), socketAddress.data(),
+                                        socketAddress.length, &ConnectAdapter::onConnected);
+        }
+        if (socket == nullptr) {
+            this->fail("cannot connect");
+            return;
+        }
+        socket->data = this;
+        this->sockets.push_back(socket);
+    }
+
     static void onConnected(h2o_socket_t *socket, const char *error)
     {
         auto *self = static_cast<ConnectAdapter *>(socket->data);
@@ -61,26 +72,34 @@
             self->fail(error);
             return;
         }
-        self->timer = EventLoop::Timer();
-        self->socket = nullptr;
+        std::erase(self->sockets, socket);
+        self->end();
         self->fulfiller.fulfill(kj::heap<RpcStream>(self->loop, socket, self->counters));
     }
 
     void fail(const std::string &reason)
     {
-        if (this->socket != nullptr) {
-            h2o_socket_close(this->socket);
-            this->socket = nullptr;
-        }
+        this->end();
         this->fulfiller.reject(disconnectedException(this->address.toString() + ": " + reason));
     }
 
+    // Ends the attempts that have not succeeded.
+    void end()
+    {
+        this->timeoutTimer = EventLoop::Timer();
+        this->attemptTimer = EventLoop::Timer();
+        for (h2o_socket_t *socket : std::exchange(this->sockets, {})) {
+            h2o_socket_close(socket);
+        }
+    }
+
     kj::PromiseFulfiller<kj::Own<RpcStream>> &fulfiller;
     EventLoop &loop;
     HostAddress address;
     std::shared_ptr<ByteCounters> counters;
-    EventLoop::Timer timer;
-    h2o_socket_t *socket = nullptr;
+    EventLoop::Timer timeoutTimer;
+    EventLoop::Timer attemptTimer;
+    std::vector<h2o_socket_t *> sockets; // of attempts in progress
 };
 
 } // namespace
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -6,9 +6,15 @@
 
 namespace {
 
-// How long an attempt to connect lasts, while other members are called. The system repeats a lost
-// first packet after one second.
+// How long a call waits for a connection before the gateway calls another host, and how long the
+// attempt to connect continues.
+constexpr Milliseconds connectWait { 300 };
 constexpr Milliseconds connectTimeout { 1500 };
+// Bounds of the time for the reply to a watch call, beyond the time that it may wait at the leader.
+// The lower bound covers the latency and a busy leader. A call that times out costs the leader a
+// new connection.
+constexpr Milliseconds minReplyTimeout { 700 };
+constexpr Milliseconds maxReplyTimeout { 2800 };
 // How long a member is not called after it failed, if there are others. Other members keep naming a
 // leader that has stopped until they have elected the next one.
 constexpr Milliseconds failedTargetDelay { 800 };
@@ -19,6 +25,12 @@
 
 } // namespace
 
+RegistryWatcher::Host::Host(EventLoop &loop, const HostAddress &address,
+                            std::shared_ptr<ByteCounters> bytes)
+    : connection(loop, address, connectTimeout, std::move(bytes))
+    , roundTrip(minReplyTimeout, maxReplyTimeout)
+{ }
+
 RegistryWatcher::RegistryWatcher(EventLoop &loop, const SiteSettings &settings, EventLog &log,
                                  Handlers handlers)
     : loop(loop)
@@ -46,15 +58,14 @@
     }
 }
 
-RpcConnection &RegistryWatcher::connectionTo(const std::string &ip)
+RegistryWatcher::Host &RegistryWatcher::hostAt(const std::string &ip)
 {
-    auto &connection = this->connections[ip];
-    if (!connection) {
-        connection = std::make_unique<RpcConnection>(
-                this->loop, HostAddress { ip, this->settings.internalPort }, connectTimeout,
-                this->bytes);
+    std::unique_ptr<Host> &host = this->hosts[ip];
+    if (!host) {
+        host = std::make_unique<Host>(this->loop, HostAddress { ip, this->settings.internalPort },
+                                      this->bytes);
     }
-    return *connection;
+    return *host;
 }
 
 // Returns the next address to call, preferring those that have not failed recently. Members come
@@ -78,8 +89,9 @@
 
 bool RegistryWatcher::hasFailedRecently(const std::string &ip) const
 {
-    const auto found = this->failedAt.find(ip);
-    return found != this->failedAt.end() && this->loop.now() - found->second < failedTargetDelay;
+    const auto found = this->hosts.find(ip);
+    return found != this->hosts.end() && found->second->failedAt
+           && this->loop.now() - *found->second->failedAt < failedTargetDelay;
 }
 
 void RegistryWatcher::call()
@@ -99,21 +111,21 @@
             return std::string(reply.begin(), reply.size());
         });
     };
-    this->tasks.add(this->connectionTo(this->target)
-                            .call<std::string>(this->timeouts.replyTimeout(this->watchTimeout),
-                                               this->timeouts.connectWait(), send)
-                            .then(
-                                    [this](const std::string &bytes) {
-                                        const auto reply = decodeGatewayWatchReply(bytes);
-                                        if (reply) {
-                                            this->onReply(*reply);
-                                        } else {
-                                            this->onFailure("the reply cannot be decoded");
-                                        }
-                                    },
-                                    [this](const kj::Exception &exception) {
-                                        this->onFailure(exception.getDescription().cStr());
-                                    }));
+    Host &host = this->hostAt(this->target);
+    const Milliseconds replyTimeout = this->watchTimeout + host.roundTrip.timeout();
+    auto onBytes = [this](const std::string &bytes) {
+        const auto reply = decodeGatewayWatchReply(bytes);
+        if (reply) {
+            this->onReply(*reply);
+        } else {
+            this->onFailure("the reply cannot be decoded");
+        }
+    };
+    auto onException = [this](const kj::Exception &exception) {
+        this->onFailure(exception.getDescription().cStr());
+    };
+    this->tasks.add(host.connection.call<std::string>({ connectWait, replyTimeout }, send)
+                            .then(kj::mv(onBytes), kj::mv(onException)));
 }
 
 void RegistryWatcher::callAfter(Milliseconds delay)
@@ -124,10 +136,13 @@
 void RegistryWatcher::onReply(const GatewayWatchReply &reply)
 {
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
-        this->timeouts.recordUpdate();
+        const Milliseconds duration = this->loop.now() - this->calledAt;
+        this->hostAt(this->target).roundTrip.recordReply(duration - update->waited);
         this->setConnected(true);
         this->confirmedAt = this->calledAt + update->waited;
-        this->failedAt.clear();
+        for (const auto &[ip, host] : this->hosts) {
+            host->failedAt.reset();
+        }
         this->watchTimeout = update->watchTimeout;
         this->handlers.update(*update, this->confirmedAt);
         this->callAfter(updateDelay);
@@ -155,9 +170,10 @@
 void RegistryWatcher::onFailure(const std::string &reason)
 {
     this->logFailure(reason);
-    this->timeouts.recordFailure(this->loop.now() - this->calledAt);
     this->setConnected(false);
-    this->failedAt[this->target] = this->loop.now();
+    Host &host = this->hostAt(this->target);
+    host.failedAt = this->loop.now();
+    host.roundTrip.recordFailure(this->loop.now() - this->calledAt - this->watchTimeout);
     this->target = this->nextTarget();
     this->callAfter(retryDelay);
 }
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "connection/roundtripestimate.h"
 #include "connection/rpcconnection.h"
-#include "gateway/watchtimeouts.h"
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
 #include "version/sitewatch.h"
@@ -39,6 +39,16 @@
     void setSeeds(const std::vector<HostAddress> &seeds);
 
 private:
+    /** A member or seed that was called. */
+    struct Host
+    {
+        Host(EventLoop &loop, const HostAddress &address, std::shared_ptr<ByteCounters> bytes);
+
+        RpcConnection connection;
+        RoundTripEstimate roundTrip; // of its updates; hints do not count
+        std::optional<TimePoint> failedAt; // since the last update of any host
+    };
+
     void call();
     void onReply(const GatewayWatchReply &reply);
     void onFailure(const std::string &reason);
@@ -47,7 +57,7 @@
     void callAfter(Milliseconds delay);
     std::string nextTarget();
     bool hasFailedRecently(const std::string &ip) const;
-    RpcConnection &connectionTo(const std::string &ip);
+    Host &hostAt(const std::string &ip);
     void setConnected(bool value);
     void taskFailed(kj::Exception &&exception) override;
 
@@ -60,14 +70,12 @@
     std::vector<std::string> members; // ips
     std::string target; // ip of the member that is called
     std::size_t nextIndex = 0;
-    std::map<std::string, TimePoint> failedAt; // by ip
     bool connected = false;
     TimePoint confirmedAt; // at or before the time when the leader made its last update
     TimePoint calledAt; // when the present call was sent
     std::uint64_t receivedBeforeCall = 0; // bytes
     Milliseconds watchTimeout { 400 }; // as announced by the leader
-    WatchTimeouts timeouts;
-    std::map<std::string, std::unique_ptr<RpcConnection>> connections; // by ip
+    std::map<std::string, std::unique_ptr<Host>> hosts; // by ip
     EventLoop::Timer timer;
     kj::TaskSet tasks;
 };
--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds maxElectionTimeout { 900 };
 constexpr Milliseconds leaderLease { 420 };
 constexpr Milliseconds searchInterval { 200 };
+constexpr Milliseconds connectTimeout { 1500 };
 constexpr Milliseconds queryTimeout { 500 };
 // A voter that has been silent for this long loses its slot to a host that requests one.
 constexpr Milliseconds successionDelay { 3000 };
@@ -111,7 +112,7 @@
     auto &connection = this->queried[ip];
     if (!connection) {
         connection = std::make_unique<RpcConnection>(
-                this->loop, HostAddress { ip, this->settings.internalPort }, queryTimeout,
+                this->loop, HostAddress { ip, this->settings.internalPort }, connectTimeout,
                 this->bytes);
     }
     const std::string request
@@ -125,7 +126,7 @@
             return std::string(hint.begin(), hint.size());
         });
     };
-    this->tasks.add(connection->call<std::string>(queryTimeout, send)
+    this->tasks.add(connection->call<std::string>({ queryTimeout, queryTimeout }, send)
                             .then([this, ip](const std::string &reply) {
                                 if (const auto hint = decodeGroupHint(reply)) {
                                     this->onHint(ip, *hint);
--- a/tests/connection/test_replicalink.cpp
+++ b/tests/connection/test_replicalink.cpp
@@ -1,6 +1,7 @@
 #include "connection/replicalink.h"
 
 #include "connection/fakemember.h"
+#include "connection/rpcdelay.h"
 #include "connection/silentpeer.h"
 
 #include <gtest/gtest.h>
@@ -19,6 +20,33 @@
     return condition();
 }
 
+/** A member whose replies take a while to arrive, as on a full link. */
+class SlowMember final : public rpc::Member::Server
+{
+public:
+    struct Replies
+    {
+        int count = 0; // sent on connections that were still open
+    };
+
+    SlowMember(EventLoop &loop, Milliseconds delay, Replies &replies)
+        : loop(loop)
+        , delay(delay)
+        , replies(replies)
+    { }
+
+    kj::Promise<void> deliver(DeliverContext context) override
+    {
+        context.allowCancellation();
+        return rpcDelay(this->loop, this->delay).then([this] { ++this->replies.count; });
+    }
+
+private:
+    EventLoop &loop;
+    Milliseconds delay;
+    Replies &replies;
+};
+
 } // namespace
 
 // Guards against messages that are lost or reordered on a working connection.
@@ -66,6 +94,22 @@
     }));
 }
 
+// Guards against members that hear nothing from the leader while the link between them is slow:
+// each connection was closed before its first reply arrived, for as long as the link was slow.
+TEST(ReplicaLink, keepsTheConnectionToAMemberThatRepliesSlowly)
+{
+    EventLoop loop;
+    SlowMember::Replies replies;
+    RpcServer server(loop, {}, kj::heap<SlowMember>(loop, Milliseconds { 600 }, replies));
+    ASSERT_EQ(server.listen({ "127.0.0.1", 0 }), "");
+    ReplicaLink link(loop, "etela", 1, { { 2, { "127.0.0.1", server.port() } } });
+    EXPECT_TRUE(waitFor(loop, [&] {
+        link.send(2, "heartbeat");
+        return replies.count >= 100;
+    }));
+    EXPECT_LE(server.acceptedCount(), 4U); // the timeout doubles twice from 250 ms
+}
+
 // Guards against clients that disappeared without closing their connections and use up the
 // connections of a server.
 TEST(RpcServer, limitsItsConnectionsAndClosesIdleOnes)
--- a/tests/connection/test_rpcconnection.cpp
+++ b/tests/connection/test_rpcconnection.cpp
@@ -89,10 +89,28 @@
     bool failed = false;
     const auto send = [](rpc::Member::Client) { return kj::Promise<void>(kj::READY_NOW); };
     const kj::Promise<void> call
-            = connection.call<void>({ 4000 }, { 100 }, send)
+            = connection.call<void>({ { 100 }, { 4000 } }, send)
                       .then([] {}, [&](const kj::Exception &) { failed = true; })
                       .eagerlyEvaluate(nullptr);
     ASSERT_TRUE(waitUntil(loop, [&] { return failed; }, { 1000 }));
     listener.makeRoom();
     EXPECT_TRUE(waitUntil(loop, [&] { return listener.acceptAll() > 0; }, { 4000 }));
 }
+
+// Guards against a connection that opens only when the system repeats a lost first packet, one
+// second and then two more after the attempt began, though the host can be reached again.
+TEST(RpcStream, connectsSoonAfterAHostCanBeReachedAgain)
+{
+    EventLoop loop;
+    FullListener listener;
+    bool connected = false;
+    const kj::Promise<void> stream
+            = RpcStream::connect(loop, { "127.0.0.1", listener.port }, { 5000 },
+                                 std::make_shared<ByteCounters>())
+                      .then([&](const kj::Own<RpcStream> &) { connected = true; })
+                      .eagerlyEvaluate(nullptr);
+    runFor(loop, { 1100 }); // the system's next repetition is 900 ms away or more
+    ASSERT_FALSE(connected);
+    listener.makeRoom();
+    EXPECT_TRUE(waitUntil(loop, [&] { return connected; }, { 700 }));
+}
