connection, gateway: Notice the end of unused connections; prefer a leader whose connection opened late

And a leader that did not connect within 0.3 s counted as failed for 0.8 s even when its connection opened in the meantime (front-maan-9, 19.75 to 21.17 s).

After: a session requests the member's capability once, when it opens, and so reads from then on (and no longer sends a request for it with each call); a member with an open connection does not count as failed.

--- a/src/connection/rpcconnection.cpp
+++ b/src/connection/rpcconnection.cpp
@@ -19,6 +19,12 @@
     return kj::addRef(*this->session);
 }
 
+bool RpcConnection::isOpen() const
+{
+    return this->session.get() != nullptr && this->session->isConnected()
+           && !this->session->isClosed();
+}
+
 kj::Promise<void> RpcConnection::waitForConnection(RpcSession &session, Milliseconds maxWait)
 {
     kj::Promise<void> connected = session.whenConnected().catch_([](kj::Exception &&exception) {
--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -51,6 +51,9 @@
                 .attach(kj::mv(session));
     }
 
+    /** Whether the connection is open: a call needs not wait for one. */
+    bool isOpen() const;
+
     /** Address of the member. */
     const HostAddress &peer() const { return this->address; }
 
--- a/src/connection/rpcsession.cpp
+++ b/src/connection/rpcsession.cpp
@@ -9,6 +9,10 @@
                                 [this](kj::Own<RpcStream> &&stream) {
                                     this->stream = kj::mv(stream);
                                     this->client = kj::heap<capnp::TwoPartyClient>(*this->stream);
+                                    // The client reads from the connection, and so notices its end,
+                                    // only once a capability was requested.
+                                    this->bootstrap
+                                            = this->client->bootstrap().castAs<rpc::Member>();
                                     this->watchDisconnect();
                                 },
                                 [this](kj::Exception &&exception) {
@@ -38,7 +42,7 @@
     if (this->isClosed()) {
         kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "the connection has ended"));
     }
-    return this->client->bootstrap().castAs<rpc::Member>();
+    return KJ_ASSERT_NONNULL(this->bootstrap);
 }
 
 void RpcSession::close(const std::string &reason)
--- a/src/connection/rpcsession.h
+++ b/src/connection/rpcsession.h
@@ -22,7 +22,7 @@
     kj::Promise<void> whenConnected() { return this->connected.addBranch(); }
 
     /** Whether the connection was established; stays true when it has ended. */
-    bool isConnected() const { return this->client.get() != nullptr; }
+    bool isConnected() const { return this->bootstrap != nullptr; }
     /** Whether the connection has ended or could not be established. */
     bool isClosed() const;
 
@@ -42,6 +42,7 @@
     bool closed = false;
     kj::Own<RpcStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
+    kj::Maybe<rpc::Member::Client> bootstrap; // of the client; none before the connection is open
     kj::Promise<void> disconnectWatch { nullptr };
     kj::ForkedPromise<void> connected;
 };
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -90,8 +90,12 @@
 bool RegistryWatcher::hasFailedRecently(const std::string &ip) const
 {
     const auto found = this->hosts.find(ip);
-    return found != this->hosts.end() && found->second->failedAt
-           && this->loop.now() - *found->second->failedAt < failedTargetDelay;
+    if (found == this->hosts.end() || !found->second->failedAt) {
+        return false;
+    }
+    // A connection that took longer than the call waited for it has opened in the meantime.
+    const Host &host = *found->second;
+    return !host.connection.isOpen() && this->loop.now() - *host.failedAt < failedTargetDelay;
 }
 
 void RegistryWatcher::call()
--- a/tests/connection/test_rpcconnection.cpp
+++ b/tests/connection/test_rpcconnection.cpp
@@ -1,5 +1,7 @@
 #include "connection/rpcconnection.h"
 
+#include "connection/fakemember.h"
+
 #include "support/loopwait.h"
 
 #include <gtest/gtest.h>
@@ -97,6 +99,24 @@
     EXPECT_TRUE(waitUntil(loop, [&] { return listener.acceptAll() > 0; }, { 4000 }));
 }
 
+// Guards against a member that counts as failed because it has closed a connection that was idle.
+TEST(RpcConnection, opensANewConnectionAfterTheMemberHasClosedAnIdleOne)
+{
+    EventLoop loop;
+    RpcServerLimits limits;
+    limits.idleTimeout = { 100 };
+    ListeningMember member(loop, limits);
+    RpcConnection connection(loop, member.address(), { 1000 }, std::make_shared<ByteCounters>());
+    const auto send = [](rpc::Member::Client client) {
+        return client.deliverRequest().send().ignoreResult();
+    };
+    loop.wait(connection.call<void>({ { 1000 }, { 1000 } }, send));
+    ASSERT_TRUE(waitUntil(loop, [&] { return member.server.connectionCount() == 0; }));
+    runFor(loop, { 50 });
+    loop.wait(connection.call<void>({ { 1000 }, { 1000 } }, send));
+    EXPECT_EQ(member.behaviour.delivered.size(), 2U);
+}
+
 // Guards against a connection that opens only when the system repeats a lost first packet, one
 // second and then two more after the attempt began, though the host can be reached again.
 TEST(RpcStream, connectsSoonAfterAHostCanBeReachedAgain)
