gateway: Check again before the first byte that the upstream may get the request; read the drain period

What callers may see (DRAIN): a request reaches an upstream that has left.

Before: GatewayRequest.sendsNothingToAnUpstreamThatLeavesWhileItsConnectionOpens is red without the check (the upstream received the order); GatewayUpstream.hasLeftAGracePeriodAfterItAnnouncedItsEnd did not know a period of 1.5 s. After: the request goes back to the choice of an upstream without counting as a failure of the first; bounds.drain-s.

--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -77,6 +77,12 @@
     /** Refuses the requests that no upstream has received, since the process is about to end. */
     void refuseWaitingRequests();
 
+    /** See GatewayUpstream::hasLeft(). */
+    bool hasLeft(const GatewayUpstream &upstream) const
+    {
+        return upstream.hasLeft(this->loop.now(), this->settings.bounds.drainPeriod);
+    }
+
     /** Time after which a key whose owner is unavailable probably has another owner. */
     Milliseconds ownerReplacementDelay() const { return this->settings.heartbeatInterval * 2; }
 
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -204,12 +204,11 @@
         return nullptr;
     }
     std::shared_ptr<GatewayUpstream> owner = this->core.upstream(range->upstream);
-    const bool isUsable
-            = owner && !owner->isReplaced() && !owner->hasLeft(this->core.eventLoop().now());
-    return isUsable ? owner : nullptr;
+    return owner && !owner->isReplaced() && !this->core.hasLeft(*owner) ? owner : nullptr;
 }
 
-// Whether the request, which has waited for capacity of its target, can still be sent there.
+// Whether the request, which has waited for capacity of its target or a connection, can still be
+// sent there.
 bool GatewayRequest::canSendToTarget() const
 {
     if (this->keyed) {
@@ -332,7 +331,8 @@
                 if (const auto request = weak.lock(); request && !request->ended) {
                     request->onResult(std::move(result));
                 }
-            });
+            },
+            [this] { return this->canSendToTarget(); });
     this->scheduleCallCheck();
 }
 
@@ -478,9 +478,12 @@
 {
     this->callTimer = EventLoop::Timer();
     this->releaseUpstream();
+    if (failure.stage == HttpFailure::Stage::Cancelled) {
+        this->dispatch();
+        return;
+    }
     this->target->recordFailure(this->sentAt, this->core.eventLoop().now());
-    const bool notSent = failure.stage == HttpFailure::Stage::Connect
-                         || failure.stage == HttpFailure::Stage::Cancelled;
+    const bool notSent = failure.stage == HttpFailure::Stage::Connect;
     const bool hasTimeForRetry = this->timeLeft() > this->typicalDuration();
     if (notSent) {
         if (hasTimeForRetry && this->sends < maxSends) {
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -31,10 +31,9 @@
 // Failures that are further apart do not count as failures in a row: an upstream that gets few
 // requests from this gateway may have responded to other gateways in the meantime.
 constexpr Milliseconds maxFailureInterval { 4000 };
-// How long an upstream that has announced its shutdown still gets requests, from the earliest time
-// at which that can have been. It keeps serving for at least 2.5 s after the announcement; the rest
-// is for the way of a request to the upstream.
-constexpr Milliseconds leavingGracePeriod { 1800 };
+// A leaving upstream gets its last request this long before its drain period may end: time for the
+// way of the request over a full link.
+constexpr Milliseconds lastRequestMargin { 700 };
 // Surcharges in milliseconds on the cost of an upstream in another zone of the region or in another
 // region. Traffic between regions is slow and paid by volume.
 constexpr double sameRegionCost = 3.0;
@@ -90,9 +89,9 @@
     this->routed = value;
 }
 
-bool GatewayUpstream::hasLeft(TimePoint now) const
+bool GatewayUpstream::hasLeft(TimePoint now, Milliseconds drainPeriod) const
 {
-    return this->leavingSince && now - *this->leavingSince > leavingGracePeriod;
+    return this->leavingSince && now - *this->leavingSince > drainPeriod - lastRequestMargin;
 }
 
 void GatewayUpstream::setShare(double trafficShare, double roundingOffset)
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -38,8 +38,11 @@
      * @p previousTableAt, when the leader confirmed the previous table.
      */
     void setRouted(const RoutedUpstream &value, TimePoint previousTableAt);
-    /** Whether it may have announced its shutdown so long ago that it no longer gets requests. */
-    bool hasLeft(TimePoint now) const;
+    /**
+     * Whether it may have announced its shutdown so long ago that it no longer gets requests.
+     * @p drainPeriod is how long upstreams serve after an announcement.
+     */
+    bool hasLeft(TimePoint now, Milliseconds drainPeriod) const;
     /**
      * Sets the share of the upstream's slots that this gateway may use. It is rounded down after
      * @p roundingOffset is added. The offsets, from 0 to 1, differ between gateways, so that the
--- a/src/process/sitesettings.cpp
+++ b/src/process/sitesettings.cpp
@@ -112,6 +112,7 @@
     values.retryWindow = seconds(bounds, "retry-window-s", 10.0);
     values.maxLeaseDuration = seconds(bounds, "hold-max-s", 10.0);
     values.stopGracePeriod = seconds(bounds, "stop-grace-s", 6.0);
+    values.drainPeriod = seconds(bounds, "drain-s", 2.5);
 }
 
 void Parser::readRegions()
--- a/src/process/sitesettings.h
+++ b/src/process/sitesettings.h
@@ -34,6 +34,8 @@
     Milliseconds retryWindow { 10000 };
     Milliseconds maxLeaseDuration { 10000 }; // of the leases of upstreams
     Milliseconds stopGracePeriod { 6000 }; // from SIGTERM to the end of the process
+    // How long an upstream serves at least after its announcement to shut down was acknowledged.
+    Milliseconds drainPeriod { 2500 };
 
     bool operator==(const SiteBounds &) const = default;
 };
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -46,6 +46,10 @@
     return leaseDuration + leaseDuration / 50 + margin;
 }
 
+// The part of the drain period in which the leader no longer lists a leaving upstream as the owner
+// of keys: time until all gateways have the routing table and their last requests have arrived.
+constexpr Milliseconds drainMargin { 1000 };
+
 RegistryTiming timingOf(const SiteSettings &settings)
 {
     RegistryTiming timing;
@@ -53,6 +57,8 @@
     timing.leases.leaseDurationOnLeaderClock
             = leaseDurationOnLeaderClock(timing.leases.leaseDuration);
     timing.ranges.heartbeatInterval = settings.heartbeatInterval;
+    timing.ranges.leavingGracePeriod
+            = std::max(settings.bounds.drainPeriod - drainMargin, Milliseconds {});
     return timing;
 }
 
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -408,6 +408,23 @@
     EXPECT_TRUE(this->peer->connections.empty());
 }
 
+// Guards against requests to an upstream that has left or lost their key while their connection
+// opened.
+TEST_F(GatewayRequestTest, sendsNothingToAnUpstreamThatLeavesWhileItsConnectionOpens)
+{
+    this->serve([](FakePeer::Connection &) {});
+    this->publish(RangePhase::Pending);
+    const auto client = this->request("POST", "/order/1");
+    runFor(this->loop, { 100 });
+    const TimePoint now = this->loop.now();
+    this->publish(RangePhase::Owned, UpstreamPhase::Ready, now - Milliseconds { 2000 }); // connects
+    this->publish(RangePhase::Owned, UpstreamPhase::Draining, now);
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503"));
+    for (const auto &connection : this->peer->connections) {
+        EXPECT_EQ(connection->received, "");
+    }
+}
+
 // Guards against keys that nobody serves while an upstream that has just announced its shutdown
 // still owns them.
 TEST_F(GatewayRequestTest, sendsRequestsToAnUpstreamThatHasJustAnnouncedItsShutdown)
--- a/tests/gateway/test_gatewayupstream.cpp
+++ b/tests/gateway/test_gatewayupstream.cpp
@@ -93,8 +93,9 @@
     leaving.upstream.phase = UpstreamPhase::Gone;
     gatewayUpstream.setRouted(leaving, now);
     gatewayUpstream.setRouted(leaving, now + Milliseconds { 1000 });
-    EXPECT_FALSE(gatewayUpstream.hasLeft(now + Milliseconds { 1800 }));
-    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1801 }));
+    EXPECT_FALSE(gatewayUpstream.hasLeft(now + Milliseconds { 1800 }, { 2500 }));
+    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1801 }, { 2500 }));
+    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1000 }, { 1500 }));
 }
 
 // A full upstream. Guards against refusing requests because a few of many got a late response.
--- a/tests/process/test_sitesettings.cpp
+++ b/tests/process/test_sitesettings.cpp
@@ -20,6 +20,7 @@
                                 "[bounds]\n"
                                 "retry-share = 0.3\n"
                                 "stop-grace-s = 5\n"
+                                "drain-s = 3.5\n"
                                 "unknown-bound = 7\n"
                                 "[regions]\n"
                                 "a = north\n";
@@ -36,6 +37,7 @@
     EXPECT_EQ(settings.heartbeatInterval, Milliseconds { 870 });
     EXPECT_EQ(settings.bounds.retryShare, 0.3);
     EXPECT_EQ(settings.bounds.stopGracePeriod, Milliseconds { 5000 });
+    EXPECT_EQ(settings.bounds.drainPeriod, Milliseconds { 3500 });
     EXPECT_EQ(settings.regions.at("a"), "north");
     EXPECT_EQ(std::get<GatewaySettings>(settings.role).readiness,
               (HostAddress { "10.1.0.10", 8167 }));
