gateway: Search on while a host that knows no leader answers

A leader that is cut off from its group, but not from the gateways, does not fail: it steps down and answers that it knows no leader. Its connection was the only open one, so it was called again and again until the cut ended.

Before: RegistryWatcher.leavesAFormerLeaderThatKnowsNoOther is red. After: each step of the search connects to every host that has no connection, every 300 ms at the most.

--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -10,6 +10,8 @@
 // attempt to connect continues.
 constexpr Milliseconds connectWait { 150 };
 constexpr Milliseconds connectTimeout { 1500 };
+// Interval at which the search for the leader tries a host again that has refused a connection.
+constexpr Milliseconds connectInterval { 300 };
 // Bounds of the time for the reply to a watch call, beyond the time that it may wait at the leader.
 // The lower bound covers the latency and a busy leader. A call that times out costs the leader a
 // new connection.
@@ -81,13 +83,15 @@
 }
 
 // Returns the next address to call. Hosts to which a connection is open come first, then those that
-// have not failed recently.
+// have not failed recently. Since hosts that are cut off from their group answer too, the others
+// are being connected to at the same time.
 std::string RegistryWatcher::nextTarget()
 {
     std::vector<std::string> ips = this->candidates();
     if (ips.empty()) {
         return {};
     }
+    this->connectToAll(ips);
     const auto next = static_cast<std::ptrdiff_t>(this->nextIndex++ % ips.size());
     std::rotate(ips.begin(), ips.begin() + next, ips.end());
     const auto open = std::find_if(ips.begin(), ips.end(), [this](const std::string &ip) {
@@ -104,10 +108,15 @@
 
 // Begins to connect to every host, so that the search for the leader waits for the quickest of them
 // and not for one after the other.
-void RegistryWatcher::connectToAll()
-{
-    for (const std::string &ip : this->candidates()) {
-        this->hostAt(ip).connection.open();
+void RegistryWatcher::connectToAll(const std::vector<std::string> &ips)
+{
+    const TimePoint now = this->loop.now();
+    for (const std::string &ip : ips) {
+        Host &host = this->hostAt(ip);
+        if (!host.connection.isOpen() && now - host.connectBegunAt >= connectInterval) {
+            host.connectBegunAt = now;
+            host.connection.open();
+        }
     }
 }
 
@@ -198,9 +207,6 @@
 void RegistryWatcher::onFailure(const std::string &reason)
 {
     this->logFailure(reason);
-    if (this->connected) {
-        this->connectToAll();
-    }
     this->setConnected(false);
     Host &host = this->hostAt(this->target);
     host.failedAt = this->loop.now();
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -47,6 +47,7 @@
         RpcConnection connection;
         RoundTripEstimate roundTrip; // of its updates; hints do not count
         std::optional<TimePoint> failedAt; // since the last update of any host
+        TimePoint connectBegunAt; // by the search for the leader
     };
 
     void call();
@@ -57,7 +58,7 @@
     void callAfter(Milliseconds delay);
     std::vector<std::string> candidates() const;
     std::string nextTarget();
-    void connectToAll();
+    void connectToAll(const std::vector<std::string> &ips);
     bool hasFailedRecently(const std::string &ip) const;
     Host &hostAt(const std::string &ip);
     void setConnected(bool value);
--- a/tests/gateway/test_registrywatcher.cpp
+++ b/tests/gateway/test_registrywatcher.cpp
@@ -11,6 +11,26 @@
 
 namespace {
 
+/** A control host that gives the reply which the test has set. */
+class ScriptedHost final : public rpc::Registry::Server
+{
+public:
+    explicit ScriptedHost(const GatewayWatchReply &reply)
+        : reply(reply)
+    { }
+
+    kj::Promise<void> watch(WatchContext context) override
+    {
+        const std::string bytes = encode(this->reply);
+        context.getResults().setAnswer(
+                kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        return kj::READY_NOW;
+    }
+
+private:
+    const GatewayWatchReply &reply;
+};
+
 /** A control host whose replies take a while to arrive, as on a full link. */
 class SlowHost final : public rpc::Registry::Server
 {
@@ -125,3 +145,33 @@
     EXPECT_TRUE(waitUntil(
             loop, [&] { return updates > 0; }, maxSearch));
 }
+
+// Guards against a gateway that calls only the hosts to which a connection is open: a former leader
+// that is cut off from its group but not from the gateway answers each call and knows no leader.
+TEST(RegistryWatcher, leavesAFormerLeaderThatKnowsNoOther)
+{
+    EventLoop loop;
+    constexpr Milliseconds maxSearch { 700 };
+    GatewayWatchReply reply = GatewayUpdate {};
+    RpcServer former(loop, {}, kj::heap<ScriptedHost>(reply));
+    ASSERT_EQ(former.listen({ "127.0.0.1", 0 }), "");
+    GroupHint hint;
+    hint.groupExists = true;
+    const GatewayWatchReply nextReply = GatewayUpdate {};
+    RpcServer next(loop, {}, kj::heap<ScriptedHost>(nextReply));
+    ASSERT_EQ(next.listen({ "127.0.0.2", former.port() }), "");
+    const SiteSettings settings
+            = settingsWithSeeds({ { "127.0.0.1", former.port() }, { "127.0.0.2", former.port() } });
+    EventLog log("front-1");
+    int updates = 0;
+    RegistryWatcher watcher(loop, settings, log,
+                            { [] { return GatewayReport(); },
+                              [&](const GatewayUpdate &, TimePoint) { ++updates; } });
+    watcher.start();
+    ASSERT_TRUE(waitUntil(loop, [&] { return updates > 0; }));
+    reply = hint;
+    runFor(loop, { 50 });
+    updates = 0;
+    EXPECT_TRUE(waitUntil(
+            loop, [&] { return updates > 0; }, maxSearch));
+}
