connection: Answer a request that arrives while its idle connection is being closed

Cause: a stopping gateway closes connections that have been idle for 0.5 s by shutting down both directions. A request that arrives between the check for unread bytes and the next read is read, refused with 503, and the refusal cannot be written any more.

Before: HttpServerTest.answersARequestThatArrivesWhileItsIdleConnectionIsClosed is red (no 503). After: only the receiving direction is shut down. h2o closes the connection at the end of the stream, or answers first if a request has come.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -56,6 +56,14 @@
     shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
 }
 
+// As above, for a connection without a request. A request that arrives just before h2o reads the
+// end of the stream still gets a response.
+void closeIdle(ServerConnection &connection)
+{
+    connection.closing = true;
+    shutdown(h2o_socket_get_fd(connection.socket), SHUT_RD);
+}
+
 // Whether bytes have arrived that h2o has not read yet.
 bool hasUnreadBytes(h2o_socket_t *socket)
 {
@@ -300,7 +308,7 @@
         const Milliseconds limit
                 = this->shuttingDown ? shutdownIdleTimeout : this->limits.idleTimeout;
         if (now - connection.idleSince > limit && !hasUnreadBytes(connection.socket)) {
-            shutDownSocket(connection);
+            closeIdle(connection);
         }
         return;
     }
--- a/tests/connection/test_httpserver.cpp
+++ b/tests/connection/test_httpserver.cpp
@@ -232,6 +232,31 @@
     EXPECT_FALSE(RawClient(this->server->port()).connected);
 }
 
+// Guards against a request without a response that arrives while its idle connection is being
+// closed: it was read, refused and could not be answered any more.
+TEST_F(HttpServerTest, answersARequestThatArrivesWhileItsIdleConnectionIsClosed)
+{
+    constexpr Milliseconds sweepInterval { 500 };
+    this->start();
+    RawClient client(this->server->port());
+    std::optional<TimePoint> shutDownAt;
+    bool isSent = false;
+    // Fires right after the sweep that closes idle connections, before the loop reads from sockets.
+    const EventLoop::Timer timer = this->loop.callEvery(sweepInterval, [&] {
+        if (shutDownAt && !isSent && this->loop.now() - *shutDownAt > sweepInterval) {
+            isSent = client.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+        }
+    });
+    const TimePoint bothDue = this->loop.now() + sweepInterval;
+    while (this->loop.now() < bothDue) { } // both timers fire in the same iteration from now on
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->server->connectionCount() == 1; }));
+    shutDownAt = this->loop.now();
+    this->server->shutDown([] {});
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); }));
+    EXPECT_TRUE(isSent);
+    EXPECT_NE(client.received().find("HTTP/1.1 503"), std::string::npos);
+}
+
 // Guards against a body in a response to HEAD, which clients would read as the next response (P3).
 TEST_F(HttpServerTest, sendsNoBodyForHead)
 {
