--- a/src/cassiaroad/commandline.cpp
+++ b/src/cassiaroad/commandline.cpp
@@ -1,6 +1,7 @@
 #include "cassiaroad/commandline.h"
 
-#include <charconv>
+#include "process/parsenumber.h"
+
 #include <sstream>
 
 #include <getopt.h>
@@ -41,9 +42,8 @@
 
 bool readNumber(const std::string &text, std::uint64_t &value)
 {
-    const char *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, value);
-    return error == std::errc() && rest == end && value > 0;
+    value = parseNumber<std::uint64_t>(text).value_or(0);
+    return value > 0;
 }
 
 /** Stores one option; returns an empty text, or why it is not valid. */
--- a/src/cassiaroad/operatorcommands.cpp
+++ b/src/cassiaroad/operatorcommands.cpp
@@ -4,8 +4,8 @@
 #include "cassiaroad/operatorformat.h"
 #include "cassiaroad/operatorjson.h"
 #include "cassiaroad/settingsfile.h"
+#include "process/parsenumber.h"
 
-#include <charconv>
 #include <iostream>
 
 namespace cassiaroad {
@@ -83,10 +83,8 @@
 
 std::optional<PlanNumber> planNumber(const std::string &word)
 {
-    PlanNumber number = 0;
-    const char *end = word.data() + word.size();
-    const auto [rest, error] = std::from_chars(word.data(), end, number);
-    if (error != std::errc() || rest != end || number == 0) {
+    const auto number = parseNumber<PlanNumber>(word);
+    if (!number || *number == 0) {
         std::cerr << "cassiaroad: PLAN is an integer from 1, not \"" << word << "\"\n";
         return std::nullopt;
     }
--- a/src/cassiaroad/operatorservice.cpp
+++ b/src/cassiaroad/operatorservice.cpp
@@ -4,8 +4,7 @@
 #include "cassiaroad/operatorjson.h"
 #include "connection/rpcdelay.h"
 #include "process/log.h"
-
-#include <charconv>
+#include "process/parsenumber.h"
 
 #include <openssl/crypto.h>
 
@@ -256,12 +255,8 @@
 
 void OperatorService::plan(const ExchangePtr &exchange, const std::string &number) const
 {
-    PlanNumber plan = 0;
-    const char *end = number.data() + number.size();
-    const auto [rest, error] = std::from_chars(number.data(), end, plan);
-    const PlanEntry *entry = error == std::errc() && rest == end
-                                     ? this->engine.state().plans().find(plan)
-                                     : nullptr;
+    const auto plan = parseNumber<PlanNumber>(number);
+    const PlanEntry *entry = plan ? this->engine.state().plans().find(*plan) : nullptr;
     if (entry == nullptr) {
         answerError(*exchange, 404, "plan " + number + " does not exist or is no longer kept");
         return;
--- a/src/connection/socketaddress.cpp
+++ b/src/connection/socketaddress.cpp
@@ -1,6 +1,8 @@
 #include "connection/socketaddress.h"
 
-#include <charconv>
+#include "process/parsenumber.h"
+
+#include <string_view>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -32,10 +34,8 @@
     if (colon == std::string::npos) {
         return {};
     }
-    HostAddress address { text.substr(0, colon), 0 };
-    const char *end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data() + colon + 1, end, address.port);
-    return error == std::errc() && rest == end ? address : HostAddress {};
+    const auto port = parseNumber<std::uint16_t>(std::string_view(text).substr(colon + 1));
+    return port ? HostAddress { text.substr(0, colon), *port } : HostAddress {};
 }
 
 } // namespace cassiaroad
--- a/src/process/sectionreader.cpp
+++ b/src/process/sectionreader.cpp
@@ -1,7 +1,8 @@
 #include "process/sectionreader.h"
 
+#include "process/parsenumber.h"
+
 #include <algorithm>
-#include <charconv>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -66,18 +67,6 @@
     return text.str();
 }
 
-template <typename Number>
-std::optional<Number> parseNumber(const std::string &text)
-{
-    Number value {};
-    const char *end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, value);
-    if (result.ec != std::errc() || result.ptr != end) {
-        return std::nullopt;
-    }
-    return value;
-}
-
 } // namespace
 
 SectionReader::SectionReader(std::string file, std::string name, const IniSection *section,
--- a/src/request/deadline.cpp
+++ b/src/request/deadline.cpp
@@ -1,7 +1,8 @@
 #include "request/deadline.h"
 
+#include "process/parsenumber.h"
+
 #include <algorithm>
-#include <charconv>
 
 namespace cassiaroad {
 
@@ -11,13 +12,11 @@
     if (text.empty()) {
         return fallback;
     }
-    std::int64_t count = 0;
-    const char *end = text.data() + text.size();
-    const auto [last, error] = std::from_chars(text.data(), end, count);
-    if (error != std::errc() || last != end || count < 1 || count > maxDuration.count) {
+    const auto count = parseNumber<std::int64_t>(text);
+    if (!count || *count < 1 || *count > maxDuration.count) {
         return std::nullopt;
     }
-    return Deadline::after({ count }, now);
+    return Deadline::after({ *count }, now);
 }
 
 Milliseconds Deadline::timeLeft(TimePoint now) const
--- a/src/version/settingoverrides.cpp
+++ b/src/version/settingoverrides.cpp
@@ -1,7 +1,8 @@
 #include "version/settingoverrides.h"
 
+#include "process/parsenumber.h"
+
 #include <array>
-#include <charconv>
 #include <sstream>
 #include <string_view>
 
@@ -33,13 +34,6 @@
         { "timing.silence-ms", true, 100, 60000 },
 } };
 
-bool parse(const std::string &text, double &number)
-{
-    const char *end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, number);
-    return result.ec == std::errc() && result.ptr == end;
-}
-
 std::string allowedNames()
 {
     std::string names;
@@ -57,12 +51,11 @@
         if (range.name != name) {
             continue;
         }
-        double number = 0;
-        const bool isNumber = value.empty() || parse(value, number);
-        const bool inRange = value.empty() || (number >= range.lowest && number <= range.highest);
+        const auto number = parseNumber<double>(value);
+        const bool isInRange = number && *number >= range.lowest && *number <= range.highest;
         const bool isWellFormed
                 = !range.isInteger || value.find_first_not_of("0123456789") == std::string::npos;
-        if (isNumber && inRange && isWellFormed) {
+        if (value.empty() || (isInRange && isWellFormed)) {
             return "";
         }
         std::ostringstream text;
@@ -77,8 +70,8 @@
                                 const std::string &name, double fallback)
 {
     const auto found = overrides.find(name);
-    double number = 0;
-    return found != overrides.end() && parse(found->second, number) ? number : fallback;
+    return found != overrides.end() ? parseNumber<double>(found->second).value_or(fallback)
+                                    : fallback;
 }
 
 } // namespace cassiaroad
