--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -1,7 +1,8 @@
 #include "gateway/gatewayrequest.h"
 
+#include "process/parsenumber.h"
+
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace cassiaroad {
@@ -42,15 +43,6 @@
 // control group is unavailable. A restart of the control group takes about as long.
 constexpr Milliseconds outageRetryAfter { 1000 };
 
-template <typename Number>
-std::optional<Number> parseNumber(std::string_view text)
-{
-    Number number {};
-    const char *end = text.data() + text.size();
-    const auto [stop, error] = std::from_chars(text.data(), end, number);
-    return error == std::errc() && stop == end ? std::optional(number) : std::nullopt;
-}
-
 // Formats a duration as seconds with three decimals, for Retry-After.
 std::string formatSeconds(Milliseconds span)
 {
--- a/tests/gateway/test_registrywatcher.cpp
+++ b/tests/gateway/test_registrywatcher.cpp
@@ -55,13 +55,35 @@
     std::string reply;
 };
 
-SiteSettings settingsWithSeeds(const std::vector<HostAddress> &seeds)
+/** A watcher that has started, and the number of updates that it has received. */
+class CountingWatcher
 {
+public:
+    CountingWatcher(EventLoop &loop, const std::vector<HostAddress> &seeds)
+        : settings(settingsWithSeeds(seeds))
+        , log("front-1")
+        , watcher(loop, this->settings, this->log,
+                  { [] { return GatewayReport(); },
+                    [this](const GatewayUpdate &, TimePoint) { ++this->updates; } })
+    {
+        this->watcher.start();
+    }
+
+    int updates = 0;
+
+private:
+    static SiteSettings settingsWithSeeds(const std::vector<HostAddress> &seeds)
+    {
+        SiteSettings settings;
+        settings.internalPort = seeds.front().port;
+        settings.seeds = seeds;
+        return settings;
+    }
+
     SiteSettings settings;
-    settings.internalPort = seeds.front().port;
-    settings.seeds = seeds;
-    return settings;
-}
+    EventLog log;
+    RegistryWatcher watcher;
+};
 
 } // namespace
 
@@ -74,15 +96,9 @@
     constexpr Milliseconds maxWait { 2500 + 1100 }; // the bound of a change, after one timeout
     RpcServer server(loop, {}, kj::heap<SlowHost>(loop, replyDelay, GatewayUpdate {}));
     ASSERT_EQ(server.listen({ "127.0.0.1", 0 }), "");
-    const SiteSettings settings = settingsWithSeeds({ { "127.0.0.1", server.port() } });
-    EventLog log("front-1");
-    bool updated = false;
-    RegistryWatcher watcher(loop, settings, log,
-                            { [] { return GatewayReport(); },
-                              [&](const GatewayUpdate &, TimePoint) { updated = true; } });
-    watcher.start();
+    const CountingWatcher watcher(loop, { { "127.0.0.1", server.port() } });
     EXPECT_TRUE(waitUntil(
-            loop, [&] { return updated; }, maxWait));
+            loop, [&] { return watcher.updates > 0; }, maxWait));
 }
 
 // Guards against a gateway that never reaches a distant leader, because the quick replies of a
@@ -100,15 +116,9 @@
     ASSERT_EQ(nearby.listen({ "127.0.0.1", 0 }), "");
     RpcServer leader(loop, {}, kj::heap<SlowHost>(loop, leaderDelay, GatewayUpdate {}));
     ASSERT_EQ(leader.listen({ "127.0.0.2", nearby.port() }), "");
-    const SiteSettings settings = settingsWithSeeds({ { "127.0.0.1", nearby.port() } });
-    EventLog log("front-1");
-    bool updated = false;
-    RegistryWatcher watcher(loop, settings, log,
-                            { [] { return GatewayReport(); },
-                              [&](const GatewayUpdate &, TimePoint) { updated = true; } });
-    watcher.start();
+    const CountingWatcher watcher(loop, { { "127.0.0.1", nearby.port() } });
     EXPECT_TRUE(waitUntil(
-            loop, [&] { return updated; }, maxWait));
+            loop, [&] { return watcher.updates > 0; }, maxWait));
 }
 
 // Guards against a gateway that searches for the next leader at one host after the other, while
@@ -131,19 +141,13 @@
     for (int i = 1; i <= 5; ++i) {
         seeds.push_back({ "127.0.0." + std::to_string(i), port });
     }
-    const SiteSettings settings = settingsWithSeeds(seeds);
-    EventLog log("front-1");
-    int updates = 0;
-    RegistryWatcher watcher(loop, settings, log,
-                            { [] { return GatewayReport(); },
-                              [&](const GatewayUpdate &, TimePoint) { ++updates; } });
-    watcher.start();
-    ASSERT_TRUE(waitUntil(loop, [&] { return updates > 0; }));
+    CountingWatcher watcher(loop, seeds);
+    ASSERT_TRUE(waitUntil(loop, [&] { return watcher.updates > 0; }));
     former.reset();
     runFor(loop, { 20 });
-    updates = 0;
+    watcher.updates = 0;
     EXPECT_TRUE(waitUntil(
-            loop, [&] { return updates > 0; }, maxSearch));
+            loop, [&] { return watcher.updates > 0; }, maxSearch));
 }
 
 // Guards against a gateway that calls only the hosts to which a connection is open: a former leader
@@ -160,18 +164,12 @@
     const GatewayWatchReply nextReply = GatewayUpdate {};
     RpcServer next(loop, {}, kj::heap<ScriptedHost>(nextReply));
     ASSERT_EQ(next.listen({ "127.0.0.2", former.port() }), "");
-    const SiteSettings settings
-            = settingsWithSeeds({ { "127.0.0.1", former.port() }, { "127.0.0.2", former.port() } });
-    EventLog log("front-1");
-    int updates = 0;
-    RegistryWatcher watcher(loop, settings, log,
-                            { [] { return GatewayReport(); },
-                              [&](const GatewayUpdate &, TimePoint) { ++updates; } });
-    watcher.start();
-    ASSERT_TRUE(waitUntil(loop, [&] { return updates > 0; }));
+    CountingWatcher watcher(loop,
+                            { { "127.0.0.1", former.port() }, { "127.0.0.2", former.port() } });
+    ASSERT_TRUE(waitUntil(loop, [&] { return watcher.updates > 0; }));
     reply = hint;
     runFor(loop, { 50 });
-    updates = 0;
+    watcher.updates = 0;
     EXPECT_TRUE(waitUntil(
-            loop, [&] { return updates > 0; }, maxSearch));
+            loop, [&] { return watcher.updates > 0; }, maxSearch));
 }
