--- a/tools/soak.py
+++ b/tools/soak.py
@@ -3,7 +3,8 @@
 
 Injects faults from outside the processes (kills, pauses, restarts, lost disks, links that refuse,
 delay or stall, upstreams that crash, drain and restart) and checks the promises of docs/PROMISES.md
-from what callers and upstreams see. Usage: soak.py --build DIR [--seed N] [--seconds S]
+from what callers and upstreams see. Half of the callers keep their connections open.
+Usage: soak.py --build DIR [--seed N] [--seconds S] [--gateways N]
 """
 import argparse
 import asyncio
@@ -18,11 +19,15 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from soaklib.caller import KeptConnection  # noqa: E402
 from soaklib.relay import Relay  # noqa: E402
 from soaklib.upstreams import Checks, Upstream, http  # noqa: E402
 
 TOLERATED_LOSSES = 2  # upper bound of the control hosts with a fault at the same time
-CONTROLS, GATEWAYS, UPSTREAMS = 5, 2, 5
+CONTROLS, UPSTREAMS = 5, 5
+MAX_GATEWAYS = 200  # each has an address of its own
+CALLERS_PER_GATEWAY = 6
+MAX_ROLLING = 4  # gateways of one rolling restart; each takes up to its grace period to end
 CATCH_UP_S = 4.0  # after which a control host that lost its data counts as present again
 RECOVERY_S = 15  # after the faults, before requests must be served again
 CONFIG_IN_FORCE_S = 5.0  # 2.5 s, and the time in which the group elects a leader
@@ -96,7 +101,7 @@
 class Soak:
     """The site, its callers, the faults that are injected and what was observed."""
 
-    def __init__(self, build, seed, seconds, only_fault=None):
+    def __init__(self, build, seed, seconds, gateways=2, only_fault=None):
         self.only_fault = only_fault  # name of the method that injects it; None: any fault
         self.random = random.Random(seed)
         self.seconds = seconds
@@ -108,7 +113,8 @@
         make_host = lambda name, role, number: Host(name, role, number, self.ports, self.folder,
                                                     binary)
         self.controls = [make_host(f"core-{i}", "registry", i) for i in range(1, CONTROLS + 1)]
-        self.gateways = [make_host(f"front-{i}", "gateway", 10 + i) for i in range(1, GATEWAYS + 1)]
+        self.gateways = [make_host(f"front-{i}", "gateway", 10 + i) for i in range(1, gateways + 1)]
+        self.rolling_restart = None  # task that restarts the gateways one after the other
         self.seeds = [f"{host.ip}:{self.ports['control']}" for host in self.controls]
         self.checks = Checks()
         self.upstreams = []
@@ -143,13 +149,22 @@
 
     async def run(self):
         """Runs the site with faults, ends the faults, and checks that requests are served again."""
-        await self.start_site()
-        callers = [asyncio.create_task(self.call_forever()) for _ in range(12)]
+        try:
+            await self.start_site()
+            await self.run_with_faults()
+        finally:
+            await self.stop()
+
+    async def run_with_faults(self):
+        callers = [asyncio.create_task(self.call_forever(gateway, keeps_connection=i % 2 == 0))
+                   for gateway in self.gateways for i in range(CALLERS_PER_GATEWAY)]
         reader = asyncio.create_task(self.read_forever())
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
             await self.inject_fault()
+        if self.rolling_restart is not None:
+            await self.rolling_restart
         await self.heal()
         await asyncio.sleep(RECOVERY_S)
         recovered_at = time.monotonic()
@@ -223,18 +238,22 @@
             if status == 200 and int(json.loads(text)["version"], 16) < known:
                 self.checks.violations.append(f"version {known} was acknowledged, a read gave less")
 
-    async def call_forever(self):
-        """Sends requests to random gateways one after another and records their outcomes."""
+    async def call_forever(self, gateway, keeps_connection):
+        """Sends requests to a gateway one after another and records their outcomes. With
+        `keeps_connection` they share a connection for as long as the gateway keeps it open."""
+        connection = KeptConnection(f"{gateway.ip}:{self.ports['callers']}")
+        pause_s = 0.05 * len(self.gateways)  # so that the load does not grow with the gateways
         while True:
-            await asyncio.sleep(self.random.uniform(0.01, 0.1))
+            await asyncio.sleep(self.random.uniform(0.1, 1.0) * pause_s)
             self.next_id += 1
             request_id = f"r{self.next_id:07d}"
             method, path = self.random.choice([("GET", "/read/x"), ("POST", "/order/x")])
-            gateway = self.random.choice(self.gateways)
-            status, _, text = await http(
-                method, f"{gateway.ip}:{self.ports['callers']}", path, "abc",
+            status, _, text = await connection.send(
+                method, path, "abc",
                 {"X-Cassiaroad-Request-Id": request_id, "X-Cassiaroad-Deadline-Ms": "1500",
                  "X-Cassiaroad-Shard-Key": str(self.random.randrange(65536))}, 3.0)
+            if not keeps_connection:
+                connection.close()
             self.outcomes.append((time.monotonic(), status == 200))
             if status == 200:
                 self.counts["served"] += 1
@@ -261,8 +280,9 @@
         actions = [self.inject_control_fault, self.inject_control_fault, self.inject_gateway_fault,
                    self.inject_upstream_fault, self.inject_upstream_fault,
                    self.change_configuration, self.reset_connections, self.repair_random_host,
-                   self.repair_random_host, self.kill_all_controls, self.lose_disks_and_kill_all]
-        weights = [3, 3, 2, 3, 2, 4, 2, 3, 3, 0.5, 0.5]
+                   self.repair_random_host, self.kill_all_controls, self.lose_disks_and_kill_all,
+                   self.begin_rolling_restart]
+        weights = [3, 3, 2, 3, 2, 4, 2, 3, 3, 0.5, 0.5, 1]
         await self.random.choices(actions, weights)[0]()
 
     async def inject_control_fault(self):
@@ -314,6 +334,21 @@
         host.signal(kind)
         host.paused = kind == signal.SIGSTOP
 
+    async def begin_rolling_restart(self):
+        """Begins to restart all gateways one after the other, while other faults continue."""
+        if self.rolling_restart is None or self.rolling_restart.done():
+            self.record_event("rolling restart of the gateways")
+            self.rolling_restart = asyncio.create_task(self.restart_gateways())
+
+    async def restart_gateways(self):
+        for host in self.gateways[:MAX_ROLLING]:
+            host.signal(signal.SIGTERM)
+            host.signal(signal.SIGCONT)
+            host.paused = False
+            await host.wait_until_ended()
+            if host.process.poll() is not None:
+                host.start()
+
     async def inject_upstream_fault(self):
         """Crashes, restarts or drains an upstream. Starts one that is down or draining instead, if
         the choice is a drain or at most two serve."""
@@ -396,10 +431,18 @@
                     await upstream.crash()
                 await self.add_upstream(upstream.name, upstream.address)
 
-    def stop(self):
+    async def stop(self):
+        """Ends all processes, upstreams and relays. A relay that still accepted connections while
+        the event loop closes would leave tasks behind, whose errors hide the verdict (seed 37)."""
         for host in self.controls + self.gateways:
+            for relay in host.relays:
+                relay.stop()
             host.end()
             host.log.close()
+        for upstream in self.upstreams:
+            if upstream.up:
+                await upstream.crash()
+        await asyncio.sleep(0.1)
 
 
 def main():
@@ -407,14 +450,14 @@
     parser.add_argument("--build", default="build")
     parser.add_argument("--seed", type=int, default=random.randrange(10**6))
     parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--gateways", type=int, default=2, choices=range(1, MAX_GATEWAYS + 1),
+                        metavar=f"1..{MAX_GATEWAYS}")
     parser.add_argument("--fault", choices=["lose_disks_and_kill_all", "kill_all_controls"],
                         help="inject only this fault")
     arguments = parser.parse_args()
-    soak = Soak(arguments.build, arguments.seed, arguments.seconds, arguments.fault)
-    try:
-        asyncio.run(soak.run())
-    finally:
-        soak.stop()
+    soak = Soak(arguments.build, arguments.seed, arguments.seconds, arguments.gateways,
+                arguments.fault)
+    asyncio.run(soak.run())
     violations = soak.checks.violations
     print(f"soak seed {arguments.seed}: {'broken' if violations else 'held'}, {soak.counts}, "
           f"{len(soak.events)} faults, configuration {soak.version}")
--- a/tools/soaklib/relay.py
+++ b/tools/soaklib/relay.py
@@ -18,6 +18,12 @@
         ip, port = self.listen.split(":")
         self.server = await asyncio.start_server(self.accept, ip, int(port), reuse_address=True)
 
+    def stop(self):
+        """Accepts no more connections and resets the open ones."""
+        if self.server is not None:
+            self.server.close()
+        self.reset_all()
+
     def reset_all(self):
         """Resets every open connection."""
         for writer in list(self.connections):
