gateway: Log what is open when a gateway has stopped

The lines could not tell why connections closed without a response when a gateway ended: whether their requests had been sent, had a response that was not written out, or had not been handed over yet.

stopped now counts the connections, incomplete requests, requests without a response and unwritten responses that are left; request_open names each request that has no response, and all lines of requests tell whether an attempt may still run (sent).

--- a/src/connection/h2oexchange.cpp
+++ b/src/connection/h2oexchange.cpp
@@ -169,6 +169,7 @@
 {
     h2o_req_t *target = this->request;
     this->answered = true;
+    ++this->connection->unwrittenResponses;
     void *memory
             = h2o_mem_alloc_shared(&target->pool, sizeof(PendingResponse), &destroyPendingResponse);
     auto *stored = new (memory) PendingResponse { std::move(headers), std::move(body) };
@@ -276,6 +277,7 @@
     this->connection->receiving = false;
     this->request = nullptr;
     if (this->answered) {
+        --this->connection->unwrittenResponses;
         return;
     }
     this->clientGone = true;
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -402,6 +402,21 @@
     return this->d->connections.size();
 }
 
+HttpServerBacklog HttpServer::backlog() const
+{
+    HttpServerBacklog backlog;
+    backlog.connections = this->d->connections.size();
+    for (const std::shared_ptr<ServerConnection> &connection : this->d->connections) {
+        const std::uint32_t open = connection->openExchanges;
+        backlog.openRequests += open - connection->unwrittenResponses;
+        backlog.unwrittenResponses += connection->unwrittenResponses;
+        if (open == 0 && connection->socket != nullptr && connection->socket->input->size > 0) {
+            ++backlog.incompleteRequests;
+        }
+    }
+    return backlog;
+}
+
 std::uint16_t HttpServer::port() const
 {
     return this->d->port;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -56,6 +56,17 @@
     bool operator==(const HttpServerLimits &) const = default;
 };
 
+/** What the open connections of a listener still have to receive or to send. */
+struct HttpServerBacklog
+{
+    std::size_t connections = 0;
+    std::size_t incompleteRequests = 0; // a part of each has arrived
+    std::size_t openRequests = 0; // handed to the handler, not answered
+    std::size_t unwrittenResponses = 0; // answered, but not completely written to the socket
+
+    bool operator==(const HttpServerBacklog &) const = default;
+};
+
 /** HTTP/1.1 and HTTP/2 (prior knowledge) listener on h2o. Loop thread only. */
 class HttpServer
 {
@@ -81,6 +92,9 @@
 
     std::size_t connectionCount() const;
 
+    /** Returns what is open at present. Takes time in proportion to the number of connections. */
+    HttpServerBacklog backlog() const;
+
     /** Port that was bound; differs from the requested one if that was 0. 0 before listen(). */
     std::uint16_t port() const;
 
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -24,6 +24,7 @@
     bool receiving = false; // h2o has buffered a part of a request
     bool closing = false; // shut down by the server; a request that still arrives is refused
     std::uint32_t openExchanges = 0;
+    std::uint32_t unwrittenResponses = 0; // of open exchanges that were answered
     H2oExchange *watchedExchange = nullptr; // is notified when the client closes the connection
     bool needsClosePolling = false; // unread data hides the close from readiness; sweep() polls
 };
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -297,24 +297,24 @@
     return this->refusalStart && this->loop.now() >= *this->refusalStart;
 }
 
-void GatewayCore::addOpenRequest(GatewayRequestId id, std::function<void()> refuse)
+void GatewayCore::addOpenRequest(GatewayRequestId id, std::function<void(StopStage)> onStop)
 {
-    this->openRequests.emplace(id, std::move(refuse));
+    this->openRequests.emplace(id, std::move(onStop));
 }
 
-void GatewayCore::refuseWaitingRequests()
+void GatewayCore::enterStopStage(StopStage stage)
 {
     // A call may end other requests or let them start at an upstream, so each request is looked up
-    // again before it is refused in its turn.
+    // again in its turn.
     std::vector<GatewayRequestId> ids;
-    for (const auto &[id, refuse] : this->openRequests) {
+    for (const auto &[id, onStop] : this->openRequests) {
         ids.push_back(id);
     }
     for (const GatewayRequestId id : ids) {
         const auto found = this->openRequests.find(id);
         if (found != this->openRequests.end()) {
-            const std::function<void()> refuse = found->second;
-            refuse();
+            const std::function<void(StopStage)> onStop = found->second;
+            onStop(stage);
         }
     }
 }
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -15,6 +15,12 @@
 
 namespace cassiaroad {
 
+/** Last stages of a gateway that stops, in their order. */
+enum class StopStage {
+    Refuse, // requests that no upstream has received are refused
+    End, // the process ends now
+};
+
 /**
  * State that the requests of one gateway share: the configuration and routing table, the upstreams,
  * the retry budgets, the connections and the requests that wait. Loop thread only.
@@ -71,11 +77,11 @@
     /** Whether a request that arrives now might get no response before the process ends. */
     bool refusesNewRequests() const;
 
-    /** Registers a request; @p refuse is called by refuseWaitingRequests(). */
-    void addOpenRequest(GatewayRequestId id, std::function<void()> refuse);
+    /** Registers a request; @p onStop is called in each later stage of stopping. */
+    void addOpenRequest(GatewayRequestId id, std::function<void(StopStage)> onStop);
     void removeOpenRequest(GatewayRequestId id) { this->openRequests.erase(id); }
-    /** Refuses the requests that no upstream has received, since the process is about to end. */
-    void refuseWaitingRequests();
+    /** Tells all open requests that the stopping gateway has reached @p stage. */
+    void enterStopStage(StopStage stage);
 
     /** See GatewayUpstream::hasLeft(). */
     bool hasLeft(const GatewayUpstream &upstream) const
@@ -121,7 +127,7 @@
     std::uint32_t requestCount = 0; // since the last report
     std::map<std::uint64_t, std::function<void()>> tableWaits;
     std::map<GatewayRequestId, std::function<void()>> capacityWaits;
-    std::map<GatewayRequestId, std::function<void()>> openRequests;
+    std::map<GatewayRequestId, std::function<void(StopStage)>> openRequests;
     std::uint64_t lastTableWait = 0;
     GatewayRequestId lastRequestId = 0;
     std::optional<TimePoint> refusalStart; // of a gateway that is stopping
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -136,16 +136,23 @@
     this->log.write({ "stop", Event::Weight::Always, {} });
     this->closeTimer = this->loop.callAfter(
             balancerDelay, [this] { this->callers.shutDown([this] { this->finish(); }); });
-    this->refusalTimer = this->loop.callAfter(this->settings.bounds.stopGracePeriod - killMargin
-                                                      - refusalMargin,
-                                              [this] { this->core.refuseWaitingRequests(); });
+    this->refusalTimer = this->loop.callAfter(
+            this->settings.bounds.stopGracePeriod - killMargin - refusalMargin,
+            [this] { this->core.enterStopStage(StopStage::Refuse); });
     this->endTimer = this->loop.callAfter(this->settings.bounds.stopGracePeriod - killMargin,
                                           [this] { this->finish(); });
 }
 
 void GatewayProcess::finish()
 {
-    this->log.write({ "stopped", Event::Weight::Always, {} });
+    this->core.enterStopStage(StopStage::End);
+    const HttpServerBacklog backlog = this->callers.backlog();
+    this->log.write({ "stopped",
+                      Event::Weight::Always,
+                      { { "connections", std::int64_t(backlog.connections) },
+                        { "incomplete_requests", std::int64_t(backlog.incompleteRequests) },
+                        { "open_requests", std::int64_t(backlog.openRequests) },
+                        { "unwritten_responses", std::int64_t(backlog.unwrittenResponses) } } });
     this->loop.stop();
 }
 
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -105,7 +105,11 @@
         return;
     }
     this->core.countRequest(this->service, this->key);
-    this->core.addOpenRequest(this->id, this->callback(&GatewayRequest::onGatewayEnds));
+    this->core.addOpenRequest(this->id, [weak = this->weak_from_this()](StopStage stage) {
+        if (const auto request = weak.lock(); request && !request->ended) {
+            request->onStop(stage);
+        }
+    });
     this->exchange->onClientGone(this->callback(&GatewayRequest::onClientGone));
     this->deadlineTimer = this->core.eventLoop().callAfter(
             this->timeLeft(), this->callback(&GatewayRequest::onDeadline));
@@ -515,7 +519,7 @@
 
 void GatewayRequest::onDeadline()
 {
-    if (this->call && this->call->isSent()) {
+    if (this->isSent()) {
         this->target->recordFailure(this->sentAt, this->core.eventLoop().now());
         this->fail(statusGatewayTimeout, "no answer in time");
         return;
@@ -530,10 +534,14 @@
     const std::shared_ptr<GatewayRequest> keepAlive = std::move(this->self);
 }
 
-// The process is about to end. A request that was sent still gets its response if it comes in time.
-void GatewayRequest::onGatewayEnds()
+// A request that was sent still gets its response if it comes in time.
+void GatewayRequest::onStop(StopStage stage)
 {
-    if (this->call && this->call->isSent()) {
+    if (stage == StopStage::End) {
+        this->logEvent("request_open", Event::Weight::Important, 0, "no response");
+        return;
+    }
+    if (this->isSent()) {
         return;
     }
     this->refuse("gateway ends");
@@ -542,6 +550,7 @@
 // Cancels whatever is in progress. The caller reports the outcome.
 void GatewayRequest::end()
 {
+    this->wasSent = this->isSent();
     this->ended = true;
     this->core.removeOpenRequest(this->id);
     this->stopWaiting();
@@ -549,6 +558,12 @@
     this->releaseUpstream();
 }
 
+// Whether a byte of an attempt that has no result was written; it may run at its upstream.
+bool GatewayRequest::isSent() const
+{
+    return this->ended ? this->wasSent : this->call && this->call->isSent();
+}
+
 // Refuses the request; the client may retry after the typical duration of a request.
 void GatewayRequest::refuse(const std::string &reason)
 {
@@ -559,7 +574,7 @@
 // run, responds that its outcome is unknown.
 void GatewayRequest::refuseWithRetryAfter(Milliseconds retryAfter, const std::string &reason)
 {
-    if (this->mayHaveRun || (this->call && this->call->isSent())) {
+    if (this->mayHaveRun || this->isSent()) {
         this->fail(statusBadGateway, "outcome unknown: " + reason);
         return;
     }
@@ -639,6 +654,7 @@
         { "in_flight",
           this->target ? std::int64_t(this->target->admission().inFlight()) : std::int64_t(0) },
         { "sends", std::int64_t(this->sends) },
+        { "sent", this->isSent() },
         { "configuration", std::int64_t(this->active ? this->active->configuration.version : 0) },
         { "table", std::int64_t(view.tableTag) },
         { "table_age_ms", (now - view.tableConfirmedAt).count },
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -42,8 +42,9 @@
     void onFailure(const HttpFailure &failure);
     void onDeadline();
     void onClientGone();
-    void onGatewayEnds();
+    void onStop(StopStage stage);
     void end();
+    bool isSent() const;
     bool takeRetry() const;
     void repeatAfter(Milliseconds delay, const std::string &reason);
     void releaseUpstream();
@@ -83,6 +84,7 @@
     Milliseconds ownerWaitDuration { 0 }; // waiting time for an owner of the key
     std::uint64_t tableWait = 0; // see GatewayCore::waitForTableChange(); 0: does not wait
     bool ended = false;
+    bool wasSent = false; // valid once the request has ended
     EventLoop::Timer deadlineTimer;
     EventLoop::Timer waitTimer;
     EventLoop::Timer callTimer;
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -371,7 +371,7 @@
     }
     runFor(this->loop, { 200 });
     this->core.stop({ 6000 });
-    this->core.refuseWaitingRequests();
+    this->core.enterStopStage(StopStage::Refuse);
     runFor(this->loop, { 200 });
     const auto refused = static_cast<std::size_t>(
             std::count_if(clients.begin(), clients.end(), [](const auto &client) {
