--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -382,6 +382,23 @@
     EXPECT_EQ(refused + this->peer->connections.size(), clients.size());
 }
 
+// Guards against a connection that closes without a response because the gateway ends while the
+// upstream of its request is silent.
+TEST_F(GatewayRequestTest, respondsToSentRequestsBeforeTheGatewayEnds)
+{
+    this->serve([](FakePeer::Connection &) {});
+    const auto client = this->request("POST", "/order/1");
+    ASSERT_TRUE(waitUntil(this->loop, [&] {
+        return !this->peer->connections.empty() && !this->peer->connections[0]->received.empty();
+    }));
+    this->core.stop({ 6000 });
+    this->core.enterStopStage(StopStage::Refuse);
+    runFor(this->loop, { 100 });
+    EXPECT_EQ(client->received(), "");
+    this->core.enterStopStage(StopStage::End);
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 502", { 200 }));
+}
+
 // Guards against a gateway that keeps an outdated configuration because it cannot apply a delta.
 TEST_F(GatewayRequestTest, requestsTheFullDocumentWhenADeltaDoesNotApply)
 {
