tests: End the processes of the explain test

Soak.stop() became a coroutine, and test_explain.py did not await it, so the site's processes, relays and logs stayed until the test program and its children were ended from outside.

--- a/tests/site/test_explain.py
+++ b/tests/site/test_explain.py
@@ -113,20 +113,19 @@
         assert moved and f"upstream={self.owner().name}" in moved[-1], lines
 
     async def run(self):
-        await self.site.start_site()
-        first, second = self.site.gateways
-        await self.refused(first)
-        await self.outcome_unknown(first)
-        await self.late(second)
+        try:
+            await self.site.start_site()
+            first, second = self.site.gateways
+            await self.refused(first)
+            await self.outcome_unknown(first)
+            await self.late(second)
+            print("3 passed, 0 failed")
+        finally:
+            await self.site.stop()
 
 
 def main():
-    test = ExplainTest(sys.argv[1])
-    try:
-        asyncio.run(test.run())
-        print("3 passed, 0 failed")
-    finally:
-        test.site.stop()
+    asyncio.run(ExplainTest(sys.argv[1]).run())
 
 
 if __name__ == "__main__":
