gateway: Respond to sent requests before a stopping gateway ends

Callers sent a whole upload to a gateway that got SIGTERM, and lost the connection without a response 5.7 s later, when the process ended.

Cause: a stopping gateway refused the requests that waited, but left those that were sent to their upstreams, and ended at a fixed time whatever was open. An upstream that sheds in silence, or bytes that do not arrive in time, was enough. The class of fault: a process ends by a timer, not when its account of open requests is empty.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -287,9 +287,9 @@
     this->capacityWaits.emplace(id, std::move(start));
 }
 
-void GatewayCore::stop(Milliseconds grace)
+void GatewayCore::stop(Milliseconds refuseNew)
 {
-    this->refusalStart = this->loop.now() + grace / 2;
+    this->refusalStart = this->loop.now() + refuseNew;
 }
 
 bool GatewayCore::refusesNewRequests() const
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -18,7 +18,7 @@
 /** Last stages of a gateway that stops, in their order. */
 enum class StopStage {
     Refuse, // requests that no upstream has received are refused
-    End, // the process ends now
+    Respond, // all open requests get a response, since the process is about to end
 };
 
 /**
@@ -68,11 +68,10 @@
     void startWaitingRequests(GatewayUpstream &upstream);
 
     /**
-     * Announces that the process will end after @p grace. From now on no request that an upstream
-     * may be processing is cancelled in order to repeat it; in the second half of the grace period,
-     * new requests are refused.
+     * Announces that the process will end. From now on no request that an upstream may be
+     * processing is cancelled in order to repeat it; after @p refuseNew, new requests are refused.
      */
-    void stop(Milliseconds grace);
+    void stop(Milliseconds refuseNew);
     bool isStopping() const { return this->refusalStart.has_value(); }
     /** Whether a request that arrives now might get no response before the process ends. */
     bool refusesNewRequests() const;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -3,6 +3,7 @@
 #include "connection/metricsserver.h"
 #include "gateway/gatewayrequest.h"
 #include "gateway/registrywatcher.h"
+#include "gateway/stopschedule.h"
 #include "process/settingswatcher.h"
 #include "process/siteprocess.h"
 
@@ -14,13 +15,6 @@
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
 constexpr int statusUnavailable = 503;
-// How long a stopping gateway still accepts connections. The balancer checks its readiness every
-// second and stops sending it connections after two refusals.
-constexpr Milliseconds balancerDelay { 2300 };
-// The process ends this long before the end of the grace period, at which it would be killed.
-constexpr Milliseconds killMargin { 300 };
-// Requests that still wait for an upstream are refused this long before the process ends.
-constexpr Milliseconds refusalMargin { 700 };
 // Upper bound of the body of a request.
 constexpr std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
 constexpr std::uint32_t maxClientConnections = 2500;
@@ -88,7 +82,8 @@
     bool stopping = false;
     EventLoop::Timer closeTimer;
     EventLoop::Timer refusalTimer;
-    EventLoop::Timer endTimer;
+    EventLoop::Timer responseTimer;
+    EventLoop::Timer exitTimer;
 };
 
 std::string GatewayProcess::start()
@@ -131,21 +126,21 @@
         return;
     }
     this->stopping = true;
-    this->core.stop(this->settings.bounds.stopGracePeriod);
-    this->callers.closeAfterNextResponse();
     this->log.write({ "stop", Event::Weight::Always, {} });
+    const StopSchedule schedule = stopScheduleFor(this->settings.bounds.stopGracePeriod);
+    this->core.stop(schedule.refuseNew);
+    this->callers.closeAfterNextResponse();
     this->closeTimer = this->loop.callAfter(
-            balancerDelay, [this] { this->callers.shutDown([this] { this->finish(); }); });
+            schedule.closeListener, [this] { this->callers.shutDown([this] { this->finish(); }); });
     this->refusalTimer = this->loop.callAfter(
-            this->settings.bounds.stopGracePeriod - killMargin - refusalMargin,
-            [this] { this->core.enterStopStage(StopStage::Refuse); });
-    this->endTimer = this->loop.callAfter(this->settings.bounds.stopGracePeriod - killMargin,
-                                          [this] { this->finish(); });
+            schedule.refuseWaiting, [this] { this->core.enterStopStage(StopStage::Refuse); });
+    this->responseTimer = this->loop.callAfter(
+            schedule.respond, [this] { this->core.enterStopStage(StopStage::Respond); });
+    this->exitTimer = this->loop.callAfter(schedule.exit, [this] { this->finish(); });
 }
 
 void GatewayProcess::finish()
 {
-    this->core.enterStopStage(StopStage::End);
     const HttpServerBacklog backlog = this->callers.backlog();
     this->log.write({ "stopped",
                       Event::Weight::Always,
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -534,14 +534,11 @@
     const std::shared_ptr<GatewayRequest> keepAlive = std::move(this->self);
 }
 
-// A request that was sent still gets its response if it comes in time.
+// Until the last stage, a request that was sent may still get the response of its upstream. Then it
+// gets one that tells that its outcome is unknown.
 void GatewayRequest::onStop(StopStage stage)
 {
-    if (stage == StopStage::End) {
-        this->logEvent("request_open", Event::Weight::Important, 0, "no response");
-        return;
-    }
-    if (this->isSent()) {
+    if (stage == StopStage::Refuse && this->isSent()) {
         return;
     }
     this->refuse("gateway ends");
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -313,7 +313,7 @@
     this->serve([](FakePeer::Connection &) {});
     const auto client = this->request("GET", "/read/1");
     runFor(this->loop, { 100 });
-    this->core.stop({ 6000 });
+    this->core.stop({ 3000 });
     runFor(this->loop, { 1000 });
     ASSERT_EQ(this->peer->connections.size(), 1U);
     EXPECT_FALSE(this->peer->connections[0]->closedByClient);
@@ -325,7 +325,7 @@
 TEST_F(GatewayRequestTest, refusesRequestsThatArriveLateWhileTheGatewayStops)
 {
     this->serve([](FakePeer::Connection &) {});
-    this->core.stop({ 200 });
+    this->core.stop({ 100 });
     this->callers.closeAfterNextResponse();
     const auto early = this->request("POST", "/order/1");
     runFor(this->loop, { 150 });
@@ -370,7 +370,7 @@
         clients.push_back(this->request("POST", "/order/1"));
     }
     runFor(this->loop, { 200 });
-    this->core.stop({ 6000 });
+    this->core.stop({ 3000 });
     this->core.enterStopStage(StopStage::Refuse);
     runFor(this->loop, { 200 });
     const auto refused = static_cast<std::size_t>(
@@ -391,11 +391,11 @@
     ASSERT_TRUE(waitUntil(this->loop, [&] {
         return !this->peer->connections.empty() && !this->peer->connections[0]->received.empty();
     }));
-    this->core.stop({ 6000 });
+    this->core.stop({ 3000 });
     this->core.enterStopStage(StopStage::Refuse);
     runFor(this->loop, { 100 });
     EXPECT_EQ(client->received(), "");
-    this->core.enterStopStage(StopStage::End);
+    this->core.enterStopStage(StopStage::Respond);
     EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 502", { 200 }));
 }
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -126,6 +126,7 @@
         self.seeds = [f"{host.ip}:{self.ports['control']}" for host in self.controls]
         self.checks = Checks()
         self.upstreams = []
+        self.route_timeout_s = 1.5
         self.version = 0  # last acknowledged configuration
         self.acknowledged_at = 0.0
         self.counts = {"served": 0, "refused": 0, "unknown": 0}
@@ -196,8 +197,9 @@
         body = json.dumps({
             "version": f"{version:08x}",
             "routes": {prefix.strip("/"): {
-                "host": "maps.example", "pathPrefix": prefix, "routeType": kind, "timeoutS": 1.5,
-                "targetLatencyS": 0.5, "priority": 1, "service": "orders", "attempts": 2}
+                "host": "maps.example", "pathPrefix": prefix, "routeType": kind,
+                "timeoutS": self.route_timeout_s, "targetLatencyS": 0.5, "priority": 1,
+                "service": "orders", "attempts": 2}
                 for prefix, kind in route_types.items()},
             "services": {"orders": {"healthPath": "/health", "maxConnections": 100,
                                     "sharded": True, "warmS": 0}}})
