--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -112,10 +112,12 @@
         update.tableTag = ++this->tag;
         RoutingTable table;
         for (const std::string &service : { keyedService, plainService }) {
-            const SiteUpstream upstream {
-                { "i-" + service, 1 }, service, { "127.0.0.1", this->peer->port }, "a", 6,
-                upstreamPhase
-            };
+            const SiteUpstream upstream { { "i-" + service, this->born },
+                                          service,
+                                          { "127.0.0.1", this->peer->port },
+                                          "a",
+                                          6,
+                                          upstreamPhase };
             table.upstreams.push_back({ upstream, false, false });
         }
         table.ranges[keyedService] = { { { 0, lastKey }, "i-" + keyedService, phase } };
@@ -149,6 +151,7 @@
     HttpServer callers;
     std::unique_ptr<FakePeer> peer;
     std::uint64_t tag = 0;
+    std::int64_t born = 1; // of the upstreams in the next table
 };
 
 } // namespace
@@ -201,6 +204,49 @@
     EXPECT_TRUE(this->peer->connections.empty());
 }
 
+// Guards against sending a request on and on under which one upstream after the other crashes.
+TEST_F(GatewayRequestTest, sendsNoRequestUnderWhichThreeUpstreamsHaveCrashed)
+{
+    int requests = 0;
+    this->serve([&](FakePeer::Connection &connection) {
+        ++requests;
+        connection.disconnect();
+    });
+    for (; this->born <= 3; ++this->born) {
+        this->publish(RangePhase::Owned);
+        const auto client = this->request("POST", "/order/1");
+        ASSERT_TRUE(this->waitForResponse(*client, "HTTP/1.1 502"));
+    }
+    this->publish(RangePhase::Owned);
+    const auto client = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503"));
+    EXPECT_EQ(requests, 3);
+    const auto other = this->request("POST", "/order/2");
+    EXPECT_TRUE(this->waitForResponse(*other, "HTTP/1.1 502"));
+}
+
+// Guards against refusing a request that upstreams answer, only because some of them have crashed
+// while they had one like it.
+TEST_F(GatewayRequestTest, sendsARequestOnThatUpstreamsAnswerBetweenCrashes)
+{
+    bool crashes = true;
+    this->serve([&](FakePeer::Connection &connection) {
+        if (crashes) {
+            connection.disconnect();
+            return;
+        }
+        connection.write(withRequestId(std::exchange(connection.received, {}),
+                                       "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n")
+                         + "\r\n");
+    });
+    for (; this->born <= 5; ++this->born) {
+        crashes = this->born != 2;
+        this->publish(RangePhase::Owned);
+        const auto client = this->request("POST", "/order/1");
+        ASSERT_TRUE(this->waitForResponse(*client, crashes ? "HTTP/1.1 502" : "HTTP/1.1 200"));
+    }
+}
+
 // Guards against reporting "not run" for a lookup that an upstream may have run before its key lost
 // its owner (soak, seed 12).
 TEST_F(GatewayRequestTest, reportsAnUnknownOutcomeOfALookupThatMayHaveRun)
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -58,6 +58,7 @@
         self.next_address = None
         self.service_time_s = (0.005, 0.03)  # shortest and longest time that a request takes
         self.drops_responses = False  # closes connections after a run, without response
+        self.crashes_under = None  # bytes in the body of a request under which it crashes
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -92,7 +93,7 @@
                                for line in head.decode().split("\r\n")[1:] if ": " in line)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 status, text = await self.handle(head.decode().split(" ", 1)[0], headers, body)
-                if self.drops_responses:
+                if self.drops_responses or not self.up:
                     return
                 extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
                 writer.write(f"HTTP/1.1 {status} S\r\nContent-Length: {len(text)}\r\n{extra}"
@@ -114,6 +115,8 @@
         request_id = headers["x-cassiaroad-request-id"]
         self.checks.record_run(request_id, method == "GET")
         self.check_single_owner(key)
+        if self.crashes_under and self.crashes_under in body:
+            await self.crash()
         await asyncio.sleep(random.uniform(*self.service_time_s))
         return 200, f"{request_id}:{len(body)}"
 
