gateway, registry, version: Refuse a request under which three upstreams have crashed

A request that crashes each upstream that runs it came again with the same content, and gateways sent it on: one upstream after the other ended, and with each the other requests that it had.

Cause: attempts and retries were counted for each request of a client; nothing remembered what requests with the same content had done to upstreams, and gateways did not tell each other. The class of fault: a limit for one attempt that is no limit for what comes again.

Now CrashLedger counts the upstream incarnations whose connections broke before they answered, by a digest of the request's content. Gateways report such breaks with their watch calls; the leader tells all of them at once of digests with two breaks or more. After three the request is refused (503) for 10 min; an answer to a request with the same digest clears it, and requests that were answered lately are not counted, so that what an upstream takes along when it crashes is not refused. The ledger is soft state that a new leader learns from the gateways.

Ruled out: counting in each gateway (77 gateways would crash three upstreams each), and waiting for proof that the upstream has ended (its next registration comes 3 s later, when the next one has crashed).

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -72,6 +72,7 @@
     if (update.document && update.version > this->routing.version()) {
         this->updateConfiguration(update);
     }
+    this->crashes.applyUpdate(update, this->loop.now());
     this->routing.trafficShare = update.trafficShare;
     this->routing.gateways = update.gateways;
     // The table of a leader of an earlier term has a lower tag and is ignored.
@@ -200,6 +201,7 @@
     for (const auto &[key, requests] : std::exchange(this->keyRequests, {})) {
         report.keys.push_back({ key.first, key.second, requests });
     }
+    this->crashes.fillReport(report);
     for (const auto &[id, upstream] : this->upstreams) {
         UpstreamTiming timing = upstream->takeTiming();
         if (timing.requests > 0) {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/httpclient.h"
+#include "gateway/crashguard.h"
 #include "gateway/gatewayupstream.h"
 #include "gateway/routingview.h"
 #include "process/eventlog.h"
@@ -39,6 +40,7 @@
     GatewayReport takeReport();
 
     const RoutingView &view() const { return this->routing; }
+    CrashGuard &crashGuard() { return this->crashes; }
     /** Returns the upstream with this id, or null. */
     std::shared_ptr<GatewayUpstream> upstream(const std::string &id) const;
     /**
@@ -120,6 +122,7 @@
     std::string document; // text of the configuration in use; see packText()
     bool needsFullDocument = false; // the last delta could not be applied
     std::map<std::string, std::shared_ptr<GatewayUpstream>> upstreams; // by id
+    CrashGuard crashes;
     std::map<std::string, SiteRetryBudget> budgets; // by service
     std::map<std::string, WeightedRotation> rotations; // by host and prefix
     std::map<std::pair<std::string, KeyNumber>, std::uint32_t> keyRequests; // since the last report
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewayrequest.h"
 
+#include "gateway/requestdigest.h"
 #include "process/parsenumber.h"
 
 #include <algorithm>
@@ -104,6 +105,7 @@
     if (!this->findRoute() || !this->readKey()) {
         return;
     }
+    this->digest = digestOf(*this->exchange, this->core.externalCodec().headers().key);
     this->core.countRequest(this->service, this->key);
     this->core.addOpenRequest(this->id, [weak = this->weak_from_this()](StopStage stage) {
         if (const auto request = weak.lock(); request && !request->ended) {
@@ -166,6 +168,10 @@
 {
     this->stopWaiting();
     this->target.reset();
+    if (this->isBlocked()) {
+        this->refuseBlocked();
+        return;
+    }
     if (!this->core.view().table) {
         this->refuseWithRetryAfter(outageRetryAfter, "no routing table yet");
         return;
@@ -207,12 +213,57 @@
 // sent there.
 bool GatewayRequest::canSendToTarget() const
 {
+    if (this->isBlocked()) {
+        return false;
+    }
     if (this->keyed) {
         return this->findOwner() == this->target;
     }
     return this->target->upstream().phase == UpstreamPhase::Ready && !this->target->isReplaced();
 }
 
+// Whether upstreams have crashed under requests like this one, so that it must not be sent.
+bool GatewayRequest::isBlocked() const
+{
+    return this->core.crashGuard().ledger().isBlocked(this->digest);
+}
+
+// The client need not come back while the request is blocked.
+void GatewayRequest::refuseBlocked()
+{
+    const std::string reason = "upstreams have crashed under this request";
+    if (this->mayHaveRun) {
+        this->fail(statusBadGateway, "outcome unknown: " + reason);
+        return;
+    }
+    const Milliseconds wait = this->core.crashGuard().ledger().blockedFor(
+            this->digest, this->core.eventLoop().now());
+    this->finish(statusUnavailable, { { "retry-after", formatSeconds(wait) } }, {}, reason);
+}
+
+// The connection broke before the upstream answered, which may have crashed under the request.
+void GatewayRequest::recordBroken()
+{
+    CrashGuard &guard = this->core.crashGuard();
+    const UpstreamIncarnation &upstream = this->target->upstream().incarnation;
+    if (!guard.recordBroken(this->digest, upstream, this->core.eventLoop().now())) {
+        return;
+    }
+    const std::size_t crashes = guard.ledger().crashCount(this->digest);
+    if (crashes < 2) {
+        return;
+    }
+    this->core.events().write(
+            { "request_suspected",
+              Event::Weight::Important,
+              { { "request", std::string(this->exchange->header(
+                                     this->core.externalCodec().headers().requestId)) },
+                { "digest", std::to_string(this->digest) },
+                { "crashes", std::int64_t(crashes) },
+                { "upstream", upstream.id },
+                { "blocked", guard.ledger().isBlocked(this->digest) } } });
+}
+
 // Called when the target has capacity for the waiting request, which counts as in flight.
 void GatewayRequest::startFromQueue()
 {
@@ -417,6 +468,7 @@
     }
     const TimePoint now = this->core.eventLoop().now();
     const Milliseconds duration = now - this->sentAt;
+    this->core.crashGuard().recordAnswered(this->digest, now);
     this->isInFlight = false;
     this->target->admission().finish(duration);
     if (response.status >= statusServerError) {
@@ -490,6 +542,9 @@
         return;
     }
     this->mayHaveRun = true;
+    if (failure.stage == HttpFailure::Stage::Sent) {
+        this->recordBroken();
+    }
     if (this->route->kind == RouteKind::Safe && hasTimeForRetry && this->takeRetry()) {
         this->repeatAfter({}, "connection failed: " + failure.reason);
         return;
@@ -501,7 +556,8 @@
 // whether it did.
 bool GatewayRequest::takeRetry() const
 {
-    if (this->sends >= maxSends) {
+    const bool isSuspect = this->core.crashGuard().ledger().crashCount(this->digest) > 1;
+    if (this->sends >= maxSends || isSuspect) {
         return false;
     }
     if (!this->keyed && this->tried.size() >= this->route->attempts) {
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -30,6 +30,9 @@
     void waitForOwner();
     void submit(std::shared_ptr<GatewayUpstream> chosen);
     bool canSendToTarget() const;
+    bool isBlocked() const;
+    void refuseBlocked();
+    void recordBroken();
     void startFromQueue();
     void send();
     HttpRequest buildRequest() const;
@@ -71,6 +74,7 @@
     std::string service;
     bool keyed = false;
     std::optional<KeyNumber> key;
+    RequestDigest digest = 0;
 
     std::shared_ptr<GatewayUpstream> target;
     bool isInFlight = false; // counts as in flight in the admission of the target
--- /dev/null
+++ b/src/gateway/requestdigest.cpp
@@ -0,0 +1,20 @@
+#include "gateway/requestdigest.h"
+
+#include <xxhash.h>
+
+namespace cassiaroad {
+
+RequestDigest digestOf(const HttpExchange &exchange, std::string_view keyHeader)
+{
+    // Each part is hashed together with the digest of the parts before it, so that bytes which move
+    // from one part to the next change the result.
+    RequestDigest digest = 0;
+    for (const std::string_view part :
+         { exchange.method(), exchange.header("host"), exchange.path(), exchange.header(keyHeader),
+           exchange.header("authorization"), exchange.header("cookie"), exchange.body() }) {
+        digest = XXH3_64bits_withSeed(part.data(), part.size(), digest);
+    }
+    return digest;
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/gateway/requestdigest.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "connection/httpserver.h"
+#include "version/crashledger.h"
+
+namespace cassiaroad {
+
+/**
+ * Returns the digest of what a request asks for: its method, host, path, credentials, body, and the
+ * value of the header @p keyHeader. Headers that differ between repetitions of a request, such as
+ * its id and its deadline, have no part in it. Loop thread only.
+ */
+RequestDigest digestOf(const HttpExchange &exchange, std::string_view keyHeader);
+
+} // namespace cassiaroad
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -395,7 +395,8 @@
 // Whether the gateway has the present routing table and configuration.
 bool RegistryEngine::isCurrent(const GatewayReport &report) const
 {
-    return report.tableTag == this->tableHistory.tag() && report.version >= this->state.version();
+    return report.tableTag == this->tableHistory.tag() && report.version >= this->state.version()
+           && report.suspectsTag == this->suspectsTag;
 }
 
 Milliseconds RegistryEngine::watchTimeout() const
@@ -419,6 +420,10 @@
         update.change = this->tableHistory.changeFrom(update.fromTag);
     }
     this->configurationHistory.fill(update, report.version);
+    update.suspectsTag = this->suspectsTag;
+    if (report.suspectsTag != this->suspectsTag) {
+        update.suspects = this->suspects;
+    }
     update.trafficShare = this->manager.trafficShare(report.gateway);
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
@@ -456,6 +461,10 @@
     }
     this->watchLoad.countCall();
     this->manager.onGatewayReport(report, this->loop.now());
+    const bool hasNews = !report.crashes.empty() || !report.answered.empty();
+    if (hasNews && this->updateSuspects()) {
+        this->resumeWatchCalls();
+    }
     if (!this->isCurrent(report)) {
         return this->update(report, calledAt);
     }
@@ -522,7 +531,8 @@
     }
     this->notifiedAt = now;
     const bool isOtherTable = this->updateTable(now);
-    if (isOtherTable || this->notifiedVersion != this->state.version()) {
+    const bool hasOtherSuspects = this->updateSuspects();
+    if (isOtherTable || hasOtherSuspects || this->notifiedVersion != this->state.version()) {
         this->notifiedVersion = this->state.version();
         this->resumeWatchCalls();
     }
@@ -536,6 +546,15 @@
     return this->tableHistory.set(this->manager.routingTable(now));
 }
 
+// Updates the list of requests under which upstreams have crashed; returns whether it differs from
+// the previous one in more than the ages.
+bool RegistryEngine::updateSuspects()
+{
+    this->suspects = this->manager.suspects(this->loop.now());
+    const std::uint64_t tag = tagOf(this->suspects);
+    return std::exchange(this->suspectsTag, tag) != tag;
+}
+
 void RegistryEngine::resumeWatchCalls()
 {
     for (kj::Own<kj::PromiseFulfiller<void>> &waiter : std::exchange(this->waitingCalls, {})) {
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -147,6 +147,7 @@
     bool updateTable(TimePoint now);
     void resumeWatchCalls();
     bool isCurrent(const GatewayReport &report) const;
+    bool updateSuspects();
     GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
     void tick();
     void logWatchLoad();
@@ -174,6 +175,8 @@
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
     std::deque<LeaseWait> leaseWaits; // in order of arrival
     EventLoop::Timer tickTimer;
+    std::vector<SuspectRequest> suspects; // for gateways
+    std::uint64_t suspectsTag = 0; // of suspects without their ages; 0: none
     WatchLoad watchLoad;
     EventLoop::Timer watchLoadTimer;
     GroupMember group; // its handlers use the members above
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -179,6 +179,12 @@
         this->monitor.recordTiming(timing.upstream, timing.requests,
                                    { static_cast<std::int64_t>(timing.milliseconds) });
     }
+    for (const CrashSighting &crash : report.crashes) {
+        this->crashes.record(crash, now);
+    }
+    for (const RequestDigest request : report.answered) {
+        this->crashes.clear(request, now);
+    }
     const auto [entry, isNew] = this->gateways.try_emplace(report.gateway);
     GatewayLoad &load = entry->second;
     const double seconds
@@ -190,6 +196,12 @@
     }
 }
 
+std::vector<SuspectRequest> RegistryManager::suspects(TimePoint now)
+{
+    this->crashes.expire(now);
+    return this->crashes.suspects(now);
+}
+
 bool RegistryManager::ownsRange(const SiteUpstream &upstream) const
 {
     const auto table = this->state.ranges().find(upstream.service);
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -66,9 +66,12 @@
      */
     std::vector<RegistryCommand> onLeave(const UpstreamIncarnation &incarnation, TimePoint now);
 
-    /** Adds the load that a gateway has reported. */
+    /** Adds the load and the crashes of upstreams that a gateway has reported. */
     void onGatewayReport(const GatewayReport &report, TimePoint now);
 
+    /** Returns the requests under which upstreams have crashed; see CrashLedger::suspects(). */
+    std::vector<SuspectRequest> suspects(TimePoint now);
+
     /** Returns the commands that are due at @p now; call it often and after each heartbeat. */
     std::vector<RegistryCommand> dueCommands(TimePoint now);
 
@@ -107,6 +110,7 @@
     RangeLeaseTable rangeLeases;
     std::map<std::string, RangeSupervisor> supervisors; // of keyed services
     std::map<std::string, GatewayLoad> gateways;
+    CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
     std::uint64_t firstLeases = 0; // responses with a lease that was the first on its range
 };
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -2,6 +2,8 @@
 
 #include "version/sitejson.h"
 
+#include <xxhash.h>
+
 namespace cassiaroad {
 
 using nlohmann::json;
@@ -30,8 +32,66 @@
     timing = { value.at(0), value.at(1), value.at(2) };
 }
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(GatewayReport, gateway, zone, tableTag, version, requests, keys,
-                                   timings)
+static void to_json(json &value, const CrashSighting &crash)
+{
+    value = json::array({ crash.request, crash.upstream.id, crash.upstream.born, crash.age.count });
+}
+
+static void from_json(const json &value, CrashSighting &crash)
+{
+    crash.request = value.at(0);
+    crash.upstream = { value.at(1), value.at(2) };
+    crash.age = { value.at(3).get<std::int64_t>() };
+}
+
+static void to_json(json &value, const SuspectRequest &suspect)
+{
+    json upstreams = json::array();
+    for (const UpstreamIncarnation &upstream : suspect.upstreams) {
+        upstreams.push_back(json::array({ upstream.id, upstream.born }));
+    }
+    value = json::array({ suspect.request, upstreams, suspect.age.count });
+}
+
+static void from_json(const json &value, SuspectRequest &suspect)
+{
+    suspect.request = value.at(0);
+    for (const json &upstream : value.at(1)) {
+        suspect.upstreams.push_back({ upstream.at(0), upstream.at(1) });
+    }
+    suspect.age = { value.at(2).get<std::int64_t>() };
+}
+
+static void to_json(json &value, const GatewayReport &report)
+{
+    value = { { "gateway", report.gateway },   { "zone", report.zone },
+              { "tableTag", report.tableTag }, { "version", report.version },
+              { "requests", report.requests }, { "keys", report.keys },
+              { "timings", report.timings } };
+    if (!report.crashes.empty()) {
+        value["crashes"] = report.crashes;
+    }
+    if (!report.answered.empty()) {
+        value["answered"] = report.answered;
+    }
+    if (report.suspectsTag != 0) {
+        value["suspectsTag"] = report.suspectsTag;
+    }
+}
+
+static void from_json(const json &value, GatewayReport &report)
+{
+    value.at("gateway").get_to(report.gateway);
+    value.at("zone").get_to(report.zone);
+    value.at("tableTag").get_to(report.tableTag);
+    value.at("version").get_to(report.version);
+    value.at("requests").get_to(report.requests);
+    value.at("keys").get_to(report.keys);
+    value.at("timings").get_to(report.timings);
+    report.crashes = value.value("crashes", std::vector<CrashSighting>());
+    report.answered = value.value("answered", std::vector<RequestDigest>());
+    report.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
+}
 
 namespace {
 
@@ -65,6 +125,12 @@
                    { "version", update.version },    { "share", update.trafficShare },
                    { "gateways", update.gateways },  { "hold", update.watchTimeout.count },
                    { "waited", update.waited.count } };
+    if (update.suspectsTag != 0) {
+        value["suspectsTag"] = update.suspectsTag;
+    }
+    if (update.suspects) {
+        value["suspects"] = *update.suspects;
+    }
     if (update.change) {
         value["change"] = toBinary(*update.change);
     }
@@ -85,6 +151,10 @@
     update.watchTimeout = { value.at("hold").get<std::int64_t>() };
     update.waited = { value.value("waited", std::int64_t(0)) };
     update.fromTag = value.at("fromTag");
+    update.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
+    if (value.contains("suspects")) {
+        update.suspects = value.at("suspects").get<std::vector<SuspectRequest>>();
+    }
     if (value.contains("change")) {
         update.change = fromBinary(value.at("change"));
     }
@@ -107,6 +177,18 @@
 
 } // namespace
 
+std::uint64_t tagOf(std::vector<SuspectRequest> suspects)
+{
+    if (suspects.empty()) {
+        return 0;
+    }
+    for (SuspectRequest &suspect : suspects) {
+        suspect.age = {};
+    }
+    const std::string bytes = toCborText(suspects);
+    return XXH3_64bits(bytes.data(), bytes.size());
+}
+
 std::string encode(const GatewayReport &report)
 {
     return toCborText(report);
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "version/crashledger.h"
 #include "version/routingtable.h"
 
 #include <optional>
@@ -39,6 +40,9 @@
     std::uint32_t requests = 0; // since the previous report
     std::vector<KeyRequestCount> keys;
     std::vector<UpstreamTiming> timings;
+    std::vector<CrashSighting> crashes; // that no leader has confirmed yet
+    std::vector<RequestDigest> answered; // suspect requests that an upstream has answered since
+    std::uint64_t suspectsTag = 0; // of the leader's suspect requests that it received last
 
     bool operator==(const GatewayReport &) const = default;
 };
@@ -56,6 +60,9 @@
     std::optional<std::string> document;
     double trafficShare = 1.0; // see RegistryManager::trafficShare()
     std::uint32_t gateways = 1; // see RegistryManager::gatewayCount()
+    std::uint64_t suspectsTag = 0; // of the present suspect requests; 0: none
+    // All of them, if the gateway has others; see CrashLedger::suspects().
+    std::optional<std::vector<SuspectRequest>> suspects;
     Milliseconds watchTimeout { 400 }; // how long the next call may wait for a change
     Milliseconds waited; // how long the call waited at the leader before this reply was made
 
@@ -87,6 +94,9 @@
     bool operator==(const JoinRequest &) const = default;
 };
 
+/** Returns a digest of @p suspects without their ages; 0 if there are none. Thread-safe. */
+std::uint64_t tagOf(std::vector<SuspectRequest> suspects);
+
 // Encoding as CBOR. A decoder returns nothing if the bytes do not encode such a value. Thread-safe.
 std::string encode(const GatewayReport &report);
 std::string encode(const GatewayWatchReply &reply);
--- /dev/null
+++ b/tests/gateway/test_crashguard.cpp
@@ -0,0 +1,129 @@
+#include "gateway/crashguard.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+constexpr RequestDigest deadly = 7;
+const TimePoint now { 1000000 };
+
+UpstreamIncarnation upstream(std::int64_t born)
+{
+    return { "i-1", born };
+}
+
+/** A leader as far as it concerns suspect requests: takes reports and makes replies. */
+struct TestLeader
+{
+    GatewayUpdate exchange(CrashGuard &guard)
+    {
+        GatewayReport report;
+        guard.fillReport(report);
+        this->take(report);
+        return this->replyTo(report);
+    }
+
+    void take(const GatewayReport &report)
+    {
+        for (const CrashSighting &crash : report.crashes) {
+            this->ledger.record(crash, now);
+        }
+        for (const RequestDigest request : report.answered) {
+            this->ledger.clear(request, now);
+        }
+    }
+
+    GatewayUpdate replyTo(const GatewayReport &report) const
+    {
+        GatewayUpdate update;
+        update.suspectsTag = tagOf(this->ledger.suspects(now));
+        if (update.suspectsTag != report.suspectsTag) {
+            update.suspects = this->ledger.suspects(now);
+        }
+        return update;
+    }
+
+    CrashLedger ledger;
+};
+
+} // namespace
+
+// Guards against gateways that each let a request crash three upstreams, since none learns of the
+// crashes that the others have seen.
+TEST(CrashGuard, learnsOfCrashesAtOtherGateways)
+{
+    TestLeader leader;
+    CrashGuard first;
+    CrashGuard second;
+    first.recordBroken(deadly, upstream(1), now);
+    second.recordBroken(deadly, upstream(2), now);
+    first.recordBroken(deadly, upstream(3), now);
+    for (CrashGuard *guard : { &first, &second, &first }) {
+        guard->applyUpdate(leader.exchange(*guard), now);
+    }
+    EXPECT_TRUE(first.ledger().isBlocked(deadly));
+    EXPECT_TRUE(second.ledger().isBlocked(deadly));
+}
+
+// Guards against crashes that are forgotten since the report with them did not arrive.
+TEST(CrashGuard, reportsAgainWhatNoLeaderHasConfirmed)
+{
+    CrashGuard guard;
+    guard.recordBroken(deadly, upstream(1), now);
+    GatewayReport lost;
+    guard.fillReport(lost);
+    guard.recordBroken(deadly, upstream(2), now);
+    TestLeader leader;
+    guard.applyUpdate(leader.exchange(guard), now);
+    EXPECT_EQ(leader.ledger.crashCount(deadly), 2U);
+    GatewayReport next;
+    guard.fillReport(next);
+    EXPECT_TRUE(next.crashes.empty());
+}
+
+// Guards against a blocked request that is let through again when the control group changes its
+// leader.
+TEST(CrashGuard, tellsANewLeaderOfBlockedRequests)
+{
+    TestLeader leader;
+    CrashGuard first;
+    CrashGuard second;
+    for (std::int64_t born = 1; born <= 3; ++born) {
+        first.recordBroken(deadly, upstream(born), now);
+    }
+    first.applyUpdate(leader.exchange(first), now);
+    TestLeader next;
+    for (int i = 0; i < 2; ++i) {
+        first.applyUpdate(next.exchange(first), now);
+        second.applyUpdate(next.exchange(second), now);
+    }
+    EXPECT_TRUE(first.ledger().isBlocked(deadly));
+    EXPECT_TRUE(second.ledger().isBlocked(deadly));
+}
+
+// Guards against suspicion of the usual requests that an upstream takes along when it crashes.
+TEST(CrashGuard, doesNotSuspectARequestThatWasAnsweredLately)
+{
+    CrashGuard guard;
+    guard.recordAnswered(deadly, now);
+    EXPECT_FALSE(guard.recordBroken(deadly, upstream(1), now));
+    EXPECT_EQ(guard.ledger().crashCount(deadly), 0U);
+}
+
+// Guards against a request that stays suspected at a gateway although another has an answer to it.
+TEST(CrashGuard, learnsOfAnswersAtOtherGateways)
+{
+    TestLeader leader;
+    CrashGuard first;
+    CrashGuard second;
+    first.recordBroken(deadly, upstream(1), now);
+    first.recordBroken(deadly, upstream(2), now);
+    first.applyUpdate(leader.exchange(first), now);
+    second.applyUpdate(leader.exchange(second), now);
+    second.recordAnswered(deadly, now);
+    second.applyUpdate(leader.exchange(second), now);
+    first.applyUpdate(leader.exchange(first), now);
+    EXPECT_EQ(first.ledger().crashCount(deadly), 0U);
+}
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -161,6 +161,40 @@
     EXPECT_TRUE(std::holds_alternative<HeartbeatResponse>(*response));
 }
 
+// Guards against gateways that learn late, with their next report, of a request under which
+// upstreams have crashed at other gateways.
+TEST_F(RegistryEngineTest, tellsWaitingGatewaysOfRequestsThatCrashUpstreams)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    std::optional<GatewayUpdate> update;
+    GatewayReport report;
+    report.gateway = "front-1";
+    const auto watch = [&](const GatewayReport &sent) {
+        update.reset();
+        return leader->watch(sent)
+                .then([&](const GatewayWatchReply &reply) {
+                    update = std::get<GatewayUpdate>(reply);
+                })
+                .eagerlyEvaluate(nullptr);
+    };
+    const kj::Promise<void> first = watch(report);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }));
+    report.tableTag = update->tableTag;
+    const kj::Promise<void> waiting = watch(report);
+
+    GatewayReport other;
+    other.gateway = "front-2";
+    other.tableTag = report.tableTag;
+    other.crashes = { { 5, { "i-1", 1 }, {} }, { 5, { "i-2", 1 }, {} } };
+    const kj::Promise<void> reporting
+            = leader->watch(other).ignoreResult().eagerlyEvaluate(nullptr);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }, { 200 }));
+    ASSERT_TRUE(update->suspects.has_value());
+    ASSERT_EQ(update->suspects->size(), 1U);
+    EXPECT_EQ(update->suspects->front().upstreams.size(), 2U);
+}
+
 // Guards against calls that wait for a lease that nobody can confirm: callers have to be sent to
 // another host while they still wait for a response.
 TEST_F(RegistryEngineTest, refusesCallsWhenItsLeaseIsNotRenewed)
