gateway, version: Count each broken attempt of a request that crashes upstreams

The ledger counted the upstream once, so the request went on until a third upstream had crashed, each time in several copies.

Now each broken attempt counts (client's request id and upstream incarnation), on whatever upstream. So that three copies of a usual request in one crash do not block it, a gateway that has seen an answer to it lately clears it for all (CrashGuard.clearsWhatOthersSuspect- AfterAnAnswerToIt).

--- a/src/gateway/crashguard.cpp
+++ b/src/gateway/crashguard.cpp
@@ -12,6 +12,30 @@
 
 } // namespace
 
+template <typename Value>
+void CrashGuard::PendingReports<Value>::add(const Value &value)
+{
+    this->values.push_back(value);
+    if (this->values.size() > maxPending) {
+        this->values.pop_front();
+        this->reported -= this->reported > 0 ? 1 : 0;
+    }
+}
+
+template <typename Value>
+std::vector<Value> CrashGuard::PendingReports<Value>::report()
+{
+    this->reported = this->values.size();
+    return { this->values.begin(), this->values.end() };
+}
+
+template <typename Value>
+void CrashGuard::PendingReports<Value>::confirm()
+{
+    const auto count = static_cast<std::ptrdiff_t>(std::exchange(this->reported, 0));
+    this->values.erase(this->values.begin(), this->values.begin() + count);
+}
+
 bool CrashGuard::AnsweredRequests::contains(RequestDigest request) const
 {
     return this->newer.contains(request) || this->older.contains(request);
@@ -26,75 +50,64 @@
     this->newer.insert(request);
 }
 
-bool CrashGuard::recordBroken(RequestDigest request, const UpstreamIncarnation &upstream,
-                              TimePoint now)
+bool CrashGuard::recordBroken(const BrokenAttempt &broken, TimePoint now)
 {
-    if (this->answered.contains(request)) {
+    if (this->answered.contains(broken.request)) {
         return false;
     }
-    const CrashSighting sighting { request, upstream, {} };
     this->crashes.expire(now);
-    if (!this->crashes.record(sighting, now)) {
+    if (!this->crashes.record(broken, now)) {
         return false;
     }
-    this->addPending(sighting);
+    this->pendingBroken.add(broken);
     return true;
 }
 
 void CrashGuard::recordAnswered(RequestDigest request, TimePoint now)
 {
     this->answered.insert(request);
-    if (!this->crashes.clear(request, now)) {
-        return;
-    }
-    this->pendingAnswers.push_back(request);
-    if (this->pendingAnswers.size() > maxPending) {
-        this->pendingAnswers.pop_front();
-        this->reportedAnswers -= this->reportedAnswers > 0 ? 1 : 0;
-    }
+    this->clear(request, now);
 }
 
-void CrashGuard::addPending(const CrashSighting &sighting)
+void CrashGuard::clear(RequestDigest request, TimePoint now)
 {
-    this->pendingCrashes.push_back(sighting);
-    if (this->pendingCrashes.size() > maxPending) {
-        this->pendingCrashes.pop_front();
-        this->reportedCrashes -= this->reportedCrashes > 0 ? 1 : 0;
+    if (this->crashes.clear(request, now)) {
+        this->pendingAnswers.add(request);
     }
 }
 
-void CrashGuard::fillReport(GatewayReport &report)
+// Clears what other gateways suspect although an upstream has answered it here lately.
+void CrashGuard::clearAnswered(const std::vector<SuspectRequest> &suspects, TimePoint now)
 {
-    report.crashes = { this->pendingCrashes.begin(), this->pendingCrashes.end() };
-    report.answered = { this->pendingAnswers.begin(), this->pendingAnswers.end() };
-    report.suspectsTag = this->leaderTag;
-    this->reportedCrashes = this->pendingCrashes.size();
-    this->reportedAnswers = this->pendingAnswers.size();
+    for (const SuspectRequest &suspect : suspects) {
+        if (this->answered.contains(suspect.request)) {
+            this->clear(suspect.request, now);
+        }
+    }
 }
 
-// A reply shows that the leader has received the previous report.
-void CrashGuard::confirmReport()
+void CrashGuard::fillReport(GatewayReport &report)
 {
-    const auto crashCount = static_cast<std::ptrdiff_t>(std::exchange(this->reportedCrashes, 0));
-    this->pendingCrashes.erase(this->pendingCrashes.begin(),
-                               this->pendingCrashes.begin() + crashCount);
-    const auto answerCount = static_cast<std::ptrdiff_t>(std::exchange(this->reportedAnswers, 0));
-    this->pendingAnswers.erase(this->pendingAnswers.begin(),
-                               this->pendingAnswers.begin() + answerCount);
+    report.broken = this->pendingBroken.report();
+    report.answered = this->pendingAnswers.report();
+    report.suspectsTag = this->leaderTag;
 }
 
 void CrashGuard::applyUpdate(const GatewayUpdate &update, TimePoint now)
 {
-    this->confirmReport();
+    // The reply shows that the leader has received the report.
+    this->pendingBroken.confirm();
+    this->pendingAnswers.confirm();
     this->leaderTag = update.suspectsTag;
     if (!update.suspects) {
         return;
     }
     this->crashes.expire(now);
     this->crashes.merge(*update.suspects, now);
+    this->clearAnswered(*update.suspects, now);
     // A new leader learns from the gateways what the previous one knew.
-    for (const CrashSighting &sighting : this->crashes.unknownTo(*update.suspects, now)) {
-        this->addPending(sighting);
+    for (const BrokenAttempt &broken : this->crashes.unknownTo(*update.suspects, now)) {
+        this->pendingBroken.add(broken);
     }
 }
 
--- a/src/gateway/crashguard.h
+++ b/src/gateway/crashguard.h
@@ -17,9 +17,9 @@
 class CrashGuard
 {
 public:
-    /** The connection of the request broke before @p upstream answered. Returns whether it counts.
+    /** The connection of an attempt broke before its upstream answered. Returns whether it counts.
      */
-    bool recordBroken(RequestDigest request, const UpstreamIncarnation &upstream, TimePoint now);
+    bool recordBroken(const BrokenAttempt &broken, TimePoint now);
 
     /** An upstream has run the request and answered. */
     void recordAnswered(RequestDigest request, TimePoint now);
@@ -33,8 +33,20 @@
     void applyUpdate(const GatewayUpdate &update, TimePoint now);
 
 private:
-    void confirmReport();
-    void addPending(const CrashSighting &sighting);
+    /** Values that wait for the confirmation of the leader. */
+    template <typename Value>
+    class PendingReports
+    {
+    public:
+        void add(const Value &value);
+        /** Returns all values; confirm() removes them. */
+        std::vector<Value> report();
+        void confirm();
+
+    private:
+        std::deque<Value> values;
+        std::size_t reported = 0; // the first of the values, in the previous report
+    };
 
     /** Requests that were answered lately: the older half is dropped when the newer one is full. */
     struct AnsweredRequests
@@ -46,12 +58,13 @@
         std::unordered_set<RequestDigest> older;
     };
 
+    void clear(RequestDigest request, TimePoint now);
+    void clearAnswered(const std::vector<SuspectRequest> &suspects, TimePoint now);
+
     CrashLedger crashes;
     AnsweredRequests answered;
-    std::deque<CrashSighting> pendingCrashes; // not confirmed by the leader
-    std::deque<RequestDigest> pendingAnswers; // likewise
-    std::size_t reportedCrashes = 0; // the first of the pending ones, in the previous report
-    std::size_t reportedAnswers = 0; // likewise
+    PendingReports<BrokenAttempt> pendingBroken;
+    PendingReports<RequestDigest> pendingAnswers;
     std::uint64_t leaderTag = 0; // of the leader's list that was received last
 };
 
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -245,23 +245,22 @@
 void GatewayRequest::recordBroken()
 {
     CrashGuard &guard = this->core.crashGuard();
+    const ExternalHeaders &names = this->core.externalCodec().headers();
+    const std::string_view requestId = this->exchange->header(names.requestId);
     const UpstreamIncarnation &upstream = this->target->upstream().incarnation;
-    if (!guard.recordBroken(this->digest, upstream, this->core.eventLoop().now())) {
-        return;
-    }
-    const std::size_t crashes = guard.ledger().crashCount(this->digest);
-    if (crashes < 2) {
+    const bool isNew = guard.recordBroken({ this->digest, attemptIdOf(requestId, upstream), {} },
+                                          this->core.eventLoop().now());
+    const std::size_t broken = guard.ledger().brokenCount(this->digest);
+    if (!isNew || broken < 2) {
         return;
     }
-    this->core.events().write(
-            { "request_suspected",
-              Event::Weight::Important,
-              { { "request", std::string(this->exchange->header(
-                                     this->core.externalCodec().headers().requestId)) },
-                { "digest", std::to_string(this->digest) },
-                { "crashes", std::int64_t(crashes) },
-                { "upstream", upstream.id },
-                { "blocked", guard.ledger().isBlocked(this->digest) } } });
+    this->core.events().write({ "request_suspected",
+                                Event::Weight::Important,
+                                { { "request", std::string(requestId) },
+                                  { "digest", std::to_string(this->digest) },
+                                  { "broken", std::int64_t(broken) },
+                                  { "upstream", upstream.id },
+                                  { "blocked", guard.ledger().isBlocked(this->digest) } } });
 }
 
 // Called when the target has capacity for the waiting request, which counts as in flight.
@@ -556,7 +555,7 @@
 // whether it did.
 bool GatewayRequest::takeRetry() const
 {
-    const bool isSuspect = this->core.crashGuard().ledger().crashCount(this->digest) > 1;
+    const bool isSuspect = this->core.crashGuard().ledger().brokenCount(this->digest) > 1;
     if (this->sends >= maxSends || isSuspect) {
         return false;
     }
--- a/src/gateway/requestdigest.cpp
+++ b/src/gateway/requestdigest.cpp
@@ -17,4 +17,11 @@
     return digest;
 }
 
+AttemptId attemptIdOf(std::string_view requestId, const UpstreamIncarnation &upstream)
+{
+    const XXH64_hash_t request = XXH3_64bits(requestId.data(), requestId.size());
+    const auto seed = request + static_cast<XXH64_hash_t>(upstream.born);
+    return XXH3_64bits_withSeed(upstream.id.data(), upstream.id.size(), seed);
+}
+
 } // namespace cassiaroad
--- a/src/gateway/requestdigest.h
+++ b/src/gateway/requestdigest.h
@@ -2,6 +2,7 @@
 
 #include "connection/httpserver.h"
 #include "version/crashledger.h"
+#include "version/keyrange.h"
 
 namespace cassiaroad {
 
@@ -12,4 +13,8 @@
  */
 RequestDigest digestOf(const HttpExchange &exchange, std::string_view keyHeader);
 
+/** Returns the id of the attempt to have the request with the id @p requestId run at @p upstream.
+ */
+AttemptId attemptIdOf(std::string_view requestId, const UpstreamIncarnation &upstream);
+
 } // namespace cassiaroad
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -461,7 +461,7 @@
     }
     this->watchLoad.countCall();
     this->manager.onGatewayReport(report, this->loop.now());
-    const bool hasNews = !report.crashes.empty() || !report.answered.empty();
+    const bool hasNews = !report.broken.empty() || !report.answered.empty();
     if (hasNews && this->updateSuspects()) {
         this->resumeWatchCalls();
     }
@@ -546,7 +546,7 @@
     return this->tableHistory.set(this->manager.routingTable(now));
 }
 
-// Updates the list of requests under which upstreams have crashed; returns whether it differs from
+// Updates the list of requests under which upstreams may have crashed; returns whether it differs from
 // the previous one in more than the ages.
 bool RegistryEngine::updateSuspects()
 {
--- a/src/version/crashledger.cpp
+++ b/src/version/crashledger.cpp
@@ -6,13 +6,12 @@
 
 namespace {
 
-// A request is blocked after it has crashed this many upstreams.
-constexpr std::size_t maxCrashes = 3;
-// Crashes that hosts tell each other of; see CrashLedger::suspects().
-constexpr std::size_t minSharedCrashes = 2;
-// How long crashes are remembered. Upstreams that crash again and again recover meanwhile, and a
-// corrected version may have been installed afterwards.
-constexpr Milliseconds crashRetention { 10 * 60 * 1000 };
+// A request is blocked after this many broken attempts.
+constexpr std::size_t maxBroken = 3;
+// Broken attempts of a request that hosts tell each other of; see CrashLedger::suspects().
+constexpr std::size_t minShared = 2;
+// How long broken attempts are remembered. A corrected version may be installed meanwhile.
+constexpr Milliseconds brokenRetention { 10 * 60 * 1000 };
 // How long a host tells others that a request was answered: until all have sent their reports and
 // received the result.
 constexpr Milliseconds clearedRetention { 15 * 1000 };
@@ -20,26 +19,26 @@
 
 } // namespace
 
-bool CrashLedger::record(const CrashSighting &sighting, TimePoint now)
+bool CrashLedger::record(const BrokenAttempt &broken, TimePoint now)
 {
-    if (!this->entries.contains(sighting.request) && this->entries.size() >= maxEntries) {
+    if (!this->entries.contains(broken.request) && this->entries.size() >= maxEntries) {
         this->makeRoom();
     }
-    Entry &entry = this->entries[sighting.request];
-    if (entry.upstreams.size() >= maxCrashes || !entry.upstreams.insert(sighting.upstream).second) {
+    Entry &entry = this->entries[broken.request];
+    if (entry.attempts.size() >= maxBroken || !entry.attempts.insert(broken.attempt).second) {
         return false;
     }
-    entry.changedAt = std::max(entry.changedAt, now - sighting.age);
+    entry.changedAt = std::max(entry.changedAt, now - broken.age);
     return true;
 }
 
 bool CrashLedger::clear(RequestDigest request, TimePoint now)
 {
     const auto found = this->entries.find(request);
-    if (found == this->entries.end() || found->second.upstreams.empty()) {
+    if (found == this->entries.end() || found->second.attempts.empty()) {
         return false;
     }
-    found->second.upstreams.clear();
+    found->second.attempts.clear();
     found->second.changedAt = now;
     return true;
 }
@@ -47,11 +46,11 @@
 void CrashLedger::merge(const std::vector<SuspectRequest> &suspects, TimePoint now)
 {
     for (const SuspectRequest &suspect : suspects) {
-        if (suspect.upstreams.empty()) {
+        if (suspect.attempts.empty()) {
             this->clear(suspect.request, now);
         }
-        for (const UpstreamIncarnation &upstream : suspect.upstreams) {
-            this->record({ suspect.request, upstream, suspect.age }, now);
+        for (const AttemptId attempt : suspect.attempts) {
+            this->record({ suspect.request, attempt, suspect.age }, now);
         }
     }
 }
@@ -59,33 +58,34 @@
 void CrashLedger::expire(TimePoint now)
 {
     std::erase_if(this->entries, [now](const auto &entry) {
-        const bool isCleared = entry.second.upstreams.empty();
-        return now - entry.second.changedAt > (isCleared ? clearedRetention : crashRetention);
+        const bool isCleared = entry.second.attempts.empty();
+        return now - entry.second.changedAt > (isCleared ? clearedRetention : brokenRetention);
     });
 }
 
-// Drops the entry with the fewest crashes; among equals the one that has not changed for longest.
+// Drops the entry with the fewest broken attempts; among equals the one that has not changed for
+// longest.
 void CrashLedger::makeRoom()
 {
     const auto least = std::min_element(
             this->entries.begin(), this->entries.end(), [](const auto &left, const auto &right) {
-                const std::size_t leftCrashes = left.second.upstreams.size();
-                const std::size_t rightCrashes = right.second.upstreams.size();
-                return leftCrashes != rightCrashes ? leftCrashes < rightCrashes
-                                                   : left.second.changedAt < right.second.changedAt;
+                const std::size_t leftBroken = left.second.attempts.size();
+                const std::size_t rightBroken = right.second.attempts.size();
+                return leftBroken != rightBroken ? leftBroken < rightBroken
+                                                 : left.second.changedAt < right.second.changedAt;
             });
     this->entries.erase(least);
 }
 
-std::size_t CrashLedger::crashCount(RequestDigest request) const
+std::size_t CrashLedger::brokenCount(RequestDigest request) const
 {
     const auto found = this->entries.find(request);
-    return found == this->entries.end() ? 0 : found->second.upstreams.size();
+    return found == this->entries.end() ? 0 : found->second.attempts.size();
 }
 
 bool CrashLedger::isBlocked(RequestDigest request) const
 {
-    return this->crashCount(request) >= maxCrashes;
+    return this->brokenCount(request) >= maxBroken;
 }
 
 Milliseconds CrashLedger::blockedFor(RequestDigest request, TimePoint now) const
@@ -93,36 +93,36 @@
     if (!this->isBlocked(request)) {
         return {};
     }
-    return std::max(this->entries.at(request).changedAt + crashRetention - now, Milliseconds {});
+    return std::max(this->entries.at(request).changedAt + brokenRetention - now, Milliseconds {});
 }
 
 std::vector<SuspectRequest> CrashLedger::suspects(TimePoint now) const
 {
     std::vector<SuspectRequest> result;
     for (const auto &[request, entry] : this->entries) {
-        if (entry.upstreams.empty() || entry.upstreams.size() >= minSharedCrashes) {
+        if (entry.attempts.empty() || entry.attempts.size() >= minShared) {
             result.push_back({ request,
-                               { entry.upstreams.begin(), entry.upstreams.end() },
+                               { entry.attempts.begin(), entry.attempts.end() },
                                now - entry.changedAt });
         }
     }
     return result;
 }
 
-std::vector<CrashSighting> CrashLedger::unknownTo(const std::vector<SuspectRequest> &suspects,
+std::vector<BrokenAttempt> CrashLedger::unknownTo(const std::vector<SuspectRequest> &suspects,
                                                   TimePoint now) const
 {
-    std::set<std::pair<RequestDigest, UpstreamIncarnation>> known;
+    std::set<std::pair<RequestDigest, AttemptId>> known;
     for (const SuspectRequest &suspect : suspects) {
-        for (const UpstreamIncarnation &upstream : suspect.upstreams) {
-            known.emplace(suspect.request, upstream);
+        for (const AttemptId attempt : suspect.attempts) {
+            known.emplace(suspect.request, attempt);
         }
     }
-    std::vector<CrashSighting> result;
+    std::vector<BrokenAttempt> result;
     for (const SuspectRequest &suspect : this->suspects(now)) {
-        for (const UpstreamIncarnation &upstream : suspect.upstreams) {
-            if (!known.contains({ suspect.request, upstream })) {
-                result.push_back({ suspect.request, upstream, suspect.age });
+        for (const AttemptId attempt : suspect.attempts) {
+            if (!known.contains({ suspect.request, attempt })) {
+                result.push_back({ suspect.request, attempt, suspect.age });
             }
         }
     }
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -179,8 +179,8 @@
         this->monitor.recordTiming(timing.upstream, timing.requests,
                                    { static_cast<std::int64_t>(timing.milliseconds) });
     }
-    for (const CrashSighting &crash : report.crashes) {
-        this->crashes.record(crash, now);
+    for (const BrokenAttempt &broken : report.broken) {
+        this->crashes.record(broken, now);
     }
     for (const RequestDigest request : report.answered) {
         this->crashes.clear(request, now);
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -66,10 +66,10 @@
      */
     std::vector<RegistryCommand> onLeave(const UpstreamIncarnation &incarnation, TimePoint now);
 
-    /** Adds the load and the crashes of upstreams that a gateway has reported. */
+    /** Adds the load and the broken attempts that a gateway has reported. */
     void onGatewayReport(const GatewayReport &report, TimePoint now);
 
-    /** Returns the requests under which upstreams have crashed; see CrashLedger::suspects(). */
+    /** Returns the requests under which upstreams may have crashed; see CrashLedger::suspects(). */
     std::vector<SuspectRequest> suspects(TimePoint now);
 
     /** Returns the commands that are due at @p now; call it often and after each heartbeat. */
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -32,34 +32,24 @@
     timing = { value.at(0), value.at(1), value.at(2) };
 }
 
-static void to_json(json &value, const CrashSighting &crash)
+static void to_json(json &value, const BrokenAttempt &broken)
 {
-    value = json::array({ crash.request, crash.upstream.id, crash.upstream.born, crash.age.count });
+    value = json::array({ broken.request, broken.attempt, broken.age.count });
 }
 
-static void from_json(const json &value, CrashSighting &crash)
+static void from_json(const json &value, BrokenAttempt &broken)
 {
-    crash.request = value.at(0);
-    crash.upstream = { value.at(1), value.at(2) };
-    crash.age = { value.at(3).get<std::int64_t>() };
+    broken = { value.at(0), value.at(1), { value.at(2).get<std::int64_t>() } };
 }
 
 static void to_json(json &value, const SuspectRequest &suspect)
 {
-    json upstreams = json::array();
-    for (const UpstreamIncarnation &upstream : suspect.upstreams) {
-        upstreams.push_back(json::array({ upstream.id, upstream.born }));
-    }
-    value = json::array({ suspect.request, upstreams, suspect.age.count });
+    value = json::array({ suspect.request, suspect.attempts, suspect.age.count });
 }
 
 static void from_json(const json &value, SuspectRequest &suspect)
 {
-    suspect.request = value.at(0);
-    for (const json &upstream : value.at(1)) {
-        suspect.upstreams.push_back({ upstream.at(0), upstream.at(1) });
-    }
-    suspect.age = { value.at(2).get<std::int64_t>() };
+    suspect = { value.at(0), value.at(1), { value.at(2).get<std::int64_t>() } };
 }
 
 static void to_json(json &value, const GatewayReport &report)
@@ -68,8 +58,8 @@
               { "tableTag", report.tableTag }, { "version", report.version },
               { "requests", report.requests }, { "keys", report.keys },
               { "timings", report.timings } };
-    if (!report.crashes.empty()) {
-        value["crashes"] = report.crashes;
+    if (!report.broken.empty()) {
+        value["broken"] = report.broken;
     }
     if (!report.answered.empty()) {
         value["answered"] = report.answered;
@@ -88,7 +78,7 @@
     value.at("requests").get_to(report.requests);
     value.at("keys").get_to(report.keys);
     value.at("timings").get_to(report.timings);
-    report.crashes = value.value("crashes", std::vector<CrashSighting>());
+    report.broken = value.value("broken", std::vector<BrokenAttempt>());
     report.answered = value.value("answered", std::vector<RequestDigest>());
     report.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
 }
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -40,7 +40,7 @@
     std::uint32_t requests = 0; // since the previous report
     std::vector<KeyRequestCount> keys;
     std::vector<UpstreamTiming> timings;
-    std::vector<CrashSighting> crashes; // that no leader has confirmed yet
+    std::vector<BrokenAttempt> broken; // that no leader has confirmed yet
     std::vector<RequestDigest> answered; // suspect requests that an upstream has answered since
     std::uint64_t suspectsTag = 0; // of the leader's suspect requests that it received last
 
--- a/tests/gateway/test_crashguard.cpp
+++ b/tests/gateway/test_crashguard.cpp
@@ -9,11 +9,6 @@
 constexpr RequestDigest deadly = 7;
 const TimePoint now { 1000000 };
 
-UpstreamIncarnation upstream(std::int64_t born)
-{
-    return { "i-1", born };
-}
-
 /** A leader as far as it concerns suspect requests: takes reports and makes replies. */
 struct TestLeader
 {
@@ -27,8 +22,8 @@
 
     void take(const GatewayReport &report)
     {
-        for (const CrashSighting &crash : report.crashes) {
-            this->ledger.record(crash, now);
+        for (const BrokenAttempt &broken : report.broken) {
+            this->ledger.record(broken, now);
         }
         for (const RequestDigest request : report.answered) {
             this->ledger.clear(request, now);
@@ -50,16 +45,16 @@
 
 } // namespace
 
-// Guards against gateways that each let a request crash three upstreams, since none learns of the
-// crashes that the others have seen.
-TEST(CrashGuard, learnsOfCrashesAtOtherGateways)
+// Guards against gateways that each send a request on until three attempts of their own are broken,
+// since none learns of the attempts of the others.
+TEST(CrashGuard, learnsOfBrokenAttemptsAtOtherGateways)
 {
     TestLeader leader;
     CrashGuard first;
     CrashGuard second;
-    first.recordBroken(deadly, upstream(1), now);
-    second.recordBroken(deadly, upstream(2), now);
-    first.recordBroken(deadly, upstream(3), now);
+    first.recordBroken({ deadly, 1, {} }, now);
+    second.recordBroken({ deadly, 2, {} }, now);
+    first.recordBroken({ deadly, 3, {} }, now);
     for (CrashGuard *guard : { &first, &second, &first }) {
         guard->applyUpdate(leader.exchange(*guard), now);
     }
@@ -67,20 +62,20 @@
     EXPECT_TRUE(second.ledger().isBlocked(deadly));
 }
 
-// Guards against crashes that are forgotten since the report with them did not arrive.
+// Guards against broken attempts that are forgotten since the report with them did not arrive.
 TEST(CrashGuard, reportsAgainWhatNoLeaderHasConfirmed)
 {
     CrashGuard guard;
-    guard.recordBroken(deadly, upstream(1), now);
+    guard.recordBroken({ deadly, 1, {} }, now);
     GatewayReport lost;
     guard.fillReport(lost);
-    guard.recordBroken(deadly, upstream(2), now);
+    guard.recordBroken({ deadly, 2, {} }, now);
     TestLeader leader;
     guard.applyUpdate(leader.exchange(guard), now);
-    EXPECT_EQ(leader.ledger.crashCount(deadly), 2U);
+    EXPECT_EQ(leader.ledger.brokenCount(deadly), 2U);
     GatewayReport next;
     guard.fillReport(next);
-    EXPECT_TRUE(next.crashes.empty());
+    EXPECT_TRUE(next.broken.empty());
 }
 
 // Guards against a blocked request that is let through again when the control group changes its
@@ -90,8 +85,8 @@
     TestLeader leader;
     CrashGuard first;
     CrashGuard second;
-    for (std::int64_t born = 1; born <= 3; ++born) {
-        first.recordBroken(deadly, upstream(born), now);
+    for (AttemptId attempt = 1; attempt <= 3; ++attempt) {
+        first.recordBroken({ deadly, attempt, {} }, now);
     }
     first.applyUpdate(leader.exchange(first), now);
     TestLeader next;
@@ -108,8 +103,8 @@
 {
     CrashGuard guard;
     guard.recordAnswered(deadly, now);
-    EXPECT_FALSE(guard.recordBroken(deadly, upstream(1), now));
-    EXPECT_EQ(guard.ledger().crashCount(deadly), 0U);
+    EXPECT_FALSE(guard.recordBroken({ deadly, 1, {} }, now));
+    EXPECT_EQ(guard.ledger().brokenCount(deadly), 0U);
 }
 
 // Guards against a request that stays suspected at a gateway although another has an answer to it.
@@ -118,12 +113,31 @@
     TestLeader leader;
     CrashGuard first;
     CrashGuard second;
-    first.recordBroken(deadly, upstream(1), now);
-    first.recordBroken(deadly, upstream(2), now);
+    first.recordBroken({ deadly, 1, {} }, now);
+    first.recordBroken({ deadly, 2, {} }, now);
     first.applyUpdate(leader.exchange(first), now);
     second.applyUpdate(leader.exchange(second), now);
     second.recordAnswered(deadly, now);
     second.applyUpdate(leader.exchange(second), now);
     first.applyUpdate(leader.exchange(first), now);
-    EXPECT_EQ(first.ledger().crashCount(deadly), 0U);
+    EXPECT_EQ(first.ledger().brokenCount(deadly), 0U);
+}
+
+// Guards against blocking a request that is answered all the time, since a gateway that has seen no
+// answer to it had three at an upstream that crashed.
+TEST(CrashGuard, clearsWhatOthersSuspectAfterAnAnswerToIt)
+{
+    TestLeader leader;
+    CrashGuard busy;
+    busy.recordAnswered(deadly, now);
+    CrashGuard other;
+    for (AttemptId attempt = 1; attempt <= 3; ++attempt) {
+        other.recordBroken({ deadly, attempt, {} }, now);
+    }
+    other.applyUpdate(leader.exchange(other), now);
+    EXPECT_TRUE(other.ledger().isBlocked(deadly));
+    for (CrashGuard *guard : { &busy, &busy, &other }) {
+        guard->applyUpdate(leader.exchange(*guard), now);
+    }
+    EXPECT_FALSE(other.ledger().isBlocked(deadly));
 }
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -186,13 +186,13 @@
     GatewayReport other;
     other.gateway = "front-2";
     other.tableTag = report.tableTag;
-    other.crashes = { { 5, { "i-1", 1 }, {} }, { 5, { "i-2", 1 }, {} } };
+    other.broken = { { 5, 1, {} }, { 5, 2, {} } };
     const kj::Promise<void> reporting
             = leader->watch(other).ignoreResult().eagerlyEvaluate(nullptr);
     ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }, { 200 }));
     ASSERT_TRUE(update->suspects.has_value());
     ASSERT_EQ(update->suspects->size(), 1U);
-    EXPECT_EQ(update->suspects->front().upstreams.size(), 2U);
+    EXPECT_EQ(update->suspects->front().attempts.size(), 2U);
 }
 
 // Guards against calls that wait for a lease that nobody can confirm: callers have to be sent to
--- a/tests/version/test_crashledger.cpp
+++ b/tests/version/test_crashledger.cpp
@@ -10,17 +10,17 @@
 constexpr RequestDigest deadly = 7;
 const TimePoint start { 1000000 };
 
-CrashSighting sighting(std::int64_t upstream, RequestDigest request = deadly)
+BrokenAttempt brokenAttempt(AttemptId attempt, RequestDigest request = deadly)
 {
-    return { request, { "i-" + std::to_string(upstream), 1 }, {} };
+    return { request, attempt, {} };
 }
 
-/** Returns a ledger with crashes of @p count upstreams under the deadly request. */
-CrashLedger ledgerOf(std::int64_t count)
+/** Returns a ledger with @p count broken attempts of the deadly request. */
+CrashLedger ledgerOf(AttemptId count)
 {
     CrashLedger ledger;
-    for (std::int64_t i = 0; i < count; ++i) {
-        ledger.record(sighting(i), start);
+    for (AttemptId i = 0; i < count; ++i) {
+        ledger.record(brokenAttempt(i), start);
     }
     return ledger;
 }
@@ -28,21 +28,21 @@
 } // namespace
 
 // Guards against a request that goes on to a fourth upstream.
-TEST(CrashLedger, blocksARequestAfterThreeUpstreamsHaveCrashed)
+TEST(CrashLedger, blocksARequestAfterThreeBrokenAttempts)
 {
     EXPECT_FALSE(ledgerOf(2).isBlocked(deadly));
     EXPECT_TRUE(ledgerOf(3).isBlocked(deadly));
     EXPECT_FALSE(ledgerOf(3).isBlocked(deadly + 1));
 }
 
-// Guards against a request that is blocked since one upstream has broken several connections.
-TEST(CrashLedger, countsEachUpstreamOnce)
+// Guards against a request that is blocked since hosts tell each other of the same attempt.
+TEST(CrashLedger, countsEachAttemptOnce)
 {
     CrashLedger ledger;
     for (int i = 0; i < 5; ++i) {
-        ledger.record(sighting(1), start);
+        ledger.record(brokenAttempt(1), start);
     }
-    EXPECT_EQ(ledger.crashCount(deadly), 1U);
+    EXPECT_EQ(ledger.brokenCount(deadly), 1U);
 }
 
 // Guards against a request that stays suspected although an upstream has answered it.
@@ -51,22 +51,22 @@
     CrashLedger ledger = ledgerOf(2);
     EXPECT_TRUE(ledger.clear(deadly, start));
     EXPECT_FALSE(ledger.clear(deadly, start));
-    ledger.record(sighting(5), start);
-    EXPECT_EQ(ledger.crashCount(deadly), 1U);
+    ledger.record(brokenAttempt(5), start);
+    EXPECT_EQ(ledger.brokenCount(deadly), 1U);
 }
 
 // Guards against a list for all gateways that grows with each crash: the requests that an upstream
-// takes along are not told of, until a second upstream crashes under one of them.
-TEST(CrashLedger, sharesOnlyRequestsWithSeveralCrashesOrAnAnswer)
+// takes along are not told of, until a second attempt of one of them breaks.
+TEST(CrashLedger, sharesOnlyRequestsWithSeveralBrokenAttemptsOrAnAnswer)
 {
     CrashLedger ledger = ledgerOf(1);
     EXPECT_TRUE(ledger.suspects(start).empty());
-    ledger.record(sighting(1), start);
+    ledger.record(brokenAttempt(1), start);
     ASSERT_EQ(ledger.suspects(start).size(), 1U);
-    EXPECT_EQ(ledger.suspects(start)[0].upstreams.size(), 2U);
+    EXPECT_EQ(ledger.suspects(start)[0].attempts.size(), 2U);
     ledger.clear(deadly, start);
     ASSERT_EQ(ledger.suspects(start).size(), 1U);
-    EXPECT_TRUE(ledger.suspects(start)[0].upstreams.empty());
+    EXPECT_TRUE(ledger.suspects(start)[0].attempts.empty());
 }
 
 // Guards against requests that stay blocked for ever since hosts tell each other of them anew.
@@ -80,8 +80,8 @@
         leader.expire(now);
         gateway.expire(now);
         gateway.merge(leader.suspects(now), now);
-        for (const CrashSighting &crash : gateway.unknownTo(leader.suspects(now), now)) {
-            leader.record(crash, now);
+        for (const BrokenAttempt &broken : gateway.unknownTo(leader.suspects(now), now)) {
+            leader.record(broken, now);
         }
     }
     EXPECT_FALSE(leader.isBlocked(deadly));
@@ -93,8 +93,8 @@
 {
     const CrashLedger gateway = ledgerOf(3);
     CrashLedger leader;
-    for (const CrashSighting &crash : gateway.unknownTo(leader.suspects(start), start)) {
-        leader.record(crash, start);
+    for (const BrokenAttempt &broken : gateway.unknownTo(leader.suspects(start), start)) {
+        leader.record(broken, start);
     }
     EXPECT_TRUE(leader.isBlocked(deadly));
     EXPECT_TRUE(gateway.unknownTo(leader.suspects(start), start).empty());
@@ -106,26 +106,30 @@
 {
     CrashLedger ledger = ledgerOf(2);
     for (RequestDigest request = 100; request < 10000; ++request) {
-        ledger.record(sighting(50, request), start);
+        ledger.record(brokenAttempt(50, request), start);
     }
-    EXPECT_EQ(ledger.crashCount(deadly), 2U);
-    EXPECT_EQ(ledger.crashCount(100), 0U);
-    EXPECT_EQ(ledger.crashCount(9999), 1U);
+    EXPECT_EQ(ledger.brokenCount(deadly), 2U);
+    EXPECT_EQ(ledger.brokenCount(100), 0U);
+    EXPECT_EQ(ledger.brokenCount(9999), 1U);
 }
 
-// Guards against gateways that come to different results from the same crashes in another order.
+// Guards against gateways that come to different results from the same reports in another order.
 RC_GTEST_PROP(CrashLedger, blocksTheSameRequestsInAnyOrderOfReports, ())
 {
-    auto crashes = *rc::gen::container<std::vector<std::pair<int, int>>>(
+    auto broken = *rc::gen::container<std::vector<std::pair<int, int>>>(
             rc::gen::pair(rc::gen::inRange(0, 5), rc::gen::inRange(0, 6)));
     CrashLedger first;
-    for (const auto &[request, upstream] : crashes) {
-        first.record(sighting(upstream, static_cast<RequestDigest>(request)), start);
+    for (const auto &[request, attempt] : broken) {
+        first.record(
+                brokenAttempt(static_cast<AttemptId>(attempt), static_cast<RequestDigest>(request)),
+                start);
     }
-    std::reverse(crashes.begin(), crashes.end());
+    std::reverse(broken.begin(), broken.end());
     CrashLedger second;
-    for (const auto &[request, upstream] : crashes) {
-        second.record(sighting(upstream, static_cast<RequestDigest>(request)), start);
+    for (const auto &[request, attempt] : broken) {
+        second.record(
+                brokenAttempt(static_cast<AttemptId>(attempt), static_cast<RequestDigest>(request)),
+                start);
     }
     for (RequestDigest request = 0; request < 5; ++request) {
         RC_ASSERT(first.isBlocked(request) == second.isBlocked(request));
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -109,7 +109,7 @@
     update.trafficShare = 0.25;
     update.gateways = 8;
     update.suspectsTag = 77;
-    update.suspects = { { 5, { { "i-1", 3 }, { "i-2", 4 } }, { 250 } }, { 6, {}, { 10 } } };
+    update.suspects = { { 5, { 3, ~AttemptId(0) }, { 250 } }, { 6, {}, { 10 } } };
     EXPECT_EQ(decodeGatewayWatchReply(encode(GatewayWatchReply(update))),
               GatewayWatchReply(update));
     const GroupHint hint { true, "10.0.0.1", { { 1, "10.0.0.1" }, { 2, "10.0.0.2" } }, 2 };
@@ -122,7 +122,7 @@
                                  100,
                                  { { "ledger", 7, 3 } },
                                  { { "i-1", 3, 90 } },
-                                 { { 5, { "i-1", 3 }, { 20 } } },
+                                 { { 5, 3, { 20 } } },
                                  { 6, ~RequestDigest(0) },
                                  77 };
     EXPECT_EQ(decodeGatewayReport(encode(report)), report);
