--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -546,8 +546,8 @@
     return this->tableHistory.set(this->manager.routingTable(now));
 }
 
-// Updates the list of requests under which upstreams may have crashed; returns whether it differs from
-// the previous one in more than the ages.
+// Updates the list of requests under which upstreams may have crashed; returns whether it differs
+// from the previous one in more than the ages.
 bool RegistryEngine::updateSuspects()
 {
     this->suspects = this->manager.suspects(this->loop.now());
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -126,11 +126,13 @@
     }
 
     std::unique_ptr<RawClient> request(const std::string &method, const std::string &path,
-                                       const std::string &deadline = "2000")
+                                       const std::string &deadline = "2000",
+                                       const std::string &id = "r1")
     {
         auto client = std::make_unique<RawClient>(this->callers.port());
-        client->write(method + " " + path + " HTTP/1.1\r\nhost: maps.example\r\nx-id: r1\r\n"
-                      + "x-deadline: " + deadline + "\r\nx-key: 7\r\ncontent-length: 0\r\n\r\n");
+        client->write(method + " " + path + " HTTP/1.1\r\nhost: maps.example\r\n" + "x-id: " + id
+                      + "\r\nx-deadline: " + deadline
+                      + "\r\nx-key: 7\r\ncontent-length: 0\r\n\r\n");
         return client;
     }
 
@@ -225,6 +227,31 @@
     EXPECT_TRUE(this->waitForResponse(*other, "HTTP/1.1 502"));
 }
 
+// Guards against a request that crashes one upstream after the other in several copies each, while
+// gateways count the upstreams.
+TEST_F(GatewayRequestTest, countsEachCopyOfARequestThatAnUpstreamHadWhenItCrashed)
+{
+    this->serve([this](FakePeer::Connection &) {
+        if (this->peer->connections.size() < 3) {
+            return;
+        }
+        for (const auto &connection : this->peer->connections) {
+            connection->disconnect();
+        }
+    });
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (const char *id : { "r1", "r2", "r3" }) {
+        clients.push_back(this->request("POST", "/order/1", "2000", id));
+    }
+    for (const auto &client : clients) {
+        ASSERT_TRUE(this->waitForResponse(*client, "HTTP/1.1 502"));
+    }
+    this->born = 2;
+    this->publish(RangePhase::Owned);
+    const auto client = this->request("POST", "/order/1", "2000", "r4");
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503", { 500 }));
+}
+
 // Guards against refusing a request that upstreams answer, only because some of them have crashed
 // while they had one like it.
 TEST_F(GatewayRequestTest, sendsARequestOnThatUpstreamsAnswerBetweenCrashes)
