gateway: Cancel a slow lookup only if it can be repeated

The class of fault: an action is begun whose second half the same decision rules out; SIGTERM only made it visible, and callers lost responses at other times as well.

Now a keyed request is cancelled only if its owner is not suspected after the failure; otherwise the failure counts for the requests that follow, and this one waits for its response. One that was cancelled is sent again, whatever happens to the owner's other requests meanwhile.

Before: GatewayRequestTest.doesNotCancelASlowLookupThatItWillNotRepeat failed (three lookups: three times 502). After: all three get the upstream's response.

--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -191,7 +191,7 @@
         this->waitForOwner();
         return;
     }
-    if (owner->isSuspected(this->core.eventLoop().now())) {
+    if (owner->isSuspected(this->core.eventLoop().now()) && !this->repeatsSlowRequest) {
         this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "owner does not answer");
         return;
     }
@@ -401,7 +401,9 @@
         this->onFailure({ HttpFailure::Stage::Connect, "connect timeout", false });
         return;
     }
-    if (this->call->isSent() && this->shouldRepeat(elapsed) && this->takeRetry()) {
+    if (this->call->isSent() && this->shouldRepeat(elapsed) && this->canRepeatAtOwner()
+        && this->takeRetry()) {
+        this->repeatsSlowRequest = true;
         const TimePoint openedAt = this->call->connectionOpenedAt();
         this->call.reset();
         this->mayHaveRun = true;
@@ -434,6 +436,20 @@
     return other && other->admission().hasCapacity();
 }
 
+// Whether the owner of the key still gets requests after the failure of this one. If it does not,
+// the failure is recorded for the requests that follow, and this one waits for its response.
+bool GatewayRequest::canRepeatAtOwner()
+{
+    const TimePoint now = this->core.eventLoop().now();
+    if (!this->keyed || !this->target->wouldBeSuspected(this->sentAt, now)) {
+        return true;
+    }
+    if (!std::exchange(this->hasRecordedFailure, true)) {
+        this->target->recordFailure(this->sentAt, now);
+    }
+    return false;
+}
+
 void GatewayRequest::onResult(HttpResult result)
 {
     const WorkMeter::Scope scope(this->core.eventLoop().workMeter(), Work::Requests);
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -39,6 +39,7 @@
     void scheduleCallCheck();
     void checkCall();
     bool shouldRepeat(Milliseconds elapsed) const;
+    bool canRepeatAtOwner();
     void onResult(HttpResult result);
     void onResponse(HttpResponse response);
     void onNotExecuted(const HttpResponse &response);
@@ -82,6 +83,9 @@
     std::vector<std::string> tried; // ids of upstreams that the request was sent to
     std::uint32_t sends = 0;
     bool mayHaveRun = false; // an earlier attempt ended without proof that it did not run
+    bool repeatsSlowRequest = false; // an earlier attempt was cancelled to send it again
+    bool hasRecordedFailure
+            = false; // of the target, while the request still waits for its response
     TimePoint sentAt;
     TimePoint queuedAt;
     Milliseconds queuedDuration { 0 }; // waiting time for capacity of the target
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -142,17 +142,31 @@
     }
 }
 
-void GatewayUpstream::recordFailure(TimePoint sentAt, TimePoint now)
+// Number of failures in a row, with one of an attempt that began at @p sentAt; 0 if that one does
+// not count.
+std::uint32_t GatewayUpstream::failuresInRowWith(TimePoint sentAt, TimePoint now) const
 {
     // An upstream that has responded to another request in the meantime is slow, not unavailable.
     if (this->lastResponseAt > sentAt) {
-        return;
+        return 0;
     }
-    if (now - this->lastFailureAt > maxFailureInterval) {
-        this->failuresInRow = 0;
+    const bool isInRow = now - this->lastFailureAt <= maxFailureInterval;
+    return isInRow ? this->failuresInRow + 1 : 1;
+}
+
+bool GatewayUpstream::wouldBeSuspected(TimePoint sentAt, TimePoint now) const
+{
+    return this->failuresInRowWith(sentAt, now) >= failuresBeforeSuspicion;
+}
+
+void GatewayUpstream::recordFailure(TimePoint sentAt, TimePoint now)
+{
+    const std::uint32_t failures = this->failuresInRowWith(sentAt, now);
+    if (failures == 0) {
+        return;
     }
     this->lastFailureAt = now;
-    ++this->failuresInRow;
+    this->failuresInRow = failures;
     if (this->failuresInRow < failuresBeforeSuspicion) {
         return;
     }
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -58,6 +58,8 @@
                         TimePoint now);
     /** Records that an attempt begun at @p sentAt got no connection, or no response in time. */
     void recordFailure(TimePoint sentAt, TimePoint now);
+    /** Whether recordFailure() would make other upstreams preferred; see isSuspected(). */
+    bool wouldBeSuspected(TimePoint sentAt, TimePoint now) const;
     /** Records a response that reports a failure of the upstream itself. */
     void recordError(TimePoint now);
 
@@ -80,6 +82,7 @@
 private:
     double usedSlots(TimePoint now) const;
     void updateCapacity();
+    std::uint32_t failuresInRowWith(TimePoint sentAt, TimePoint now) const;
 
     RoutedUpstream routed;
     Distance distance;
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -379,6 +379,41 @@
     EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 504", { 450 }));
 }
 
+// Guards against a gateway that cancels a slow lookup in order to repeat it and then does not
+// repeat it, since it suspects the owner because of other slow lookups. Its response came after
+// SIGTERM when that was just before.
+TEST_F(GatewayRequestTest, doesNotCancelASlowLookupThatItWillNotRepeat)
+{
+    bool isSlow = false;
+    this->serve([&](FakePeer::Connection &connection) {
+        if (!isSlow) {
+            connection.write(
+                    withRequestId(std::exchange(connection.received, {}), "HTTP/1.1 200 OK\r\n")
+                    + "content-length: 0\r\n\r\n");
+        }
+    });
+    const auto first = this->request("GET", "/read/1");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    isSlow = true;
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (const char *path : { "/read/2", "/read/3", "/read/4" }) {
+        clients.push_back(this->request("GET", path));
+    }
+    runFor(this->loop, { 1500 });
+    for (const auto &client : clients) {
+        EXPECT_EQ(client->received(), "");
+    }
+    for (const auto &connection : this->peer->connections) {
+        if (!connection->closedByClient && !connection->received.empty()) {
+            connection->write(withRequestId(connection->received, "HTTP/1.1 200 OK\r\n")
+                              + "content-length: 0\r\n\r\n");
+        }
+    }
+    for (const auto &client : clients) {
+        EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200"));
+    }
+}
+
 // Guards against cancelling and refusing a request that the upstream is processing, as a stopping
 // gateway did with slow lookups.
 TEST_F(GatewayRequestTest, doesNotCancelASlowRequestWhileTheGatewayStops)
