version, registry: Tell gateways of answers only to requests that they know

When a part of the upstreams crashes at once, hundreds of requests have one broken attempt each, and most are answered a moment later. Each answer was kept for 15 s in the list for all gateways, which is sent whole whenever it changes: with 77 gateways that is hundreds of lists of some KiB to each, over links that are full then.

Now an answer to a request that was never shared removes it, and changes reach the gateways together with those of the routing table, at the same limited rate.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -461,9 +461,8 @@
     }
     this->watchLoad.countCall();
     this->manager.onGatewayReport(report, this->loop.now());
-    const bool hasNews = !report.broken.empty() || !report.answered.empty();
-    if (hasNews && this->updateSuspects()) {
-        this->resumeWatchCalls();
+    if (!report.broken.empty() || !report.answered.empty()) {
+        this->notifyGateways();
     }
     if (!this->isCurrent(report)) {
         return this->update(report, calledAt);
@@ -518,8 +517,9 @@
     }
 }
 
-// Replies to the waiting watch calls if the routing table or the configuration has changed. Changes
-// that follow each other closely are sent together.
+// Replies to the waiting watch calls if the routing table, the configuration or the requests under
+// which upstreams may have crashed have changed. Changes that follow each other closely are sent
+// together.
 void RegistryEngine::notifyGateways()
 {
     const auto gateways = static_cast<std::int64_t>(this->waitingCalls.size());
--- a/src/version/crashledger.cpp
+++ b/src/version/crashledger.cpp
@@ -38,6 +38,10 @@
     if (found == this->entries.end() || found->second.attempts.empty()) {
         return false;
     }
+    if (found->second.attempts.size() < minShared) {
+        this->entries.erase(found);
+        return true;
+    }
     found->second.attempts.clear();
     found->second.changedAt = now;
     return true;
--- a/tests/version/test_crashledger.cpp
+++ b/tests/version/test_crashledger.cpp
@@ -69,6 +69,15 @@
     EXPECT_TRUE(ledger.suspects(start)[0].attempts.empty());
 }
 
+// Guards against a message to all gateways for each request that is answered after an upstream with
+// many others has crashed: hundreds of them when a part of the upstreams crashes at once.
+TEST(CrashLedger, tellsNobodyOfAnswersToRequestsThatItHasNotShared)
+{
+    CrashLedger ledger = ledgerOf(1);
+    EXPECT_TRUE(ledger.clear(deadly, start));
+    EXPECT_TRUE(ledger.suspects(start).empty());
+}
+
 // Guards against requests that stay blocked for ever since hosts tell each other of them anew.
 TEST(CrashLedger, forgetsARequestThoughHostsExchangeIt)
 {
