version, gateway: Order answers and broken attempts by their times

Found by a review that modelled the exchange of reports (trial, not the program): a gateway that was cut off for more than 15 s brought back attempts that an answer had cleared meanwhile, and so did a late duplicate of a report; a leader that led again listed what another had cleared; and hosts kept a request blocked for up to 10 s more, with some hundred lists sent, by reporting to each other what they were about to forget. A request that was answered once by a quiet gateway could never be blocked later, since answers were bounded by number only.

Now an answer counts against the attempts that broke before it, for as long as these are remembered; reports carry ages as of their sending; a new term begins with an empty ledger; attempts with less than 30 s left are not reported again; and answers are forgotten after a minute.

Tests: CrashLedger.ignoresAttemptsThatBrokeBeforeAnAnswer, CrashGuard.suspectsARequestWhoseLastAnswerIsLongAgo.

--- a/src/gateway/crashguard.cpp
+++ b/src/gateway/crashguard.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::size_t maxAnsweredRequests = 2048; // in each half
+// After this time the newer half becomes the older one. A request that was answered may crash
+// upstreams later, for example after a new version of them.
+constexpr Milliseconds answeredPeriod { 30 * 1000 };
 // Reports wait while there is no leader; the oldest are dropped beyond this number.
 constexpr std::size_t maxPending = 512;
 
@@ -36,36 +39,53 @@
     this->values.erase(this->values.begin(), this->values.begin() + count);
 }
 
-bool CrashGuard::AnsweredRequests::contains(RequestDigest request) const
+void CrashGuard::AnsweredRequests::dropOld(TimePoint now)
 {
+    const Milliseconds age = now - this->newerSince;
+    if (this->newer.size() < maxAnsweredRequests && age <= answeredPeriod) {
+        return;
+    }
+    this->older = std::move(this->newer);
+    this->newer.clear();
+    if (age > answeredPeriod * 2) {
+        this->older.clear();
+    }
+    this->newerSince = now;
+}
+
+bool CrashGuard::AnsweredRequests::contains(RequestDigest request, TimePoint now)
+{
+    this->dropOld(now);
     return this->newer.contains(request) || this->older.contains(request);
 }
 
-void CrashGuard::AnsweredRequests::insert(RequestDigest request)
+void CrashGuard::AnsweredRequests::insert(RequestDigest request, TimePoint now)
 {
-    if (this->newer.size() >= maxAnsweredRequests) {
-        this->older = std::move(this->newer);
-        this->newer.clear();
-    }
+    this->dropOld(now);
     this->newer.insert(request);
 }
 
 bool CrashGuard::recordBroken(const BrokenAttempt &broken, TimePoint now)
 {
-    if (this->answered.contains(broken.request)) {
+    if (this->answered.contains(broken.request, now)) {
         return false;
     }
     this->crashes.expire(now);
     if (!this->crashes.record(broken, now)) {
         return false;
     }
-    this->pendingBroken.add(broken);
+    this->addPending(broken, now);
     return true;
 }
 
+void CrashGuard::addPending(const BrokenAttempt &broken, TimePoint now)
+{
+    this->pendingBroken.add({ broken.request, broken.attempt, now - broken.age });
+}
+
 void CrashGuard::recordAnswered(RequestDigest request, TimePoint now)
 {
-    this->answered.insert(request);
+    this->answered.insert(request, now);
     this->clear(request, now);
 }
 
@@ -80,15 +100,18 @@
 void CrashGuard::clearAnswered(const std::vector<SuspectRequest> &suspects, TimePoint now)
 {
     for (const SuspectRequest &suspect : suspects) {
-        if (this->answered.contains(suspect.request)) {
+        if (this->answered.contains(suspect.request, now)) {
             this->clear(suspect.request, now);
         }
     }
 }
 
-void CrashGuard::fillReport(GatewayReport &report)
+void CrashGuard::fillReport(GatewayReport &report, TimePoint now)
 {
-    report.broken = this->pendingBroken.report();
+    report.broken.clear();
+    for (const PendingAttempt &pending : this->pendingBroken.report()) {
+        report.broken.push_back({ pending.request, pending.attempt, now - pending.brokenAt });
+    }
     report.answered = this->pendingAnswers.report();
     report.suspectsTag = this->leaderTag;
 }
@@ -107,7 +130,7 @@
     this->clearAnswered(*update.suspects, now);
     // A new leader learns from the gateways what the previous one knew.
     for (const BrokenAttempt &broken : this->crashes.unknownTo(*update.suspects, now)) {
-        this->pendingBroken.add(broken);
+        this->addPending(broken, now);
     }
 }
 
--- a/src/gateway/crashguard.h
+++ b/src/gateway/crashguard.h
@@ -27,7 +27,7 @@
     const CrashLedger &ledger() const { return this->crashes; }
 
     /** Adds to @p report what the leader does not know yet. */
-    void fillReport(GatewayReport &report);
+    void fillReport(GatewayReport &report, TimePoint now);
 
     /** Applies the leader's reply to the previous report. */
     void applyUpdate(const GatewayUpdate &update, TimePoint now);
@@ -48,22 +48,39 @@
         std::size_t reported = 0; // the first of the values, in the previous report
     };
 
-    /** Requests that were answered lately: the older half is dropped when the newer one is full. */
-    struct AnsweredRequests
+    /** An attempt that the leader does not know yet. */
+    struct PendingAttempt
     {
-        bool contains(RequestDigest request) const;
-        void insert(RequestDigest request);
+        RequestDigest request = 0;
+        AttemptId attempt = 0;
+        TimePoint brokenAt;
+    };
+
+    /**
+     * Requests that were answered lately: the older half is dropped when the newer one is full, or
+     * after some time.
+     */
+    class AnsweredRequests
+    {
+    public:
+        bool contains(RequestDigest request, TimePoint now);
+        void insert(RequestDigest request, TimePoint now);
+
+    private:
+        void dropOld(TimePoint now);
 
         std::unordered_set<RequestDigest> newer;
         std::unordered_set<RequestDigest> older;
+        TimePoint newerSince;
     };
 
+    void addPending(const BrokenAttempt &broken, TimePoint now);
     void clear(RequestDigest request, TimePoint now);
     void clearAnswered(const std::vector<SuspectRequest> &suspects, TimePoint now);
 
     CrashLedger crashes;
     AnsweredRequests answered;
-    PendingReports<BrokenAttempt> pendingBroken;
+    PendingReports<PendingAttempt> pendingBroken;
     PendingReports<RequestDigest> pendingAnswers;
     std::uint64_t leaderTag = 0; // of the leader's list that was received last
 };
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -201,7 +201,7 @@
     for (const auto &[key, requests] : std::exchange(this->keyRequests, {})) {
         report.keys.push_back({ key.first, key.second, requests });
     }
-    this->crashes.fillReport(report);
+    this->crashes.fillReport(report, this->loop.now());
     for (const auto &[id, upstream] : this->upstreams) {
         UpstreamTiming timing = upstream->takeTiming();
         if (timing.requests > 0) {
--- a/src/version/crashledger.cpp
+++ b/src/version/crashledger.cpp
@@ -12,9 +12,11 @@
 constexpr std::size_t minShared = 2;
 // How long broken attempts are remembered. A corrected version may be installed meanwhile.
 constexpr Milliseconds brokenRetention { 10 * 60 * 1000 };
-// How long a host tells others that a request was answered: until all have sent their reports and
-// received the result.
+// How long a host tells others that a request was answered.
 constexpr Milliseconds clearedRetention { 15 * 1000 };
+// A host does not report attempts again that are about to be forgotten: hosts do not forget them at
+// the same moment, and would keep them for each other.
+constexpr Milliseconds minTimeLeftToReport { 30 * 1000 };
 constexpr std::size_t maxEntries = 2048;
 
 } // namespace
@@ -25,17 +27,22 @@
         this->makeRoom();
     }
     Entry &entry = this->entries[broken.request];
+    const TimePoint brokenAt = now - broken.age;
+    if (brokenAt <= entry.clearedAt) {
+        return false;
+    }
     if (entry.attempts.size() >= maxBroken || !entry.attempts.insert(broken.attempt).second) {
         return false;
     }
-    entry.changedAt = std::max(entry.changedAt, now - broken.age);
+    entry.changedAt = std::max(entry.changedAt, brokenAt);
     return true;
 }
 
-bool CrashLedger::clear(RequestDigest request, TimePoint now)
+bool CrashLedger::clear(RequestDigest request, TimePoint answeredAt)
 {
     const auto found = this->entries.find(request);
-    if (found == this->entries.end() || found->second.attempts.empty()) {
+    if (found == this->entries.end() || found->second.attempts.empty()
+        || found->second.changedAt > answeredAt) {
         return false;
     }
     if (found->second.attempts.size() < minShared) {
@@ -43,7 +50,8 @@
         return true;
     }
     found->second.attempts.clear();
-    found->second.changedAt = now;
+    found->second.changedAt = answeredAt;
+    found->second.clearedAt = answeredAt;
     return true;
 }
 
@@ -51,7 +59,7 @@
 {
     for (const SuspectRequest &suspect : suspects) {
         if (suspect.attempts.empty()) {
-            this->clear(suspect.request, now);
+            this->clear(suspect.request, now - suspect.age);
         }
         for (const AttemptId attempt : suspect.attempts) {
             this->record({ suspect.request, attempt, suspect.age }, now);
@@ -62,8 +70,7 @@
 void CrashLedger::expire(TimePoint now)
 {
     std::erase_if(this->entries, [now](const auto &entry) {
-        const bool isCleared = entry.second.attempts.empty();
-        return now - entry.second.changedAt > (isCleared ? clearedRetention : brokenRetention);
+        return now - entry.second.changedAt > brokenRetention;
     });
 }
 
@@ -104,7 +111,9 @@
 {
     std::vector<SuspectRequest> result;
     for (const auto &[request, entry] : this->entries) {
-        if (entry.attempts.empty() || entry.attempts.size() >= minShared) {
+        const bool wasClearedLately
+                = entry.attempts.empty() && now - entry.changedAt <= clearedRetention;
+        if (wasClearedLately || entry.attempts.size() >= minShared) {
             result.push_back({ request,
                                { entry.attempts.begin(), entry.attempts.end() },
                                now - entry.changedAt });
@@ -116,16 +125,19 @@
 std::vector<BrokenAttempt> CrashLedger::unknownTo(const std::vector<SuspectRequest> &suspects,
                                                   TimePoint now) const
 {
-    std::set<std::pair<RequestDigest, AttemptId>> known;
+    std::map<RequestDigest, std::set<AttemptId>> known;
     for (const SuspectRequest &suspect : suspects) {
-        for (const AttemptId attempt : suspect.attempts) {
-            known.emplace(suspect.request, attempt);
-        }
+        known[suspect.request] = { suspect.attempts.begin(), suspect.attempts.end() };
     }
     std::vector<BrokenAttempt> result;
     for (const SuspectRequest &suspect : this->suspects(now)) {
+        const std::set<AttemptId> &knownAttempts = known[suspect.request];
+        if (knownAttempts.size() >= maxBroken
+            || suspect.age > brokenRetention - minTimeLeftToReport) {
+            continue;
+        }
         for (const AttemptId attempt : suspect.attempts) {
-            if (!known.contains({ suspect.request, attempt })) {
+            if (!knownAttempts.contains(attempt)) {
                 result.push_back({ suspect.request, attempt, suspect.age });
             }
         }
--- a/src/version/crashledger.h
+++ b/src/version/crashledger.h
@@ -48,9 +48,11 @@
     /** Adds a broken attempt. Returns whether it was new. */
     bool record(const BrokenAttempt &broken, TimePoint now);
 
-    /** An upstream has answered the request, so that it crashes none. Returns whether it was known.
+    /**
+     * An upstream answered the request at @p answeredAt, so that the attempts which broke before do
+     * not count. Returns whether there were any.
      */
-    bool clear(RequestDigest request, TimePoint now);
+    bool clear(RequestDigest request, TimePoint answeredAt);
 
     /** Adds what another host knows. */
     void merge(const std::vector<SuspectRequest> &suspects, TimePoint now);
@@ -83,7 +85,8 @@
     struct Entry
     {
         std::set<AttemptId> attempts; // empty: cleared
-        TimePoint changedAt;
+        TimePoint changedAt; // when the last attempt broke, or of the answer
+        TimePoint clearedAt; // attempts that broke before do not count
     };
 
     void makeRoom();
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -43,6 +43,7 @@
         }
     }
     this->gateways.clear();
+    this->crashes = CrashLedger(); // gateways report again what an earlier leader knew
     this->removing.clear();
 }
 
