--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -79,6 +79,33 @@
     EXPECT_TRUE(isRefused(replaced(heartbeat, "10.128.0.9:8080", "nowhere")));
 }
 
+// Guards against a control host that ends with a stack overflow because it copies deeply nested
+// holds, or that takes 310 MB of memory to parse 4 MB of brackets.
+TEST(PlatformCodec, refusesDeeplyNestedDocuments)
+{
+    constexpr std::size_t depth = std::size_t(4) * 1024 * 1024;
+    const std::string open(depth, '[');
+    const std::string nested = open.substr(0, depth / 2) + std::string(depth / 2, ']');
+    EXPECT_TRUE(isRefused(open));
+    EXPECT_TRUE(isRefused(nested));
+    for (const std::string &value : { nested.substr(depth / 2 - 400000, 800000),
+                                      std::string(40, '[') + std::string(40, ']') }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[[0,4095,7]]", value)));
+        EXPECT_TRUE(
+                isRefused(replaced(heartbeat, "{\"address\"", "{\"x\":" + value + ",\"address\"")));
+    }
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "{\"address\"",
+                                   "{\"x\":[\"\\\"\"," + std::string(40, '[') + std::string(40, ']')
+                                           + "],\"address\"")));
+    // Brackets in a text do not nest.
+    EXPECT_FALSE(isRefused(replaced(heartbeat, "5c0e", std::string(100, '[') + "\\\"")));
+    for (const std::string &text : { open, nested }) {
+        EXPECT_TRUE(std::holds_alternative<ConfigurationError>(codec.decodeConfiguration(text)));
+        EXPECT_TRUE(std::holds_alternative<ConfigurationError>(codec.decodeConfiguration(
+                replaced(document, "{\"version\"", "{\"x\":" + text + ",\"version\""))));
+    }
+}
+
 TEST(PlatformCodec, encodesAHeartbeatResponse)
 {
     HeartbeatResponse response;
