platform: Refuse heartbeats with values out of range

What callers saw: an odd heartbeat registered an upstream: slots became 1, a start time above 2^63 became negative, "10.128.0.9:80x" became port 80. Ids and texts of megabytes, with bytes that are not UTF-8 (ids) or with control characters went into the replicated log. A start time of 2^63-1 at the address of another upstream replaced that one for good. Four billion slots overflowed the conversion to 32 bits in gateways. Cause: the codec checked the type of each field, not its range; the port was read with from_chars without a check of the end. The quoted text in the reason of a refusal is cut to 300 bytes, since it goes into the event log. Conclusion: such a heartbeat gets 400 and reaches neither the log nor the tables. A plausible start time of another writer at the address of an upstream still replaces that upstream; the call cannot show that it is wrong.

--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -106,6 +106,87 @@
     }
 }
 
+// Guards against fields that are cut to a narrower type or overflow, and so register an upstream
+// with another size, life or address than the sender has. A later start time than the real one
+// would also replace the real upstream.
+TEST(PlatformCodec, refusesNumbersOutOfRange)
+{
+    for (const std::string born :
+         { "18446744073709551615", "9223372036854775808", "9223372036854775807", "9007199254740993",
+           "-1", "18446744073709551616", "1e300" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "1781664962410", born))) << born;
+    }
+    for (const std::string slots : { "0", "-1", "4294967296", "4294967297", "4294967295",
+                                     "18446744073709551615", "18446744073709551616", "1e3" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, ":6}", ":" + slots + "}"))) << slots;
+    }
+    for (const std::string number :
+         { "18446744073709551615", "18446744073709551616", "9007199254740993", "1e3", "-1" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "\"sequence\":4", "\"sequence\":" + number)))
+                << number;
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[0,4095,7]", "[0,4095," + number + "]")))
+                << number;
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[0,4095,7]", "[0," + number + ",7]"))) << number;
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[4096,8191", "[" + number + ",8191"))) << number;
+    }
+    for (const std::string seconds : { "1e9", "1e300", "1e400", "90000", "-1e9" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, ":1.5}", ":" + seconds + "}"))) << seconds;
+    }
+}
+
+// Guards against sending requests to another address than the sender has.
+TEST(PlatformCodec, refusesMalformedAddresses)
+{
+    for (const std::string address :
+         { "10.128.0.9:80x", "10.128.0.9:8080 ", "10.128.0.9:8080:", "10.128.0.9: 80",
+           "10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9:", "10.128.0.9",
+           ":8080", "10.128.0:8080", "10.128.0.9.1:8080", "host.example:8080",
+           "10.128.0.9\\u0000:8080", "10.128.0.9\\r\\n:8080" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "10.128.0.9:8080", address))) << address;
+    }
+    EXPECT_FALSE(isRefused(replaced(heartbeat, "10.128.0.9:8080", "fd00::9:8080")));
+}
+
+// Guards against ids and texts in the replicated log, in headers and in log lines that are not
+// valid UTF-8, have control characters or take megabytes.
+TEST(PlatformCodec, refusesUnusableIdsAndTexts)
+{
+    const std::string huge(2000000, 'a');
+    for (const std::string &id : { std::string(), std::string("\xff\xfe"), std::string("i-\xc3"),
+                                   std::string("i-1\x7f"), huge, std::string(257, 'a') }) {
+        const std::string path = "/-/Instances.Heartbeat/" + id;
+        const ControlCall call = codec.decodeCall({ "POST", path, "", heartbeat });
+        EXPECT_TRUE(std::holds_alternative<MalformedCall>(call)) << id.substr(0, 10);
+    }
+    for (const std::string &text :
+         { std::string("\xff"), std::string("a\xc3"), huge, std::string("\\ud800"),
+           std::string("a\\u0000b"), std::string("a\\r\\nb"), std::string(257, 'a') }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "huvo11a", text))) << text.substr(0, 10);
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "mafraq", text))) << text.substr(0, 10);
+    }
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "5c0e", "\xff")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "5c0e", huge)));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "5c0e", std::string(65537, 'a'))));
+    EXPECT_FALSE(isRefused(replaced(heartbeat, "5c0e", std::string(65536, 'a'))));
+    EXPECT_TRUE(isRefused(heartbeat + std::string(2000000, ' ')));
+}
+
+// Guards against log lines of megabytes that repeat what was received.
+TEST(PlatformCodec, shortensTheReasonOfARefusal)
+{
+    const std::string huge(500000, 'a');
+    for (const std::string &body : { replaced(heartbeat, "ready", huge), "\"" + huge, huge }) {
+        const ControlCall call = heartbeatCall(body);
+        ASSERT_TRUE(std::holds_alternative<MalformedCall>(call));
+        EXPECT_LE(std::get<MalformedCall>(call).reason.size(), 300U);
+    }
+    for (const std::string &text : { replaced(document, "unsafe", huge), "\"" + huge }) {
+        const auto decoded = codec.decodeConfiguration(text);
+        ASSERT_TRUE(std::holds_alternative<ConfigurationError>(decoded));
+        EXPECT_LE(std::get<ConfigurationError>(decoded).reason.size(), 300U);
+    }
+}
+
 TEST(PlatformCodec, encodesAHeartbeatResponse)
 {
     HeartbeatResponse response;
