--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -187,6 +187,34 @@
     }
 }
 
+// Guards against a deregistration with an unreadable start time that ends the use of an upstream
+// that has started anew since.
+TEST(PlatformCodec, refusesMalformedDeregistrations)
+{
+    const auto leave = [](const std::string &id, const std::string &body) {
+        return codec.decodeCall({ "POST", "/-/Instances.Deregister/" + id, "", body });
+    };
+    for (const std::string &body :
+         { std::string("x"), std::string("[]"), std::string("null"), std::string("{\"born\":7"),
+           std::string(R"({"born":"7"})"), std::string(R"({"born":7.5})"),
+           std::string(R"({"born":-7})"), std::string(R"({"born":null})"),
+           std::string(R"({"born":18446744073709551615})"),
+           std::string(R"({"born":9223372036854775808})"),
+           std::string(R"({"born":18446744073709551616})"), std::string("{\"\xff\":1}"),
+           std::string(4UL * 1024 * 1024, '['), std::string(2000000, ' ') + "{}" }) {
+        EXPECT_TRUE(std::holds_alternative<MalformedCall>(leave("i-1", body)))
+                << body.substr(0, 40);
+    }
+    EXPECT_TRUE(std::holds_alternative<MalformedCall>(leave("", "{}")));
+    EXPECT_TRUE(std::holds_alternative<MalformedCall>(leave("\xff", "{}")));
+    // Without a start time it applies to whichever life the upstream has.
+    for (const std::string body : { "", "{}" }) {
+        const ControlCall call = leave("i-1", body);
+        ASSERT_TRUE(std::holds_alternative<LeaveCall>(call));
+        EXPECT_EQ(std::get<LeaveCall>(call).incarnation, (UpstreamIncarnation { "i-1", 0 }));
+    }
+}
+
 TEST(PlatformCodec, encodesAHeartbeatResponse)
 {
     HeartbeatResponse response;
