platform: Refuse configurations with numbers out of range

Two weights of 1e308 add up to infinity, after which the rotation of the services compares infinities. Cause: casts from 64 to 32 bits without a check; weights had no upper bound. Before: PlatformCodec.refusesConfigurationsWithNumbersOutOfRange failed for attempts, priority and maxConnections above 32 bits and for a weight of 1e308. Conclusion: values are applied as they were sent, or not at all.

--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -215,6 +215,25 @@
     }
 }
 
+// Guards against a configuration whose numbers are cut to a narrower type, or whose weights add up
+// to infinity.
+TEST(PlatformCodec, refusesConfigurationsWithNumbersOutOfRange)
+{
+    const auto isError = [](const std::string &text) {
+        return std::holds_alternative<ConfigurationError>(codec.decodeConfiguration(text));
+    };
+    for (const std::string number : { "4294967296", "4294967297", "18446744073709551615", "-1" }) {
+        EXPECT_TRUE(isError(replaced(document, "\"attempts\":2", "\"attempts\":" + number)));
+        EXPECT_TRUE(isError(replaced(document, "\"priority\":1", "\"priority\":" + number)));
+        EXPECT_TRUE(isError(
+                replaced(document, "\"maxConnections\":110", "\"maxConnections\":" + number)));
+    }
+    EXPECT_TRUE(isError(replaced(document, "\"weight\":90", "\"weight\":1e308")));
+    EXPECT_TRUE(isError(replaced(document, "\"weight\":90", "\"weight\":1e400")));
+    EXPECT_TRUE(isError(replaced(document, "\"timeoutS\":0.8", "\"timeoutS\":1e300")));
+    EXPECT_TRUE(isError(replaced(document, "ficu95.example", "\xff")));
+}
+
 TEST(PlatformCodec, encodesAHeartbeatResponse)
 {
     HeartbeatResponse response;
