gateway: Believe no refusal without the request id

What callers saw: 503 (not run, try again), 404 or 400 although the upstream was running the request, or the request was sent to a second upstream, after a faulty upstream had written the refusal of an earlier request once more on a kept-alive connection. Cause: HttpCall took a response that is not 2xx without the request's id as the response to the present request. Upstreams repeat the id in each response, so one without it has an unknown outcome (502) and its connection is closed. The exception of the protocol, 400 to a request without an id, is passed on. A refusal of a request without an id is not believed, since it can prove nothing. Conclusion: "not executed" and 421 count only with the id of the request.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -12,6 +12,17 @@
 
 namespace {
 
+constexpr int statusBadRequest = 400;
+
+// Returns the value of the first header @p name; empty if there is none.
+std::string_view findHeader(const std::vector<std::pair<std::string, std::string>> &headers,
+                            const std::string &name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(),
+                                    [&](const auto &header) { return header.first == name; });
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
 // Bytes acknowledged by the peer plus bytes received from it, from the kernel's TCP_INFO. The sum
 // grows with each progress of the connection.
 std::uint64_t bytesTransferred(h2o_socket_t *socket)
@@ -198,23 +209,23 @@
     return state;
 }
 
+// Value of the identity header in the response; empty if it has none.
+std::string_view HttpCall::repeatedIdentity()
+{
+    return findHeader(this->parser.response().headers, this->request.identityHeader);
+}
+
 // Whether the response may belong to this request. An upstream proves it by repeating the identity
 // header of the request.
 bool HttpCall::isMatchingResponse()
 {
-    const auto find = [this](const auto &headers) {
-        const auto found = std::find_if(headers.begin(), headers.end(), [this](const auto &header) {
-            return header.first == this->request.identityHeader;
-        });
-        return found == headers.end() ? std::string_view() : std::string_view(found->second);
-    };
-    const std::string_view repeated = find(this->parser.response().headers);
-    if (repeated.empty()) {
-        const int status = this->parser.response().status;
-        const bool isSuccess = status >= 200 && status < 300;
-        return !this->request.requiresIdentity || !isSuccess;
+    const std::string_view sentIdentity
+            = findHeader(this->request.headers, this->request.identityHeader);
+    const std::string_view repeated = this->repeatedIdentity();
+    if (repeated.empty() && this->request.requiresIdentity) {
+        return sentIdentity.empty() && this->parser.response().status == statusBadRequest;
     }
-    return repeated == find(this->request.headers);
+    return repeated.empty() || repeated == sentIdentity;
 }
 
 void HttpCall::finishResponse()
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -4,6 +4,8 @@
 #include "connection/responsememory.h"
 #include "connection/responseparser.h"
 
+#include <string_view>
+
 namespace cassiaroad {
 
 /** One HTTP/1.1 request and its response on a socket of h2o's loop. Loop thread only. */
@@ -37,6 +39,7 @@
     void onReadable(const char *error);
     ResponseParser::State parseInput();
     void releaseMemory();
+    std::string_view repeatedIdentity();
     bool isMatchingResponse();
     void finishResponse();
     void fail(HttpFailure::Stage stage, std::string reason);
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -24,7 +24,9 @@
     // Name of the header that the server repeats in its response, in lower case. A response with
     // another value fails the call.
     std::string identityHeader = "cassiaroad-request";
-    bool requiresIdentity = false; // a successful response (2xx) without that header fails it too
+    // The request may be sent several times with the same identity, and a response without it fails
+    // the call, except 400 to a request without an identity.
+    bool requiresIdentity = false;
 
     bool operator==(const HttpRequest &) const = default;
 };
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -412,6 +412,12 @@
     const ExternalHeaders &names = this->core.externalCodec().headers();
     const bool notExecuted = !HopHeaders::find(response.headers, names.notExecuted).empty();
     if (notExecuted || response.status == statusMisdirected) {
+        // Without an id, the refusal may have been sent to an earlier request.
+        if (HopHeaders::find(response.headers, names.requestId).empty()) {
+            this->onFailure({ HttpFailure::Stage::ResponseTruncated,
+                              "the refusal does not repeat the request id", false });
+            return;
+        }
         this->onNotExecuted(response);
         return;
     }
--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -185,6 +185,27 @@
     EXPECT_EQ(this->client.idleCount(this->address), 0U);
 }
 
+// Guards against an earlier refusal without an id that is taken for the response to a later request
+// on the connection: the caller believed that the later one was not run.
+TEST_F(HttpClientTest, rejectsRefusalsThatDoNotRepeatARequiredIdentity)
+{
+    for (const std::string head : { "503 Full\r\nx-not-executed: 1", "421 Misdirected", "404 None",
+                                    "400 Bad", "500 Failed", "302 Found", "200 OK" }) {
+        this->serveText("HTTP/1.1 " + head + "\r\ncontent-length: 0\r\n\r\n");
+        HttpRequest request { "GET", "/k", { { "x-id", "r1" } }, {} };
+        request.identityHeader = "x-id";
+        request.requiresIdentity = true;
+        EXPECT_EQ(stageOf(this->exchange(request)), HttpFailure::Stage::ResponseTruncated) << head;
+        EXPECT_EQ(this->client.idleCount(this->address), 0U) << head;
+        // To a request without an id, upstreams respond with 400 and no id.
+        request.headers.clear();
+        const bool isExpected = head.starts_with("400");
+        EXPECT_EQ(stageOf(this->exchange(request)),
+                  isExpected ? std::nullopt : std::optional(HttpFailure::Stage::ResponseTruncated))
+                << head;
+    }
+}
+
 TEST_F(HttpClientTest, trimsIdleConnections)
 {
     this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -315,6 +315,45 @@
     EXPECT_EQ(client->received().find("no"), std::string::npos);
 }
 
+// Guards against a client that is told "not run" while the upstream is running its request: the
+// refusal of an earlier request, without an id, arrived once more on the connection.
+TEST_F(GatewayRequestTest, believesNoRefusalWithoutTheIdOfTheRequest)
+{
+    for (const std::string refusal :
+         { "503 Full\r\nx-not-executed: 1", "421 Misdirected", "421 Misdirected\r\nx-upstream: i-2",
+           "404 None", "400 Bad", "400 Bad\r\nx-not-executed: 1" }) {
+        ++this->born;
+        int requests = 0;
+        this->serve([&](FakePeer::Connection &connection) {
+            ++requests;
+            connection.received.clear();
+            connection.write("HTTP/1.1 " + refusal + "\r\ncontent-length: 0\r\n\r\n");
+        });
+        const auto client = this->request("POST", "/order/" + std::to_string(this->born));
+        EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 502", { 2000 })) << refusal;
+        runFor(this->loop, { 100 });
+        EXPECT_EQ(requests, 1) << refusal;
+    }
+}
+
+// As above, for a request without an id: there is nothing that a refusal could repeat.
+TEST_F(GatewayRequestTest, believesNoRefusalOfARequestWithoutAnId)
+{
+    for (const std::string refusal : { "503 Full\r\nx-not-executed: 1", "421 Misdirected",
+                                       "400 Bad\r\nx-not-executed: 1", "400 Bad" }) {
+        ++this->born;
+        this->serve([&](FakePeer::Connection &connection) {
+            connection.received.clear();
+            connection.write("HTTP/1.1 " + refusal + "\r\ncontent-length: 0\r\n\r\n");
+        });
+        RawClient client(this->callers.port());
+        client.write("POST /order/" + std::to_string(this->born)
+                     + " HTTP/1.1\r\nhost: maps.example\r\nx-key: 7\r\ncontent-length: 0\r\n\r\n");
+        const std::string expected = refusal == "400 Bad" ? "HTTP/1.1 400" : "HTTP/1.1 502";
+        EXPECT_TRUE(this->waitForResponse(client, expected, { 2000 })) << refusal;
+    }
+}
+
 // Guards against sending requests to the address of a stopped upstream until their deadline: a 421
 // response of the new upstream at this address must end the use of the previous one.
 TEST_F(GatewayRequestTest, stopsUsingAnUpstreamWhoseAddressWasTakenOver)
