connection: Close the connection of a refusal that may come twice

What callers saw: "not run" for a request that the upstream ran, after the upstream had refused the first attempt and sent that refusal once more when the repetition arrived on the same connection. Both have the same id. Cause: a connection was pooled after a refusal, and the repetition of a keyed request goes to the same owner. The delay before reuse detects only a copy that arrives within 5 ms. Before: HttpClientTest.doesNotReuseAConnectionAfterARefusal failed (the connections were pooled), and GatewayRequestTest.sendsNoRequestOnAConnectionThatCarriedARefusal: the upstream ran the request three times and the client got no 200. After: they pass. A connection is closed after a refusal ("not executed" or 421) to a request whose id may be sent again. Remembering the last id in the pool would keep the connection, but then a copy could still meet a request that ran in between, whose outcome becomes unknown. The price is one new connection for each refusal, which is small beside the 25 ms or more before a repetition. The other kind of site numbers each attempt, so there only a refusal without the optional number closes its connection. Conclusion: no request is sent on a connection on which the second copy of a refusal could be mistaken for its response.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int statusBadRequest = 400;
+constexpr int statusMisdirected = 421;
 
 // Returns the value of the first header @p name; empty if there is none.
 std::string_view findHeader(const std::vector<std::pair<std::string, std::string>> &headers,
@@ -228,13 +229,27 @@
     return repeated.empty() || repeated == sentIdentity;
 }
 
+// Whether the server may send the response once more, and that copy could not be told from the
+// response to a later request: a repetition with the same identity, or one without an identity in
+// the responses. Only refusals matter, because requests are repeated after them.
+bool HttpCall::isAmbiguousRefusal()
+{
+    const HttpResponse &response = this->parser.response();
+    const std::string_view claim = findHeader(response.headers, this->request.refusalHeader);
+    const std::string &expected = this->request.refusalValue;
+    const bool isRefusal = response.status == statusMisdirected
+                           || (expected.empty() ? !claim.empty() : claim == expected);
+    return isRefusal && (this->request.requiresIdentity || this->repeatedIdentity().empty());
+}
+
 void HttpCall::finishResponse()
 {
     // If the response came before the complete request was written, the server still expects the
     // rest of the request on the connection. After a chunked response, a surplus second response
     // could follow unnoticed.
     const bool isReusable = this->fullyWritten && this->parser.isKeepAlive()
-                            && !this->parser.isChunked() && !this->parser.hasTrailingBytes();
+                            && !this->parser.isChunked() && !this->parser.hasTrailingBytes()
+                            && !this->isAmbiguousRefusal();
     h2o_socket_t *used = std::exchange(this->socket, nullptr);
     h2o_socket_read_stop(used);
     if (isReusable) {
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -41,6 +41,7 @@
     void releaseMemory();
     std::string_view repeatedIdentity();
     bool isMatchingResponse();
+    bool isAmbiguousRefusal();
     void finishResponse();
     void fail(HttpFailure::Stage stage, std::string reason);
     void finish(HttpResult result);
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -27,6 +27,12 @@
     // The request may be sent several times with the same identity, and a response without it fails
     // the call, except 400 to a request without an identity.
     bool requiresIdentity = false;
+    // Header, in lower case, and value with which the server says that it did not run the request;
+    // an empty value stands for any. The connection of such a refusal, or of status 421, is not
+    // used again if a second copy of the refusal could be taken for the response to a later
+    // request.
+    std::string refusalHeader = "cassiaroad-outcome";
+    std::string refusalValue = "not-run";
 
     bool operator==(const HttpRequest &) const = default;
 };
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -303,6 +303,8 @@
     request.body = this->exchange->body();
     request.identityHeader = names.requestId;
     request.requiresIdentity = true;
+    request.refusalHeader = names.notExecuted;
+    request.refusalValue.clear();
     request.headers = HopHeaders::endToEnd(this->exchange->headers()).value_or(Headers {});
     std::erase_if(request.headers, [&](const auto &header) {
         return header.first == names.deadline || header.first == names.expectedUpstream;
--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -206,6 +206,34 @@
     }
 }
 
+// Guards against a refusal that arrives once more after a connection was reused, for the same
+// request or for another one that cannot be told apart without an id.
+TEST_F(HttpClientTest, doesNotReuseAConnectionAfterARefusal)
+{
+    const auto idleAfter = [this](const std::string &head, const HttpRequest &request) {
+        this->serveText("HTTP/1.1 " + head + "\r\ncontent-length: 0\r\n\r\n");
+        EXPECT_EQ(stageOf(this->exchange(request)), std::nullopt) << head;
+        return this->client.idleCount(this->address);
+    };
+    HttpRequest repeatable { "GET", "/k", { { "x-id", "r1" } }, {} };
+    repeatable.identityHeader = "x-id";
+    repeatable.requiresIdentity = true;
+    repeatable.refusalHeader = "x-not-executed";
+    repeatable.refusalValue.clear();
+    EXPECT_EQ(idleAfter("503 Full\r\nx-not-executed: 1\r\nx-id: r1", repeatable), 0U);
+    EXPECT_EQ(idleAfter("421 Misdirected\r\nx-id: r1", repeatable), 0U);
+    EXPECT_EQ(idleAfter("404 None\r\nx-id: r1", repeatable), 1U);
+    EXPECT_EQ(idleAfter("200 OK\r\nx-id: r1", repeatable), 1U);
+    // The number of an attempt is never sent twice.
+    const HttpRequest numbered { "GET", "/k", { { "cassiaroad-request", "7" } }, {} };
+    const std::string refusal = "503 Full\r\ncassiaroad-outcome: not-run";
+    EXPECT_EQ(idleAfter(refusal + "\r\ncassiaroad-request: 7", numbered), 1U);
+    EXPECT_EQ(idleAfter(refusal, numbered), 0U);
+    EXPECT_EQ(idleAfter("404 None", numbered), 1U);
+    // Entry hosts of other regions send the outcome with each response.
+    EXPECT_EQ(idleAfter("200 OK\r\ncassiaroad-outcome: answered", numbered), 1U);
+}
+
 TEST_F(HttpClientTest, trimsIdleConnections)
 {
     this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -354,6 +354,38 @@
     }
 }
 
+// Guards against taking the second copy of a refusal for the response to the repetition of the
+// request, which has the same id, or for the response to a request that ran in between.
+TEST_F(GatewayRequestTest, sendsNoRequestOnAConnectionThatCarriedARefusal)
+{
+    for (const std::string refusal :
+         { "503 Full\r\nx-not-executed: 1\r\n", "421 Misdirected\r\n" }) {
+        ++this->born;
+        int runs = 0;
+        std::map<int, std::string> refused; // by connection
+        this->serve([&](FakePeer::Connection &connection) {
+            const std::string received = std::exchange(connection.received, {});
+            std::string &earlier = refused[connection.number];
+            if (!earlier.empty()) {
+                // The upstream runs the request, and sends the refusal once more.
+                ++runs;
+                connection.write(earlier);
+            } else if (refused.size() == 1) {
+                earlier = withRequestId(received, "HTTP/1.1 " + refusal)
+                          + "content-length: 0\r\n\r\n";
+                connection.write(earlier);
+            } else {
+                ++runs;
+                connection.write(withRequestId(received, "HTTP/1.1 200 OK\r\n")
+                                 + "content-length: 0\r\n\r\n");
+            }
+        });
+        const auto client = this->request("POST", "/order/" + std::to_string(this->born));
+        EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200", { 2000 })) << refusal;
+        EXPECT_EQ(runs, 1) << refusal;
+    }
+}
+
 // Guards against sending requests to the address of a stopped upstream until their deadline: a 421
 // response of the new upstream at this address must end the use of the previous one.
 TEST_F(GatewayRequestTest, stopsUsingAnUpstreamWhoseAddressWasTakenOver)
