tests: Cut responses of upstreams at every byte

Reported: an upstream stopped in the middle of the head of its answer and closed, and clients got a 200 with an empty or short body that was framed as complete. Cause: none here. HttpCall ends with a response only when the parser has reached the end that Content-Length or the last chunk marks; the end of the connection fails the call (HttpCall::onReadable), and a response without such a mark is invalid (ResponseParser::readFraming). Before and after: HttpClientTest.rejectsEachPrefixOfAResponse, rejectsEachPrefixOfAResponseThatEndsWithItsConnection and GatewayRequestTest.neverForwardsAPrefixOfAResponse pass, with the connection closed and reset; clients of the gateway get 502. Conclusion: the fault cannot happen at any byte of these responses.

--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -127,6 +127,55 @@
     }
 }
 
+// Guards against a response that is passed on as complete although the server stopped at any byte
+// of its head or body and closed or reset the connection (P3).
+TEST_F(HttpClientTest, rejectsEachPrefixOfAResponse)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string &response :
+         { std::string("HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 12\r\n\r\nhello, world"),
+           std::string("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-a: b\r\n\r\n"),
+           std::string("HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nhi"),
+           std::string("HTTP/1.1 204 No Content\r\nx-a: b\r\n\r\n"),
+           interim + "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                   + "5\r\nhello\r\n7;a=b\r\n, world\r\n0\r\nx-b: c\r\n\r\n" }) {
+        for (std::size_t length = 0; length <= response.size(); ++length) {
+            for (const bool reset : { false, true }) {
+                this->serve([&](FakePeer::Connection &connection) {
+                    connection.write(std::string_view(response).substr(0, length));
+                    reset ? connection.reset() : connection.disconnect();
+                });
+                const bool isResponse = std::holds_alternative<HttpResponse>(this->exchange());
+                // A reset may overtake the last bytes.
+                EXPECT_TRUE(isResponse ? length == response.size()
+                                       : length < response.size() || reset)
+                        << response.substr(0, length) << (reset ? " reset" : " closed");
+            }
+        }
+    }
+}
+
+// As above; the end of the response is that of the connection, so that nothing shows its loss.
+TEST_F(HttpClientTest, rejectsEachPrefixOfAResponseThatEndsWithItsConnection)
+{
+    for (const std::string &response :
+         { std::string("HTTP/1.1 200 OK\r\nx-a: b\r\n\r\nhello"),
+           std::string("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello"),
+           std::string("HTTP/1.0 200 OK\r\n\r\nhello"),
+           std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nhello") }) {
+        for (std::size_t length = 0; length <= response.size(); ++length) {
+            for (const bool reset : { false, true }) {
+                this->serve([&](FakePeer::Connection &connection) {
+                    connection.write(std::string_view(response).substr(0, length));
+                    reset ? connection.reset() : connection.disconnect();
+                });
+                EXPECT_TRUE(std::holds_alternative<HttpFailure>(this->exchange()))
+                        << response.substr(0, length) << (reset ? " reset" : " closed");
+            }
+        }
+    }
+}
+
 // Guards against a second response that is taken for the response to the next request (P3).
 TEST_F(HttpClientTest, discardsConnectionsWithTwoResponses)
 {
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -304,6 +304,50 @@
     EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200"));
 }
 
+// Guards against a 200 response with an empty or short body that is framed as complete, after the
+// upstream stopped at any byte of its response and closed or reset the connection.
+TEST_F(GatewayRequestTest, neverForwardsAPrefixOfAResponse)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nx-id: r1\r\n";
+    struct Case
+    {
+        std::string response;
+        bool hasEnd; // other than that of the connection
+    };
+    std::string text; // what the upstream sends
+    bool reset = false;
+    int requests = 0;
+    this->serve([&](FakePeer::Connection &connection) {
+        ++requests;
+        connection.write(text);
+        reset ? connection.reset() : connection.disconnect();
+    });
+    for (const Case &sent :
+         { Case { head + "content-length: 12\r\n\r\nhello, world", true },
+           Case { head + "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n2\r\n, \r\n0\r\n\r\n",
+                  true },
+           Case { head + "\r\nhello", false } }) {
+        const std::size_t end = sent.response.size() + (sent.hasEnd ? 0 : 1);
+        for (std::size_t length = 0; length < end; ++length) {
+            text = sent.response.substr(0, length);
+            for (const std::string call : { "POST /order/", "POST /order/reset/", "GET /read/" }) {
+                // A new life of the upstream is not suspected of failing, and its paths are new.
+                ++this->born;
+                this->publish(RangePhase::Owned);
+                reset = call == "POST /order/reset/";
+                const int earlier = requests;
+                const std::size_t space = call.find(' ');
+                const auto client = this->request(
+                        call.substr(0, space), call.substr(space + 1) + std::to_string(this->born));
+                ASSERT_TRUE(this->waitForResponse(*client, "\r\n\r\n")) << call << text;
+                EXPECT_EQ(client->received().find("HTTP/1.1 2"), std::string::npos) << call << text;
+                EXPECT_EQ(client->received().find("HTTP/1.1 502"), 0U) << call << text;
+                EXPECT_GT(requests, earlier) << call << text;
+            }
+        }
+    }
+}
+
 // Guards against a late second response that is taken for the response to the next request.
 TEST_F(GatewayRequestTest, neverForwardsTheResponseToAnotherRequest)
 {
--- a/tests/support/fakepeer.h
+++ b/tests/support/fakepeer.h
@@ -43,6 +43,13 @@
                 this->fd = -1;
             }
         }
+        /** Closes the connection with a reset. */
+        void reset()
+        {
+            const linger abort { 1, 0 };
+            setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+            this->disconnect();
+        }
     };
     using Script = std::function<void(Connection &)>;
 
