--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -12,6 +12,18 @@
 
 namespace {
 
+constexpr int statusBadRequest = 400;
+constexpr int statusMisdirected = 421;
+
+// Returns the value of the first header @p name; empty if there is none.
+std::string_view findHeader(const std::vector<std::pair<std::string, std::string>> &headers,
+                            const std::string &name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(),
+                                    [&](const auto &header) { return header.first == name; });
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
 // Bytes acknowledged by the peer plus bytes received from it, from the kernel's TCP_INFO. The sum
 // grows with each progress of the connection.
 std::uint64_t bytesTransferred(h2o_socket_t *socket)
@@ -198,23 +210,36 @@
     return state;
 }
 
+// Value of the identity header in the response; empty if it has none.
+std::string_view HttpCall::repeatedIdentity()
+{
+    return findHeader(this->parser.response().headers, this->request.identityHeader);
+}
+
 // Whether the response may belong to this request. An upstream proves it by repeating the identity
 // header of the request.
 bool HttpCall::isMatchingResponse()
 {
-    const auto find = [this](const auto &headers) {
-        const auto found = std::find_if(headers.begin(), headers.end(), [this](const auto &header) {
-            return header.first == this->request.identityHeader;
-        });
-        return found == headers.end() ? std::string_view() : std::string_view(found->second);
-    };
-    const std::string_view repeated = find(this->parser.response().headers);
-    if (repeated.empty()) {
-        const int status = this->parser.response().status;
-        const bool isSuccess = status >= 200 && status < 300;
-        return !this->request.requiresIdentity || !isSuccess;
+    const std::string_view sentIdentity
+            = findHeader(this->request.headers, this->request.identityHeader);
+    const std::string_view repeated = this->repeatedIdentity();
+    if (repeated.empty() && this->request.requiresIdentity) {
+        return sentIdentity.empty() && this->parser.response().status == statusBadRequest;
     }
-    return repeated == find(this->request.headers);
+    return repeated.empty() || repeated == sentIdentity;
+}
+
+// Whether the server may send the response once more, and that copy could not be told from the
+// response to a later request: a repetition with the same identity, or one without an identity in
+// the responses. Only refusals matter, because requests are repeated after them.
+bool HttpCall::isAmbiguousRefusal()
+{
+    const HttpResponse &response = this->parser.response();
+    const std::string_view claim = findHeader(response.headers, this->request.refusalHeader);
+    const std::string &expected = this->request.refusalValue;
+    const bool isRefusal = response.status == statusMisdirected
+                           || (expected.empty() ? !claim.empty() : claim == expected);
+    return isRefusal && (this->request.requiresIdentity || this->repeatedIdentity().empty());
 }
 
 void HttpCall::finishResponse()
@@ -223,7 +248,8 @@
     // rest of the request on the connection. After a chunked response, a surplus second response
     // could follow unnoticed.
     const bool isReusable = this->fullyWritten && this->parser.isKeepAlive()
-                            && !this->parser.isChunked() && !this->parser.hasTrailingBytes();
+                            && !this->parser.isChunked() && !this->parser.hasTrailingBytes()
+                            && !this->isAmbiguousRefusal();
     h2o_socket_t *used = std::exchange(this->socket, nullptr);
     h2o_socket_read_stop(used);
     if (isReusable) {
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -353,6 +353,8 @@
     request.body = this->exchange->body();
     request.identityHeader = names.requestId;
     request.requiresIdentity = true;
+    request.refusalHeader = names.notExecuted;
+    request.refusalValue.clear();
     request.headers = HopHeaders::endToEnd(this->exchange->headers()).value_or(Headers {});
     std::erase_if(request.headers, [&](const auto &header) {
         return header.first == names.deadline || header.first == names.expectedUpstream;
@@ -478,6 +480,12 @@
     const ExternalHeaders &names = this->core.externalCodec().headers();
     const bool notExecuted = !HopHeaders::find(response.headers, names.notExecuted).empty();
     if (notExecuted || response.status == statusMisdirected) {
+        // Without an id, the refusal may have been sent to an earlier request.
+        if (HopHeaders::find(response.headers, names.requestId).empty()) {
+            this->onFailure({ HttpFailure::Stage::ResponseTruncated,
+                              "the refusal does not repeat the request id", false });
+            return;
+        }
         this->onNotExecuted(response);
         return;
     }
--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -127,6 +127,55 @@
     }
 }
 
+// Guards against a response that is passed on as complete although the server stopped at any byte
+// of its head or body and closed or reset the connection (P3).
+TEST_F(HttpClientTest, rejectsEachPrefixOfAResponse)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    for (const std::string &response :
+         { std::string("HTTP/1.1 200 OK\r\nx-a: b\r\ncontent-length: 12\r\n\r\nhello, world"),
+           std::string("HTTP/1.1 200 OK\r\ncontent-length: 0\r\nx-a: b\r\n\r\n"),
+           std::string("HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nhi"),
+           std::string("HTTP/1.1 204 No Content\r\nx-a: b\r\n\r\n"),
+           interim + "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+                   + "5\r\nhello\r\n7;a=b\r\n, world\r\n0\r\nx-b: c\r\n\r\n" }) {
+        for (std::size_t length = 0; length <= response.size(); ++length) {
+            for (const bool reset : { false, true }) {
+                this->serve([&](FakePeer::Connection &connection) {
+                    connection.write(std::string_view(response).substr(0, length));
+                    reset ? connection.reset() : connection.disconnect();
+                });
+                const bool isResponse = std::holds_alternative<HttpResponse>(this->exchange());
+                // A reset may overtake the last bytes.
+                EXPECT_TRUE(isResponse ? length == response.size()
+                                       : length < response.size() || reset)
+                        << response.substr(0, length) << (reset ? " reset" : " closed");
+            }
+        }
+    }
+}
+
+// As above; the end of the response is that of the connection, so that nothing shows its loss.
+TEST_F(HttpClientTest, rejectsEachPrefixOfAResponseThatEndsWithItsConnection)
+{
+    for (const std::string &response :
+         { std::string("HTTP/1.1 200 OK\r\nx-a: b\r\n\r\nhello"),
+           std::string("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello"),
+           std::string("HTTP/1.0 200 OK\r\n\r\nhello"),
+           std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\nhello") }) {
+        for (std::size_t length = 0; length <= response.size(); ++length) {
+            for (const bool reset : { false, true }) {
+                this->serve([&](FakePeer::Connection &connection) {
+                    connection.write(std::string_view(response).substr(0, length));
+                    reset ? connection.reset() : connection.disconnect();
+                });
+                EXPECT_TRUE(std::holds_alternative<HttpFailure>(this->exchange()))
+                        << response.substr(0, length) << (reset ? " reset" : " closed");
+            }
+        }
+    }
+}
+
 // Guards against a second response that is taken for the response to the next request (P3).
 TEST_F(HttpClientTest, discardsConnectionsWithTwoResponses)
 {
@@ -185,6 +234,55 @@
     EXPECT_EQ(this->client.idleCount(this->address), 0U);
 }
 
+// Guards against an earlier refusal without an id that is taken for the response to a later request
+// on the connection: the caller believed that the later one was not run.
+TEST_F(HttpClientTest, rejectsRefusalsThatDoNotRepeatARequiredIdentity)
+{
+    for (const std::string head : { "503 Full\r\nx-not-executed: 1", "421 Misdirected", "404 None",
+                                    "400 Bad", "500 Failed", "302 Found", "200 OK" }) {
+        this->serveText("HTTP/1.1 " + head + "\r\ncontent-length: 0\r\n\r\n");
+        HttpRequest request { "GET", "/k", { { "x-id", "r1" } }, {} };
+        request.identityHeader = "x-id";
+        request.requiresIdentity = true;
+        EXPECT_EQ(stageOf(this->exchange(request)), HttpFailure::Stage::ResponseTruncated) << head;
+        EXPECT_EQ(this->client.idleCount(this->address), 0U) << head;
+        // To a request without an id, upstreams respond with 400 and no id.
+        request.headers.clear();
+        const bool isExpected = head.starts_with("400");
+        EXPECT_EQ(stageOf(this->exchange(request)),
+                  isExpected ? std::nullopt : std::optional(HttpFailure::Stage::ResponseTruncated))
+                << head;
+    }
+}
+
+// Guards against a refusal that arrives once more after a connection was reused, for the same
+// request or for another one that cannot be told apart without an id.
+TEST_F(HttpClientTest, doesNotReuseAConnectionAfterARefusal)
+{
+    const auto idleAfter = [this](const std::string &head, const HttpRequest &request) {
+        this->serveText("HTTP/1.1 " + head + "\r\ncontent-length: 0\r\n\r\n");
+        EXPECT_EQ(stageOf(this->exchange(request)), std::nullopt) << head;
+        return this->client.idleCount(this->address);
+    };
+    HttpRequest repeatable { "GET", "/k", { { "x-id", "r1" } }, {} };
+    repeatable.identityHeader = "x-id";
+    repeatable.requiresIdentity = true;
+    repeatable.refusalHeader = "x-not-executed";
+    repeatable.refusalValue.clear();
+    EXPECT_EQ(idleAfter("503 Full\r\nx-not-executed: 1\r\nx-id: r1", repeatable), 0U);
+    EXPECT_EQ(idleAfter("421 Misdirected\r\nx-id: r1", repeatable), 0U);
+    EXPECT_EQ(idleAfter("404 None\r\nx-id: r1", repeatable), 1U);
+    EXPECT_EQ(idleAfter("200 OK\r\nx-id: r1", repeatable), 1U);
+    // The number of an attempt is never sent twice.
+    const HttpRequest numbered { "GET", "/k", { { "cassiaroad-request", "7" } }, {} };
+    const std::string refusal = "503 Full\r\ncassiaroad-outcome: not-run";
+    EXPECT_EQ(idleAfter(refusal + "\r\ncassiaroad-request: 7", numbered), 1U);
+    EXPECT_EQ(idleAfter(refusal, numbered), 0U);
+    EXPECT_EQ(idleAfter("404 None", numbered), 1U);
+    // Entry hosts of other regions send the outcome with each response.
+    EXPECT_EQ(idleAfter("200 OK\r\ncassiaroad-outcome: answered", numbered), 1U);
+}
+
 TEST_F(HttpClientTest, trimsIdleConnections)
 {
     this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -79,6 +79,161 @@
     EXPECT_TRUE(isRefused(replaced(heartbeat, "10.128.0.9:8080", "nowhere")));
 }
 
+// Guards against a control host that ends with a stack overflow because it copies deeply nested
+// holds, or that takes 310 MB of memory to parse 4 MB of brackets.
+TEST(PlatformCodec, refusesDeeplyNestedDocuments)
+{
+    constexpr std::size_t depth = std::size_t(4) * 1024 * 1024;
+    const std::string open(depth, '[');
+    const std::string nested = open.substr(0, depth / 2) + std::string(depth / 2, ']');
+    EXPECT_TRUE(isRefused(open));
+    EXPECT_TRUE(isRefused(nested));
+    for (const std::string &value : { nested.substr(depth / 2 - 400000, 800000),
+                                      std::string(40, '[') + std::string(40, ']') }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[[0,4095,7]]", value)));
+        EXPECT_TRUE(
+                isRefused(replaced(heartbeat, "{\"address\"", "{\"x\":" + value + ",\"address\"")));
+    }
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "{\"address\"",
+                                   "{\"x\":[\"\\\"\"," + std::string(40, '[') + std::string(40, ']')
+                                           + "],\"address\"")));
+    // Brackets in a text do not nest.
+    EXPECT_FALSE(isRefused(replaced(heartbeat, "5c0e", std::string(100, '[') + "\\\"")));
+    for (const std::string &text : { open, nested }) {
+        EXPECT_TRUE(std::holds_alternative<ConfigurationError>(codec.decodeConfiguration(text)));
+        EXPECT_TRUE(std::holds_alternative<ConfigurationError>(codec.decodeConfiguration(
+                replaced(document, "{\"version\"", "{\"x\":" + text + ",\"version\""))));
+    }
+}
+
+// Guards against fields that are cut to a narrower type or overflow, and so register an upstream
+// with another size, life or address than the sender has. A later start time than the real one
+// would also replace the real upstream.
+TEST(PlatformCodec, refusesNumbersOutOfRange)
+{
+    for (const std::string born :
+         { "18446744073709551615", "9223372036854775808", "9223372036854775807", "9007199254740993",
+           "-1", "18446744073709551616", "1e300" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "1781664962410", born))) << born;
+    }
+    for (const std::string slots : { "0", "-1", "4294967296", "4294967297", "4294967295",
+                                     "18446744073709551615", "18446744073709551616", "1e3" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, ":6}", ":" + slots + "}"))) << slots;
+    }
+    for (const std::string number :
+         { "18446744073709551615", "18446744073709551616", "9007199254740993", "1e3", "-1" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "\"sequence\":4", "\"sequence\":" + number)))
+                << number;
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[0,4095,7]", "[0,4095," + number + "]")))
+                << number;
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[0,4095,7]", "[0," + number + ",7]"))) << number;
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "[4096,8191", "[" + number + ",8191"))) << number;
+    }
+    for (const std::string seconds : { "1e9", "1e300", "1e400", "90000", "-1e9" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, ":1.5}", ":" + seconds + "}"))) << seconds;
+    }
+}
+
+// Guards against sending requests to another address than the sender has.
+TEST(PlatformCodec, refusesMalformedAddresses)
+{
+    for (const std::string address :
+         { "10.128.0.9:80x", "10.128.0.9:8080 ", "10.128.0.9:8080:", "10.128.0.9: 80",
+           "10.128.0.9:70000", "10.128.0.9:0", "10.128.0.9:-1", "10.128.0.9:", "10.128.0.9",
+           ":8080", "10.128.0:8080", "10.128.0.9.1:8080", "host.example:8080",
+           "10.128.0.9\\u0000:8080", "10.128.0.9\\r\\n:8080" }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "10.128.0.9:8080", address))) << address;
+    }
+    EXPECT_FALSE(isRefused(replaced(heartbeat, "10.128.0.9:8080", "fd00::9:8080")));
+}
+
+// Guards against ids and texts in the replicated log, in headers and in log lines that are not
+// valid UTF-8, have control characters or take megabytes.
+TEST(PlatformCodec, refusesUnusableIdsAndTexts)
+{
+    const std::string huge(2000000, 'a');
+    for (const std::string &id : { std::string(), std::string("\xff\xfe"), std::string("i-\xc3"),
+                                   std::string("i-1\x7f"), huge, std::string(257, 'a') }) {
+        const std::string path = "/-/Instances.Heartbeat/" + id;
+        const ControlCall call = codec.decodeCall({ "POST", path, "", heartbeat });
+        EXPECT_TRUE(std::holds_alternative<MalformedCall>(call)) << id.substr(0, 10);
+    }
+    for (const std::string &text :
+         { std::string("\xff"), std::string("a\xc3"), huge, std::string("\\ud800"),
+           std::string("a\\u0000b"), std::string("a\\r\\nb"), std::string(257, 'a') }) {
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "huvo11a", text))) << text.substr(0, 10);
+        EXPECT_TRUE(isRefused(replaced(heartbeat, "mafraq", text))) << text.substr(0, 10);
+    }
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "5c0e", "\xff")));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "5c0e", huge)));
+    EXPECT_TRUE(isRefused(replaced(heartbeat, "5c0e", std::string(65537, 'a'))));
+    EXPECT_FALSE(isRefused(replaced(heartbeat, "5c0e", std::string(65536, 'a'))));
+    EXPECT_TRUE(isRefused(heartbeat + std::string(2000000, ' ')));
+}
+
+// Guards against log lines of megabytes that repeat what was received.
+TEST(PlatformCodec, shortensTheReasonOfARefusal)
+{
+    const std::string huge(500000, 'a');
+    for (const std::string &body : { replaced(heartbeat, "ready", huge), "\"" + huge, huge }) {
+        const ControlCall call = heartbeatCall(body);
+        ASSERT_TRUE(std::holds_alternative<MalformedCall>(call));
+        EXPECT_LE(std::get<MalformedCall>(call).reason.size(), 300U);
+    }
+    for (const std::string &text : { replaced(document, "unsafe", huge), "\"" + huge }) {
+        const auto decoded = codec.decodeConfiguration(text);
+        ASSERT_TRUE(std::holds_alternative<ConfigurationError>(decoded));
+        EXPECT_LE(std::get<ConfigurationError>(decoded).reason.size(), 300U);
+    }
+}
+
+// Guards against a deregistration with an unreadable start time that ends the use of an upstream
+// that has started anew since.
+TEST(PlatformCodec, refusesMalformedDeregistrations)
+{
+    const auto leave = [](const std::string &id, const std::string &body) {
+        return codec.decodeCall({ "POST", "/-/Instances.Deregister/" + id, "", body });
+    };
+    for (const std::string &body :
+         { std::string("x"), std::string("[]"), std::string("null"), std::string("{\"born\":7"),
+           std::string(R"({"born":"7"})"), std::string(R"({"born":7.5})"),
+           std::string(R"({"born":-7})"), std::string(R"({"born":null})"),
+           std::string(R"({"born":18446744073709551615})"),
+           std::string(R"({"born":9223372036854775808})"),
+           std::string(R"({"born":18446744073709551616})"), std::string("{\"\xff\":1}"),
+           std::string(4UL * 1024 * 1024, '['), std::string(2000000, ' ') + "{}" }) {
+        EXPECT_TRUE(std::holds_alternative<MalformedCall>(leave("i-1", body)))
+                << body.substr(0, 40);
+    }
+    EXPECT_TRUE(std::holds_alternative<MalformedCall>(leave("", "{}")));
+    EXPECT_TRUE(std::holds_alternative<MalformedCall>(leave("\xff", "{}")));
+    // Without a start time it applies to whichever life the upstream has.
+    for (const std::string body : { "", "{}" }) {
+        const ControlCall call = leave("i-1", body);
+        ASSERT_TRUE(std::holds_alternative<LeaveCall>(call));
+        EXPECT_EQ(std::get<LeaveCall>(call).incarnation, (UpstreamIncarnation { "i-1", 0 }));
+    }
+}
+
+// Guards against a configuration whose numbers are cut to a narrower type, or whose weights add up
+// to infinity.
+TEST(PlatformCodec, refusesConfigurationsWithNumbersOutOfRange)
+{
+    const auto isError = [](const std::string &text) {
+        return std::holds_alternative<ConfigurationError>(codec.decodeConfiguration(text));
+    };
+    for (const std::string number : { "4294967296", "4294967297", "18446744073709551615", "-1" }) {
+        EXPECT_TRUE(isError(replaced(document, "\"attempts\":2", "\"attempts\":" + number)));
+        EXPECT_TRUE(isError(replaced(document, "\"priority\":1", "\"priority\":" + number)));
+        EXPECT_TRUE(isError(
+                replaced(document, "\"maxConnections\":110", "\"maxConnections\":" + number)));
+    }
+    EXPECT_TRUE(isError(replaced(document, "\"weight\":90", "\"weight\":1e308")));
+    EXPECT_TRUE(isError(replaced(document, "\"weight\":90", "\"weight\":1e400")));
+    EXPECT_TRUE(isError(replaced(document, "\"timeoutS\":0.8", "\"timeoutS\":1e300")));
+    EXPECT_TRUE(isError(replaced(document, "ficu95.example", "\xff")));
+}
+
 TEST(PlatformCodec, encodesAHeartbeatResponse)
 {
     HeartbeatResponse response;
