gateway: Count the failure of a slow lookup once

A lookup that waited for its response although its owner was suspected counted as a failure of the owner a second time at its deadline, which doubled the time of the suspicion.

--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -368,6 +368,7 @@
 void GatewayRequest::send()
 {
     ++this->sends;
+    this->hasRecordedFailure = false;
     this->sentAt = this->core.eventLoop().now();
     const std::string &upstreamId = this->target->upstream().incarnation.id;
     if (std::find(this->tried.begin(), this->tried.end(), upstreamId) == this->tried.end()) {
@@ -599,7 +600,9 @@
 void GatewayRequest::onDeadline()
 {
     if (this->isSent()) {
-        this->target->recordFailure(this->sentAt, this->core.eventLoop().now());
+        if (!this->hasRecordedFailure) {
+            this->target->recordFailure(this->sentAt, this->core.eventLoop().now());
+        }
         this->fail(statusGatewayTimeout, "no answer in time");
         return;
     }
