connection: Accept waiting connections before the listener closes

When a gateway that stops closes its listener, the kernel resets the connections that wait to be accepted, and callers may have sent whole requests on them. The listener accepts 32 in one iteration of the loop, so a busy gateway leaves some. Found by review; not seen in a run of the system.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -96,6 +96,8 @@
     static void markGeneratedResponses(h2o_filter_t *self, h2o_req_t *request,
                                        h2o_ostream_t **slot);
 
+    /** Accepts connections that wait, at most @p maxCount. */
+    void acceptConnections(int maxCount);
     void acceptOne(h2o_socket_t *listener);
     /** Sends an error response and closes the connection after it. */
     int refuse(h2o_req_t *request, int status, const char *reason);
@@ -235,12 +237,17 @@
     if (error != nullptr) {
         return;
     }
-    for (int i = 0; i < maxAcceptsPerIteration; ++i) {
-        h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
+    static_cast<Private *>(listener->data)->acceptConnections(maxAcceptsPerIteration);
+}
+
+void HttpServer::Private::acceptConnections(int maxCount)
+{
+    for (int i = 0; i < maxCount; ++i) {
+        h2o_socket_t *socket = h2o_evloop_socket_accept(this->listener);
         if (socket == nullptr) {
             return;
         }
-        static_cast<Private *>(listener->data)->acceptOne(socket);
+        this->acceptOne(socket);
     }
 }
 
@@ -385,6 +392,11 @@
 
 void HttpServer::shutDown(std::function<void()> done)
 {
+    // Closing the listener resets the connections that wait to be accepted, with the requests that
+    // clients have sent on them.
+    if (this->d->listener != nullptr) {
+        this->d->acceptConnections(listenBacklog);
+    }
     this->d->closeListener();
     this->closeAfterNextResponse();
     this->d->shuttingDown = true;
--- a/tests/connection/test_httpserver.cpp
+++ b/tests/connection/test_httpserver.cpp
@@ -232,6 +232,22 @@
     EXPECT_FALSE(RawClient(this->server->port()).connected);
 }
 
+// Guards against a reset of connections that wait to be accepted when the listener closes: a busy
+// loop accepts them late, and their clients have sent requests already.
+TEST_F(HttpServerTest, answersRequestsOnConnectionsThatItHasNotAcceptedYet)
+{
+    this->start();
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 40; ++i) {
+        clients.push_back(std::make_unique<RawClient>(this->server->port()));
+        clients.back()->write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    }
+    this->server->shutDown([] {});
+    for (const auto &client : clients) {
+        ASSERT_TRUE(this->receives(*client, "HTTP/1.1 200"));
+    }
+}
+
 // Guards against a request without a response that arrives while its idle connection is being
 // closed: it was read, refused and could not be answered any more.
 TEST_F(HttpServerTest, answersARequestThatArrivesWhileItsIdleConnectionIsClosed)
