gateway: Keep a slow lookup until its repetition is written

Now the slow attempt goes on until the first byte of its repetition is about to be written. Its response counts if it comes first, and if there is no repetition the request waits for it.

Before: GatewayRequestTest.keepsASlowLookupUntilItsRepetitionIsSent failed (502, "key has no owner"). After: it gets the response.

--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -231,6 +231,10 @@
 // The client need not come back while the request is blocked.
 void GatewayRequest::refuseBlocked()
 {
+    if (this->slowCall) {
+        this->waitForSlowCall();
+        return;
+    }
     const std::string reason = "upstreams have crashed under this request";
     if (this->mayHaveRun) {
         this->fail(statusBadGateway, "outcome unknown: " + reason);
@@ -376,23 +380,34 @@
     }
     this->call = this->core.client().send(
             this->target->upstream().address, this->buildRequest(), maxResponseBytes,
-            [weak = this->weak_from_this()](HttpResult result) {
+            [weak = this->weak_from_this(), attempt = this->sends](HttpResult result) {
                 if (const auto request = weak.lock(); request && !request->ended) {
-                    request->onResult(std::move(result));
+                    request->onResult(attempt, std::move(result));
                 }
             },
-            [this] { return this->canSendToTarget(); });
+            [this] { return this->canWrite(); });
     this->scheduleCallCheck();
 }
 
+// Called when the first byte of an attempt is about to be written; returns whether it may be.
+bool GatewayRequest::canWrite()
+{
+    if (!this->canSendToTarget()) {
+        return false;
+    }
+    this->slowCall.reset();
+    return true;
+}
+
 void GatewayRequest::scheduleCallCheck()
 {
     this->callTimer = this->core.eventLoop().callAfter(callCheckInterval,
                                                        this->callback(&GatewayRequest::checkCall));
 }
 
-// Cancels a call whose connection does not open in time, and an idempotent request that takes far
-// longer than usual, which is then repeated.
+// Cancels a call whose connection does not open in time, and repeats an idempotent request that
+// takes far longer than usual. The slow attempt goes on until the repetition is written, since the
+// key may lose its owner, or no connection may open, before that.
 void GatewayRequest::checkCall()
 {
     if (!this->call) {
@@ -408,7 +423,8 @@
         && this->takeRetry()) {
         this->repeatsSlowRequest = true;
         const TimePoint openedAt = this->call->connectionOpenedAt();
-        this->call.reset();
+        this->slowCall = std::move(this->call);
+        this->slowAttempt = this->sends;
         this->mayHaveRun = true;
         this->core.client().closeIdle(this->target->upstream().address,
                                       openedAt + Milliseconds { 1 });
@@ -453,9 +469,13 @@
     return false;
 }
 
-void GatewayRequest::onResult(HttpResult result)
+void GatewayRequest::onResult(std::uint32_t attempt, HttpResult result)
 {
     const WorkMeter::Scope scope(this->core.eventLoop().workMeter(), Work::Requests);
+    if (this->slowCall && attempt == this->slowAttempt) {
+        this->onSlowResult(std::move(result));
+        return;
+    }
     this->callTimer = EventLoop::Timer();
     const std::unique_ptr<HttpClient::Call> endedCall = std::move(this->call);
     if (auto *response = std::get_if<HttpResponse>(&result)) {
@@ -465,6 +485,36 @@
     this->onFailure(std::get<HttpFailure>(result));
 }
 
+// The slow attempt has ended before its repetition was written.
+void GatewayRequest::onSlowResult(HttpResult result)
+{
+    const std::unique_ptr<HttpClient::Call> endedCall = std::move(this->slowCall);
+    auto *response = std::get_if<HttpResponse>(&result);
+    if (response != nullptr && !this->isNotExecuted(*response)) {
+        this->core.crashGuard().recordAnswered(this->digest, this->core.eventLoop().now());
+        this->finish(response->status, HopHeaders::ofResponse(response->headers),
+                     std::move(response->body), "answered");
+        return;
+    }
+    if (this->isRepetitionGivenUp) {
+        this->fail(statusBadGateway, "outcome unknown: the slow attempt has failed");
+    }
+}
+
+// The request cannot be repeated, so the response of the slow attempt is the only one to come.
+void GatewayRequest::waitForSlowCall()
+{
+    this->stopWaiting();
+    this->isRepetitionGivenUp = true;
+}
+
+bool GatewayRequest::isNotExecuted(const HttpResponse &response) const
+{
+    const ExternalHeaders &names = this->core.externalCodec().headers();
+    return response.status == statusMisdirected
+           || !HopHeaders::find(response.headers, names.notExecuted).empty();
+}
+
 // Ends the attempt at the target, if there is one, without a response.
 void GatewayRequest::releaseUpstream()
 {
@@ -479,8 +529,7 @@
 void GatewayRequest::onResponse(HttpResponse response)
 {
     const ExternalHeaders &names = this->core.externalCodec().headers();
-    const bool notExecuted = !HopHeaders::find(response.headers, names.notExecuted).empty();
-    if (notExecuted || response.status == statusMisdirected) {
+    if (this->isNotExecuted(response)) {
         // Without an id, the refusal may have been sent to an earlier request.
         if (HopHeaders::find(response.headers, names.requestId).empty()) {
             this->onFailure({ HttpFailure::Stage::ResponseTruncated,
@@ -600,7 +649,7 @@
 void GatewayRequest::onDeadline()
 {
     if (this->isSent()) {
-        if (!this->hasRecordedFailure) {
+        if (this->call && !this->hasRecordedFailure) {
             this->target->recordFailure(this->sentAt, this->core.eventLoop().now());
         }
         this->fail(statusGatewayTimeout, "no answer in time");
@@ -623,6 +672,7 @@
     if (stage == StopStage::Refuse && this->isSent()) {
         return;
     }
+    this->slowCall.reset();
     this->refuse("gateway ends");
 }
 
@@ -634,13 +684,17 @@
     this->core.removeOpenRequest(this->id);
     this->stopWaiting();
     this->call.reset();
+    this->slowCall.reset();
     this->releaseUpstream();
 }
 
 // Whether a byte of an attempt that has no result was written; it may run at its upstream.
 bool GatewayRequest::isSent() const
 {
-    return this->ended ? this->wasSent : this->call && this->call->isSent();
+    if (this->ended) {
+        return this->wasSent;
+    }
+    return this->slowCall || (this->call && this->call->isSent());
 }
 
 // Refuses the request; the client may retry after the typical duration of a request.
@@ -653,6 +707,10 @@
 // run, responds that its outcome is unknown.
 void GatewayRequest::refuseWithRetryAfter(Milliseconds retryAfter, const std::string &reason)
 {
+    if (this->slowCall) {
+        this->waitForSlowCall();
+        return;
+    }
     if (this->mayHaveRun || this->isSent()) {
         this->fail(statusBadGateway, "outcome unknown: " + reason);
         return;
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -40,7 +40,11 @@
     void checkCall();
     bool shouldRepeat(Milliseconds elapsed) const;
     bool canRepeatAtOwner();
-    void onResult(HttpResult result);
+    void onResult(std::uint32_t attempt, HttpResult result);
+    void onSlowResult(HttpResult result);
+    void waitForSlowCall();
+    bool canWrite();
+    bool isNotExecuted(const HttpResponse &response) const;
     void onResponse(HttpResponse response);
     void onNotExecuted(const HttpResponse &response);
     void onFailure(const HttpFailure &failure);
@@ -80,6 +84,10 @@
     std::shared_ptr<GatewayUpstream> target;
     bool isInFlight = false; // counts as in flight in the admission of the target
     std::unique_ptr<HttpClient::Call> call;
+    // An attempt that is slow; it is cancelled once its repetition is written.
+    std::unique_ptr<HttpClient::Call> slowCall;
+    std::uint32_t slowAttempt = 0; // its number, see `sends`
+    bool isRepetitionGivenUp = false; // only the slow attempt is left
     std::vector<std::string> tried; // ids of upstreams that the request was sent to
     std::uint32_t sends = 0;
     bool mayHaveRun = false; // an earlier attempt ended without proof that it did not run
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -529,6 +529,36 @@
     }
 }
 
+// Guards against a gateway that cancels a slow lookup in order to repeat it before it knows that it
+// can: the key may lose its owner, or no connection may open, while the first upstream is at work.
+TEST_F(GatewayRequestTest, keepsASlowLookupUntilItsRepetitionIsSent)
+{
+    bool isSlow = false;
+    const auto respond = [](FakePeer::Connection &connection) {
+        connection.write(
+                withRequestId(std::exchange(connection.received, {}), "HTTP/1.1 200 OK\r\n")
+                + "content-length: 0\r\n\r\n");
+    };
+    this->serve([&](FakePeer::Connection &connection) {
+        if (!isSlow) {
+            respond(connection);
+        }
+    });
+    const auto first = this->request("GET", "/read/1");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    isSlow = true;
+    const auto client = this->request("GET", "/read/2");
+    runFor(this->loop, { 300 });
+    this->publish(RangePhase::Pending);
+    runFor(this->loop, { 900 });
+    for (const auto &connection : this->peer->connections) {
+        if (!connection->closedByClient && !connection->received.empty()) {
+            respond(*connection);
+        }
+    }
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200", { 500 }));
+}
+
 // Guards against cancelling and refusing a request that the upstream is processing, as a stopping
 // gateway did with slow lookups.
 TEST_F(GatewayRequestTest, doesNotCancelASlowRequestWhileTheGatewayStops)
