connection: Tell refused connections from requests that were sent

Cause: A server with too many connections accepts a new one and resets it. The client wrote the request as soon as the connection was open, so the reset arrived after the first byte and the outcome counted as unknown. h2o's connect reports a reset and a closed port alike. An idle connection was used again although bytes of an earlier response had arrived that the loop had not read, and a call that is given up could still reach its server when a link came back. Before: Three new tests of HttpClientTest fail: a refused connection is Stage::Sent, the second copy of a response is taken for the next one, a cancelled call closes its connection without a reset. After: They pass. A request can ask to wait one round trip before it is written (confirmsConnection), and for a bound of its delivery (deliveryTimeout). The client connects its sockets itself to read the error. Conclusion: A reset before the first byte is Stage::Refused: certainly not sent.

--- a/src/cassiaroad/ownersender.cpp
+++ b/src/cassiaroad/ownersender.cpp
@@ -195,6 +195,7 @@
         this->route(request);
         return;
     case HttpFailure::Stage::Connect:
+    case HttpFailure::Stage::Refused:
         this->retryOrRefuse(request, true, unavailable, "the upstream cannot be reached");
         return;
     case HttpFailure::Stage::Sent:
--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -3,8 +3,12 @@
 #include "connection/socketaddress.h"
 
 #include <algorithm>
+#include <cerrno>
+#include <system_error>
 
 #include <linux/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <h2o.h>
 
@@ -12,6 +16,8 @@
 
 namespace {
 
+// How long a server may take to accept a connection and to reset it again.
+constexpr Milliseconds acceptDuration { 3 };
 constexpr int statusBadRequest = 400;
 constexpr int statusMisdirected = 421;
 
@@ -36,6 +42,45 @@
     return info.tcpi_bytes_acked + info.tcpi_bytes_received;
 }
 
+// Makes the kernel discard what is not delivered yet when the socket is closed.
+void resetOnClose(h2o_socket_t *socket)
+{
+    const linger reset { 1, 0 };
+    setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
+// Whether bytes, the end of the stream or an error have arrived on a connection on which no
+// response is due.
+bool hasUnexpectedInput(h2o_socket_t *socket)
+{
+    char byte = 0;
+    const ssize_t count
+            = recv(h2o_socket_get_fd(socket), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return count >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+std::string errorText(int number)
+{
+    return std::generic_category().message(number);
+}
+
+// Returns the pending error of the socket, or 0, and clears it.
+int takeError(h2o_socket_t *socket)
+{
+    int number = 0;
+    socklen_t length = sizeof(number);
+    if (getsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_ERROR, &number, &length) != 0) {
+        return errno;
+    }
+    return number;
+}
+
+void setUserTimeout(h2o_socket_t *socket, Milliseconds timeout)
+{
+    const auto value = static_cast<unsigned int>(timeout.count);
+    setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
 } // namespace
 
 struct HttpCall::Callbacks
@@ -56,6 +101,11 @@
     {
         callOf(socket)->onReadable(error);
     }
+
+    static void onEarlyInput(h2o_socket_t *socket, const char *error)
+    {
+        callOf(socket)->onEarlyInput(error);
+    }
 };
 
 HttpCall::HttpCall(std::shared_ptr<IdleConnectionPool> idleConnections, HostAddress server,
@@ -83,6 +133,9 @@
 void HttpCall::closeSocket()
 {
     if (this->socket != nullptr) {
+        if (this->request.deliveryTimeout) {
+            resetOnClose(this->socket);
+        }
         h2o_socket_close(std::exchange(this->socket, nullptr));
     }
 }
@@ -98,6 +151,10 @@
     if (reuse == Reuse::Allowed) {
         this->socket = this->idleConnections->take(this->server, this->openedAt);
     }
+    // What has arrived since the loop last read belongs to an earlier request.
+    if (this->socket != nullptr && hasUnexpectedInput(this->socket)) {
+        this->closeSocket();
+    }
     if (this->socket != nullptr) {
         this->reused = true;
         this->socket->data = this;
@@ -110,14 +167,25 @@
 
 void HttpCall::connect()
 {
+    this->connectStartedAt = this->idleConnections->eventLoop().now();
     SocketAddress address = toSocketAddress(this->server);
-    this->socket = h2o_socket_connect(this->idleConnections->eventLoop().h2oLoop(), address.data(),
-                                      address.length, &Callbacks::onConnected);
-    if (this->socket == nullptr) {
-        this->fail(HttpFailure::Stage::Connect, "connection failed");
+    const int fd
+            = ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        this->fail(HttpFailure::Stage::Connect, errorText(errno));
+        return;
+    }
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    if (::connect(fd, address.data(), address.length) != 0 && errno != EINPROGRESS) {
+        const std::string reason = errorText(errno);
+        ::close(fd);
+        this->fail(HttpFailure::Stage::Connect, reason);
         return;
     }
+    this->socket = h2o_evloop_socket_create(this->idleConnections->eventLoop().h2oLoop(), fd, 0);
     this->socket->data = this;
+    h2o_socket_notify_write(this->socket, &Callbacks::onConnected);
 }
 
 std::string HttpCall::buildHead() const
@@ -139,18 +207,57 @@
     return text;
 }
 
+// h2o_socket_connect() does not tell a port without a listener from a server that has accepted the
+// connection and reset it at once, so the error is read here.
 void HttpCall::onConnected(const char *error)
 {
-    if (error != nullptr) {
-        this->fail(HttpFailure::Stage::Connect, error);
+    const int number = takeError(this->socket);
+    if (error != nullptr || number != 0) {
+        const bool isReset = number == ECONNRESET || number == EPIPE;
+        this->fail(isReset ? HttpFailure::Stage::Refused : HttpFailure::Stage::Connect,
+                   number != 0 ? errorText(number) : error);
         return;
     }
     this->openedAt = this->idleConnections->eventLoop().now();
+    if (this->request.confirmsConnection) {
+        this->confirmConnection();
+        return;
+    }
     this->write();
 }
 
+// Waits until a reset by a server that is full would have arrived.
+void HttpCall::confirmConnection()
+{
+    const Milliseconds roundTrip = this->openedAt - this->connectStartedAt;
+    h2o_socket_read_start(this->socket, &Callbacks::onEarlyInput);
+    this->confirmTimer = this->idleConnections->eventLoop().callAfter(
+            roundTrip + acceptDuration, [this] { this->onConfirmed(); });
+}
+
+// A busy loop may not have read the reset yet.
+void HttpCall::onConfirmed()
+{
+    this->confirmTimer = EventLoop::Timer();
+    if (hasUnexpectedInput(this->socket)) {
+        this->fail(HttpFailure::Stage::Refused, "closed by the server");
+        return;
+    }
+    this->write();
+}
+
+// The server has closed the connection, or has sent bytes that nothing asked for.
+void HttpCall::onEarlyInput(const char *error)
+{
+    this->confirmTimer = EventLoop::Timer();
+    this->fail(HttpFailure::Stage::Refused, error != nullptr ? error : "unexpected bytes");
+}
+
 void HttpCall::write()
 {
+    if (this->request.deliveryTimeout) {
+        setUserTimeout(this->socket, *this->request.deliveryTimeout);
+    }
     this->progressAt = this->idleConnections->eventLoop().now();
     if (this->canWrite && !this->canWrite()) {
         this->fail(HttpFailure::Stage::Cancelled, "withdrawn before the first byte was written");
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -34,6 +34,9 @@
 
     void connect();
     void onConnected(const char *error);
+    void confirmConnection();
+    void onConfirmed();
+    void onEarlyInput(const char *error);
     void write();
     void onWritten(const char *error);
     void onReadable(const char *error);
@@ -58,6 +61,8 @@
     std::function<bool()> canWrite;
     std::string head;
     h2o_socket_t *socket = nullptr;
+    TimePoint connectStartedAt;
+    EventLoop::Timer confirmTimer; // until the connection counts as accepted
     EventLoop::Timer deferred; // delivers a result that was known within start()
     TimePoint openedAt;
     mutable TimePoint progressAt; // of the last progress that was seen
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -33,6 +34,14 @@
     // request.
     std::string refusalHeader = "cassiaroad-outcome";
     std::string refusalValue = "not-run";
+    // If set, the request must not arrive later than this after it was written: the kernel gives
+    // up the connection when bytes remain unacknowledged for so long, and a call that is cancelled
+    // resets its connection.
+    std::optional<Milliseconds> deliveryTimeout;
+    // Waits one round trip on a new connection before the request is written. A server that has
+    // too many connections accepts the new one and then resets it; within this time the reset is
+    // seen while the request is certainly not sent.
+    bool confirmsConnection = false;
 
     bool operator==(const HttpRequest &) const = default;
 };
@@ -52,6 +61,7 @@
 {
     enum class Stage {
         Connect, // the connection could not be opened; no byte of the request was written
+        Refused, // the server closed the new connection; no byte of the request was written
         Cancelled, // canWrite returned false; no byte of the request was written
         Sent, // bytes may have reached the server; no response arrived
         ResponseTruncated, // the response was incomplete, invalid, too large or to another request
--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -343,6 +343,50 @@
     }));
 }
 
+// Guards against an unknown outcome of a request that reached no server: one that has too many
+// connections accepts the new one and resets it.
+TEST_F(HttpClientTest, tellsAConnectionThatIsRefusedFromARequestThatWasSent)
+{
+    this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
+    HttpRequest request { "POST", "/k", {}, "order" };
+    request.confirmsConnection = true;
+    this->peer->refusals = 1;
+    EXPECT_EQ(stageOf(this->exchange(request)), HttpFailure::Stage::Refused);
+    EXPECT_TRUE(this->peer->connections.empty());
+    EXPECT_EQ(bodyOf(this->exchange(request)), "hi");
+}
+
+// Guards against a call that is given up and reaches the server later, when a link is restored.
+TEST_F(HttpClientTest, resetsTheConnectionOfACancelledCallWithADeliveryTimeout)
+{
+    this->serve([](FakePeer::Connection &) {});
+    HttpRequest request { "POST", "/k", {}, "order" };
+    request.deliveryTimeout = { 600 };
+    auto call = this->client.send(this->address, request, maxResponseBytes, [](HttpResult) {});
+    ASSERT_TRUE(waitUntil(this->loop, [&] {
+        return !this->peer->connections.empty() && !this->peer->connections[0]->received.empty();
+    }));
+    call.reset();
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return this->peer->connections[0]->resetByClient; }));
+}
+
+// Guards against a second copy of a response that arrives on an idle connection just before it is
+// used again, when the loop has not read it yet, and is taken for the response to the next request.
+TEST_F(HttpClientTest, reusesNoConnectionWithUnreadBytes)
+{
+    std::string body = "1";
+    this->serve([&](FakePeer::Connection &connection) {
+        connection.received.clear();
+        connection.write("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n" + body);
+    });
+    ASSERT_EQ(bodyOf(this->exchange()), "1");
+    runFor(this->loop, { 20 });
+    this->peer->connections[0]->write("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n1");
+    body = "2";
+    EXPECT_EQ(bodyOf(this->exchange()), "2");
+    EXPECT_EQ(this->peer->connections.size(), 2U);
+}
+
 TEST_F(HttpClientTest, closesIdleConnectionsByAge)
 {
     this->serveText("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi");
--- a/tests/support/fakepeer.h
+++ b/tests/support/fakepeer.h
@@ -30,6 +30,7 @@
         int fd;
         std::string received; // not removed by the script yet
         bool closedByClient = false;
+        bool resetByClient = false;
 
         void write(std::string_view bytes)
         {
@@ -79,6 +80,7 @@
     FakePeer &operator=(const FakePeer &) = delete;
 
     std::uint16_t port = 0;
+    int refusals = 0; // new connections to reset, as a server does that has too many
     std::vector<std::unique_ptr<Connection>> connections;
 
 private:
@@ -88,8 +90,13 @@
         while ((fd = accept4(this->listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC))
                >= 0) {
             const int number = static_cast<int>(this->connections.size()) + 1;
+            if (this->refusals > 0) {
+                --this->refusals;
+                Connection { 0, fd, {} }.reset();
+                continue;
+            }
             this->connections.push_back(
-                    std::make_unique<Connection>(Connection { number, fd, {}, false }));
+                    std::make_unique<Connection>(Connection { number, fd, {} }));
         }
         for (const auto &connection : this->connections) {
             this->read(*connection);
@@ -109,6 +116,7 @@
         const bool isReset = count < 0 && errno == ECONNRESET;
         if (connection.fd >= 0 && (count == 0 || isReset)) {
             connection.closedByClient = true;
+            connection.resetByClient = isReset;
         }
         if (arrived) {
             this->script(connection);
