version, registry, platform: Grant leases by calls; read routes of kind download

After: RangeSupervisor decides as before who owns what. LeaseCalls turns the leases that an upstream is to have into grants, renewals and releases; CalledLeases records which lease an upstream may have, also by a grant without a response that is applied late; LeaseCaller sends them. A release counts only if no grant of its range is open, a refused token is never sent again, and a broken connection stops grants until the next heartbeat shows which incarnation runs.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -31,6 +31,8 @@
         return "unsafe";
     case RouteKind::Upload:
         return "upload";
+    case RouteKind::Download:
+        return "download";
     }
     return "unknown";
 }
--- a/src/process/workmeter.cpp
+++ b/src/process/workmeter.cpp
@@ -32,6 +32,8 @@
         return "routing_table";
     case Work::Decisions:
         return "decisions";
+    case Work::LeaseCalls:
+        return "lease_calls";
     case Work::Commands:
         return "commands";
     case Work::Replication:
--- a/src/process/workmeter.h
+++ b/src/process/workmeter.h
@@ -17,6 +17,7 @@
     WatchReplies, // building and encoding the replies to gateways
     RoutingTable, // building the routing table
     Decisions, // search for commands that are due
+    LeaseCalls, // calls that deliver leases to upstreams
     Commands, // applying committed commands
     Replication, // messages of the control group
     Sync, // writing and syncing the log
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -3,6 +3,7 @@
 #include "connection/rpcdelay.h"
 #include "process/textpack.h"
 #include "registry/commandlog.h"
+#include "registry/leasecalllog.h"
 
 #include <algorithm>
 #include <utility>
@@ -78,6 +79,11 @@
     , putCount(metrics.counter("cassiaroad_registry_configurations_total",
                                "Configurations that were put in force."))
     , manager(this->state, timingOf(settings))
+    , leaseCaller(
+              loop, codec, [this] { return this->canAnswer(); },
+              [this](const LeaseCall &call, const LeaseCallResult &result) {
+                  this->onLeaseCallEnded(call, result);
+              })
     , group(loop, settings, metrics, log,
             { [this](const std::optional<Snapshot> &snapshot) { this->restore(snapshot); },
               [this](const std::string &command, std::uint64_t proposal) {
@@ -145,6 +151,7 @@
     if (!this->leading) {
         return;
     }
+    this->sendLeaseCalls();
     this->notifyGateways();
 }
 
@@ -215,6 +222,7 @@
     for (const std::uint64_t proposal : open) {
         this->endProposal(proposal, false, PutOutcome::Conflict);
     }
+    this->leaseCaller.cancelAll();
     this->resumeWatchCalls();
 }
 
@@ -312,6 +320,7 @@
     HeartbeatResponse response = this->manager.respond(report, this->loop.now());
     response.nextAddress = std::get<RegistrySettings>(this->settings.role).control;
     done(std::move(response));
+    this->sendLeaseCalls();
     if (this->manager.isReleasingFrom(report.incarnation)) {
         this->commitDueCommands();
     }
@@ -517,6 +526,41 @@
     }
 }
 
+// Sends the calls that deliver leases and are due now.
+void RegistryEngine::sendLeaseCalls()
+{
+    if (!this->canAnswer()) {
+        return;
+    }
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::LeaseCalls);
+    const std::uint64_t changes = this->manager.changeCount();
+    for (const LeaseCall &call : this->manager.dueLeaseCalls(this->loop.now())) {
+        this->leaseCaller.send(call);
+    }
+    if (this->manager.changeCount() != changes) {
+        this->notifyGateways();
+    }
+}
+
+void RegistryEngine::onLeaseCallEnded(const LeaseCall &call, const LeaseCallResult &result)
+{
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::LeaseCalls);
+    const std::uint64_t changes = this->manager.changeCount();
+    const std::optional<EndedLeaseCall> ended
+            = this->manager.onLeaseCallEnded(call.number, result, this->loop.now());
+    if (!ended || !this->canAnswer()) {
+        return;
+    }
+    logLeaseCall(this->log, *ended, result, this->loop.now());
+    if (std::holds_alternative<ReleaseCall>(call.body)
+        || std::holds_alternative<LeaseCallRefused>(result)) {
+        this->commitDueCommands();
+    }
+    if (this->manager.changeCount() != changes) {
+        this->notifyGateways();
+    }
+}
+
 // Replies to the waiting watch calls if the routing table, the configuration or the requests under
 // which upstreams may have crashed have changed. Changes that follow each other closely are sent
 // together.
@@ -570,6 +614,7 @@
         return;
     }
     this->commitDueCommands();
+    this->sendLeaseCalls();
     if (this->notifyDue || this->loop.now() - this->notifiedAt >= refreshInterval) {
         this->notifyGateways();
     }
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "registry/groupmember.h"
+#include "registry/leasecaller.h"
 #include "registry/watchload.h"
 #include "version/configurationhistory.h"
 #include "version/externalcodec.h"
@@ -126,6 +127,8 @@
     void checkLeadership();
     void commit(const std::vector<RegistryCommand> &commands, CommitHandler done);
     void commitDueCommands();
+    void sendLeaseCalls();
+    void onLeaseCallEnded(const LeaseCall &call, const LeaseCallResult &result);
     void readConfiguration();
     bool canAnswer() const { return this->group.isLeader() && this->group.hasLease(); }
     NotLeading notLeading() const { return { this->group.leaderIp() }; }
@@ -174,6 +177,7 @@
     bool notifyDue = false; // the table may have changed since `notifiedAt`
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
     std::deque<LeaseWait> leaseWaits; // in order of arrival
+    LeaseCaller leaseCaller;
     EventLoop::Timer tickTimer;
     std::vector<SuspectRequest> suspects; // for gateways
     std::uint64_t suspectsTag = 0; // of suspects without their ages; 0: none
--- a/src/version/externalcodec.h
+++ b/src/version/externalcodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "version/leasecall.h"
 #include "version/siteconfiguration.h"
 #include "version/upstreamreport.h"
 
@@ -20,6 +21,7 @@
     std::string notExecuted; // present if the upstream did not run the request
     std::string key; // number of the request's key
     std::string baseVersion; // configuration version that a new configuration is based on
+    std::string handover; // of a released range; empty: calls deliver no leases
 
     bool operator==(const ExternalHeaders &) const = default;
 };
@@ -71,6 +73,17 @@
     std::string_view body;
 };
 
+/** A LeaseCall as an HTTP request. */
+struct EncodedLeaseCall
+{
+    std::string method;
+    std::string path;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+
+    bool operator==(const EncodedLeaseCall &) const = default;
+};
+
 /** Why a document is not a configuration. */
 struct ConfigurationError
 {
@@ -94,6 +107,10 @@
     virtual std::string_view readinessPath() const = 0;
     virtual ControlCall decodeCall(const ReceivedCall &call) const = 0;
     virtual std::string encodeHeartbeatResponse(const HeartbeatResponse &response) const = 0;
+    virtual EncodedLeaseCall encodeLeaseCall(const LeaseCall &call) const = 0;
+    /** Decodes the response to a LeaseCall; @p handover is the value of that header. */
+    virtual LeaseCallResult decodeLeaseCallResponse(int status,
+                                                    std::string_view handover) const = 0;
     /** Decodes a configuration document without validating it; see findConfigurationError(). */
     virtual std::variant<SiteConfiguration, ConfigurationError> decodeConfiguration(
             std::string_view document) const = 0;
--- a/src/version/rangeleasetable.cpp
+++ b/src/version/rangeleasetable.cpp
@@ -17,13 +17,24 @@
 void RangeLeaseTable::startTerm(TimePoint now)
 {
     this->termStart = now;
-    this->fencesAtStart.clear();
+    this->servicesAtStart.clear();
     this->incarnations.clear();
 }
 
-void RangeLeaseTable::setFenceAtStart(const std::string &service, FencingToken fence)
+void RangeLeaseTable::setFenceAtStart(const std::string &service, FencingToken fence,
+                                      LeaseDelivery delivery)
 {
-    this->fencesAtStart[service] = fence;
+    this->servicesAtStart[service] = { fence, delivery };
+}
+
+// Returns when the leases that earlier leaders have granted end at the latest.
+TimePoint RangeLeaseTable::endOfEarlierLeases(const std::string &service) const
+{
+    const TimePoint end = this->termStart + this->timing.leaseDurationOnLeaderClock;
+    const auto atStart = this->servicesAtStart.find(service);
+    const bool isByCall = atStart != this->servicesAtStart.end()
+                          && atStart->second.delivery == LeaseDelivery::Call;
+    return isByCall ? end + this->timing.callTimeout : end;
 }
 
 void RangeLeaseTable::recordReport(const UpstreamIncarnation &incarnation, std::uint64_t sequence,
@@ -51,12 +62,50 @@
     return isFirst;
 }
 
+void RangeLeaseTable::recordGrantSent(const UpstreamIncarnation &incarnation, std::uint64_t number,
+                                      const RangeLease &lease, TimePoint now)
+{
+    CalledLeases &calls = this->incarnations[incarnation].calls;
+    calls.expire(now);
+    const TimePoint latestArrival = now + this->timing.callTimeout;
+    calls.recordSent(number, lease.range, lease.fence,
+                     latestArrival + this->timing.leaseDurationOnLeaderClock);
+}
+
+bool RangeLeaseTable::recordGrantAccepted(const UpstreamIncarnation &incarnation,
+                                          std::uint64_t number, TimePoint now)
+{
+    return this->incarnations[incarnation].calls.recordAccepted(
+            number, now + this->timing.leaseDurationOnLeaderClock);
+}
+
+void RangeLeaseTable::recordGrantWithoutEffect(const UpstreamIncarnation &incarnation,
+                                               std::uint64_t number)
+{
+    this->incarnations[incarnation].calls.recordWithoutEffect(number);
+}
+
+void RangeLeaseTable::recordReleased(const UpstreamIncarnation &incarnation, const KeyRange &range,
+                                     FencingToken fence)
+{
+    this->incarnations[incarnation].calls.recordReleased(range, fence);
+}
+
+bool RangeLeaseTable::canConfirmRelease(const std::string &service, const RangeOwner &owner,
+                                        TimePoint now) const
+{
+    const auto atStart = this->servicesAtStart.find(service);
+    return atStart == this->servicesAtStart.end()
+           || atStart->second.delivery == LeaseDelivery::Heartbeat
+           || this->isFromThisTerm(service, owner) || now >= this->endOfEarlierLeases(service);
+}
+
 bool RangeLeaseTable::mayHaveLease(const std::string &service, const RangeOwner &owner,
                                    const IncarnationLeases *leases, TimePoint now) const
 {
     TimePoint until;
     if (!this->isFromThisTerm(service, owner)) {
-        until = this->termStart + this->timing.leaseDurationOnLeaderClock;
+        until = this->endOfEarlierLeases(service);
     }
     if (leases != nullptr) {
         const auto granted = leases->grantedUntil.find(owner.fence);
@@ -72,6 +121,9 @@
 {
     const auto found = this->incarnations.find(owner.owner);
     const IncarnationLeases *leases = found == this->incarnations.end() ? nullptr : &found->second;
+    if (leases != nullptr && leases->calls.mayHold(range, now)) {
+        return false;
+    }
     if (!this->mayHaveLease(service, owner, leases, now)) {
         return true;
     }
@@ -86,13 +138,15 @@
 bool RangeLeaseTable::isGranted(const RangeOwner &owner) const
 {
     const auto found = this->incarnations.find(owner.owner);
-    return found != this->incarnations.end() && found->second.grantedUntil.contains(owner.fence);
+    return found != this->incarnations.end()
+           && (found->second.grantedUntil.contains(owner.fence)
+               || found->second.calls.isGranted(owner.fence));
 }
 
 bool RangeLeaseTable::isFromThisTerm(const std::string &service, const RangeOwner &owner) const
 {
-    const auto atStart = this->fencesAtStart.find(service);
-    return atStart == this->fencesAtStart.end() || owner.fence > atStart->second;
+    const auto atStart = this->servicesAtStart.find(service);
+    return atStart == this->servicesAtStart.end() || owner.fence > atStart->second.fence;
 }
 
 } // namespace cassiaroad
--- a/src/version/rangeleasetable.h
+++ b/src/version/rangeleasetable.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "version/calledleases.h"
 #include "version/rangetable.h"
+#include "version/siteconfiguration.h"
 #include "version/upstreamreport.h"
 
 #include <map>
@@ -15,6 +17,8 @@
     Milliseconds leaseDuration { 4000 };
     /** By the leader's clock, from its response: `leaseDuration` plus the tolerated clock drift. */
     Milliseconds leaseDurationOnLeaderClock { 4200 };
+    /** From the moment a grant is sent by a call until it has arrived, or never will. */
+    Milliseconds callTimeout { 600 };
 
     bool operator==(const LeaseTiming &) const = default;
 };
@@ -36,8 +40,12 @@
      */
     void startTerm(TimePoint now);
 
-    /** Sets the highest fencing token of @p service when the term started. */
-    void setFenceAtStart(const std::string &service, FencingToken fence);
+    /**
+     * Sets the highest fencing token of @p service when the term started, and how its upstreams
+     * receive their leases.
+     */
+    void setFenceAtStart(const std::string &service, FencingToken fence,
+                         LeaseDelivery delivery = LeaseDelivery::Heartbeat);
 
     /**
      * Records the leases that a heartbeat reports. Precondition: @p sequence is higher than that of
@@ -53,6 +61,20 @@
     bool recordResponse(const UpstreamIncarnation &incarnation, std::uint64_t sequence,
                         const std::vector<RangeLease> &leases, TimePoint now);
 
+    // Leases that are granted by calls; see CalledLeases.
+
+    /** Records that call @p number, which grants @p lease, is sent at @p now. */
+    void recordGrantSent(const UpstreamIncarnation &incarnation, std::uint64_t number,
+                         const RangeLease &lease, TimePoint now);
+    /** See CalledLeases::recordAccepted(); the response arrived at @p now. */
+    bool recordGrantAccepted(const UpstreamIncarnation &incarnation, std::uint64_t number,
+                             TimePoint now);
+    /** See CalledLeases::recordWithoutEffect(). */
+    void recordGrantWithoutEffect(const UpstreamIncarnation &incarnation, std::uint64_t number);
+    /** See CalledLeases::recordReleased(). */
+    void recordReleased(const UpstreamIncarnation &incarnation, const KeyRange &range,
+                        FencingToken fence);
+
     /** Removes an incarnation that has stopped. */
     void forget(const UpstreamIncarnation &incarnation) { this->incarnations.erase(incarnation); }
 
@@ -63,6 +85,13 @@
     bool isReleased(const std::string &service, const RangeOwner &owner, const KeyRange &range,
                     TimePoint now) const;
 
+    /**
+     * Whether the response of the owner to a release proves that it has no valid lease. It does not
+     * while a grant of an earlier leader may be applied late.
+     */
+    bool canConfirmRelease(const std::string &service, const RangeOwner &owner,
+                           TimePoint now) const;
+
     /** Whether a lease on the range of @p owner was granted in this term. */
     bool isGranted(const RangeOwner &owner) const;
 
@@ -79,14 +108,23 @@
         std::uint64_t lastResponseSequence = 0; // of the heartbeat that it responds to
         bool hasResponse = false;
         bool reportedAfterResponse = false; // the last report was sent after that heartbeat
+        CalledLeases calls;
+    };
+
+    /** A service at the start of the term. */
+    struct ServiceAtStart
+    {
+        FencingToken fence = 0; // the highest
+        LeaseDelivery delivery = LeaseDelivery::Heartbeat;
     };
 
+    TimePoint endOfEarlierLeases(const std::string &service) const;
     bool mayHaveLease(const std::string &service, const RangeOwner &owner,
                       const IncarnationLeases *leases, TimePoint now) const;
 
     LeaseTiming timing;
     TimePoint termStart;
-    std::map<std::string, FencingToken> fencesAtStart; // highest at the start, by service
+    std::map<std::string, ServiceAtStart> servicesAtStart; // by name
     std::map<UpstreamIncarnation, IncarnationLeases> incarnations;
 };
 
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -27,6 +27,7 @@
     this->handovers.clear();
     this->leavingSince.clear();
     this->lastMoveAt.clear();
+    this->refused.clear();
 }
 
 void RangeSupervisor::addLoad(KeyNumber key, std::uint32_t requests, TimePoint now)
@@ -60,10 +61,11 @@
         if (upstream.service != this->service) {
             continue;
         }
-        result.push_back(
-                { upstream.incarnation, upstream.slots, context.monitor.serviceMilliseconds(id),
-                  context.monitor.timeToNextHeartbeat(upstream.incarnation, minDelay, context.now),
-                  this->isUsable(upstream.incarnation, context) });
+        const Milliseconds deliveryDelay = this->timing.callDuration.value_or(
+                context.monitor.timeToNextHeartbeat(upstream.incarnation, minDelay, context.now));
+        result.push_back({ upstream.incarnation, upstream.slots,
+                           context.monitor.serviceMilliseconds(id), deliveryDelay,
+                           this->isUsable(upstream.incarnation, context) });
     }
     return result;
 }
@@ -74,7 +76,8 @@
 {
     std::vector<KeyRange> ranges;
     for (const RangeOwner &entry : this->table(context)->owners()) {
-        if (entry.owner == incarnation && !this->moving.overlaps(entry.range)) {
+        if (entry.owner == incarnation && !this->moving.overlaps(entry.range)
+            && this->canConfirmRelease(entry, context)) {
             ranges.push_back(entry.range);
         }
     }
@@ -153,7 +156,8 @@
     }
     RangePlanner planner({ *this->table(context), this->load, candidates });
     const std::optional<RangeTransfer> transfer = planner.relieve(incarnation);
-    if (!transfer || this->moving.overlaps(transfer->range)) {
+    if (!transfer || this->moving.overlaps(transfer->range)
+        || !this->canConfirmRelease(*this->table(context)->find(transfer->range.from), context)) {
         return;
     }
     this->moving.add({ transfer->range, incarnation, transfer->to });
@@ -181,6 +185,28 @@
     return leases;
 }
 
+std::vector<ReleaseCall> RangeSupervisor::releasesOf(const UpstreamIncarnation &incarnation,
+                                                     const RangeContext &context) const
+{
+    std::vector<ReleaseCall> releases;
+    const RangeTable *ranges = this->table(context);
+    for (const auto &[firstKey, range] : this->moving.all()) {
+        const RangeOwner *entry = ranges == nullptr ? nullptr : ranges->find(firstKey);
+        const bool isOwner = entry != nullptr && entry->owner == incarnation;
+        if (range.from == incarnation && !range.transferProposed && isOwner) {
+            releases.push_back({ range.range, entry->fence });
+        }
+    }
+    return releases;
+}
+
+// Whether the release of the range of @p entry can be confirmed before the leases on it have
+// expired. If not, the owner serves it until then.
+bool RangeSupervisor::canConfirmRelease(const RangeOwner &entry, const RangeContext &context) const
+{
+    return context.rangeLeases.canConfirmRelease(this->service, entry, context.now);
+}
+
 void RangeSupervisor::recordReleases(const UpstreamIncarnation &incarnation,
                                      const std::vector<RangeRelease> &releases)
 {
@@ -305,6 +331,19 @@
     return transfers;
 }
 
+// Returns transfers that give ranges whose leases were refused a higher fencing token.
+std::vector<RangeTransfer> RangeSupervisor::renewRefused(const RangeContext &context)
+{
+    std::vector<RangeTransfer> transfers;
+    for (const RangeOwner &entry : this->table(context)->owners()) {
+        if (this->refused.contains(entry.fence) && !this->moving.overlaps(entry.range)) {
+            transfers.push_back({ entry.range, entry.owner, entry.handover });
+        }
+    }
+    this->refused.clear();
+    return transfers;
+}
+
 std::vector<RangeTransfer> RangeSupervisor::dueTransfers(const RangeContext &context)
 {
     this->load.decay(context.now);
@@ -318,7 +357,9 @@
     } else {
         this->findOverloaded(context);
         transfers = this->finishReleases(context);
-        const std::vector<RangeTransfer> ownerless = this->replaceUnavailableOwners(context);
+        std::vector<RangeTransfer> ownerless = this->replaceUnavailableOwners(context);
+        const std::vector<RangeTransfer> renewed = this->renewRefused(context);
+        ownerless.insert(ownerless.end(), renewed.begin(), renewed.end());
         // A released range for which no target was available is in `ownerless` at the next call.
         for (const RangeTransfer &transfer : ownerless) {
             const bool isTransferred
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "version/leasecall.h"
 #include "version/movingranges.h"
 #include "version/rangeleasetable.h"
 #include "version/rangeplanner.h"
@@ -22,6 +23,8 @@
     // another owner.
     Milliseconds leavingGracePeriod { 1500 };
     Milliseconds minMoveInterval { 700 }; // between two moves away from one upstream
+    // From a commit until a call has delivered the lease. Nothing: heartbeats deliver leases.
+    std::optional<Milliseconds> callDuration;
 
     bool operator==(const RangeTiming &) const = default;
 };
@@ -52,12 +55,22 @@
     void addLoad(KeyNumber key, std::uint32_t requests, TimePoint now);
 
     /**
-     * Returns all leases for the response to a heartbeat of @p incarnation. First decides which
-     * ranges it has to release; these are not among the leases.
+     * Returns all leases that @p incarnation is to have, for the response to a heartbeat or for
+     * calls. First decides which ranges it has to release; these are not among the leases.
      */
     std::vector<RangeLease> leasesFor(const UpstreamIncarnation &incarnation,
                                       const RangeContext &context);
 
+    /** Returns the leases, or parts of them, that @p incarnation has to release. */
+    std::vector<ReleaseCall> releasesOf(const UpstreamIncarnation &incarnation,
+                                        const RangeContext &context) const;
+
+    /**
+     * Records that an upstream has refused a lease with @p fence. Its range gets a higher fencing
+     * token.
+     */
+    void recordRefused(FencingToken fence) { this->refused.insert(fence); }
+
     /** Records that @p incarnation has announced its shutdown. */
     void recordLeaving(const UpstreamIncarnation &incarnation, TimePoint now)
     {
@@ -109,6 +122,8 @@
                                            const RangeContext &context) const;
     std::set<UpstreamIncarnation> receiversOfReleases() const;
     std::vector<RangeTransfer> replaceUnavailableOwners(const RangeContext &context) const;
+    std::vector<RangeTransfer> renewRefused(const RangeContext &context);
+    bool canConfirmRelease(const RangeOwner &entry, const RangeContext &context) const;
     void findOverloaded(const RangeContext &context);
     std::string handoverOf(const UpstreamIncarnation &from, const KeyRange &range) const;
     RangePhase phaseOf(const RangeOwner &entry, const RangeContext &context) const;
@@ -121,6 +136,7 @@
     std::vector<Handover> handovers;
     std::map<UpstreamIncarnation, TimePoint> leavingSince;
     std::map<UpstreamIncarnation, TimePoint> lastMoveAt;
+    std::set<FencingToken> refused; // by their upstreams; a transfer is to replace them
     std::set<UpstreamIncarnation> overloaded; // RangePlanner::canRelieve() was true for them
     TimePoint overloadCheckedAt; // when `overloaded` was updated
     TimePoint plannedAt; // time of the last search for a range to release
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -1,6 +1,7 @@
 #include "version/registrymanager.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cassiaroad {
@@ -10,6 +11,28 @@
 constexpr Milliseconds gatewayTimeout { 3000 }; // without a report; then not counted any more
 constexpr double loadSmoothingSeconds = 3.0; // of the requests per second of a gateway
 
+// Expected time from a commit until the call that delivers the lease has arrived.
+constexpr Milliseconds leaseCallDuration { 25 };
+
+// Returns the timing of a service whose upstreams receive their leases as @p delivery says.
+RangeTiming rangeTiming(RangeTiming timing, LeaseDelivery delivery)
+{
+    if (delivery == LeaseDelivery::Call) {
+        timing.callDuration = leaseCallDuration;
+    }
+    return timing;
+}
+
+LeaseCallTiming callTiming(const RegistryTiming &timing)
+{
+    LeaseCallTiming result;
+    result.leaseDuration = timing.leases.leaseDuration;
+    result.renewInterval = timing.ranges.heartbeatInterval;
+    result.grantTimeout = timing.leases.callTimeout;
+    result.releaseTimeout = timing.leases.leaseDurationOnLeaderClock;
+    return result;
+}
+
 SiteUpstream toUpstream(const UpstreamReport &report)
 {
     return { report.incarnation, report.service,
@@ -31,7 +54,10 @@
     this->monitor.startTerm(now);
     this->rangeLeases.startTerm(now);
     for (const auto &[service, table] : this->state.ranges()) {
-        this->rangeLeases.setFenceAtStart(service, table.lastFence());
+        this->rangeLeases.setFenceAtStart(service, table.lastFence(), this->deliveryOf(service));
+    }
+    for (auto &[service, calls] : this->callers) {
+        calls.startTerm();
     }
     for (auto &[service, supervisor] : this->supervisors) {
         supervisor.startTerm();
@@ -51,8 +77,13 @@
 {
     this->configuration = std::move(value);
     for (const auto &[name, service] : this->configuration->services) {
-        if (service.keyed) {
-            this->supervisors.try_emplace(name, name, this->timing.ranges);
+        if (!service.keyed) {
+            continue;
+        }
+        this->supervisors.try_emplace(name, name,
+                                      rangeTiming(this->timing.ranges, service.leaseDelivery));
+        if (service.leaseDelivery == LeaseDelivery::Call) {
+            this->callers.try_emplace(name, callTiming(this->timing));
         }
     }
 }
@@ -68,6 +99,18 @@
     return found == this->supervisors.end() ? nullptr : &found->second;
 }
 
+// Returns the calls that deliver leases of @p service; null if heartbeats deliver them.
+LeaseCalls *RegistryManager::leaseCalls(const std::string &service)
+{
+    const auto found = this->callers.find(service);
+    return found == this->callers.end() ? nullptr : &found->second;
+}
+
+LeaseDelivery RegistryManager::deliveryOf(const std::string &service) const
+{
+    return this->callers.contains(service) ? LeaseDelivery::Call : LeaseDelivery::Heartbeat;
+}
+
 // Whether a later incarnation is known at the id or address of the report.
 bool RegistryManager::isReplaced(const UpstreamReport &report) const
 {
@@ -86,8 +129,16 @@
     // Two processes cannot have the same address: a later one proves that the earlier one has
     // stopped.
     for (const auto &[id, known] : this->state.upstreams()) {
-        if (known.address == report.address && id != report.incarnation.id
-            && known.incarnation.born < report.incarnation.born) {
+        if (known.incarnation.born >= report.incarnation.born) {
+            continue;
+        }
+        const bool hasSameId = id == report.incarnation.id;
+        const bool hasSameAddress = known.address == report.address;
+        if (LeaseCalls *calls = this->leaseCalls(known.service);
+            calls != nullptr && (hasSameId || hasSameAddress)) {
+            calls->forget(known.incarnation);
+        }
+        if (hasSameAddress && !hasSameId) {
             commands.emplace_back(RemoveSiteUpstream { known.incarnation });
         }
     }
@@ -109,6 +160,9 @@
     ReportResult result;
     this->addRegistration(report, result.commands);
     this->rangeLeases.recordReport(report.incarnation, report.sequence, report.leases);
+    if (LeaseCalls *calls = this->leaseCalls(report.service)) {
+        calls->onHeartbeat(report.incarnation);
+    }
     if (RangeSupervisor *keyed = this->supervisor(report.service)) {
         keyed->recordReleases(report.incarnation, report.releases);
         if (report.draining) {
@@ -122,7 +176,8 @@
 {
     HeartbeatResponse response;
     RangeSupervisor *keyed = this->supervisor(report.service);
-    if (keyed == nullptr || this->state.find(report.incarnation) == nullptr) {
+    if (keyed == nullptr || this->state.find(report.incarnation) == nullptr
+        || this->leaseCalls(report.service) != nullptr) {
         return response;
     }
     response.keyed = true;
@@ -135,6 +190,101 @@
     return response;
 }
 
+std::vector<LeaseCall> RegistryManager::dueLeaseCalls(TimePoint now)
+{
+    std::vector<LeaseCall> result;
+    for (auto &[service, calls] : this->callers) {
+        for (const UpstreamIncarnation &incarnation : calls.due(now)) {
+            std::vector<LeaseCall> due
+                    = this->leaseCallsTo(incarnation, *this->supervisor(service), calls, now);
+            std::move(due.begin(), due.end(), std::back_inserter(result));
+        }
+    }
+    return result;
+}
+
+std::vector<LeaseCall> RegistryManager::leaseCallsTo(const UpstreamIncarnation &incarnation,
+                                                     RangeSupervisor &keyed, LeaseCalls &calls,
+                                                     TimePoint now)
+{
+    const SiteUpstream *upstream = this->state.find(incarnation);
+    if (upstream == nullptr) {
+        calls.forget(incarnation);
+        return {};
+    }
+    LeaseTarget target;
+    target.leases = keyed.leasesFor(incarnation, this->context(now));
+    target.releases = keyed.releasesOf(incarnation, this->context(now));
+    // An upstream without any sign of life may have been replaced by another incarnation.
+    if (this->monitor.isSilent(incarnation, now)) {
+        target.leases.clear();
+    }
+    std::vector<LeaseCall> due = calls.update(*upstream, target, this->nextLeaseCall, now);
+    for (const LeaseCall &call : due) {
+        if (const auto *grant = std::get_if<GrantCall>(&call.body)) {
+            this->rangeLeases.recordGrantSent(incarnation, call.number, grant->lease, now);
+        }
+    }
+    return due;
+}
+
+/** Records the result of a call; its parameters are the call and the result. */
+struct RegistryManager::LeaseCallVisitor
+{
+    RegistryManager &manager;
+    RangeSupervisor &keyed;
+    const LeaseCall &call;
+    TimePoint now;
+
+    void operator()(const GrantCall & /*grant*/, const LeaseCallAccepted & /*result*/) const
+    {
+        this->manager.monitor.recordSeen(this->call.upstream, this->now);
+        if (this->manager.rangeLeases.recordGrantAccepted(this->call.upstream, this->call.number,
+                                                          this->now)) {
+            ++this->manager.firstLeases;
+        }
+    }
+    void operator()(const GrantCall &grant, const LeaseCallRefused & /*result*/) const
+    {
+        this->withoutEffect();
+        this->keyed.recordRefused(grant.lease.fence);
+    }
+    void operator()(const GrantCall & /*grant*/, const LeaseCallNotSent & /*result*/) const
+    {
+        this->withoutEffect();
+    }
+    void operator()(const ReleaseCall &release, const LeaseCallAccepted &result) const
+    {
+        this->manager.monitor.recordSeen(this->call.upstream, this->now);
+        this->manager.rangeLeases.recordReleased(this->call.upstream, release.range, release.fence);
+        this->keyed.recordReleases(this->call.upstream, { { release.range, result.handover } });
+    }
+    // In all other cases the upstream may have done what was asked, or may do it later.
+    template <typename Body, typename Result>
+    void operator()(const Body & /*body*/, const Result & /*result*/) const
+    { }
+
+    void withoutEffect() const
+    {
+        this->manager.rangeLeases.recordGrantWithoutEffect(this->call.upstream, this->call.number);
+    }
+};
+
+std::optional<EndedLeaseCall> RegistryManager::onLeaseCallEnded(std::uint64_t number,
+                                                                const LeaseCallResult &result,
+                                                                TimePoint now)
+{
+    for (auto &[service, calls] : this->callers) {
+        std::optional<EndedLeaseCall> ended = calls.end(number, result);
+        if (ended) {
+            const LeaseCallVisitor visitor { *this, *this->supervisor(service), ended->call, now };
+            std::visit(visitor, ended->call.body, result);
+            return ended;
+        }
+    }
+    return std::nullopt;
+}
+
 bool RegistryManager::isReleasingFrom(const UpstreamIncarnation &incarnation) const
 {
     return std::any_of(this->supervisors.begin(), this->supervisors.end(), [&](const auto &entry) {
@@ -245,6 +395,11 @@
         if (RangeSupervisor *keyed = this->supervisor(transfer->service)) {
             keyed->onTransfersEnded();
         }
+        if (LeaseCalls *calls = this->leaseCalls(transfer->service)) {
+            for (const RangeTransfer &moved : transfer->transfers) {
+                calls->wake(moved.to);
+            }
+        }
     }
     if (const auto *removal = std::get_if<RemoveSiteUpstream>(&command)) {
         this->removing.erase(removal->incarnation);
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "version/leasecalls.h"
 #include "version/rangesupervisor.h"
 #include "version/sitewatch.h"
 
@@ -51,9 +52,22 @@
     /** Handles a heartbeat; see respond() for the response. */
     ReportResult onHeartbeat(const UpstreamReport &report, TimePoint now);
 
-    /** Returns the response to a heartbeat. Precondition: its commands are committed. */
+    /**
+     * Returns the response to a heartbeat. Precondition: its commands are committed. It contains
+     * no leases if the service receives them by calls; see dueLeaseCalls().
+     */
     HeartbeatResponse respond(const UpstreamReport &report, TimePoint now);
 
+    /**
+     * Returns the calls that deliver leases and are to be sent at @p now. Call it often, and after
+     * each heartbeat, commit and onLeaseCallEnded(). Precondition: the leader's lease is valid.
+     */
+    std::vector<LeaseCall> dueLeaseCalls(TimePoint now);
+
+    /** Handles the end of a call of dueLeaseCalls(). Returns nothing for one of an earlier term. */
+    std::optional<EndedLeaseCall> onLeaseCallEnded(std::uint64_t number,
+                                                   const LeaseCallResult &result, TimePoint now);
+
     /** Whether a heartbeat of @p incarnation may confirm the release of a range. */
     bool isReleasingFrom(const UpstreamIncarnation &incarnation) const;
 
@@ -96,7 +110,13 @@
         double requests = 0.0; // per second, smoothed
     };
 
+    struct LeaseCallVisitor;
+
     RangeContext context(TimePoint now) const;
+    LeaseCalls *leaseCalls(const std::string &service);
+    LeaseDelivery deliveryOf(const std::string &service) const;
+    std::vector<LeaseCall> leaseCallsTo(const UpstreamIncarnation &incarnation,
+                                        RangeSupervisor &keyed, LeaseCalls &calls, TimePoint now);
     RangeSupervisor *supervisor(const std::string &service);
     bool isReplaced(const UpstreamReport &report) const;
     void addRegistration(const UpstreamReport &report, std::vector<RegistryCommand> &commands);
@@ -109,6 +129,8 @@
     UpstreamMonitor monitor;
     RangeLeaseTable rangeLeases;
     std::map<std::string, RangeSupervisor> supervisors; // of keyed services
+    std::map<std::string, LeaseCalls> callers; // of keyed services that receive leases by calls
+    std::uint64_t nextLeaseCall = 1; // number
     std::map<std::string, GatewayLoad> gateways;
     CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
--- a/src/version/siteconfiguration.h
+++ b/src/version/siteconfiguration.h
@@ -19,6 +19,19 @@
     Safe, // idempotent: may run more than once
     Unsafe, // may run at most once for each attempt of a client
     Upload, // as Unsafe, with a large body
+    Download, // as Safe, with a large response
+};
+
+/** Whether a request of a route of this kind may run more than once. */
+constexpr bool isIdempotent(RouteKind kind)
+{
+    return kind == RouteKind::Safe || kind == RouteKind::Download;
+}
+
+/** How the upstreams of a keyed service receive their leases. */
+enum class LeaseDelivery {
+    Heartbeat, // in the response to a heartbeat
+    Call, // by calls of the leader to each upstream
 };
 
 /** A service of a route; its share of the requests is in proportion to its weight. */
@@ -52,6 +65,7 @@
     std::uint32_t maxConnections = 100; // to one upstream, from all callers together
     bool keyed = false; // each key is owned by one upstream
     Milliseconds warmupDuration { 0 }; // how long keys are slow after a move without a handover
+    LeaseDelivery leaseDelivery = LeaseDelivery::Heartbeat;
 
     bool operator==(const SiteService &) const = default;
 };
--- a/src/version/upstreammonitor.cpp
+++ b/src/version/upstreammonitor.cpp
@@ -38,6 +38,14 @@
     return true;
 }
 
+void UpstreamMonitor::recordSeen(const UpstreamIncarnation &incarnation, TimePoint now)
+{
+    const auto found = this->incarnations.find(incarnation);
+    if (found != this->incarnations.end()) {
+        found->second.last = std::max(found->second.last, now);
+    }
+}
+
 void UpstreamMonitor::recordTiming(const std::string &id, std::uint32_t requests,
                                    Milliseconds duration)
 {
--- a/src/version/upstreammonitor.h
+++ b/src/version/upstreammonitor.h
@@ -26,6 +26,9 @@
      */
     bool accept(const UpstreamReport &report, TimePoint now);
 
+    /** Records a sign of life other than a heartbeat, if a heartbeat of it was recorded before. */
+    void recordSeen(const UpstreamIncarnation &incarnation, TimePoint now);
+
     /**
      * Records that @p requests of upstream @p id took @p duration in total, not counting the time
      * they waited at the upstream.
--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -247,6 +247,54 @@
     EXPECT_EQ(codec.encodeHeartbeatResponse({}), "{}");
 }
 
+// Guards against an upstream whose keys nobody grants, since it takes them by calls.
+TEST(PlatformCodec, encodesLeaseCalls)
+{
+    LeaseCall call;
+    call.upstream = { "i-7f3a91c2", 5 };
+    call.body = GrantCall { { { 4096, 8191 }, 12, "5c0e" }, { 3250 } };
+    const EncodedLeaseCall grant = codec.encodeLeaseCall(call);
+    EXPECT_EQ(grant.method, "POST");
+    EXPECT_EQ(grant.path, "/-/grant");
+    EXPECT_EQ(grant.body,
+              R"({"fence":12,"from":4096,"handover":"5c0e","holdS":3.25,"targetVersion":8191})");
+    EXPECT_EQ(grant.headers.back(), (std::pair<std::string, std::string> {
+                                            "x-cassiaroad-expect-instance", "i-7f3a91c2" }));
+    call.body = GrantCall { { { 4096, 8191 }, 12, "" }, { 3250 } };
+    EXPECT_EQ(codec.encodeLeaseCall(call).body,
+              R"({"fence":12,"from":4096,"holdS":3.25,"targetVersion":8191})");
+    call.body = ReleaseCall { { 4096, 8191 }, 12 };
+    const EncodedLeaseCall release = codec.encodeLeaseCall(call);
+    EXPECT_EQ(release.path, "/-/release");
+    EXPECT_EQ(release.body, R"({"fence":12,"from":4096,"targetVersion":8191})");
+}
+
+TEST(PlatformCodec, readsResponsesToLeaseCalls)
+{
+    EXPECT_EQ(codec.decodeLeaseCallResponse(200, "5c0e"),
+              LeaseCallResult { LeaseCallAccepted { "5c0e" } });
+    EXPECT_EQ(codec.decodeLeaseCallResponse(409, ""), LeaseCallResult { LeaseCallRefused {} });
+    for (const int status : { 400, 404, 421, 500, 503, 204 }) {
+        EXPECT_EQ(codec.decodeLeaseCallResponse(status, ""), LeaseCallResult { LeaseCallBroken {} })
+                << status;
+    }
+}
+
+// Guards against a site that refuses its first configuration because of a kind of route or a way of
+// granting keys that it does not know.
+TEST(PlatformCodec, readsDownloadsAndServicesThatAreCalled)
+{
+    const auto decoded = codec.decodeConfiguration(
+            replaced(replaced(document, "\"safe\"", "\"download\""), "\"grants\":\"heartbeat\"",
+                     "\"grants\":\"call\""));
+    ASSERT_TRUE(std::holds_alternative<SiteConfiguration>(decoded));
+    const auto &configuration = std::get<SiteConfiguration>(decoded);
+    EXPECT_EQ(configuration.routes.at("r-2").kind, RouteKind::Download);
+    EXPECT_TRUE(isIdempotent(RouteKind::Download));
+    EXPECT_EQ(configuration.services.at("huvo11a").leaseDelivery, LeaseDelivery::Call);
+    EXPECT_EQ(configuration.services.at("wuno96b").leaseDelivery, LeaseDelivery::Heartbeat);
+}
+
 TEST(PlatformCodec, readsAConfiguration)
 {
     const auto decoded = codec.decodeConfiguration(document);
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/rpcserver.h"
 #include "registry/registryservice.h"
+#include "support/fakecodec.h"
 #include "support/loopwait.h"
 
 #include <gtest/gtest.h>
@@ -19,29 +20,6 @@
 // Longer than the lease of a leader, shorter than the time after which it gives up its leadership.
 constexpr std::chrono::milliseconds blockedTime { 450 };
 
-/** Codec whose documents are all the same configuration. */
-class TestCodec : public ExternalCodec
-{
-public:
-    const ExternalHeaders &headers() const override { return this->names; }
-    std::string_view readinessPath() const override { return "/ready"; }
-    ControlCall decodeCall(const ReceivedCall & /*call*/) const override { return UnknownCall {}; }
-    std::string encodeHeartbeatResponse(const HeartbeatResponse & /*response*/) const override
-    {
-        return {};
-    }
-    std::variant<SiteConfiguration, ConfigurationError> decodeConfiguration(
-            std::string_view /*document*/) const override
-    {
-        SiteConfiguration configuration;
-        configuration.version = 1;
-        return configuration;
-    }
-
-private:
-    ExternalHeaders names;
-};
-
 /** One control host, at the address 127.0.0.NUMBER. */
 struct TestHost
 {
@@ -124,7 +102,7 @@
     }
 
     EventLoop loop;
-    TestCodec codec;
+    FakeCodec codec;
     std::string root;
     std::uint16_t port = 0;
     std::vector<std::unique_ptr<TestHost>> hosts;
--- /dev/null
+++ b/tests/support/fakecodec.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "version/externalcodec.h"
+
+namespace cassiaroad {
+
+/** Codec with the given header names whose documents are all the same, empty configuration. */
+class FakeCodec : public ExternalCodec
+{
+public:
+    explicit FakeCodec(ExternalHeaders names = {})
+        : names(std::move(names))
+    { }
+
+    const ExternalHeaders &headers() const override { return this->names; }
+    std::string_view readinessPath() const override { return "/ready"; }
+    ControlCall decodeCall(const ReceivedCall & /*call*/) const override { return UnknownCall {}; }
+    std::string encodeHeartbeatResponse(const HeartbeatResponse & /*response*/) const override
+    {
+        return {};
+    }
+    EncodedLeaseCall encodeLeaseCall(const LeaseCall &call) const override
+    {
+        const bool isGrant = std::holds_alternative<GrantCall>(call.body);
+        return { "POST", isGrant ? "/grant" : "/release", {}, "{}" };
+    }
+    LeaseCallResult decodeLeaseCallResponse(int status, std::string_view handover) const override
+    {
+        return status == 200 ? LeaseCallResult(LeaseCallAccepted { std::string(handover) })
+                             : LeaseCallResult(LeaseCallBroken {});
+    }
+    std::variant<SiteConfiguration, ConfigurationError> decodeConfiguration(
+            std::string_view /*document*/) const override
+    {
+        SiteConfiguration configuration;
+        configuration.version = 1;
+        return configuration;
+    }
+
+private:
+    ExternalHeaders names;
+};
+
+} // namespace cassiaroad
--- a/tests/version/test_rangeleasetable.cpp
+++ b/tests/version/test_rangeleasetable.cpp
@@ -82,3 +82,62 @@
     EXPECT_TRUE(rangeLeases.isReleased(service, entry, { 50, 99 }, at(20)));
     EXPECT_FALSE(rangeLeases.isReleased(service, entry, { 0, 49 }, at(20)));
 }
+
+// Guards against a second owner while a grant without an answer may still be applied, seconds
+// later and after the release of the range.
+TEST(RangeLeaseTable, waitsForGrantsWithoutAnAnswer)
+{
+    RangeLeaseTable rangeLeases(timing);
+    rangeLeases.startTerm(at(0));
+    rangeLeases.setFenceAtStart(service, 6, LeaseDelivery::Call);
+    rangeLeases.recordGrantSent(owner, 1, lease, at(0));
+    rangeLeases.recordGrantSent(owner, 2, lease, at(250));
+    rangeLeases.recordGrantAccepted(owner, 2, at(260));
+    rangeLeases.recordReleased(owner, lease.range, lease.fence);
+    // The first call may arrive until 600 ms; its lease counts from then on.
+    EXPECT_FALSE(rangeLeases.isReleased(service, entry, entry.range, at(4929)));
+    EXPECT_TRUE(rangeLeases.isReleased(service, entry, entry.range, at(4930)));
+}
+
+// Guards against a key without an owner for the duration of a lease although its owner has released
+// it.
+TEST(RangeLeaseTable, believesAReleaseAfterWhichNoGrantIsOpen)
+{
+    RangeLeaseTable rangeLeases(timing);
+    rangeLeases.startTerm(at(0));
+    rangeLeases.setFenceAtStart(service, 6, LeaseDelivery::Call);
+    rangeLeases.recordGrantSent(owner, 1, lease, at(0));
+    EXPECT_TRUE(rangeLeases.recordGrantAccepted(owner, 1, at(5)));
+    EXPECT_TRUE(rangeLeases.isGranted(entry));
+    rangeLeases.recordReleased(owner, { 50, 99 }, lease.fence);
+    EXPECT_TRUE(rangeLeases.isReleased(service, entry, { 50, 99 }, at(10)));
+    EXPECT_FALSE(rangeLeases.isReleased(service, entry, { 0, 49 }, at(10)));
+    EXPECT_FALSE(rangeLeases.isReleased(service, entry, { 0, 99 }, at(10)));
+}
+
+// Guards against a range that stays with its owner's last lease although the grant never arrived.
+TEST(RangeLeaseTable, countsNoGrantThatHasNotArrived)
+{
+    RangeLeaseTable rangeLeases(timing);
+    rangeLeases.startTerm(at(0));
+    rangeLeases.setFenceAtStart(service, 6, LeaseDelivery::Call);
+    rangeLeases.recordGrantSent(owner, 1, lease, at(0));
+    EXPECT_FALSE(rangeLeases.isReleased(service, entry, entry.range, at(1)));
+    rangeLeases.recordGrantWithoutEffect(owner, 1);
+    EXPECT_TRUE(rangeLeases.isReleased(service, entry, entry.range, at(1)));
+    EXPECT_FALSE(rangeLeases.isGranted(entry));
+}
+
+// Guards against a new leader that believes a release while a grant of its predecessor, of which it
+// knows nothing, may still be applied.
+TEST(RangeLeaseTable, waitsForCallsOfEarlierLeadersInSpiteOfARelease)
+{
+    RangeLeaseTable rangeLeases(timing);
+    rangeLeases.startTerm(at(0));
+    rangeLeases.setFenceAtStart(service, 7, LeaseDelivery::Call);
+    rangeLeases.recordReleased(owner, lease.range, lease.fence);
+    EXPECT_FALSE(rangeLeases.canConfirmRelease(service, entry, at(4929)));
+    EXPECT_FALSE(rangeLeases.isReleased(service, entry, entry.range, at(4929)));
+    EXPECT_TRUE(rangeLeases.canConfirmRelease(service, entry, at(4930)));
+    EXPECT_TRUE(rangeLeases.isReleased(service, entry, entry.range, at(4930)));
+}
