gateway: Treat a refused connection as a full upstream

Cause: Requests whose new connection was reset ended in 502, which promises nothing, and two such resets made the gateway take the owner for silent, so that it refused all requests for its keys. Before: sendsAnUnsafeRequestOnceItsOwnerTakesConnections, refusesAnUnsafeRequestThatReachedNoUpstream and keepsSendingToAnOwnerThatHasResetConnections fail (502, then 503 without a try). After: They pass. The request is repeated with growing delays, without the retry budget, since nothing arrived, and is refused as not run when its time is up. Failures do not count towards suspicion. Conclusion: A full server no longer looks like a dead one.

--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -31,6 +31,8 @@
 constexpr Milliseconds misdirectedRetryDelay { 60 };
 // Delay before a keyed request is repeated that its owner refused because it was full.
 constexpr Milliseconds shedRetryDelay { 25 };
+// After each refused connection the delay doubles, up to this many times.
+constexpr std::uint32_t maxRefusalDoublings = 3;
 constexpr Milliseconds connectTimeout { 400 };
 constexpr Milliseconds reconnectDelay { 20 };
 constexpr Milliseconds callCheckInterval { 50 };
@@ -51,6 +53,13 @@
     return std::to_string(span.count / 1000) + "." + digits.substr(1);
 }
 
+void addOnce(std::vector<std::string> &ids, const std::string &id)
+{
+    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
+        ids.push_back(id);
+    }
+}
+
 } // namespace
 
 void GatewayRequest::begin(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
@@ -359,6 +368,7 @@
     request.requiresIdentity = true;
     request.refusalHeader = names.notExecuted;
     request.refusalValue.clear();
+    request.confirmsConnection = true;
     request.headers = HopHeaders::endToEnd(this->exchange->headers()).value_or(Headers {});
     std::erase_if(request.headers, [&](const auto &header) {
         return header.first == names.deadline || header.first == names.expectedUpstream;
@@ -374,10 +384,7 @@
     ++this->sends;
     this->hasRecordedFailure = false;
     this->sentAt = this->core.eventLoop().now();
-    const std::string &upstreamId = this->target->upstream().incarnation.id;
-    if (std::find(this->tried.begin(), this->tried.end(), upstreamId) == this->tried.end()) {
-        this->tried.push_back(upstreamId);
-    }
+    addOnce(this->tried, this->target->upstream().incarnation.id);
     this->call = this->core.client().send(
             this->target->upstream().address, this->buildRequest(), maxResponseBytes,
             [weak = this->weak_from_this(), attempt = this->sends](HttpResult result) {
@@ -396,6 +403,7 @@
         return false;
     }
     this->slowCall.reset();
+    addOnce(this->reached, this->target->upstream().incarnation.id);
     return true;
 }
 
@@ -441,7 +449,7 @@
 bool GatewayRequest::shouldRepeat(Milliseconds elapsed) const
 {
     const Milliseconds typical = this->typicalDuration();
-    if (this->route->kind != RouteKind::Safe || this->core.isStopping()
+    if (!isIdempotent(this->route->kind) || this->core.isStopping()
         || !this->target->admission().hasMeasuredDuration()
         || elapsed < std::max(typical * slowFactor, minSlowDuration)
         || this->timeLeft() <= typical) {
@@ -552,7 +560,7 @@
                 now);
     }
     this->core.startWaitingRequests(*this->target);
-    if (response.status >= statusServerError && this->route->kind == RouteKind::Safe
+    if (response.status >= statusServerError && isIdempotent(this->route->kind)
         && this->timeLeft() > this->typicalDuration() && this->takeRetry()) {
         this->mayHaveRun = true;
         this->repeatAfter({}, "upstream failed");
@@ -595,9 +603,31 @@
     }
 }
 
+// The upstream has too many connections: it is full, not unavailable.
+void GatewayRequest::onConnectionRefused()
+{
+    const TimePoint now = this->core.eventLoop().now();
+    this->isInFlight = false;
+    this->target->admission().finishShed(now);
+    this->target->recordFull(now);
+    this->core.startWaitingRequests(*this->target);
+    const std::uint32_t doublings = std::min(this->refusedConnections, maxRefusalDoublings);
+    const Milliseconds delay = shedRetryDelay * (std::int64_t(1) << doublings);
+    ++this->refusedConnections;
+    if (this->timeLeft() <= this->typicalDuration() + delay) {
+        this->refuse("upstream has too many connections");
+        return;
+    }
+    this->repeatAfter(delay, "upstream has too many connections");
+}
+
 void GatewayRequest::onFailure(const HttpFailure &failure)
 {
     this->callTimer = EventLoop::Timer();
+    if (failure.stage == HttpFailure::Stage::Refused) {
+        this->onConnectionRefused();
+        return;
+    }
     this->releaseUpstream();
     if (failure.stage == HttpFailure::Stage::Cancelled) {
         this->dispatch();
@@ -607,7 +637,7 @@
     const bool notSent = failure.stage == HttpFailure::Stage::Connect;
     const bool hasTimeForRetry = this->timeLeft() > this->typicalDuration();
     if (notSent) {
-        if (hasTimeForRetry && this->sends < maxSends) {
+        if (hasTimeForRetry && this->sends - this->refusedConnections < maxSends) {
             this->repeatAfter(reconnectDelay, "cannot connect to upstream: " + failure.reason);
         } else {
             this->refuse("cannot connect to upstream: " + failure.reason);
@@ -618,7 +648,7 @@
     if (failure.stage == HttpFailure::Stage::Sent) {
         this->recordBroken();
     }
-    if (this->route->kind == RouteKind::Safe && hasTimeForRetry && this->takeRetry()) {
+    if (isIdempotent(this->route->kind) && hasTimeForRetry && this->takeRetry()) {
         this->repeatAfter({}, "connection failed: " + failure.reason);
         return;
     }
@@ -630,10 +660,10 @@
 bool GatewayRequest::takeRetry() const
 {
     const bool isSuspect = this->core.crashGuard().ledger().brokenCount(this->digest) > 1;
-    if (this->sends >= maxSends || isSuspect) {
+    if (this->sends - this->refusedConnections >= maxSends || isSuspect) {
         return false;
     }
-    if (!this->keyed && this->tried.size() >= this->route->attempts) {
+    if (!this->keyed && this->reached.size() >= this->route->attempts) {
         return false;
     }
     return this->core.budget(this->service).take(this->core.eventLoop().now());
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -47,6 +47,7 @@
     bool isNotExecuted(const HttpResponse &response) const;
     void onResponse(HttpResponse response);
     void onNotExecuted(const HttpResponse &response);
+    void onConnectionRefused();
     void onFailure(const HttpFailure &failure);
     void onDeadline();
     void onClientGone();
@@ -88,8 +89,10 @@
     std::unique_ptr<HttpClient::Call> slowCall;
     std::uint32_t slowAttempt = 0; // its number, see `sends`
     bool isRepetitionGivenUp = false; // only the slow attempt is left
-    std::vector<std::string> tried; // ids of upstreams that the request was sent to
-    std::uint32_t sends = 0;
+    std::vector<std::string> tried; // ids of upstreams that were chosen for the request
+    std::vector<std::string> reached; // ids of those to which a byte of it was written
+    std::uint32_t sends = 0; // calls, with those whose connection was refused
+    std::uint32_t refusedConnections = 0;
     bool mayHaveRun = false; // an earlier attempt ended without proof that it did not run
     bool repeatsSlowRequest = false; // an earlier attempt was cancelled to send it again
     bool hasRecordedFailure
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -177,6 +177,14 @@
     this->suspectedUntil = now + suspicion;
 }
 
+void GatewayUpstream::recordFull(TimePoint now)
+{
+    const std::uint32_t slots = this->routed.upstream.slots;
+    this->load = ReportedLoad { slots, slots, slots, now };
+    this->inFlightAtReport = this->requests.inFlight();
+    this->updateCapacity();
+}
+
 void GatewayUpstream::recordError(TimePoint /*now*/)
 {
     this->errorShare += (1.0 - this->errorShare) * smoothing;
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -60,6 +60,8 @@
     void recordFailure(TimePoint sentAt, TimePoint now);
     /** Whether recordFailure() would make other upstreams preferred; see isSuspected(). */
     bool wouldBeSuspected(TimePoint sentAt, TimePoint now) const;
+    /** Records that it has refused a connection because all its capacity is in use. */
+    void recordFull(TimePoint now);
     /** Records a response that reports a failure of the upstream itself. */
     void recordError(TimePoint now);
 
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -2,6 +2,7 @@
 
 #include "process/textdelta.h"
 #include "process/textpack.h"
+#include "support/fakecodec.h"
 #include "support/fakepeer.h"
 #include "support/loopwait.h"
 #include "support/rawclient.h"
@@ -19,21 +20,14 @@
 const std::string plainService = "store";
 
 /** Codec of the test: each document decodes to the same configuration with three routes. */
-class TestCodec : public ExternalCodec
+class TestCodec : public FakeCodec
 {
 public:
-    const ExternalHeaders &headers() const override
-    {
-        static const ExternalHeaders names { "x-id",   "x-deadline",     "x-expect", "x-upstream",
-                                             "x-load", "x-not-executed", "x-key",    "x-base" };
-        return names;
-    }
-    std::string_view readinessPath() const override { return "/ready"; }
-    ControlCall decodeCall(const ReceivedCall & /*call*/) const override { return UnknownCall {}; }
-    std::string encodeHeartbeatResponse(const HeartbeatResponse & /*response*/) const override
-    {
-        return {};
-    }
+    TestCodec()
+        : FakeCodec({ "x-id", "x-deadline", "x-expect", "x-upstream", "x-load", "x-not-executed",
+                      "x-key", "x-base", "x-handover" })
+    { }
+
     std::variant<SiteConfiguration, ConfigurationError> decodeConfiguration(
             std::string_view /*document*/) const override
     {
@@ -300,6 +294,48 @@
     EXPECT_EQ(requests, 1);
 }
 
+// Guards against a 502 response, which promises nothing, to a request that reached no upstream: its
+// owner was full and reset new connections.
+TEST_F(GatewayRequestTest, sendsAnUnsafeRequestOnceItsOwnerTakesConnections)
+{
+    int requests = 0;
+    this->serve([&](FakePeer::Connection &connection) {
+        ++requests;
+        connection.write(withRequestId(connection.received, "HTTP/1.1 200 OK\r\n")
+                         + "content-length: 0\r\n\r\n");
+    });
+    this->peer->refusals = 4;
+    const auto client = this->request("POST", "/order/1");
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200"));
+    EXPECT_EQ(requests, 1);
+}
+
+// As above, with an owner that stays full: the client may come back.
+TEST_F(GatewayRequestTest, refusesAnUnsafeRequestThatReachedNoUpstream)
+{
+    this->serve([](FakePeer::Connection &) {});
+    this->peer->refusals = 1000;
+    const auto client = this->request("POST", "/order/1", "900");
+    ASSERT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503"));
+    EXPECT_NE(client->received().find("retry-after: 0."), std::string::npos);
+}
+
+// Guards against an owner that is full and is taken for silent, so that the requests for its keys
+// are refused although it answers those that it takes.
+TEST_F(GatewayRequestTest, keepsSendingToAnOwnerThatHasResetConnections)
+{
+    this->serve([](FakePeer::Connection &connection) {
+        connection.write(withRequestId(connection.received, "HTTP/1.1 200 OK\r\n")
+                         + "content-length: 0\r\n\r\n");
+    });
+    this->peer->refusals = 6;
+    const auto first = this->request("POST", "/order/1", "150");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 503"));
+    this->peer->refusals = 0;
+    const auto second = this->request("POST", "/order/2", "1000", "r2");
+    EXPECT_TRUE(this->waitForResponse(*second, "HTTP/1.1 200"));
+}
+
 TEST_F(GatewayRequestTest, sendsASafeRequestAgainWhenItsConnectionBreaks)
 {
     int requests = 0;
