gateway: Search for the leader at other hosts before one that has timed out

Cause: The search prefers hosts to which a connection is open. Before: callsAHostThatHasJustTimedOutAfterTheOthers fails in each of its four orders of hosts. After: It passes. Such a host comes last for 2 s, or until it replies.

--- a/src/gateway/controlhosts.cpp
+++ b/src/gateway/controlhosts.cpp
@@ -17,6 +17,8 @@
 // How long a host is not called after it failed, if there are others. Other hosts keep naming a
 // leader that has stopped until they have elected the next one.
 constexpr Milliseconds failureDelay { 800 };
+// As above, after a call without a reply: until all other hosts had time to connect and to reply.
+constexpr Milliseconds timeoutDelay { 2000 };
 
 } // namespace
 
@@ -73,9 +75,11 @@
     return result;
 }
 
-// Hosts to which a connection is open come first, then those that have not failed recently. Since
-// hosts that are cut off from their group answer too, the others are being connected to at the same
-// time: the search waits for the quickest of them and not for one after the other.
+// Hosts to which a connection is open come first, then those that have not failed recently. A host
+// that has just left a call without a reply comes last even if a connection to it opens again,
+// since the next call to it may take as long. Since hosts that are cut off from their group answer
+// too, the others are being connected to at the same time: the search waits for the quickest of
+// them and not for one after the other.
 std::string ControlHosts::next()
 {
     std::vector<std::string> ips = this->candidates();
@@ -85,14 +89,16 @@
     this->connectTo(ips);
     const auto first = static_cast<std::ptrdiff_t>(this->nextIndex++ % ips.size());
     std::rotate(ips.begin(), ips.begin() + first, ips.end());
+    std::stable_partition(ips.begin(), ips.end(),
+                          [this](const std::string &ip) { return !this->hasTimedOutRecently(ip); });
     const auto open = std::find_if(ips.begin(), ips.end(), [this](const std::string &ip) {
-        return this->at(ip).connection.isOpen();
+        return this->at(ip).connection.isOpen() && !this->hasTimedOutRecently(ip);
     });
     if (open != ips.end()) {
         return *open;
     }
     const auto usable = std::find_if(ips.begin(), ips.end(), [this](const std::string &ip) {
-        return !this->hasFailedRecently(ip);
+        return !this->hasFailedRecently(ip) && !this->hasTimedOutRecently(ip);
     });
     return usable != ips.end() ? *usable : ips.front();
 }
@@ -120,6 +126,18 @@
     return !host.connection.isOpen() && this->loop.now() - *host.failedAt < failureDelay;
 }
 
+void ControlHosts::recordTimeout(const std::string &ip)
+{
+    this->at(ip).timedOutAt = this->loop.now();
+}
+
+bool ControlHosts::hasTimedOutRecently(const std::string &ip) const
+{
+    const auto found = this->hosts.find(ip);
+    return found != this->hosts.end() && found->second->timedOutAt
+           && this->loop.now() - *found->second->timedOutAt < timeoutDelay;
+}
+
 void ControlHosts::clearFailures()
 {
     for (const auto &[ip, host] : this->hosts) {
--- a/src/gateway/controlhosts.h
+++ b/src/gateway/controlhosts.h
@@ -20,6 +20,7 @@
     RpcConnection connection;
     RoundTripEstimate roundTrip; // of its updates; hints do not count
     std::optional<TimePoint> failedAt; // since the last update of any host
+    std::optional<TimePoint> timedOutAt; // a call without a reply, since its own last reply
     TimePoint connectBegunAt; // by the search for the leader
 };
 
@@ -49,6 +50,9 @@
 
     /** Whether the host has just failed, so that others are called first. */
     bool hasFailedRecently(const std::string &ip) const;
+    /** Records how a call to the host at @p ip ended, for the order of the next ones. */
+    void recordReply(const std::string &ip) { this->at(ip).timedOutAt.reset(); }
+    void recordTimeout(const std::string &ip);
     /** Forgets failures, since the leader was found. */
     void clearFailures();
 
@@ -57,6 +61,7 @@
 
 private:
     std::vector<std::string> candidates() const;
+    bool hasTimedOutRecently(const std::string &ip) const;
     void connectTo(const std::vector<std::string> &ips);
 
     EventLoop &loop;
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -54,7 +54,7 @@
         });
     };
     ControlHost &host = this->hosts.at(this->target);
-    const Milliseconds replyTimeout = this->watchTimeout + host.roundTrip.timeout();
+    this->replyTimeout = this->watchTimeout + host.roundTrip.timeout();
     auto onBytes = [this](const std::string &bytes) {
         const auto reply = decodeGatewayWatchReply(bytes);
         if (reply) {
@@ -66,7 +66,7 @@
     auto onException = [this](const kj::Exception &exception) {
         this->onFailure(exception.getDescription().cStr());
     };
-    this->tasks.add(host.connection.call<std::string>({ connectWait, replyTimeout }, send)
+    this->tasks.add(host.connection.call<std::string>({ connectWait, this->replyTimeout }, send)
                             .then(kj::mv(onBytes), kj::mv(onException)));
 }
 
@@ -77,6 +77,7 @@
 
 void RegistryWatcher::onReply(const GatewayWatchReply &reply)
 {
+    this->hosts.recordReply(this->target);
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
         const Milliseconds duration = this->loop.now() - this->calledAt;
         this->hosts.at(this->target).roundTrip.recordReply(duration - update->waited);
@@ -108,6 +109,9 @@
     this->setConnected(false);
     ControlHost &host = this->hosts.at(this->target);
     host.failedAt = this->loop.now();
+    if (this->loop.now() - this->calledAt >= this->replyTimeout) {
+        this->hosts.recordTimeout(this->target);
+    }
     host.roundTrip.recordFailure(this->loop.now() - this->calledAt - this->watchTimeout);
     this->target = this->hosts.next();
     this->callAfter(retryDelay);
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -56,6 +56,7 @@
     TimePoint calledAt; // when the present call was sent
     std::uint64_t receivedBeforeCall = 0; // bytes
     Milliseconds watchTimeout { 400 }; // as announced by the leader
+    Milliseconds replyTimeout; // of the present call
     EventLoop::Timer timer;
     kj::TaskSet tasks;
 };
--- a/tests/gateway/test_registrywatcher.cpp
+++ b/tests/gateway/test_registrywatcher.cpp
@@ -31,6 +31,31 @@
     const GatewayWatchReply &reply;
 };
 
+/** A control host that replies until the test silences it; its connections stay open. */
+class SilencedHost final : public rpc::Registry::Server
+{
+public:
+    SilencedHost(EventLoop &loop, const bool &silent)
+        : loop(loop)
+        , silent(silent)
+    { }
+
+    kj::Promise<void> watch(WatchContext context) override
+    {
+        constexpr Milliseconds never { 60000 };
+        const std::string bytes = encode(GatewayWatchReply(GatewayUpdate {}));
+        return rpcDelay(this->loop, this->silent ? never : Milliseconds { 1 })
+                .then([context, bytes]() mutable {
+                    context.getResults().setAnswer(kj::arrayPtr(
+                            reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+                });
+    }
+
+private:
+    EventLoop &loop;
+    const bool &silent;
+};
+
 /** A control host whose replies take a while to arrive, as on a full link. */
 class SlowHost final : public rpc::Registry::Server
 {
@@ -173,3 +198,39 @@
     EXPECT_TRUE(waitUntil(
             loop, [&] { return watcher.updates > 0; }, maxSearch));
 }
+
+// Guards against a search that calls a host again which has just left a call without a reply, only
+// because a connection to it opens: it takes the long timeout once more before the others are
+// called (hunt b4a71950, day hunt-b4a7-3).
+TEST(RegistryWatcher, callsAHostThatHasJustTimedOutAfterTheOthers)
+{
+    constexpr int hostCount = 4;
+    // The call to the former leader times out after 1.1 s. The next leader takes connections when
+    // the others have been called.
+    constexpr Milliseconds electionDuration { 1900 };
+    constexpr Milliseconds maxSearch { 700 };
+    for (int first = 1; first <= hostCount; ++first) {
+        EventLoop loop;
+        bool silent = false;
+        const bool neverSilent = false;
+        RpcServer former(loop, {}, kj::heap<SilencedHost>(loop, silent));
+        ASSERT_EQ(former.listen({ "127.0.0.1", 0 }), "");
+        const std::uint16_t port = former.port();
+        const FullListener second({ "127.0.0.2", port });
+        const FullListener third({ "127.0.0.3", port });
+        RpcServer next(loop, {}, kj::heap<SilencedHost>(loop, neverSilent));
+        std::vector<HostAddress> seeds;
+        for (int i = 0; i < hostCount; ++i) {
+            seeds.push_back({ "127.0.0." + std::to_string((first + i) % hostCount + 1), port });
+        }
+        CountingWatcher watcher(loop, seeds);
+        ASSERT_TRUE(waitUntil(loop, [&] { return watcher.updates > 0; }));
+        silent = true;
+        runFor(loop, electionDuration);
+        ASSERT_EQ(next.listen({ "127.0.0.4", port }), "");
+        watcher.updates = 0;
+        EXPECT_TRUE(waitUntil(
+                loop, [&] { return watcher.updates > 0; }, maxSearch))
+                << first;
+    }
+}
