--- a/tests/gateway/test_stopschedule.cpp
+++ b/tests/gateway/test_stopschedule.cpp
@@ -25,3 +25,13 @@
     const Milliseconds grace { *rc::gen::inRange(4000, 60000) };
     RC_ASSERT(stopScheduleFor(grace).respond > grace * 5 / 6);
 }
+
+// Guards against requests that a stopping gateway still takes late in a long grace period and has
+// to break off at its end, while their upstreams are at work on them.
+RC_GTEST_PROP(StopSchedule, takesNoRequestsLateInTheGracePeriod, ())
+{
+    const Milliseconds grace { *rc::gen::inRange(4000, 60000) };
+    const StopSchedule schedule = stopScheduleFor(grace);
+    RC_ASSERT(schedule.refuseNew < Milliseconds { 3000 });
+    RC_ASSERT(schedule.refuseNew <= grace / 2);
+}
