gateway: Sample upstreams by the number of gateways; do not blame them for a full link

After: The more gateways, the fewer upstreams are compared, near and far ones apart; the usual duration is assumed where none was measured.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -59,6 +59,7 @@
     , metrics(metrics)
     , log(log)
     , httpClient(loop)
+    , random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
     this->idleTimer = loop.callEvery(idleCheckInterval, [this] {
         this->httpClient.closeIdleLongerThan(connectionIdleTimeout);
@@ -219,30 +220,19 @@
     return found == this->upstreams.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<GatewayUpstream> GatewayCore::chooseUpstream(
-        const std::string &service, const std::vector<std::string> &tried) const
+std::shared_ptr<GatewayUpstream> GatewayCore::chooseUpstream(const std::string &service,
+                                                             const std::vector<std::string> &tried)
 {
-    // Suspected upstreams are used only when there are no others.
-    constexpr double suspicionCost = 1e6;
-    const TimePoint now = this->loop.now();
-    std::shared_ptr<GatewayUpstream> best;
-    double bestCost = 0.0;
+    GatewayUpstreams candidates;
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteUpstream &known = upstream->upstream();
-        if (known.service != service || known.phase != UpstreamPhase::Ready
-            || upstream->isReplaced() || std::find(tried.begin(), tried.end(), id) != tried.end()) {
-            continue;
-        }
-        double cost = upstream->cost(now);
-        if (upstream->isSuspected(now)) {
-            cost += suspicionCost;
-        }
-        if (best == nullptr || cost < bestCost) {
-            best = upstream;
-            bestCost = cost;
+        if (known.service == service && known.phase == UpstreamPhase::Ready
+            && !upstream->isReplaced()
+            && std::find(tried.begin(), tried.end(), id) == tried.end()) {
+            candidates.push_back(upstream);
         }
     }
-    return best;
+    return chooseBySample(candidates, this->routing.gateways, this->loop.now(), this->random);
 }
 
 const std::string &GatewayCore::chooseService(const SiteRoute &route)
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "connection/httpclient.h"
+#include "gateway/connectmonitor.h"
 #include "gateway/crashguard.h"
-#include "gateway/gatewayupstream.h"
 #include "gateway/routingview.h"
+#include "gateway/upstreamchoice.h"
 #include "process/eventlog.h"
 #include "process/metrics.h"
 #include "process/sitesettings.h"
@@ -41,14 +42,15 @@
 
     const RoutingView &view() const { return this->routing; }
     CrashGuard &crashGuard() { return this->crashes; }
+    ConnectMonitor &connectMonitor() { return this->connects; }
     /** Returns the upstream with this id, or null. */
     std::shared_ptr<GatewayUpstream> upstream(const std::string &id) const;
     /**
-     * Returns the upstream of a service without keys that has the lowest cost, except those in
-     * @p tried, or null if there is none.
+     * Returns the upstream of a service without keys for the next request, see chooseBySample(),
+     * except those in @p tried, or null if there is none.
      */
     std::shared_ptr<GatewayUpstream> chooseUpstream(const std::string &service,
-                                                    const std::vector<std::string> &tried) const;
+                                                    const std::vector<std::string> &tried);
     /** Returns the service of the next request on @p route, by the weights of its services. */
     const std::string &chooseService(const SiteRoute &route);
 
@@ -123,6 +125,8 @@
     bool needsFullDocument = false; // the last delta could not be applied
     std::map<std::string, std::shared_ptr<GatewayUpstream>> upstreams; // by id
     CrashGuard crashes;
+    ConnectMonitor connects;
+    std::mt19937_64 random; // for the choice of upstreams
     std::map<std::string, SiteRetryBudget> budgets; // by service
     std::map<std::string, WeightedRotation> rotations; // by host and prefix
     std::map<std::pair<std::string, KeyNumber>, std::uint32_t> keyRequests; // since the last report
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -33,7 +33,6 @@
 constexpr Milliseconds shedRetryDelay { 25 };
 // After each refused connection the delay doubles, up to this many times.
 constexpr std::uint32_t maxRefusalDoublings = 3;
-constexpr Milliseconds connectTimeout { 400 };
 constexpr Milliseconds reconnectDelay { 20 };
 constexpr Milliseconds callCheckInterval { 50 };
 // An idempotent request is sent again after this many times the typical duration of the upstream's
@@ -403,6 +402,9 @@
         return false;
     }
     this->slowCall.reset();
+    if (this->call && this->call->connectionOpenedAt() >= this->sentAt) {
+        this->core.connectMonitor().recordOpened(this->sentAt, this->call->connectionOpenedAt());
+    }
     addOnce(this->reached, this->target->upstream().incarnation.id);
     return true;
 }
@@ -422,9 +424,8 @@
         return;
     }
     const Milliseconds elapsed = this->core.eventLoop().now() - this->sentAt;
-    if (!this->call->isSent() && elapsed >= connectTimeout) {
-        this->call.reset();
-        this->onFailure({ HttpFailure::Stage::Connect, "connect timeout", false });
+    if (!this->call->isSent() && elapsed >= this->core.connectMonitor().timeout()) {
+        this->onConnectTimeout();
         return;
     }
     if (this->call->isSent() && this->shouldRepeat(elapsed) && this->canRepeatAtOwner()
@@ -621,6 +622,30 @@
     this->repeatAfter(delay, "upstream has too many connections");
 }
 
+// If no other connection opens either, the cause is the link of this gateway.
+void GatewayRequest::onConnectTimeout()
+{
+    this->call.reset();
+    this->releaseUpstream();
+    const TimePoint now = this->core.eventLoop().now();
+    if (this->core.connectMonitor().recordTimeout(this->sentAt, now)) {
+        this->target->recordFailure(this->sentAt, now);
+    }
+    this->repeatUnsent("connect timeout");
+}
+
+// Sends the request, of which nothing was written, once more, or refuses it.
+void GatewayRequest::repeatUnsent(const std::string &failure)
+{
+    const std::string reason = "cannot connect to upstream: " + failure;
+    if (this->timeLeft() > this->typicalDuration()
+        && this->sends - this->refusedConnections < maxSends) {
+        this->repeatAfter(reconnectDelay, reason);
+        return;
+    }
+    this->refuse(reason);
+}
+
 void GatewayRequest::onFailure(const HttpFailure &failure)
 {
     this->callTimer = EventLoop::Timer();
@@ -634,16 +659,11 @@
         return;
     }
     this->target->recordFailure(this->sentAt, this->core.eventLoop().now());
-    const bool notSent = failure.stage == HttpFailure::Stage::Connect;
-    const bool hasTimeForRetry = this->timeLeft() > this->typicalDuration();
-    if (notSent) {
-        if (hasTimeForRetry && this->sends - this->refusedConnections < maxSends) {
-            this->repeatAfter(reconnectDelay, "cannot connect to upstream: " + failure.reason);
-        } else {
-            this->refuse("cannot connect to upstream: " + failure.reason);
-        }
+    if (failure.stage == HttpFailure::Stage::Connect) {
+        this->repeatUnsent(failure.reason);
         return;
     }
+    const bool hasTimeForRetry = this->timeLeft() > this->typicalDuration();
     this->mayHaveRun = true;
     if (failure.stage == HttpFailure::Stage::Sent) {
         this->recordBroken();
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -48,6 +48,8 @@
     void onResponse(HttpResponse response);
     void onNotExecuted(const HttpResponse &response);
     void onConnectionRefused();
+    void onConnectTimeout();
+    void repeatUnsent(const std::string &failure);
     void onFailure(const HttpFailure &failure);
     void onDeadline();
     void onClientGone();
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -20,8 +20,6 @@
 constexpr std::uint32_t maxExtra = 3;
 // Weight of a new sample in the smoothed values.
 constexpr double smoothing = 0.15;
-// Assumed duration of a request while none was measured.
-constexpr double defaultServiceMilliseconds = 100.0;
 // A reported load that is older is ignored.
 constexpr Milliseconds maxLoadAge { 1500 };
 // How long an upstream is suspected; doubled with each further failure in a row.
@@ -202,10 +200,10 @@
     return std::max(own, reported + own - this->inFlightAtReport);
 }
 
-double GatewayUpstream::cost(TimePoint now) const
+double GatewayUpstream::cost(TimePoint now, double usualMilliseconds) const
 {
-    const double service = this->serviceMilliseconds > 0.0 ? this->serviceMilliseconds
-                                                           : defaultServiceMilliseconds;
+    const double service
+            = this->serviceMilliseconds > 0.0 ? this->serviceMilliseconds : usualMilliseconds;
     const double slots = std::max<double>(this->routed.upstream.slots, 1.0);
     const auto waiting = static_cast<double>(this->requests.waitingCount());
     const double queue = std::max(1.0, (this->usedSlots(now) + waiting + 1.0) / slots);
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -30,9 +30,13 @@
 class GatewayUpstream
 {
 public:
+    /** Assumed duration of a request while none was measured at any upstream. */
+    static constexpr double defaultServiceMilliseconds = 100.0;
+
     GatewayUpstream(RoutedUpstream routed, Distance distance);
 
     const SiteUpstream &upstream() const { return this->routed.upstream; }
+    Distance distanceFromGateway() const { return this->distance; }
     /**
      * Applies the upstream's entry of a routing table. What is new in it has happened after
      * @p previousTableAt, when the leader confirmed the previous table.
@@ -74,9 +78,13 @@
 
     /**
      * Expected time for one more request in milliseconds, with surcharges for failures, for warming
-     * up and for the distance. Upstreams with a lower cost are preferred.
+     * up and for the distance. Upstreams with a lower cost are preferred. @p usualMilliseconds is
+     * assumed as the duration of its requests while none was measured.
      */
-    double cost(TimePoint now) const;
+    double cost(TimePoint now, double usualMilliseconds = defaultServiceMilliseconds) const;
+
+    /** Smoothed duration of one request without the wait in its queue; 0 if none was measured. */
+    double measuredMilliseconds() const { return this->serviceMilliseconds; }
 
     /** Returns and resets the number and duration of the requests since the previous call. */
     UpstreamTiming takeTiming();
