--- a/tools/registryload.cpp
+++ b/tools/registryload.cpp
@@ -2,8 +2,9 @@
  * Measures what a leading registry spends on the decisions for a large site: heartbeats of many
  * upstreams, reports of many gateways, moves of busy keys. Runs the pure code at virtual time and
  * prints the processor time of each step, and that of the busiest second. With LEAVING, so many
- * upstreams announce their shutdown in the middle of the run. Usage: registryload [UPSTREAMS
- * GATEWAYS REQUESTS/S [LEAVING]]
+ * upstreams announce their shutdown in the middle of the run. With "calls", upstreams take their
+ * leases by calls instead of heartbeats. Usage: registryload [UPSTREAMS GATEWAYS REQUESTS/S
+ * [LEAVING [calls]]]
  */
 #include "version/registrymanager.h"
 #include "version/routingchange.h"
@@ -16,6 +17,7 @@
 #include <cstdlib>
 #include <deque>
 #include <random>
+#include <string_view>
 
 using namespace cassiaroad;
 
@@ -37,10 +39,13 @@
 constexpr std::int64_t maxReleaseDuration = 800;
 const std::string service = "ledger";
 
-enum Step { Report, Response, Due, Gateways, Table, Change, Update, StepCount };
+// Time from a call to its response.
+constexpr std::int64_t callDuration = 5;
+
+enum Step { Report, Response, Due, Gateways, Table, Change, Update, Call, CallEnd, StepCount };
 constexpr std::array<const char *, StepCount> stepNames {
-    "take heartbeat", "answer heartbeat", "find transfers", "take load",
-    "build table",    "encode change",    "encode update",
+    "take heartbeat", "answer heartbeat", "find transfers", "take load", "build table",
+    "encode change",  "encode update",    "find calls",     "end call",
 };
 
 struct LoadedUpstream
@@ -53,13 +58,15 @@
 class RegistryLoadRun
 {
 public:
-    RegistryLoadRun(int upstreams, int gateways, double requests, int leaving)
+    RegistryLoadRun(int upstreams, int gateways, double requests, int leaving, bool byCall)
         : manager(this->state, timing())
         , gatewayCount(gateways)
         , requestsPerSecond(requests)
     {
         auto configuration = std::make_shared<SiteConfiguration>();
         configuration->services[service].keyed = true;
+        configuration->services[service].leaseDelivery
+                = byCall ? LeaseDelivery::Call : LeaseDelivery::Heartbeat;
         this->manager.setConfiguration(configuration);
         this->manager.startTerm({ this->now });
         for (int i = 0; i < upstreams; ++i) {
@@ -101,8 +108,10 @@
                 this->reportLoad(gateway++ % this->gatewayCount);
                 nextReport += watchInterval / this->gatewayCount;
             }
+            this->endCalls();
             if (this->now % 50 == 0) {
                 this->proposeDueCommands();
+                this->sendCalls();
             }
             if (this->now % refreshInterval == 0) {
                 this->refreshTable();
@@ -196,6 +205,7 @@
         this->propose(result.commands);
         const HeartbeatResponse response = this->measure(
                 Response, [&] { return this->manager.respond(report, { this->now }); });
+        this->sendCalls();
         upstream.nextHeartbeat = this->now + heartbeatInterval;
         const bool releases = response.leases.size() < report.leases.size();
         if (this->isFinishingRequests(upstream)) {
@@ -214,6 +224,27 @@
         }
     }
 
+    void sendCalls()
+    {
+        const std::vector<LeaseCall> calls
+                = this->measure(Call, [&] { return this->manager.dueLeaseCalls({ this->now }); });
+        for (const LeaseCall &call : calls) {
+            this->openCalls.emplace_back(this->now + callDuration, call.number);
+        }
+    }
+
+    // Each call is accepted.
+    void endCalls()
+    {
+        while (!this->openCalls.empty() && this->openCalls.front().first <= this->now) {
+            this->measure(CallEnd, [&] {
+                return this->manager.onLeaseCallEnded(this->openCalls.front().second,
+                                                      LeaseCallAccepted {}, { this->now });
+            });
+            this->openCalls.pop_front();
+        }
+    }
+
     void proposeDueCommands()
     {
         this->propose(this->measure(Due, [&] { return this->manager.dueCommands({ this->now }); }));
@@ -272,6 +303,7 @@
     RegistryManager manager;
     std::vector<LoadedUpstream> upstreams;
     std::deque<std::pair<std::int64_t, RegistryCommand>> commits;
+    std::deque<std::pair<std::int64_t, std::uint64_t>> openCalls; // end and number
     RoutingTable table;
     std::string lastChange;
     std::uint64_t changeCount = 0;
@@ -293,7 +325,8 @@
     const int gateways = argc > 2 ? std::atoi(argv[2]) : 77;
     const double requests = argc > 3 ? std::atof(argv[3]) : 2300.0;
     const int leaving = argc > 4 ? std::atoi(argv[4]) : 0;
-    RegistryLoadRun run(upstreams, gateways, requests, leaving);
+    const bool byCall = argc > 5 && std::string_view(argv[5]) == "calls";
+    RegistryLoadRun run(upstreams, gateways, requests, leaving, byCall);
     run.run();
     run.print();
     return 0;
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,7 @@
 Injects faults from outside the processes (kills, pauses, restarts, lost disks, links that refuse,
 delay or stall, upstreams that crash, drain and restart) and checks the promises of docs/PROMISES.md
 from what callers and upstreams see. Half of the callers keep their connections open.
-Usage: soak.py --build DIR [--seed N] [--seconds S] [--gateways N]
+Usage: soak.py --build DIR [--seed N] [--seconds S] [--gateways N] [--calls]
 """
 import argparse
 import asyncio
@@ -109,7 +109,9 @@
 class Soak:
     """The site, its callers, the faults that are injected and what was observed."""
 
-    def __init__(self, build, seed, seconds, gateways=2, only_fault=None):
+    def __init__(self, build, seed, seconds, gateways=2, only_fault=None,
+                 calls=False):
+        self.calls = calls  # upstreams take their leases by calls
         self.only_fault = only_fault  # name of the method that injects it; None: any fault
         self.random = random.Random(seed)
         self.seconds = seconds
@@ -187,6 +189,7 @@
 
     async def add_upstream(self, name, address):
         upstream = Upstream(name, address, "orders", self.seeds, self.checks, self.upstreams)
+        upstream.takes_calls = self.calls
         await upstream.start()
         self.upstreams[:] = [u for u in self.upstreams if u.address != address] + [upstream]
 
@@ -202,7 +205,8 @@
                 "service": "orders", "attempts": 2}
                 for prefix, kind in route_types.items()},
             "services": {"orders": {"healthPath": "/health", "maxConnections": 100,
-                                    "sharded": True, "warmS": 0}}})
+                                    "sharded": True, "warmS": 0,
+                                    "grants": "call" if self.calls else "heartbeat"}}})
         end = time.monotonic() + max_wait
         while time.monotonic() < end:
             status = await self.call_control("POST", "/-/Config.Put", body,
@@ -293,6 +297,9 @@
                    self.repair_random_host, self.kill_all_controls, self.lose_disks_and_kill_all,
                    self.begin_rolling_restart]
         weights = [3, 3, 2, 3, 2, 4, 2, 3, 3, 0.5, 0.5, 1]
+        if self.calls:
+            actions.append(self.change_late_calls)
+            weights.append(3)
         await self.random.choices(actions, weights)[0]()
 
     async def inject_control_fault(self):
@@ -383,6 +390,13 @@
         if kind == "restart":
             await self.add_upstream(upstream.name, upstream.address)
 
+    async def change_late_calls(self):
+        """Begins or ends that upstreams leave calls unanswered and apply them late."""
+        late = not any(upstream.applies_late for upstream in self.upstreams)
+        self.record_event(f"calls are {'applied late' if late else 'answered'}")
+        for upstream in self.upstreams:
+            upstream.applies_late = late
+
     async def change_configuration(self):
         self.record_event("put a configuration")
         await self.put_configuration(3.0)
@@ -437,6 +451,7 @@
             await host.wait_until_ended()
             self.restore(host)
         for upstream in list(self.upstreams):
+            upstream.applies_late = False
             if not upstream.up or upstream.draining:
                 if upstream.up:
                     await upstream.crash()
@@ -465,9 +480,11 @@
                         metavar=f"1..{MAX_GATEWAYS}")
     parser.add_argument("--fault", choices=["lose_disks_and_kill_all", "kill_all_controls"],
                         help="inject only this fault")
+    parser.add_argument("--calls", action="store_true",
+                        help="upstreams take their leases by calls instead of heartbeats")
     arguments = parser.parse_args()
     soak = Soak(arguments.build, arguments.seed, arguments.seconds, arguments.gateways,
-                arguments.fault)
+                arguments.fault, arguments.calls)
     asyncio.run(soak.run())
     violations = soak.checks.violations
     print(f"soak seed {arguments.seed}: {'broken' if violations else 'held'}, {soak.counts}, "
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -1,8 +1,8 @@
 """Simulated upstreams with leases on key ranges, all in one process, and the checks of their
 requests.
 
-They use the published protocol of the platform: heartbeats that carry leases ("holds"), and
-requests that name the id of the upstream that should run them.
+They use the published protocol of the platform: leases come in the responses to heartbeats
+("holds") or by calls to the upstream, and requests name the id of the upstream that should run them.
 """
 import asyncio
 import json
@@ -58,6 +58,10 @@
         self.next_address = None
         self.service_time_s = (0.005, 0.03)  # shortest and longest time that a request takes
         self.drops_responses = False  # closes connections after a run, without response
+        self.takes_calls = False  # leases come by calls; heartbeats carry none
+        self.applies_late = False  # leaves some calls unanswered and applies them seconds later
+        self.seen_fences = []  # [first key, last key, fencing token] of all grants
+        self.running_keys = []  # of the requests in progress
         self.crashes_under = None  # bytes in the body of a request under which it crashes
 
     async def start(self):
@@ -92,7 +96,12 @@
                 headers = dict(line.lower().split(": ", 1)
                                for line in head.decode().split("\r\n")[1:] if ": " in line)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
-                status, text = await self.handle(head.decode().split(" ", 1)[0], headers, body)
+                method, path = head.decode().split(" ", 2)[:2]
+                if path in ("/-/grant", "/-/release"):
+                    if not await self.answer_call(path, json.loads(body), writer):
+                        return
+                    continue
+                status, text = await self.handle(method, headers, body)
                 if self.drops_responses or not self.up:
                     return
                 extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
@@ -106,6 +115,62 @@
         finally:
             writer.close()
 
+    async def answer_call(self, path, call, writer):
+        """Applies a call that grants or releases a lease and answers it. Returns False if the call
+        gets no answer; then it may be applied later."""
+        arrived = time.monotonic()
+        if self.applies_late and random.random() < 0.4:
+            apply = self.grant if path == "/-/grant" else self.release
+            asyncio.get_running_loop().call_later(random.uniform(1, 4), apply, call, arrived)
+            await asyncio.sleep(5)
+            return False
+        status, handover = 200, ""
+        if path == "/-/grant":
+            status = self.grant(call, arrived)
+        else:
+            self.release(call, arrived)
+            while any(call["from"] <= key <= call["targetVersion"] for key in self.running_keys):
+                await asyncio.sleep(0.002)
+            handover = f"X-Cassiaroad-Handover: {random.getrandbits(64):016x}\r\n"
+        if not self.up:
+            return False
+        writer.write(f"HTTP/1.1 {status} S\r\nContent-Length: 0\r\n{handover}\r\n".encode())
+        await writer.drain()
+        return True
+
+    def grant(self, call, arrived):
+        """Takes a lease, whose time counts from the arrival of the call. Returns the status."""
+        first, last, fence = call["from"], call["targetVersion"], call["fence"]
+        if any(row[0] <= last and first <= row[1] and row[2] > fence for row in self.seen_fences):
+            return 409
+        self.seen_fences.append([first, last, fence])
+        end = arrived + call["holdS"]
+        if not any(row[0] <= first and last <= row[1] and row[2] == fence and row[3] >= end
+                   for row in self.leases):
+            self.cut_leases(first, last)
+            self.leases.append([first, last, fence, end])
+        return 200
+
+    def release(self, call, _arrived):
+        """Stops new requests for the keys of a lease, or of a part of one."""
+        first, last = call["from"], call["targetVersion"]
+        if any(row[2] == call["fence"] and row[0] <= last and first <= row[1]
+               for row in self.leases):
+            self.cut_leases(first, last)
+
+    def cut_leases(self, first, last):
+        """Removes keys from the leases."""
+        rest = []
+        for row in self.leases:
+            if row[1] < first or last < row[0]:
+                rest.append(row)
+                continue
+            if row[0] < first:
+                rest.append([row[0], first - 1] + row[2:])
+            if last < row[1]:
+                rest.append([last + 1, row[1]] + row[2:])
+        self.leases = rest
+
     async def handle(self, method, headers, body):
         """Runs a request, or refuses it if it is for another upstream or a key without a lease.
         Returns the status and the body of the response."""
@@ -117,7 +182,9 @@
         self.check_single_owner(key)
         if self.crashes_under and self.crashes_under in body:
             await self.crash()
+        self.running_keys.append(key)
         await asyncio.sleep(random.uniform(*self.service_time_s))
+        self.running_keys.remove(key)
         return 200, f"{request_id}:{len(body)}"
 
     def remove_expired_leases(self):
@@ -134,14 +201,16 @@
             sent = time.monotonic()
             self.remove_expired_leases()
             self.sequence += 1
-            body = json.dumps({
+            report = {
                 "address": self.address, "born": self.born,
                 "info": {"service": self.service, "version": "v1", "zone": "a",
                          "maxConcurrency": 6},
                 "status": {"state": "draining" if self.draining else "ready",
-                           "sequence": self.sequence, "warmupLeftS": 0},
-                "holds": [row[:3] for row in self.leases], "freed": self.freed})
-            response = await self.call(f"/-/Instances.Heartbeat/{self.name}", body)
+                           "sequence": self.sequence, "warmupLeftS": 0}}
+            if not self.takes_calls:
+                report["holds"] = [row[:3] for row in self.leases]
+                report["freed"] = self.freed
+            response = await self.call(f"/-/Instances.Heartbeat/{self.name}", json.dumps(report))
             if response is not None and "holds" in response:
                 if self.apply_response(response, sent):
                     wait = 0.05
