--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -31,15 +31,12 @@
 constexpr Milliseconds misdirectedRetryDelay { 60 };
 // Delay before a keyed request is repeated that its owner refused because it was full.
 constexpr Milliseconds shedRetryDelay { 25 };
-// After each refused connection the delay doubles, up to this many times.
-constexpr std::uint32_t maxRefusalDoublings = 3;
 constexpr Milliseconds reconnectDelay { 20 };
 constexpr Milliseconds callCheckInterval { 50 };
 // An idempotent request is sent again after this many times the typical duration of the upstream's
 // requests, and after `minSlowDuration` at the earliest.
 constexpr std::int64_t slowFactor = 6;
 constexpr Milliseconds minSlowDuration { 600 };
-constexpr std::uint32_t maxSends = 4;
 constexpr Milliseconds minRetryAfter { 50 };
 // Retry-After of a request without a configuration, a routing table or an upstream, as while the
 // control group is unavailable. A restart of the control group takes about as long.
@@ -52,13 +49,6 @@
     return std::to_string(span.count / 1000) + "." + digits.substr(1);
 }
 
-void addOnce(std::vector<std::string> &ids, const std::string &id)
-{
-    if (std::find(ids.begin(), ids.end(), id) == ids.end()) {
-        ids.push_back(id);
-    }
-}
-
 } // namespace
 
 void GatewayRequest::begin(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
@@ -186,7 +176,7 @@
     }
     if (!this->keyed) {
         std::shared_ptr<GatewayUpstream> chosen
-                = this->core.chooseUpstream(this->service, this->tried);
+                = this->core.chooseUpstream(this->service, this->attempts.chosen());
         if (!chosen) {
             this->refuseWithRetryAfter(outageRetryAfter, "no upstream left");
             return;
@@ -380,15 +370,14 @@
 
 void GatewayRequest::send()
 {
-    ++this->sends;
+    const std::uint32_t number = this->attempts.begin(this->target->upstream().incarnation.id);
     this->hasRecordedFailure = false;
     this->sentAt = this->core.eventLoop().now();
-    addOnce(this->tried, this->target->upstream().incarnation.id);
     this->call = this->core.client().send(
             this->target->upstream().address, this->buildRequest(), maxResponseBytes,
-            [weak = this->weak_from_this(), attempt = this->sends](HttpResult result) {
+            [weak = this->weak_from_this(), number](HttpResult result) {
                 if (const auto request = weak.lock(); request && !request->ended) {
-                    request->onResult(attempt, std::move(result));
+                    request->onResult(number, std::move(result));
                 }
             },
             [this] { return this->canWrite(); });
@@ -405,7 +394,7 @@
     if (this->call && this->call->connectionOpenedAt() >= this->sentAt) {
         this->core.connectMonitor().recordOpened(this->sentAt, this->call->connectionOpenedAt());
     }
-    addOnce(this->reached, this->target->upstream().incarnation.id);
+    this->attempts.recordWritten(this->target->upstream().incarnation.id);
     return true;
 }
 
@@ -433,7 +422,7 @@
         this->repeatsSlowRequest = true;
         const TimePoint openedAt = this->call->connectionOpenedAt();
         this->slowCall = std::move(this->call);
-        this->slowAttempt = this->sends;
+        this->slowAttempt = this->attempts.count();
         this->mayHaveRun = true;
         this->core.client().closeIdle(this->target->upstream().address,
                                       openedAt + Milliseconds { 1 });
@@ -460,7 +449,7 @@
         return this->target->admission().hasCapacity();
     }
     const std::shared_ptr<GatewayUpstream> other
-            = this->core.chooseUpstream(this->service, this->tried);
+            = this->core.chooseUpstream(this->service, this->attempts.chosen());
     return other && other->admission().hasCapacity();
 }
 
@@ -597,7 +586,7 @@
         this->repeatAfter({}, "upstream is full");
     } else if (!misdirected) {
         this->repeatAfter(shedRetryDelay, "upstream is full");
-    } else if (this->sends == 1 && !this->target->isReplaced()) {
+    } else if (this->attempts.count() == 1 && !this->target->isReplaced()) {
         this->repeatAfter(misdirectedRetryDelay, "owner has changed");
     } else {
         this->waitForOwner();
@@ -612,9 +601,7 @@
     this->target->admission().finishShed(now);
     this->target->recordFull(now);
     this->core.startWaitingRequests(*this->target);
-    const std::uint32_t doublings = std::min(this->refusedConnections, maxRefusalDoublings);
-    const Milliseconds delay = shedRetryDelay * (std::int64_t(1) << doublings);
-    ++this->refusedConnections;
+    const Milliseconds delay = this->attempts.recordRefusedConnection();
     if (this->timeLeft() <= this->typicalDuration() + delay) {
         this->refuse("upstream has too many connections");
         return;
@@ -638,8 +625,7 @@
 void GatewayRequest::repeatUnsent(const std::string &failure)
 {
     const std::string reason = "cannot connect to upstream: " + failure;
-    if (this->timeLeft() > this->typicalDuration()
-        && this->sends - this->refusedConnections < maxSends) {
+    if (this->timeLeft() > this->typicalDuration() && this->attempts.mayRepeat()) {
         this->repeatAfter(reconnectDelay, reason);
         return;
     }
@@ -680,10 +666,10 @@
 bool GatewayRequest::takeRetry() const
 {
     const bool isSuspect = this->core.crashGuard().ledger().brokenCount(this->digest) > 1;
-    if (this->sends - this->refusedConnections >= maxSends || isSuspect) {
+    if (!this->attempts.mayRepeat() || isSuspect) {
         return false;
     }
-    if (!this->keyed && this->reached.size() >= this->route->attempts) {
+    if (!this->keyed && this->attempts.reachedCount() >= this->route->attempts) {
         return false;
     }
     return this->core.budget(this->service).take(this->core.eventLoop().now());
@@ -691,7 +677,7 @@
 
 void GatewayRequest::repeatAfter(Milliseconds delay, const std::string &reason)
 {
-    this->logEvent("request_repeated", Event::Weight::Important, 0, reason);
+    logRequestRepeated(this->core.events(), this->facts(0, reason));
     this->waitTimer
             = this->core.eventLoop().callAfter(delay, this->callback(&GatewayRequest::dispatch));
 }
@@ -710,7 +696,7 @@
 
 void GatewayRequest::onClientGone()
 {
-    this->logOutcome(0, "client gone");
+    logRequestEnd(this->core.events(), this->facts(0, "client gone"));
     this->end();
     const std::shared_ptr<GatewayRequest> keepAlive = std::move(this->self);
 }
@@ -783,7 +769,7 @@
                             const std::string &outcome)
 {
     this->end();
-    this->logOutcome(status, outcome);
+    logRequestEnd(this->core.events(), this->facts(status, outcome));
     if (this->route != nullptr) {
         const std::string group = status < statusBadRequest     ? "answered"
                                   : status == statusUnavailable ? "refused"
@@ -800,53 +786,30 @@
     }
 }
 
-void GatewayRequest::logOutcome(int status, const std::string &outcome)
-{
-    if (status < statusOk || status >= statusServerError) {
-        this->logEvent("request_failed", Event::Weight::Important, status, outcome);
-        return;
-    }
-    const Milliseconds elapsed = this->core.eventLoop().now() - this->arrivedAt;
-    const bool isDelayed = this->ownerWaitDuration.count > 0
-                           || (this->route != nullptr && elapsed > this->route->targetLatency);
-    if (isDelayed) {
-        this->logEvent("request_delayed", Event::Weight::Important, status, outcome);
-        return;
-    }
-    this->logEvent("request", Event::Weight::Sampled, status, outcome);
-}
-
-void GatewayRequest::logEvent(const char *name, Event::Weight weight, int status,
-                              const std::string &outcome)
+RequestFacts GatewayRequest::facts(int status, const std::string &outcome) const
 {
-    EventLog &log = this->core.events();
-    if (!log.shouldWrite(name, weight)) {
-        return;
-    }
     const RoutingView &view = this->core.view();
     const TimePoint now = this->core.eventLoop().now();
-    const ExternalHeaders &names = this->core.externalCodec().headers();
-    Event event { name, weight, {} };
-    event.fields = {
-        { "request", std::string(this->exchange->header(names.requestId)) },
-        { "outcome", outcome },
-        { "status", std::int64_t(status) },
-        { "ms", (now - this->arrivedAt).count },
-        { "queued_ms", this->queuedDuration.count },
-        { "owner_wait_ms", this->ownerWaitDuration.count },
-        { "left_ms", this->timeLeft().count },
-        { "service", this->service },
-        { "key", this->key ? std::int64_t(*this->key) : std::int64_t(-1) },
-        { "upstream", this->target ? this->target->upstream().incarnation.id : std::string() },
-        { "in_flight",
-          this->target ? std::int64_t(this->target->admission().inFlight()) : std::int64_t(0) },
-        { "sends", std::int64_t(this->sends) },
-        { "sent", this->isSent() },
-        { "configuration", std::int64_t(this->active ? this->active->configuration.version : 0) },
-        { "table", std::int64_t(view.tableTag) },
-        { "table_age_ms", (now - view.tableConfirmedAt).count },
-    };
-    log.write(event);
+    RequestFacts told;
+    told.requestId = this->exchange->header(this->core.externalCodec().headers().requestId);
+    told.outcome = outcome;
+    told.status = status;
+    told.elapsed = now - this->arrivedAt;
+    told.queuedDuration = this->queuedDuration;
+    told.ownerWaitDuration = this->ownerWaitDuration;
+    told.timeLeft = this->timeLeft();
+    if (this->route != nullptr) {
+        told.targetLatency = this->route->targetLatency;
+    }
+    told.service = this->service;
+    told.key = this->key;
+    told.target = this->target.get();
+    told.attempts = this->attempts.count();
+    told.isSent = this->isSent();
+    told.configuration = this->active ? this->active->configuration.version : 0;
+    told.tableTag = view.tableTag;
+    told.tableAge = now - view.tableConfirmedAt;
+    return told;
 }
 
 } // namespace cassiaroad
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -2,6 +2,8 @@
 
 #include "connection/httpserver.h"
 #include "gateway/gatewaycore.h"
+#include "gateway/requestattempts.h"
+#include "gateway/requestlog.h"
 #include "request/hopheaders.h"
 
 namespace cassiaroad {
@@ -63,8 +65,7 @@
     void refuseWithRetryAfter(Milliseconds retryAfter, const std::string &reason);
     void fail(int status, const std::string &reason);
     void finish(int status, Headers headers, std::string body, const std::string &outcome);
-    void logOutcome(int status, const std::string &outcome);
-    void logEvent(const char *name, Event::Weight weight, int status, const std::string &outcome);
+    RequestFacts facts(int status, const std::string &outcome) const;
     void stopWaiting();
     Milliseconds timeLeft() const;
     Milliseconds typicalDuration() const;
@@ -89,12 +90,9 @@
     std::unique_ptr<HttpClient::Call> call;
     // An attempt that is slow; it is cancelled once its repetition is written.
     std::unique_ptr<HttpClient::Call> slowCall;
-    std::uint32_t slowAttempt = 0; // its number, see `sends`
+    std::uint32_t slowAttempt = 0; // its number, see `attempts`
     bool isRepetitionGivenUp = false; // only the slow attempt is left
-    std::vector<std::string> tried; // ids of upstreams that were chosen for the request
-    std::vector<std::string> reached; // ids of those to which a byte of it was written
-    std::uint32_t sends = 0; // calls, with those whose connection was refused
-    std::uint32_t refusedConnections = 0;
+    RequestAttempts attempts;
     bool mayHaveRun = false; // an earlier attempt ended without proof that it did not run
     bool repeatsSlowRequest = false; // an earlier attempt was cancelled to send it again
     bool hasRecordedFailure
--- a/src/registry/leasecalllog.cpp
+++ b/src/registry/leasecalllog.cpp
@@ -19,27 +19,27 @@
     }
     EventKind operator()(const ReleaseCall & /*call*/, const LeaseCallAccepted & /*result*/) const
     {
-        return { "lease_released" };
+        return { "lease_released", Event::Weight::Important };
     }
     template <typename Body>
     EventKind operator()(const Body & /*body*/, const LeaseCallRefused & /*result*/) const
     {
-        return { "lease_refused" };
+        return { "lease_refused", Event::Weight::Important };
     }
     template <typename Body>
     EventKind operator()(const Body & /*body*/, const LeaseCallNotSent & /*result*/) const
     {
-        return { "lease_call_not_sent" };
+        return { "lease_call_not_sent", Event::Weight::Important };
     }
     template <typename Body>
     EventKind operator()(const Body & /*body*/, const LeaseCallBroken & /*result*/) const
     {
-        return { "lease_call_broken" };
+        return { "lease_call_broken", Event::Weight::Important };
     }
     template <typename Body>
     EventKind operator()(const Body & /*body*/, const LeaseCallTimedOut & /*result*/) const
     {
-        return { "lease_call_timed_out" };
+        return { "lease_call_timed_out", Event::Weight::Important };
     }
 };
 
