platform, registry: Accept no handover that is not text; close idle connections of lease calls

Cause: The handover of a released range comes in a header. Bytes that are no UTF-8 went into the replicated log, and encoding them as JSON for the next owner threw: one malformed response could end each leader in turn. Connections of repeated calls stayed open until the upstream closed them. The release counts without the handover, and encoding replaces such bytes.

--- a/src/registry/leasecaller.cpp
+++ b/src/registry/leasecaller.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Leases are renewed more often than that; other connections are left from repeated calls.
+constexpr Milliseconds maxIdle { 4000 };
+constexpr Milliseconds idleCheckInterval { 1000 };
 constexpr std::size_t maxResponseBytes = std::size_t(64) * 1024;
 
 std::string_view headerOf(const HttpResponse &response, const std::string &name)
@@ -27,6 +30,8 @@
     , mayCall(std::move(mayCall))
     , done(std::move(done))
     , client(loop)
+    , idleTimer(loop.callEvery(idleCheckInterval,
+                               [this] { this->client.closeIdleLongerThan(maxIdle); }))
 { }
 
 HttpRequest LeaseCaller::buildRequest(const LeaseCall &call) const
--- a/src/registry/leasecaller.h
+++ b/src/registry/leasecaller.h
@@ -47,6 +47,7 @@
     std::function<void(const LeaseCall &, const LeaseCallResult &)> done;
     HttpClient client;
     std::map<std::uint64_t, OpenCall> open; // by number
+    EventLoop::Timer idleTimer;
 };
 
 } // namespace cassiaroad
--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -280,6 +280,20 @@
     }
 }
 
+// Guards against a handover of bytes that are no text, which ends the leader when it is encoded for
+// the next owner: the release counts, without the handover.
+TEST(PlatformCodec, dropsHandoversThatAreNoText)
+{
+    for (const std::string &handover : { std::string("\xff"), std::string("a\xc3"),
+                                         std::string("a\tb"), std::string(65537, 'a') }) {
+        const LeaseCallResult result = codec.decodeLeaseCallResponse(200, handover);
+        ASSERT_EQ(result, LeaseCallResult { LeaseCallAccepted {} });
+    }
+    LeaseCall call;
+    call.body = GrantCall { { { 0, 1 }, 2, std::string(1, '\xff') }, { 1000 } };
+    EXPECT_NO_THROW(codec.encodeLeaseCall(call));
+}
+
 // Guards against a site that refuses its first configuration because of a kind of route or a way of
 // granting keys that it does not know.
 TEST(PlatformCodec, readsDownloadsAndServicesThatAreCalled)
