--- a/tests/version/test_leasedelivery.cpp
+++ b/tests/version/test_leasedelivery.cpp
@@ -1,48 +1,18 @@
-#include "version/registrymanager.h"
+#include "leasesimulation.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <algorithm>
-#include <deque>
-#include <functional>
-
 using namespace cassiaroad;
 
 namespace {
 
-constexpr std::int64_t heartbeatInterval = 1000;
-constexpr std::int64_t step = 10;
+constexpr std::int64_t heartbeatInterval = simulatedHeartbeatInterval;
+constexpr std::int64_t step = simulationStep;
 constexpr int upstreamCount = 5;
 constexpr std::int64_t callTimeout = 600;
 const std::string service = "ledger";
 
-RegistryTiming testTiming()
-{
-    RegistryTiming timing;
-    timing.leases.leaseDuration = { 3500 };
-    timing.leases.leaseDurationOnLeaderClock = { 3820 };
-    timing.leases.callTimeout = { callTimeout };
-    timing.ranges.heartbeatInterval = { heartbeatInterval };
-    return timing;
-}
-
-std::shared_ptr<const SiteConfiguration> testConfiguration()
-{
-    auto configuration = std::make_shared<SiteConfiguration>();
-    configuration->version = 1;
-    configuration->services[service].keyed = true;
-    configuration->services[service].leaseDelivery = LeaseDelivery::Call;
-    return configuration;
-}
-
-/** A lease of an upstream, with the time until it expires by the clock of the upstream. */
-struct LeasedRange
-{
-    RangeLease lease;
-    double remainingMs = 0.0;
-};
-
 /** A simulated upstream that takes its leases by calls. Its clock runs 2% slow. */
 struct CalledUpstream
 {
@@ -50,7 +20,7 @@
     HostAddress address;
     std::uint64_t sequence = 0;
     std::int64_t nextHeartbeat = 0;
-    std::vector<LeasedRange> leased;
+    LeasedRanges leased;
     std::vector<std::pair<KeyRange, FencingToken>> seen; // by which it refuses lower tokens
     std::int64_t frozenUntil = 0;
     bool up = true;
@@ -99,7 +69,7 @@
 public:
     /** Commands are committed @p commitSteps after they were proposed. */
     explicit CallSimulation(int commitSteps = 0)
-        : commitDelay(commitSteps * step)
+        : pending(commitSteps * step)
     {
         this->newLeader();
         for (int i = 0; i < upstreamCount; ++i) {
@@ -140,10 +110,7 @@
             break;
         case FaultKind::NewLeader:
             // The commands that the old leader has proposed are committed by the new one, or lost.
-            if (fault.duration % 2 == 0) {
-                this->commitPending(this->now + this->commitDelay);
-            }
-            this->pending.clear();
+            this->pending.endTerm(fault.duration % 2 == 0, this->state, *this->manager, this->now);
             this->newLeader();
             break;
         case FaultKind::ApplyLate:
@@ -158,26 +125,20 @@
         }
     }
 
-    std::string violation() const { return this->violationFound; }
+    std::string violation() const { return this->ownership.violation(); }
 
     std::uint32_t leasedKeys() const
     {
         std::uint32_t keys = 0;
-        for (const CalledUpstream &upstream : this->upstreams) {
-            for (const LeasedRange &leased : upstream.leased) {
-                keys += leased.lease.range.size();
-            }
+        for (const auto &upstream : this->upstreams) {
+            keys += keysIn(upstream.leased);
         }
         return keys;
     }
 
     std::uint32_t keysOf(int number) const
     {
-        std::uint32_t keys = 0;
-        for (const LeasedRange &leased : this->upstreams[static_cast<std::size_t>(number)].leased) {
-            keys += leased.lease.range.size();
-        }
-        return keys;
+        return keysIn(this->upstreams[static_cast<std::size_t>(number)].leased);
     }
 
     int callCount() const { return this->calls; }
@@ -190,12 +151,6 @@
     }
 
 private:
-    struct PendingCommands
-    {
-        std::int64_t committedAt = 0;
-        std::vector<RegistryCommand> commands;
-    };
-
     TimePoint time() const { return { this->now }; }
     bool isRunning(const CalledUpstream &upstream) const
     {
@@ -204,37 +159,26 @@
 
     void commit(const std::vector<RegistryCommand> &commands)
     {
-        this->pending.push_back({ this->now + this->commitDelay, commands });
-        this->commitPending(this->now);
-    }
-
-    void commitPending(std::int64_t until)
-    {
-        while (!this->pending.empty() && this->pending.front().committedAt <= until) {
-            const PendingCommands batch = std::move(this->pending.front());
-            this->pending.pop_front();
-            for (const RegistryCommand &command : batch.commands) {
-                this->state.apply(command);
-                this->manager->onCommandEnded(command);
-            }
-        }
+        this->pending.propose(
+                commands, [] {}, this->now);
+        this->pending.commit(this->state, *this->manager, this->now);
     }
 
     void newLeader()
     {
         ++this->leader;
-        this->manager = std::make_unique<RegistryManager>(this->state, testTiming());
-        this->manager->setConfiguration(testConfiguration());
+        this->manager = std::make_unique<RegistryManager>(this->state, simulatedTiming());
+        this->manager->setConfiguration(simulatedConfiguration(service, LeaseDelivery::Call));
         this->manager->startTerm(this->time());
     }
 
     void stepOnce()
     {
-        this->commitPending(this->now);
+        this->pending.commit(this->state, *this->manager, this->now);
         this->deliverCalls();
         this->deliverResults();
         for (CalledUpstream &upstream : this->upstreams) {
-            this->expire(upstream);
+            expireLeases(upstream.leased); // also while the upstream is frozen
             if (this->isRunning(upstream) && this->now >= upstream.nextHeartbeat) {
                 this->sendHeartbeat(upstream);
             }
@@ -246,16 +190,6 @@
         this->check();
     }
 
-    // The clock that measures leases runs slow, and continues while an upstream is frozen.
-    void expire(CalledUpstream &upstream)
-    {
-        for (LeasedRange &leased : upstream.leased) {
-            leased.remainingMs -= step * 0.98;
-        }
-        std::erase_if(upstream.leased,
-                      [](const LeasedRange &leased) { return leased.remainingMs <= 0.0; });
-    }
-
     void sendHeartbeat(CalledUpstream &upstream)
     {
         upstream.nextHeartbeat = this->now + heartbeatInterval;
@@ -374,7 +308,7 @@
             ++this->refusals;
             return LeaseCallRefused {};
         }
-        this->recordFence(call.lease, upstream);
+        this->ownership.recordLease(call.lease, upstream.incarnation);
         upstream.seen.emplace_back(call.lease.range, call.lease.fence);
         const double timeLeft = static_cast<double>(call.duration.count - age);
         const bool isLonger = std::any_of(
@@ -441,41 +375,19 @@
         }
     }
 
-    // A key that moves to another incarnation must get a higher fencing token, so two incarnations
-    // never have the same one.
-    void recordFence(const RangeLease &lease, const CalledUpstream &upstream)
-    {
-        const auto [entry, isNew]
-                = this->fenceOwners.try_emplace(lease.fence, upstream.incarnation);
-        if (!isNew && entry->second != upstream.incarnation) {
-            this->violationFound
-                    = "two incarnations were granted fencing token " + std::to_string(lease.fence);
-        }
-    }
-
     void check()
     {
-        std::vector<std::pair<KeyRange, std::size_t>> all;
-        for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
-            for (const LeasedRange &leased : this->upstreams[i].leased) {
-                all.emplace_back(leased.lease.range, i);
-            }
-        }
-        std::sort(all.begin(), all.end());
-        for (std::size_t i = 1; i < all.size(); ++i) {
-            if (all[i - 1].first.overlaps(all[i].first) && all[i - 1].second != all[i].second) {
-                this->violationFound = "two upstreams have a lease on key "
-                                       + std::to_string(all[i].first.from) + " at "
-                                       + std::to_string(this->now);
-            }
+        std::vector<const LeasedRanges *> all;
+        for (const auto &upstream : this->upstreams) {
+            all.push_back(&upstream.leased);
         }
+        this->ownership.check(all, this->now);
     }
 
     std::int64_t now = 1000000;
     std::int64_t applyingLateUntil = 0;
     std::int64_t workingLongUntil = 0;
-    std::int64_t commitDelay;
-    std::deque<PendingCommands> pending;
+    PendingCommands pending;
     RegistryState state;
     std::unique_ptr<RegistryManager> manager;
     int leader = 0; // number of the present one
@@ -484,8 +396,7 @@
     std::vector<CalledUpstream> upstreams;
     std::vector<CallInTransit> inTransit;
     std::vector<ResultInTransit> results;
-    std::map<FencingToken, UpstreamIncarnation> fenceOwners;
-    std::string violationFound;
+    OwnershipCheck ownership;
 };
 
 } // namespace
--- a/tests/version/test_registrymanager.cpp
+++ b/tests/version/test_registrymanager.cpp
@@ -1,44 +1,16 @@
-#include "version/registrymanager.h"
+#include "leasesimulation.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <algorithm>
-#include <deque>
-#include <functional>
-
 using namespace cassiaroad;
 
 namespace {
 
-constexpr std::int64_t heartbeatInterval = 1000;
-constexpr std::int64_t step = 10;
+constexpr std::int64_t heartbeatInterval = simulatedHeartbeatInterval;
+constexpr std::int64_t step = simulationStep;
 const std::string service = "ledger";
 
-RegistryTiming testTiming()
-{
-    RegistryTiming timing;
-    timing.leases.leaseDuration = { 3500 };
-    timing.leases.leaseDurationOnLeaderClock = { 3820 };
-    timing.ranges.heartbeatInterval = { heartbeatInterval };
-    return timing;
-}
-
-std::shared_ptr<const SiteConfiguration> testConfiguration()
-{
-    auto configuration = std::make_shared<SiteConfiguration>();
-    configuration->version = 1;
-    configuration->services[service].keyed = true;
-    return configuration;
-}
-
-/** A lease of an upstream, with the time until it expires by the clock of the upstream. */
-struct LeasedRange
-{
-    RangeLease lease;
-    double remainingMs = 0.0;
-};
-
 /** A simulated upstream that follows the heartbeat protocol. Its clock runs 2% slow. */
 struct TestUpstream
 {
@@ -46,7 +18,7 @@
     HostAddress address;
     std::uint64_t sequence = 0;
     std::int64_t nextHeartbeat = 0;
-    std::vector<LeasedRange> leased;
+    LeasedRanges leased;
     std::vector<RangeRelease> released;
     std::map<FencingToken, bool> seen;
     std::int64_t frozenUntil = 0;
@@ -64,14 +36,6 @@
     HeartbeatResponse response;
 };
 
-/** Commands that the leader has proposed and the group has not committed yet. */
-struct PendingCommands
-{
-    std::int64_t committedAt = 0;
-    std::vector<RegistryCommand> commands;
-    std::function<void()> done;
-};
-
 enum class FaultKind { Freeze, Crash, Restart, NewLeader, DropResponses, Drain };
 
 struct SiteFault
@@ -94,8 +58,8 @@
 public:
     /** Commands are committed @p commitSteps after they were proposed. */
     explicit SiteSimulation(int commitSteps = 0)
-        : commitDelay(commitSteps * step)
-        , manager(std::make_unique<RegistryManager>(this->state, testTiming()))
+        : pending(commitSteps * step)
+        , manager(std::make_unique<RegistryManager>(this->state, simulatedTiming()))
     {
         this->newLeader();
         for (int i = 0; i < 5; ++i) {
@@ -141,10 +105,7 @@
             break;
         case FaultKind::NewLeader:
             // The commands that the old leader has proposed are committed by the new one, or lost.
-            if (fault.duration % 2 == 0) {
-                this->commitPending(this->now + this->commitDelay);
-            }
-            this->pending.clear();
+            this->pending.endTerm(fault.duration % 2 == 0, this->state, *this->manager, this->now);
             this->newLeader();
             break;
         case FaultKind::DropResponses:
@@ -156,26 +117,20 @@
         }
     }
 
-    std::string violation() const { return this->violationFound; }
+    std::string violation() const { return this->ownership.violation(); }
 
     std::uint32_t leasedKeys() const
     {
         std::uint32_t keys = 0;
-        for (const TestUpstream &upstream : this->upstreams) {
-            for (const LeasedRange &leased : upstream.leased) {
-                keys += leased.lease.range.size();
-            }
+        for (const auto &upstream : this->upstreams) {
+            keys += keysIn(upstream.leased);
         }
         return keys;
     }
 
     std::uint32_t keysOf(int number) const
     {
-        std::uint32_t keys = 0;
-        for (const LeasedRange &leased : this->upstreams[static_cast<std::size_t>(number)].leased) {
-            keys += leased.lease.range.size();
-        }
-        return keys;
+        return keysIn(this->upstreams[static_cast<std::size_t>(number)].leased);
     }
 
 private:
@@ -187,36 +142,23 @@
 
     void commit(const std::vector<RegistryCommand> &commands, std::function<void()> done)
     {
-        this->pending.push_back({ this->now + this->commitDelay, commands, std::move(done) });
-        this->commitPending(this->now);
-    }
-
-    void commitPending(std::int64_t until)
-    {
-        while (!this->pending.empty() && this->pending.front().committedAt <= until) {
-            const PendingCommands batch = std::move(this->pending.front());
-            this->pending.pop_front();
-            for (const RegistryCommand &command : batch.commands) {
-                this->state.apply(command);
-                this->manager->onCommandEnded(command);
-            }
-            batch.done();
-        }
+        this->pending.propose(commands, std::move(done), this->now);
+        this->pending.commit(this->state, *this->manager, this->now);
     }
 
     void newLeader()
     {
-        this->manager = std::make_unique<RegistryManager>(this->state, testTiming());
-        this->manager->setConfiguration(testConfiguration());
+        this->manager = std::make_unique<RegistryManager>(this->state, simulatedTiming());
+        this->manager->setConfiguration(simulatedConfiguration(service, LeaseDelivery::Heartbeat));
         this->manager->startTerm(this->time());
     }
 
     void stepOnce()
     {
-        this->commitPending(this->now);
+        this->pending.commit(this->state, *this->manager, this->now);
         this->deliver();
         for (TestUpstream &upstream : this->upstreams) {
-            this->expire(upstream);
+            expireLeases(upstream.leased); // also while the upstream is frozen
             if (this->isRunning(upstream) && this->now >= upstream.nextHeartbeat) {
                 this->sendHeartbeat(upstream);
             }
@@ -225,16 +167,6 @@
         this->check();
     }
 
-    // The clock that measures leases runs slow, and continues while an upstream is frozen.
-    void expire(TestUpstream &upstream)
-    {
-        for (LeasedRange &leased : upstream.leased) {
-            leased.remainingMs -= step * 0.98;
-        }
-        std::erase_if(upstream.leased,
-                      [](const LeasedRange &leased) { return leased.remainingMs <= 0.0; });
-    }
-
     void sendHeartbeat(TestUpstream &upstream)
     {
         upstream.nextHeartbeat = this->now + heartbeatInterval;
@@ -291,10 +223,10 @@
     {
         const double timeLeft = static_cast<double>(inTransit.response.leaseDuration.count)
                                 - static_cast<double>(this->now - inTransit.sentAt);
-        std::vector<LeasedRange> leased;
+        LeasedRanges leased;
         for (const RangeLease &lease : inTransit.response.leases) {
             leased.push_back({ lease, timeLeft });
-            this->recordFence(lease, upstream);
+            this->ownership.recordLease(lease, upstream.incarnation);
         }
         upstream.released.clear();
         bool released = false;
@@ -308,52 +240,29 @@
                 released = true;
             }
         }
-        upstream.leased = timeLeft > 0.0 ? leased : std::vector<LeasedRange> {};
+        upstream.leased = timeLeft > 0.0 ? leased : LeasedRanges {};
         if (released) {
             upstream.nextHeartbeat = std::min(upstream.nextHeartbeat, this->now + 5 * step);
         }
     }
 
-    // A key that moves to another incarnation must get a higher fencing token, so two incarnations
-    // never have the same one.
-    void recordFence(const RangeLease &lease, const TestUpstream &upstream)
-    {
-        const auto [entry, isNew]
-                = this->fenceOwners.try_emplace(lease.fence, upstream.incarnation);
-        if (!isNew && entry->second != upstream.incarnation) {
-            this->violationFound
-                    = "two incarnations were granted fencing token " + std::to_string(lease.fence);
-        }
-    }
-
     void check()
     {
-        std::vector<std::pair<KeyRange, std::size_t>> all;
-        for (std::size_t i = 0; i < this->upstreams.size(); ++i) {
-            for (const LeasedRange &leased : this->upstreams[i].leased) {
-                all.emplace_back(leased.lease.range, i);
-            }
-        }
-        std::sort(all.begin(), all.end());
-        for (std::size_t i = 1; i < all.size(); ++i) {
-            if (all[i - 1].first.overlaps(all[i].first) && all[i - 1].second != all[i].second) {
-                this->violationFound = "two upstreams have a lease on key "
-                                       + std::to_string(all[i].first.from) + " at "
-                                       + std::to_string(this->now);
-            }
+        std::vector<const LeasedRanges *> all;
+        for (const auto &upstream : this->upstreams) {
+            all.push_back(&upstream.leased);
         }
+        this->ownership.check(all, this->now);
     }
 
     std::int64_t now = 1000000;
     std::int64_t droppingUntil = 0;
-    std::int64_t commitDelay;
-    std::deque<PendingCommands> pending;
+    PendingCommands pending;
     RegistryState state;
     std::unique_ptr<RegistryManager> manager;
     std::vector<TestUpstream> upstreams;
     std::deque<ResponseInTransit> responses;
-    std::map<FencingToken, UpstreamIncarnation> fenceOwners;
-    std::string violationFound;
+    OwnershipCheck ownership;
 };
 
 } // namespace
@@ -450,7 +359,7 @@
 TEST(RegistryManager, ignoresHeartbeatsOfStoppedIncarnations)
 {
     RegistryState state;
-    RegistryManager manager(state, testTiming());
+    RegistryManager manager(state, simulatedTiming());
     manager.startTerm({ 1000 });
     UpstreamReport report;
     report.incarnation = { "i-1", 50 };
