--- a/tests/process/test_replica.cpp
+++ b/tests/process/test_replica.cpp
@@ -162,6 +162,30 @@
     EXPECT_TRUE(group.isCommitted(before));
 }
 
+// Guards against a group that refuses changes to the end of the day after the disk of each member
+// was full for a while, one after the other, although all have room again.
+TEST(Replica, commitsAfterEachDiskWasFullInTurn)
+{
+    ReplicaGroup group({});
+    std::vector<std::string> acknowledged { commitCommands(group, "a", 5) };
+    for (int slot = 0; slot < ReplicaGroup::size; ++slot) {
+        group.fillDisk(slot);
+        acknowledged.push_back(commitCommands(group, "full" + std::to_string(slot), 5));
+        group.run(1000);
+        group.freeDisk(slot);
+        // The member opens its folder again, as after a start.
+        group.crash(slot);
+        group.start(slot);
+        ASSERT_TRUE(group.runUntil([&] { return group.isRepaired(); })) << slot;
+    }
+    acknowledged.push_back(commitCommands(group, "b", 5));
+    ASSERT_TRUE(group.runUntil(
+            [&] { return isCommittedOnAll(group, group.replica(group.leader())->commitIndex()); }));
+    for (const std::string &command : acknowledged) {
+        EXPECT_TRUE(group.isCommitted(command)) << command;
+    }
+}
+
 // Guards against a backup of the folder from the current run, which lacks acknowledged entries.
 TEST(Replica, leaderDetectsAStaleCopyFromTheSameRun)
 {
