--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -19,6 +19,8 @@
 import time
 import tomllib
 
+from relay import Relay
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "rev.example"
 HEARTBEAT_S = 0.87  # beat_ms of the site file
@@ -100,6 +102,7 @@
         self.site, self.role, self.number = site, role, number
         self.name = f"{'core' if role == 'registry' else 'front'}-{number}"
         self.ip = f"{site.net}.{1 if role == 'registry' else 2}.{number}"
+        self.bind_ip = self.ip.replace(".1.", ".4.") if site.relayed and role == "registry" else self.ip
         self.zone = ZONES[(number - 1) % len(ZONES)]
         self.process = None
         self.settings = site.folder / f"{self.name}.ini"
@@ -120,6 +123,8 @@
         text = render((ROOT / deploy["template"]).read_text(), fields)
         # The metrics port is the same on all machines; here the machines share one.
         text = text.replace("metrics-port = 9464", f"metrics-port = {site.port('metrics')}")
+        if self.bind_ip != self.ip:  # a relay listens at the address that the others know
+            text = text.replace(f"ip = {self.ip}\n", f"ip = {self.ip}\nbind-ip = {self.bind_ip}\n", 1)
         self.settings.write_text(text)
 
     def start(self):
@@ -445,8 +450,10 @@
 
     PORTS = ("internal", "control", "front", "readiness", "metrics", "server")
 
-    def __init__(self, record, cores=5, fronts=3, tolerated=2):
+    def __init__(self, record, cores=5, fronts=3, tolerated=2, relayed=False):
         self.record = record
+        self.relayed = relayed  # the connections to the core go through relays
+        self.relays = []
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         program = ROOT / self.deploy["roles"]["gateway"]["run"].split(" ")[0]
         if not program.exists():
@@ -454,7 +461,7 @@
         self.net = f"127.{random.randrange(20, 250)}"
         self.tolerated = tolerated
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cassiaroad-review-"))
-        ips = [f"{self.net}.{a}.{n}" for a in (1, 2, 3) for n in range(1, 7)]
+        ips = [f"{self.net}.{a}.{n}" for a in (1, 2, 3, 4) for n in range(1, 9)]
         self.base = free_base_port(ips, len(self.PORTS))
         self.cores = [Node(self, "registry", n) for n in range(1, cores + 1)]
         self.fronts = [Node(self, "gateway", n) for n in range(1, fronts + 1)]
@@ -504,6 +511,14 @@
             node.write_settings(True)
             node.start()
 
+    async def start_relays(self):
+        """Puts a relay in front of each listener of the core. Before start_nodes()."""
+        for node in self.cores:
+            for port in (self.port("internal"), self.port("control")):
+                relay = Relay(f"{node.ip}:{port}", f"{node.bind_ip}:{port}")
+                await relay.start()
+                self.relays.append(relay)
+
     async def settle(self):
         """Waits until the programs have started and are past their bootstrap."""
         await asyncio.sleep(1.5)
@@ -530,6 +545,8 @@
             task.cancel()
         for server in self.servers:
             server.stop()
+        for relay in self.relays:
+            relay.stop()
         for node in self.cores + self.fronts:
             node.end()
             node.log.close()
