--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -550,8 +550,7 @@
         for node in self.cores + self.fronts:
             node.end()
             node.log.close()
-        if not pathlib.Path("/tmp/keep-review-logs").exists():
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(prefix, kind, service, timeout_s=1.5, attempts=2):
@@ -569,6 +568,7 @@
 def main(folder, play):
     """Runs `play(record)`, which returns whether the rule held, and exits as the issue says."""
     record = Record(pathlib.Path(folder) / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # play() ends what it has started
     try:
         held = asyncio.run(asyncio.wait_for(play(record), 110))
         code, text = (0, "the rule held") if held else (1, "the rule was broken")
