gateway: Show what upstreams say of themselves, repeats and the age of the configuration

Before: neither header of a response was read. After: event upstream_notice; counter cassiaroad_gateway_repeats_total; gauges cassiaroad_gateway_update_age_seconds and cassiaroad_gateway_budget_gateways. Conclusion: nothing is decided by them yet.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -78,6 +78,9 @@
     this->crashes.applyUpdate(update, this->loop.now());
     this->routing.trafficShare = update.trafficShare;
     this->routing.gateways = update.gateways;
+    if (this->routing.version() >= update.version) {
+        this->routing.confirmedAt = confirmedAt;
+    }
     // The table of a leader of an earlier term has a lower tag and is ignored.
     const bool hasNewTable = this->updateRoutingTable(update);
     if (this->routing.tableTag == update.tableTag) {
@@ -327,6 +330,28 @@
     }
 }
 
+void GatewayCore::recordNotice(GatewayUpstream &upstream, const UpstreamNotice &notice)
+{
+    if (!notice.isLeaving && !notice.pause) {
+        return;
+    }
+    this->log.write({ "upstream_notice",
+                      Event::Weight::Important,
+                      { { "upstream", upstream.upstream().incarnation.id },
+                        { "leaving", notice.isLeaving },
+                        { "pause_ms", notice.pause ? notice.pause->count : std::int64_t(0) } } });
+}
+
+void GatewayCore::countRepeat(const std::string &service, bool isAllowed)
+{
+    this->metrics
+            .counter("cassiaroad_gateway_repeats_total",
+                     "Repetitions of requests that may have reached an upstream, by service and "
+                     "whether the retry budget allowed them.",
+                     { { "service", service }, { "allowed", isAllowed ? "yes" : "no" } })
+            .Increment();
+}
+
 void GatewayCore::countOutcome(RouteKind kind, const std::string &outcome, Milliseconds total,
                                Milliseconds queuedDuration)
 {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -5,6 +5,7 @@
 #include "gateway/crashguard.h"
 #include "gateway/routingview.h"
 #include "gateway/upstreamchoice.h"
+#include "gateway/upstreamnotice.h"
 #include "process/eventlog.h"
 #include "process/metrics.h"
 #include "process/sitesettings.h"
@@ -102,6 +103,11 @@
     const ExternalCodec &externalCodec() const { return this->codec; }
     EventLog &events() { return this->log; }
 
+    /** Records what @p upstream has told of itself in a response. */
+    void recordNotice(GatewayUpstream &upstream, const UpstreamNotice &notice);
+
+    /** Counts a repetition of a request in the metrics, or one that the budget did not allow. */
+    void countRepeat(const std::string &service, bool isAllowed);
     /** Counts a finished request in the metrics. */
     void countOutcome(RouteKind kind, const std::string &outcome, Milliseconds total,
                       Milliseconds queuedDuration);
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -160,6 +160,14 @@
             .gauge("cassiaroad_gateway_table_age_seconds",
                    "Time since the leader last confirmed the routing table.")
             .Set(static_cast<double>((this->loop.now() - view.tableConfirmedAt).count) / 1000.0);
+    this->metrics
+            .gauge("cassiaroad_gateway_update_age_seconds",
+                   "Time since the leader last confirmed the configuration.")
+            .Set(static_cast<double>((this->loop.now() - view.confirmedAt).count) / 1000.0);
+    this->metrics
+            .gauge("cassiaroad_gateway_budget_gateways",
+                   "Gateways among which the fixed part of the retry budget is divided.")
+            .Set(view.gateways);
     this->metrics.gauge("cassiaroad_gateway_connections", "Open connections of clients.")
             .Set(static_cast<double>(this->callers.connectionCount()));
     updateLogGauges(this->metrics, this->log);
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -375,9 +375,9 @@
     this->sentAt = this->core.eventLoop().now();
     this->call = this->core.client().send(
             this->target->upstream().address, this->buildRequest(), maxResponseBytes,
-            [weak = this->weak_from_this(), number](HttpResult result) {
+            [weak = this->weak_from_this(), number, upstream = this->target](HttpResult result) {
                 if (const auto request = weak.lock(); request && !request->ended) {
-                    request->onResult(number, std::move(result));
+                    request->onResult(number, *upstream, std::move(result));
                 }
             },
             [this] { return this->canWrite(); });
@@ -467,9 +467,10 @@
     return false;
 }
 
-void GatewayRequest::onResult(std::uint32_t attempt, HttpResult result)
+void GatewayRequest::onResult(std::uint32_t attempt, GatewayUpstream &upstream, HttpResult result)
 {
     const WorkMeter::Scope scope(this->core.eventLoop().workMeter(), Work::Requests);
+    this->recordNotice(upstream, result);
     if (this->slowCall && attempt == this->slowAttempt) {
         this->onSlowResult(std::move(result));
         return;
@@ -483,6 +484,15 @@
     this->onFailure(std::get<HttpFailure>(result));
 }
 
+// Records what the response, if it is one, tells of the upstream itself.
+void GatewayRequest::recordNotice(GatewayUpstream &upstream, const HttpResult &result)
+{
+    if (const auto *response = std::get_if<HttpResponse>(&result)) {
+        const ExternalHeaders &names = this->core.externalCodec().headers();
+        this->core.recordNotice(upstream, readNotice(*response, names));
+    }
+}
+
 // The slow attempt has ended before its repetition was written.
 void GatewayRequest::onSlowResult(HttpResult result)
 {
@@ -672,7 +682,9 @@
     if (!this->keyed && this->attempts.reachedCount() >= this->route->attempts) {
         return false;
     }
-    return this->core.budget(this->service).take(this->core.eventLoop().now());
+    const bool isTaken = this->core.budget(this->service).take(this->core.eventLoop().now());
+    this->core.countRepeat(this->service, isTaken);
+    return isTaken;
 }
 
 void GatewayRequest::repeatAfter(Milliseconds delay, const std::string &reason)
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -42,7 +42,8 @@
     void checkCall();
     bool shouldRepeat(Milliseconds elapsed) const;
     bool canRepeatAtOwner();
-    void onResult(std::uint32_t attempt, HttpResult result);
+    void onResult(std::uint32_t attempt, GatewayUpstream &upstream, HttpResult result);
+    void recordNotice(GatewayUpstream &upstream, const HttpResult &result);
     void onSlowResult(HttpResult result);
     void waitForSlowCall();
     bool canWrite();
--- a/src/version/externalcodec.h
+++ b/src/version/externalcodec.h
@@ -22,6 +22,7 @@
     std::string key; // number of the request's key
     std::string baseVersion; // configuration version that a new configuration is based on
     std::string handover; // of a released range; empty: calls deliver no leases
+    std::string upstreamLeaving; // "1" in each response of an upstream that shuts down soon
 
     bool operator==(const ExternalHeaders &) const = default;
 };
