--- a/tools/soak.py
+++ b/tools/soak.py
@@ -262,12 +262,14 @@
             self.next_id += 1
             request_id = f"r{self.next_id:07d}"
             method, path = self.random.choice([("GET", "/read/x"), ("POST", "/order/x")])
-            status, _, text = await connection.send(
+            self.checks.record_sent(request_id, gateway.name)
+            status, headers, text = await connection.send(
                 method, path, "abc",
                 {"X-Cassiaroad-Request-Id": request_id, "X-Cassiaroad-Deadline-Ms": "1500",
                  "X-Cassiaroad-Shard-Key": str(self.random.randrange(65536))}, 3.0)
             if not keeps_connection:
                 connection.close()
+            self.checks.record_response(request_id, headers)
             self.outcomes.append((time.monotonic(), status == 200))
             if status == 200:
                 self.counts["served"] += 1
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -10,6 +10,9 @@
 import time
 
 HEARTBEAT_S = 0.5
+DRAIN_S = 2.5  # after which a gateway that has passed on that an upstream leaves sends it nothing
+PAUSE_BEGIN_S = 0.5  # time in which requests that are on their way may still arrive
+MAX_ARRIVALS_IN_PAUSE = 2
 
 
 class Checks:
@@ -20,6 +23,62 @@
         self.violations = []
         self.runs = {}  # request id -> number of runs
         self.refused = set()  # ids of requests whose response says that they were not run
+        self.sent = {}  # request id -> (gateway, time at which its caller sent it)
+        self.leaving = {}  # (gateway, upstream) -> time of the first response that said so
+        self.pauses = {}  # (gateway, upstream) -> [start, end, arrivals] of the latest pause
+        self.arrivals = []  # (time, request id) of every request that reached an upstream
+
+    def record_sent(self, request_id, gateway):
+        """Records that a caller sends a request to a gateway."""
+        self.sent[request_id] = (gateway, time.monotonic())
+
+    def record_response(self, request_id, headers):
+        """Records what the response to a caller tells of its upstream."""
+        upstream = headers.get("x-cassiaroad-instance-id")
+        if headers.get("server-leaving") == "1" and upstream:
+            gateway, _ = self.sent[request_id]
+            self.leaving.setdefault((gateway, upstream), time.monotonic())
+
+    def forget_gateway(self, gateway):
+        """The gateway restarts or stands still: it need not remember what upstreams have said."""
+        for known in (self.leaving, self.pauses):
+            for key in [key for key in known if key[0] == gateway]:
+                del known[key]
+
+    def record_arrival(self, request_id, upstream, is_misdirected):
+        """Records that a request has reached an upstream, and checks that it may have."""
+        now = time.monotonic()
+        self.arrivals.append((now, request_id))
+        gateway, sent_at = self.sent.get(request_id, (None, now))
+        left_at = self.leaving.get((gateway, upstream))
+        if left_at is not None and sent_at > left_at + DRAIN_S and not is_misdirected:
+            self.violations.append(
+                f"{upstream} got {request_id}, which was sent {sent_at - left_at:.2f} s after "
+                f"{gateway} had passed on that the upstream leaves")
+        pause = self.pauses.get((gateway, upstream))
+        if pause is not None and pause[0] <= now <= pause[1]:
+            pause[2] += 1
+            if pause[2] > MAX_ARRIVALS_IN_PAUSE:
+                self.violations.append(f"{upstream} got {request_id} of {gateway}, the request "
+                                       f"number {pause[2]} in its pause")
+
+    def record_pause(self, request_id, upstream, seconds):
+        """Records that an upstream has asked a gateway for a pause."""
+        now = time.monotonic()
+        gateway, _ = self.sent.get(request_id, (None, now))
+        start, end, arrivals = self.pauses.get((gateway, upstream), [now + PAUSE_BEGIN_S, 0, 0])
+        if now > end:
+            start, arrivals = now + PAUSE_BEGIN_S, 0
+        self.pauses[(gateway, upstream)] = [start, max(end, now + seconds), arrivals]
+
+    def count_repeats(self, start, end):
+        """Number of arrivals between two times beyond the first of each request."""
+        seen, repeats = set(), 0
+        for at, request_id in self.arrivals:
+            if start <= at < end and request_id in seen:
+                repeats += 1
+            seen.add(request_id)
+        return repeats
 
     def record_run(self, request_id, idempotent):
         """Records that an upstream runs a request; only an idempotent one may run more than
@@ -63,6 +122,8 @@
         self.seen_fences = []  # [first key, last key, fencing token] of all grants
         self.running_keys = []  # of the requests in progress
         self.crashes_under = None  # bytes in the body of a request under which it crashes
+        self.says_leaving = False  # says in each response that it leaves; heartbeats do not
+        self.pause_s = None  # turns each request away and asks for a pause; 0: without a pause
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -105,6 +166,8 @@
                 if self.drops_responses or not self.up:
                     return
                 extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
+                extra += "Server-Leaving: 1\r\n" if self.says_leaving else ""
+                extra += f"Retry-After: {self.pause_s}\r\n" if status == 503 and self.pause_s else ""
                 writer.write(f"HTTP/1.1 {status} S\r\nContent-Length: {len(text)}\r\n{extra}"
                              f"X-Cassiaroad-Instance-Id: {self.name}\r\n"
                              f"X-Cassiaroad-Server-Load: 1,0,6\r\nX-Cassiaroad-Request-Id: "
@@ -175,9 +238,15 @@
         """Runs a request, or refuses it if it is for another upstream or a key without a lease.
         Returns the status and the body of the response."""
         key = int(headers.get("x-cassiaroad-shard-key", "-1"))
-        if headers.get("x-cassiaroad-expect-instance") != self.name or not self.has_lease(key):
-            return 421, ""
         request_id = headers["x-cassiaroad-request-id"]
+        is_misdirected = (headers.get("x-cassiaroad-expect-instance") != self.name
+                          or not self.has_lease(key))
+        self.checks.record_arrival(request_id, self.name, is_misdirected)
+        if is_misdirected:
+            return 421, ""
+        if self.pause_s is not None:
+            self.checks.record_pause(request_id, self.name, self.pause_s)
+            return 503, ""
         self.checks.record_run(request_id, method == "GET")
         self.check_single_owner(key)
         if self.crashes_under and self.crashes_under in body:
