gateway, registry: Stop requests to upstreams that say in their responses that they leave

Cause: a gateway learned that an upstream leaves from the routing table alone, which follows heartbeats and deregistrations. A gateway treats the upstream as leaving from that response on and reports it; the leader commits it, so its keys move, and gateways and leaders that start later know it too. A commit that it drains cannot bring back an upstream that has deregistered. Conclusion: the statement binds where it arises, in the answer, and lasts in the replicated state.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -209,6 +209,9 @@
     }
     this->crashes.fillReport(report, this->loop.now());
     for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream->isLeavingUnlisted()) {
+            report.leaving.push_back(upstream->upstream().incarnation);
+        }
         UpstreamTiming timing = upstream->takeTiming();
         if (timing.requests > 0) {
             report.timings.push_back(std::move(timing));
@@ -229,8 +232,7 @@
     GatewayUpstreams candidates;
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteUpstream &known = upstream->upstream();
-        if (known.service == service && known.phase == UpstreamPhase::Ready
-            && !upstream->isReplaced()
+        if (known.service == service && !upstream->isLeaving() && !upstream->isReplaced()
             && std::find(tried.begin(), tried.end(), id) == tried.end()) {
             candidates.push_back(upstream);
         }
@@ -340,6 +342,9 @@
                       { { "upstream", upstream.upstream().incarnation.id },
                         { "leaving", notice.isLeaving },
                         { "pause_ms", notice.pause ? notice.pause->count : std::int64_t(0) } } });
+    if (notice.isLeaving) {
+        upstream.recordLeaving(this->loop.now());
+    }
 }
 
 void GatewayCore::countRepeat(const std::string &service, bool isAllowed)
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -217,7 +217,7 @@
     if (this->keyed) {
         return this->findOwner() == this->target;
     }
-    return this->target->upstream().phase == UpstreamPhase::Ready && !this->target->isReplaced();
+    return !this->target->isLeaving() && !this->target->isReplaced();
 }
 
 // Whether upstreams have crashed under requests like this one, so that it must not be sent.
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -89,7 +89,26 @@
 
 bool GatewayUpstream::hasLeft(TimePoint now, Milliseconds drainPeriod) const
 {
-    return this->leavingSince && now - *this->leavingSince > drainPeriod - lastRequestMargin;
+    const TimePoint lastLeave = now - (drainPeriod - lastRequestMargin);
+    return (this->leavingSince && *this->leavingSince < lastLeave)
+           || (this->saidLeavingAt && *this->saidLeavingAt < lastLeave);
+}
+
+void GatewayUpstream::recordLeaving(TimePoint now)
+{
+    if (!this->saidLeavingAt) {
+        this->saidLeavingAt = now;
+    }
+}
+
+bool GatewayUpstream::isLeaving() const
+{
+    return this->saidLeavingAt || this->routed.upstream.phase != UpstreamPhase::Ready;
+}
+
+bool GatewayUpstream::isLeavingUnlisted() const
+{
+    return this->saidLeavingAt && this->routed.upstream.phase == UpstreamPhase::Ready;
 }
 
 void GatewayUpstream::setShare(double trafficShare, double roundingOffset)
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -47,6 +47,12 @@
      * @p drainPeriod is how long upstreams serve after an announcement.
      */
     bool hasLeft(TimePoint now, Milliseconds drainPeriod) const;
+    /** Records that it has said in a response that it leaves. It cannot take that back. */
+    void recordLeaving(TimePoint now);
+    /** Whether it leaves, as the routing table tells or as it has said itself. */
+    bool isLeaving() const;
+    /** Whether it has said that it leaves, and the routing table does not tell so. */
+    bool isLeavingUnlisted() const;
     /**
      * Sets the share of the upstream's slots that this gateway may use. It is rounded down after
      * @p roundingOffset is added. The offsets, from 0 to 1, differ between gateways, so that the
@@ -108,6 +114,7 @@
     TimePoint suspectedUntil;
     bool replaced = false;
     std::optional<TimePoint> leavingSince; // it announced its shutdown then or later
+    std::optional<TimePoint> saidLeavingAt; // its first response that said so arrived then
     UpstreamTiming timing;
 };
 
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -469,7 +469,11 @@
         return GatewayWatchReply(this->group.hint());
     }
     this->watchLoad.countCall();
-    this->manager.onGatewayReport(report, this->loop.now());
+    const std::vector<RegistryCommand> commands
+            = this->manager.onGatewayReport(report, this->loop.now());
+    if (!commands.empty()) {
+        this->commit(commands, [](bool, PutOutcome) {});
+    }
     if (!report.broken.empty() || !report.answered.empty()) {
         this->notifyGateways();
     }
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -71,6 +71,7 @@
     this->gateways.clear();
     this->crashes = CrashLedger(); // gateways report again what an earlier leader knew
     this->removing.clear();
+    this->leaving.clear();
 }
 
 void RegistryManager::setConfiguration(std::shared_ptr<const SiteConfiguration> value)
@@ -319,7 +320,27 @@
     return { SetUpstreamPhase { known.incarnation, UpstreamPhase::Gone } };
 }
 
-void RegistryManager::onGatewayReport(const GatewayReport &report, TimePoint now)
+// Returns the commands for upstreams that gateways have seen leaving.
+std::vector<RegistryCommand> RegistryManager::leaveCommands(
+        const std::vector<UpstreamIncarnation> &seen, TimePoint now)
+{
+    std::vector<RegistryCommand> commands;
+    for (const UpstreamIncarnation &incarnation : seen) {
+        const SiteUpstream *known = this->state.find(incarnation);
+        if (known == nullptr || known->phase != UpstreamPhase::Ready
+            || !this->leaving.insert(incarnation).second) {
+            continue;
+        }
+        if (RangeSupervisor *keyed = this->supervisor(known->service)) {
+            keyed->recordLeaving(incarnation, now);
+        }
+        commands.emplace_back(SetUpstreamPhase { incarnation, UpstreamPhase::Draining });
+    }
+    return commands;
+}
+
+std::vector<RegistryCommand> RegistryManager::onGatewayReport(const GatewayReport &report,
+                                                              TimePoint now)
 {
     for (const KeyRequestCount &key : report.keys) {
         if (RangeSupervisor *keyed = this->supervisor(key.service)) {
@@ -345,6 +366,7 @@
         const double weight = std::min(1.0, seconds / loadSmoothingSeconds);
         load.requests += (report.requests / seconds - load.requests) * weight;
     }
+    return this->leaveCommands(report.leaving, now);
 }
 
 std::vector<SuspectRequest> RegistryManager::suspects(TimePoint now)
@@ -401,6 +423,9 @@
             }
         }
     }
+    if (const auto *change = std::get_if<SetUpstreamPhase>(&command)) {
+        this->leaving.erase(change->incarnation);
+    }
     if (const auto *removal = std::get_if<RemoveSiteUpstream>(&command)) {
         this->removing.erase(removal->incarnation);
         if (this->state.find(removal->incarnation) == nullptr) {
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -80,8 +80,11 @@
      */
     std::vector<RegistryCommand> onLeave(const UpstreamIncarnation &incarnation, TimePoint now);
 
-    /** Adds the load and the broken attempts that a gateway has reported. */
-    void onGatewayReport(const GatewayReport &report, TimePoint now);
+    /**
+     * Adds the load and the broken attempts that a gateway has reported. Returns the commands for
+     * the upstreams that it has seen leaving.
+     */
+    std::vector<RegistryCommand> onGatewayReport(const GatewayReport &report, TimePoint now);
 
     /** Returns the requests under which upstreams may have crashed; see CrashLedger::suspects(). */
     std::vector<SuspectRequest> suspects(TimePoint now);
@@ -122,6 +125,8 @@
     void addRegistration(const UpstreamReport &report, std::vector<RegistryCommand> &commands);
     void addRemovals(TimePoint now, std::vector<RegistryCommand> &commands);
     bool ownsRange(const SiteUpstream &upstream) const;
+    std::vector<RegistryCommand> leaveCommands(const std::vector<UpstreamIncarnation> &seen,
+                                               TimePoint now);
 
     const RegistryState &state;
     RegistryTiming timing;
@@ -134,6 +139,7 @@
     std::map<std::string, GatewayLoad> gateways;
     CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
+    std::set<UpstreamIncarnation> leaving; // as above, that they leave; reported by gateways
     std::uint64_t firstLeases = 0; // responses with a lease that was the first on its range
 };
 
--- a/src/version/registrystate.cpp
+++ b/src/version/registrystate.cpp
@@ -133,7 +133,8 @@
 {
     const auto known = this->upstreamMap.find(command.incarnation.id);
     if (known != this->upstreamMap.end() && known->second.incarnation == command.incarnation) {
-        known->second.phase = command.phase;
+        // A late report that it drains does not bring back an upstream that has deregistered.
+        known->second.phase = std::max(known->second.phase, command.phase);
     }
 }
 
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -58,6 +58,9 @@
               { "tableTag", report.tableTag }, { "version", report.version },
               { "requests", report.requests }, { "keys", report.keys },
               { "timings", report.timings } };
+    if (!report.leaving.empty()) {
+        value["leaving"] = report.leaving;
+    }
     if (!report.broken.empty()) {
         value["broken"] = report.broken;
     }
@@ -78,6 +81,7 @@
     value.at("requests").get_to(report.requests);
     value.at("keys").get_to(report.keys);
     value.at("timings").get_to(report.timings);
+    report.leaving = value.value("leaving", std::vector<UpstreamIncarnation>());
     report.broken = value.value("broken", std::vector<BrokenAttempt>());
     report.answered = value.value("answered", std::vector<RequestDigest>());
     report.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -40,6 +40,8 @@
     std::uint32_t requests = 0; // since the previous report
     std::vector<KeyRequestCount> keys;
     std::vector<UpstreamTiming> timings;
+    // Upstreams that have said in a response that they leave, and are ready in the routing table.
+    std::vector<UpstreamIncarnation> leaving;
     std::vector<BrokenAttempt> broken; // that no leader has confirmed yet
     std::vector<RequestDigest> answered; // suspect requests that an upstream has answered since
     std::uint64_t suspectsTag = 0; // of the leader's suspect requests that it received last
--- a/tests/gateway/test_leavingupstreams.cpp
+++ b/tests/gateway/test_leavingupstreams.cpp
@@ -4,6 +4,32 @@
 
 using namespace cassiaroad;
 
+namespace {
+
+// Long enough that the last request before the end of a drain period of this length is not refused.
+constexpr Milliseconds shortDrainPeriod { 1000 };
+
+/** Upstreams that say in each response that they leave; counts the requests that reach them. */
+class LeavingUpstreamTest : public GatewayRequestTest
+{
+protected:
+    LeavingUpstreamTest() { this->settings.bounds.drainPeriod = shortDrainPeriod; }
+
+    void serveLeaving()
+    {
+        this->serve([this](FakePeer::Connection &connection) {
+            ++this->requests;
+            const std::string received = std::exchange(connection.received, {});
+            connection.write(withRequestId(received, "HTTP/1.1 200 OK\r\nx-leaving: 1\r\n")
+                             + "content-length: 0\r\n\r\n");
+        });
+    }
+
+    int requests = 0;
+};
+
+} // namespace
+
 // Guards against sending requests to the address of a stopped upstream until their deadline: a 421
 // response of the new upstream at this address must end the use of the previous one.
 TEST_F(GatewayRequestTest, stopsUsingAnUpstreamWhoseAddressWasTakenOver)
@@ -59,3 +85,56 @@
     const auto client = this->request("GET", "/read/1");
     EXPECT_TRUE(waitUntil(this->loop, [&] { return !this->peer->connections.empty(); }));
 }
+
+// Guards against requests to an upstream whose own responses have said that it leaves for longer
+// than its drain period, while the routing table tells that it is ready.
+TEST_F(LeavingUpstreamTest, sendsNothingToAnUpstreamThatHasSaidThatItLeaves)
+{
+    this->serveLeaving();
+    const auto first = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    runFor(this->loop, shortDrainPeriod);
+    this->publish(RangePhase::Owned);
+    const auto late = this->request("POST", "/order/1", "2000", "r2");
+    EXPECT_TRUE(this->waitForResponse(*late, "HTTP/1.1 503"));
+    EXPECT_EQ(this->requests, 1);
+}
+
+// Guards against new work for an upstream that leaves, although no key binds the request to it.
+TEST_F(LeavingUpstreamTest, choosesNoLeavingUpstreamForRequestsWithoutKey)
+{
+    this->serveLeaving();
+    const auto first = this->request("POST", "/file/1");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    const auto next = this->request("POST", "/file/1", "2000", "r2");
+    EXPECT_TRUE(this->waitForResponse(*next, "HTTP/1.1 503"));
+    EXPECT_EQ(this->requests, 1);
+}
+
+// Guards against keys that stay with a leaving upstream, and against other gateways that do not
+// hear of it: the leader is told until its routing table shows it.
+TEST_F(LeavingUpstreamTest, reportsAnUpstreamThatLeavesUntilTheTableTellsSo)
+{
+    this->serveLeaving();
+    EXPECT_TRUE(this->core.takeReport().leaving.empty());
+    const auto client = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200"));
+    const std::vector<UpstreamIncarnation> expected { { "i-" + keyedService, this->born } };
+    EXPECT_EQ(this->core.takeReport().leaving, expected);
+    EXPECT_EQ(this->core.takeReport().leaving, expected);
+    this->publish(RangePhase::Owned, UpstreamPhase::Draining, this->loop.now());
+    EXPECT_TRUE(this->core.takeReport().leaving.empty());
+}
+
+// Guards against a new incarnation that gets no requests because an earlier one has left.
+TEST_F(LeavingUpstreamTest, sendsRequestsToANewIncarnation)
+{
+    this->serveLeaving();
+    const auto first = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    runFor(this->loop, shortDrainPeriod);
+    ++this->born;
+    this->publish(RangePhase::Owned);
+    const auto next = this->request("POST", "/order/1", "2000", "r2");
+    EXPECT_TRUE(this->waitForResponse(*next, "HTTP/1.1 200"));
+}
--- /dev/null
+++ b/tests/version/test_gatewayreports.cpp
@@ -0,0 +1,59 @@
+#include "leasesimulation.h"
+
+#include <gtest/gtest.h>
+
+using namespace cassiaroad;
+
+namespace {
+
+const std::string service = "ledger";
+
+} // namespace
+
+// Guards against an upstream that keeps its keys, and gets requests of other gateways, after it has
+// said in responses that it leaves.
+TEST(RegistryManager, drainsAnUpstreamThatGatewaysHaveSeenLeaving)
+{
+    RegistryState state;
+    RegistryManager manager(state, simulatedTiming());
+    manager.startTerm({ 1000 });
+    UpstreamReport report;
+    report.incarnation = { "i-1", 50 };
+    report.service = service;
+    report.address = { "10.0.0.1", 80 };
+    report.sequence = 1;
+    for (const RegistryCommand &command : manager.onHeartbeat(report, { 1000 }).commands) {
+        state.apply(command);
+    }
+    GatewayReport seen;
+    seen.gateway = "front-1";
+    seen.leaving = { { "i-1", 40 }, { "i-2", 50 } }; // not known
+    EXPECT_TRUE(manager.onGatewayReport(seen, { 1100 }).empty());
+    seen.leaving = { { "i-1", 50 } };
+    const std::vector<RegistryCommand> commands = manager.onGatewayReport(seen, { 1100 });
+    const RegistryCommand expected = SetUpstreamPhase { { "i-1", 50 }, UpstreamPhase::Draining };
+    ASSERT_EQ(commands, std::vector<RegistryCommand> { expected });
+    EXPECT_TRUE(manager.onGatewayReport(seen, { 1150 }).empty()); // it is being committed
+    state.apply(commands.front());
+    manager.onCommandEnded(commands.front());
+    EXPECT_TRUE(manager.onGatewayReport(seen, { 1200 }).empty());
+    report.sequence = 2; // its heartbeats still tell that it is ready
+    manager.onHeartbeat(report, { 1300 });
+    EXPECT_EQ(state.find({ "i-1", 50 })->phase, UpstreamPhase::Draining);
+}
+
+// Guards against an upstream of which no other gateway hears because the first commit has failed.
+TEST(RegistryManager, proposesALeaveAgainWhoseCommitHasFailed)
+{
+    RegistryState state;
+    RegistryManager manager(state, simulatedTiming());
+    manager.startTerm({ 1000 });
+    state.apply(RegisterSiteUpstream {
+            { { "i-1", 50 }, service, { "10.0.0.1", 80 }, "a", 6, UpstreamPhase::Ready } });
+    GatewayReport seen;
+    seen.leaving = { { "i-1", 50 } };
+    const std::vector<RegistryCommand> commands = manager.onGatewayReport(seen, { 1100 });
+    ASSERT_EQ(commands.size(), 1U);
+    manager.onCommandEnded(commands.front());
+    EXPECT_EQ(manager.onGatewayReport(seen, { 1200 }), commands);
+}
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -87,6 +87,19 @@
     }
 }
 
+// Guards against an upstream that is in use again because a report that it drains, which is older,
+// is committed after its deregistration.
+TEST(RegistryState, doesNotBringBackAnUpstreamThatHasDeregistered)
+{
+    const UpstreamIncarnation incarnation { "i-1", 50 };
+    RegistryState state;
+    state.apply(RegisterSiteUpstream {
+            { incarnation, "s", { "10.0.0.1", 80 }, "a", 6, UpstreamPhase::Ready } });
+    state.apply(SetUpstreamPhase { incarnation, UpstreamPhase::Gone });
+    state.apply(SetUpstreamPhase { incarnation, UpstreamPhase::Draining });
+    EXPECT_EQ(state.find(incarnation)->phase, UpstreamPhase::Gone);
+}
+
 // Guards against a malformed message that stops a control host or a gateway.
 RC_GTEST_PROP(SiteMessages, decodersAcceptAnyBytes, (const std::string &bytes))
 {
@@ -122,6 +135,7 @@
                                  100,
                                  { { "ledger", 7, 3 } },
                                  { { "i-1", 3, 90 } },
+                                 { { "i-2", 60 } },
                                  { { 5, 3, { 20 } } },
                                  { 6, ~RequestDigest(0) },
                                  77 };
