gateway: Send nothing to an upstream in the pause that it has asked for

What callers saw: upstreams that turn requests away and say for how long they want none got requests again at once; the callers' requests waited and were refused late (BUDGET). A refusal counted for the one request that got it. Before: tests/site/test_paused_upstream.py, 686 arrivals beyond the two allowed in each pause. After: the test holds. The gateway keeps the end of the pause for the upstream; requests for its keys wait for a short pause or are refused at once with the time that is left, others go elsewhere, and what waits or connects is asked again before its first byte. Evidence: with the recording of notices switched off, four of the four tests of PausedUpstreamTest and three of the four of LeavingUpstreamTest fail. Conclusion: what a response says of its upstream belongs to the upstream and not to the request.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -226,17 +226,42 @@
     return found == this->upstreams.end() ? nullptr : found->second;
 }
 
-std::shared_ptr<GatewayUpstream> GatewayCore::chooseUpstream(const std::string &service,
-                                                             const std::vector<std::string> &tried)
+// Returns the upstreams of @p service that may get new requests, also those that have asked for a
+// pause.
+GatewayUpstreams GatewayCore::usableUpstreams(const std::string &service,
+                                              const std::vector<std::string> &tried) const
 {
-    GatewayUpstreams candidates;
+    GatewayUpstreams usable;
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteUpstream &known = upstream->upstream();
         if (known.service == service && !upstream->isLeaving() && !upstream->isReplaced()
             && std::find(tried.begin(), tried.end(), id) == tried.end()) {
-            candidates.push_back(upstream);
+            usable.push_back(upstream);
+        }
+    }
+    return usable;
+}
+
+std::optional<Milliseconds> GatewayCore::shortestPause(const std::string &service,
+                                                       const std::vector<std::string> &tried) const
+{
+    std::optional<Milliseconds> shortest;
+    for (const auto &upstream : this->usableUpstreams(service, tried)) {
+        const Milliseconds pause = upstream->pauseLeft(this->loop.now());
+        if (pause > Milliseconds {} && (!shortest || pause < *shortest)) {
+            shortest = pause;
         }
     }
+    return shortest;
+}
+
+std::shared_ptr<GatewayUpstream> GatewayCore::chooseUpstream(const std::string &service,
+                                                             const std::vector<std::string> &tried)
+{
+    GatewayUpstreams candidates = this->usableUpstreams(service, tried);
+    std::erase_if(candidates, [now = this->loop.now()](const auto &upstream) {
+        return upstream->isPaused(now);
+    });
     return chooseBySample(candidates, this->routing.gateways, this->loop.now(), this->random);
 }
 
@@ -345,6 +370,9 @@
     if (notice.isLeaving) {
         upstream.recordLeaving(this->loop.now());
     }
+    if (notice.pause) {
+        upstream.recordPause(*notice.pause, this->loop.now());
+    }
 }
 
 void GatewayCore::countRepeat(const std::string &service, bool isAllowed)
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -52,6 +52,12 @@
      */
     std::shared_ptr<GatewayUpstream> chooseUpstream(const std::string &service,
                                                     const std::vector<std::string> &tried);
+    /**
+     * Returns the time until the first upstream of the service that would be chosen, but has asked
+     * for a pause, may be used again; nothing if there is none.
+     */
+    std::optional<Milliseconds> shortestPause(const std::string &service,
+                                              const std::vector<std::string> &tried) const;
     /** Returns the service of the next request on @p route, by the weights of its services. */
     const std::string &chooseService(const SiteRoute &route);
 
@@ -118,6 +124,8 @@
     void updateConfiguration(const GatewayUpdate &update);
     void setRoutingTable(const RoutingTable &table);
     Distance distanceTo(const std::string &zone) const;
+    GatewayUpstreams usableUpstreams(const std::string &service,
+                                     const std::vector<std::string> &tried) const;
     void resumeTableWaits();
 
     EventLoop &loop;
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -175,13 +175,7 @@
         return;
     }
     if (!this->keyed) {
-        std::shared_ptr<GatewayUpstream> chosen
-                = this->core.chooseUpstream(this->service, this->attempts.chosen());
-        if (!chosen) {
-            this->refuseWithRetryAfter(outageRetryAfter, "no upstream left");
-            return;
-        }
-        this->submit(std::move(chosen));
+        this->dispatchUnkeyed();
         return;
     }
     std::shared_ptr<GatewayUpstream> owner = this->findOwner();
@@ -189,13 +183,54 @@
         this->waitForOwner();
         return;
     }
-    if (owner->isSuspected(this->core.eventLoop().now()) && !this->repeatsSlowRequest) {
+    const TimePoint now = this->core.eventLoop().now();
+    if (owner->isPaused(now)) {
+        this->waitForPause(owner->pauseLeft(now));
+        return;
+    }
+    if (owner->isSuspected(now) && !this->repeatsSlowRequest) {
         this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "owner does not answer");
         return;
     }
     this->submit(std::move(owner));
 }
 
+void GatewayRequest::dispatchUnkeyed()
+{
+    const std::vector<std::string> &tried = this->attempts.chosen();
+    std::shared_ptr<GatewayUpstream> chosen = this->core.chooseUpstream(this->service, tried);
+    if (chosen) {
+        this->submit(std::move(chosen));
+        return;
+    }
+    if (const auto pause = this->core.shortestPause(this->service, tried)) {
+        this->waitForPause(*pause);
+        return;
+    }
+    this->refuseWithRetryAfter(outageRetryAfter, "no upstream left");
+}
+
+// Waits until an upstream that has asked for a pause may be used again. Refuses the request if that
+// takes too long.
+void GatewayRequest::waitForPause(Milliseconds pause)
+{
+    if (!this->canWaitFor(pause)) {
+        this->refuseWithRetryAfter(pause, "upstream has asked for a pause");
+        return;
+    }
+    this->ownerWaitDuration = this->ownerWaitDuration + pause;
+    this->waitTimer
+            = this->core.eventLoop().callAfter(pause, this->callback(&GatewayRequest::dispatch));
+}
+
+// Whether the request may wait for @p pause and still get its response in time.
+bool GatewayRequest::canWaitFor(Milliseconds pause) const
+{
+    const Milliseconds spareTime = this->timeLeft() - this->typicalDuration();
+    const Milliseconds waited = this->core.eventLoop().now() - this->arrivedAt;
+    return pause <= spareTime && waited + pause <= this->maxOwnerWait();
+}
+
 // Returns the owner of the key, or null if the key has no owner that can be used.
 std::shared_ptr<GatewayUpstream> GatewayRequest::findOwner() const
 {
@@ -211,7 +246,7 @@
 // sent there.
 bool GatewayRequest::canSendToTarget() const
 {
-    if (this->isBlocked()) {
+    if (this->isBlocked() || this->target->isPaused(this->core.eventLoop().now())) {
         return false;
     }
     if (this->keyed) {
@@ -279,13 +314,18 @@
     this->send();
 }
 
+// Returns how long after its arrival the request may wait for an upstream that can take it.
+Milliseconds GatewayRequest::maxOwnerWait() const
+{
+    return std::max(minOwnerWait, this->route->targetLatency / 2);
+}
+
 // Waits until the routing table changes; refuses the request if that takes too long.
 void GatewayRequest::waitForOwner()
 {
     const TimePoint now = this->core.eventLoop().now();
     const Milliseconds spareTime = this->timeLeft() - this->typicalDuration();
-    const Milliseconds maxOwnerWait = std::max(minOwnerWait, this->route->targetLatency / 2);
-    const Milliseconds wait = std::min(this->arrivedAt + maxOwnerWait - now, spareTime);
+    const Milliseconds wait = std::min(this->arrivedAt + this->maxOwnerWait() - now, spareTime);
     if (wait <= Milliseconds {}) {
         this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "key has no owner");
         return;
@@ -588,6 +628,11 @@
         // Another upstream responded at this address, so the target has stopped.
         this->target->markReplaced();
     }
+    const Milliseconds pause = this->target->pauseLeft(this->core.eventLoop().now());
+    if (this->keyed && pause > Milliseconds {} && !this->canWaitFor(pause)) {
+        this->refuseWithRetryAfter(pause, "upstream has asked for a pause");
+        return;
+    }
     if (this->timeLeft() <= this->typicalDuration() || !this->takeRetry()) {
         this->refuse(misdirected ? "owner has changed" : "upstream is full");
         return;
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -29,7 +29,10 @@
     bool readKey();
     void dispatch();
     std::shared_ptr<GatewayUpstream> findOwner() const;
+    void dispatchUnkeyed();
     void waitForOwner();
+    void waitForPause(Milliseconds pause);
+    bool canWaitFor(Milliseconds pause) const;
     void submit(std::shared_ptr<GatewayUpstream> chosen);
     bool canSendToTarget() const;
     bool isBlocked() const;
@@ -71,6 +74,7 @@
     Milliseconds timeLeft() const;
     Milliseconds typicalDuration() const;
     Milliseconds defaultDuration() const;
+    Milliseconds maxOwnerWait() const;
     std::function<void()> callback(Step step);
 
     GatewayCore &core;
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -101,6 +101,16 @@
     }
 }
 
+void GatewayUpstream::recordPause(Milliseconds duration, TimePoint now)
+{
+    this->pausedUntil = std::max(this->pausedUntil, now + duration);
+}
+
+Milliseconds GatewayUpstream::pauseLeft(TimePoint now) const
+{
+    return std::max(this->pausedUntil - now, Milliseconds {});
+}
+
 bool GatewayUpstream::isLeaving() const
 {
     return this->saidLeavingAt || this->routed.upstream.phase != UpstreamPhase::Ready;
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -49,6 +49,11 @@
     bool hasLeft(TimePoint now, Milliseconds drainPeriod) const;
     /** Records that it has said in a response that it leaves. It cannot take that back. */
     void recordLeaving(TimePoint now);
+    /** Records that it wants no further request of this gateway for @p duration. */
+    void recordPause(Milliseconds duration, TimePoint now);
+    /** Time left of the pause that it has asked for; 0 if there is none. */
+    Milliseconds pauseLeft(TimePoint now) const;
+    bool isPaused(TimePoint now) const { return now < this->pausedUntil; }
     /** Whether it leaves, as the routing table tells or as it has said itself. */
     bool isLeaving() const;
     /** Whether it has said that it leaves, and the routing table does not tell so. */
@@ -114,6 +119,7 @@
     TimePoint suspectedUntil;
     bool replaced = false;
     std::optional<TimePoint> leavingSince; // it announced its shutdown then or later
+    TimePoint pausedUntil;
     std::optional<TimePoint> saidLeavingAt; // its first response that said so arrived then
     UpstreamTiming timing;
 };
