gateway: Use no fixed part of the retry budget in the first window after a start

Cause: the count of retries ends with the process, so each start brought the gateway's part of the fixed number anew. The class: state that limits what all gateways do together was kept as if a process lasted. A gateway retries by the share of its own requests only until one window has passed since its start; what an earlier process used has left the window then. The gateway tests use a larger share, as a single request gives no retry. Conclusion: no state needs to survive; the start itself says what may be forgotten.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -58,6 +58,7 @@
     , codec(codec)
     , metrics(metrics)
     , log(log)
+    , startedAt(loop.now())
     , httpClient(loop)
     , random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
@@ -276,8 +277,8 @@
 SiteRetryBudget &GatewayCore::budget(const std::string &service)
 {
     const SiteBounds &bounds = this->settings.bounds;
-    const auto [entry, isNew] = this->budgets.try_emplace(service, bounds.retryShare,
-                                                          bounds.retrySlack, bounds.retryWindow);
+    const auto [entry, isNew] = this->budgets.try_emplace(
+            service, bounds.retryShare, bounds.retrySlack, bounds.retryWindow, this->startedAt);
     if (isNew) {
         entry->second.setGateways(this->routing.gateways);
     }
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -133,6 +133,7 @@
     const ExternalCodec &codec;
     Metrics &metrics;
     EventLog &log;
+    TimePoint startedAt;
     HttpClient httpClient;
     RoutingView routing;
     std::string document; // text of the configuration in use; see packText()
--- a/src/request/siteretrybudget.cpp
+++ b/src/request/siteretrybudget.cpp
@@ -12,9 +12,11 @@
 
 } // namespace
 
-SiteRetryBudget::SiteRetryBudget(double share, double slack, Milliseconds window)
+SiteRetryBudget::SiteRetryBudget(double share, double slack, Milliseconds window,
+                                 TimePoint startedAt)
     : share(share)
     , slack(slack)
+    , slackSince(startedAt + window)
     , step(std::max(window / static_cast<std::int64_t>(steps - 1), Milliseconds { 1 }))
 { }
 
@@ -43,6 +45,12 @@
     ++this->current(now).requests;
 }
 
+// Part of the fixed number that this gateway may use.
+double SiteRetryBudget::slackPart(TimePoint now) const
+{
+    return now < this->slackSince ? 0.0 : this->slack / this->gateways;
+}
+
 bool SiteRetryBudget::take(TimePoint now)
 {
     Step &step = this->current(now);
@@ -52,7 +60,7 @@
         requests += entry.requests;
         retries += entry.retries;
     }
-    if (retries + 1.0 > usableFraction * (this->share * requests + this->slack / this->gateways)) {
+    if (retries + 1.0 > usableFraction * (this->share * requests + this->slackPart(now))) {
         return false;
     }
     ++step.retries;
--- a/src/request/siteretrybudget.h
+++ b/src/request/siteretrybudget.h
@@ -10,13 +10,18 @@
 /**
  * Budget of one gateway for retries of requests to one service: a share of the requests in a
  * sliding window, and a fixed number on top. Gateways do not see each other's retries, so each uses
- * an equal part of the fixed number. Not thread-safe.
+ * an equal part of the fixed number. It uses none of it in the first window after its start, since
+ * an earlier process of the same gateway may have used the part, and its count has ended with it.
+ * Not thread-safe.
  */
 class SiteRetryBudget
 {
 public:
-    /** @p share: retries per request; @p slack: the fixed number, of all gateways together. */
-    SiteRetryBudget(double share, double slack, Milliseconds window);
+    /**
+     * @p share: retries per request; @p slack: the fixed number, of all gateways together;
+     * @p startedAt: start of the process.
+     */
+    SiteRetryBudget(double share, double slack, Milliseconds window, TimePoint startedAt);
 
     /** Sets the number of gateways that share the fixed number; at least 1. */
     void setGateways(std::uint32_t count);
@@ -37,9 +42,11 @@
     };
 
     Step &current(TimePoint now);
+    double slackPart(TimePoint now) const;
 
     double share;
     double slack;
+    TimePoint slackSince; // the fixed number may be used from then on
     Milliseconds step;
     double gateways = 1.0;
     std::array<Step, steps> ring {};
--- a/tests/gateway/gatewayrequesttest.h
+++ b/tests/gateway/gatewayrequesttest.h
@@ -81,6 +81,8 @@
         settings.host = "front-1";
         settings.zone = "a";
         settings.regions = { { "a", "r" } };
+        // The fixed number of retries cannot be used in the first window after the start.
+        settings.bounds.retryShare = 10.0;
         return settings;
     }
 
