registry, gateway: Divide the retry budget by all gateways that may use a part of it

Cause: a new leader began to count gateways at one, so the first to report took the site for a small one and used up to the whole fixed number; and a gateway that had lost the leader was left out after 3 s while it went on using its part. The number comes with a lease of 5 s; the leader counts a gateway until that lease and one window are over; gateways report the number that they have, and a new leader counts at least that many at first. Conclusion: a part of a common limit needs an owner that knows who may hold one.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -79,6 +79,7 @@
     this->crashes.applyUpdate(update, this->loop.now());
     this->routing.trafficShare = update.trafficShare;
     this->routing.gateways = update.gateways;
+    this->routing.gatewaysUntil = confirmedAt + gatewayCountLease;
     if (this->routing.version() >= update.version) {
         this->routing.confirmedAt = confirmedAt;
     }
@@ -91,7 +92,7 @@
         upstream->setShare(update.trafficShare, roundingOffsetOf(this->settings.host + id));
     }
     for (auto &[service, budget] : this->budgets) {
-        budget.setGateways(update.gateways);
+        budget.setGateways(update.gateways, this->routing.gatewaysUntil);
     }
     if (hasNewTable) {
         this->resumeTableWaits();
@@ -204,6 +205,7 @@
     report.zone = this->settings.zone;
     report.tableTag = this->routing.tableTag;
     report.version = this->needsFullDocument ? 0 : this->routing.version();
+    report.gateways = this->routing.gateways;
     report.requests = std::exchange(this->requestCount, 0);
     for (const auto &[key, requests] : std::exchange(this->keyRequests, {})) {
         report.keys.push_back({ key.first, key.second, requests });
@@ -280,7 +282,7 @@
     const auto [entry, isNew] = this->budgets.try_emplace(
             service, bounds.retryShare, bounds.retrySlack, bounds.retryWindow, this->startedAt);
     if (isNew) {
-        entry->second.setGateways(this->routing.gateways);
+        entry->second.setGateways(this->routing.gateways, this->routing.gatewaysUntil);
     }
     return entry->second;
 }
--- a/src/gateway/routingview.h
+++ b/src/gateway/routingview.h
@@ -2,6 +2,7 @@
 
 #include "version/routingtable.h"
 #include "version/siteconfiguration.h"
+#include "version/sitewatch.h"
 
 #include <memory>
 
@@ -30,7 +31,8 @@
     TimePoint tableConfirmedAt; // the leader confirmed the table then or later
     TimePoint confirmedAt; // the leader confirmed the configuration then or later
     double trafficShare = 1.0; // share of this gateway in the requests of all gateways
-    std::uint32_t gateways = 1; // number of gateways of the site
+    std::uint32_t gateways = 0; // number of gateways of the site; 0: not known yet
+    TimePoint gatewaysUntil; // end of the lease on that number, see gatewayCountLease
 
     ConfigurationVersion version() const
     {
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -60,6 +60,7 @@
     timing.ranges.heartbeatInterval = settings.heartbeatInterval;
     timing.ranges.leavingGracePeriod
             = std::max(settings.bounds.drainPeriod - drainMargin, Milliseconds {});
+    timing.gatewayTimeout = gatewayCountLease + settings.bounds.retryWindow;
     return timing;
 }
 
--- a/src/request/siteretrybudget.cpp
+++ b/src/request/siteretrybudget.cpp
@@ -20,9 +20,10 @@
     , step(std::max(window / static_cast<std::int64_t>(steps - 1), Milliseconds { 1 }))
 { }
 
-void SiteRetryBudget::setGateways(std::uint32_t count)
+void SiteRetryBudget::setGateways(std::uint32_t count, TimePoint validUntil)
 {
     this->gateways = std::max<double>(count, 1.0);
+    this->slackUntil = validUntil;
 }
 
 // Returns the step of @p now, after clearing the steps that have left the window.
@@ -48,7 +49,8 @@
 // Part of the fixed number that this gateway may use.
 double SiteRetryBudget::slackPart(TimePoint now) const
 {
-    return now < this->slackSince ? 0.0 : this->slack / this->gateways;
+    const bool isUsable = now >= this->slackSince && now < this->slackUntil;
+    return isUsable ? this->slack / this->gateways : 0.0;
 }
 
 bool SiteRetryBudget::take(TimePoint now)
--- a/src/request/siteretrybudget.h
+++ b/src/request/siteretrybudget.h
@@ -23,8 +23,11 @@
      */
     SiteRetryBudget(double share, double slack, Milliseconds window, TimePoint startedAt);
 
-    /** Sets the number of gateways that share the fixed number; at least 1. */
-    void setGateways(std::uint32_t count);
+    /**
+     * Sets the number of gateways that share the fixed number; at least 1. The part of this gateway
+     * may be used until @p validUntil.
+     */
+    void setGateways(std::uint32_t count, TimePoint validUntil);
 
     void countRequest(TimePoint now);
 
@@ -49,6 +52,7 @@
     TimePoint slackSince; // the fixed number may be used from then on
     Milliseconds step;
     double gateways = 1.0;
+    TimePoint slackUntil; // the fixed number may be used before then
     std::array<Step, steps> ring {};
     std::int64_t position = 0;
 };
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr Milliseconds gatewayTimeout { 3000 }; // without a report; then not counted any more
 constexpr double loadSmoothingSeconds = 3.0; // of the requests per second of a gateway
 
 // Expected time from a commit until the call that delivers the lease has arrived.
@@ -69,6 +68,8 @@
         }
     }
     this->gateways.clear();
+    this->earlierGateways = 0;
+    this->termStart = now;
     this->crashes = CrashLedger(); // gateways report again what an earlier leader knew
     this->removing.clear();
     this->leaving.clear();
@@ -358,6 +359,9 @@
         this->crashes.clear(request, now);
     }
     const auto [entry, isNew] = this->gateways.try_emplace(report.gateway);
+    if (isNew) {
+        this->earlierGateways = std::max(this->earlierGateways, report.gateways);
+    }
     GatewayLoad &load = entry->second;
     const double seconds
             = isNew ? 0.0 : static_cast<double>((now - load.lastReportAt).count) / 1000.0;
@@ -464,11 +468,13 @@
 
 std::uint32_t RegistryManager::gatewayCount(TimePoint now) const
 {
+    const Milliseconds timeout = this->timing.gatewayTimeout;
     const auto count
-            = std::count_if(this->gateways.begin(), this->gateways.end(), [&](const auto &g) {
-                  return now - g.second.lastReportAt < gatewayTimeout;
-              });
-    return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(count, 1));
+            = std::count_if(this->gateways.begin(), this->gateways.end(),
+                            [&](const auto &g) { return now - g.second.lastReportAt < timeout; });
+    const bool isComplete = now - this->termStart >= timeout;
+    const std::uint32_t earlier = isComplete ? 0 : this->earlierGateways;
+    return std::max({ static_cast<std::uint32_t>(count), earlier, std::uint32_t(1) });
 }
 
 } // namespace cassiaroad
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -16,6 +16,11 @@
     RangeTiming ranges;
     /** How long an upstream without ranges stays registered after its heartbeats have stopped. */
     Milliseconds registrationTimeout { 30000 };
+    /**
+     * How long a gateway is counted after its last report: until it uses no part any more of what
+     * the gateways share, and what it has used has left the window of the retry budget.
+     */
+    Milliseconds gatewayTimeout { 15000 };
 
     bool operator==(const RegistryTiming &) const = default;
 };
@@ -103,7 +108,10 @@
      * equally, half in proportion to the requests of each gateway.
      */
     double trafficShare(const std::string &gateway) const;
-    /** Number of gateways that have reported recently, at least 1. */
+    /**
+     * Number of gateways that may use a part of what gateways share, at least 1. At the start of a
+     * term it is at least the number that an earlier leader has told a gateway.
+     */
     std::uint32_t gatewayCount(TimePoint now) const;
 
 private:
@@ -137,6 +145,8 @@
     std::map<std::string, LeaseCalls> callers; // of keyed services that receive leases by calls
     std::uint64_t nextLeaseCall = 1; // number
     std::map<std::string, GatewayLoad> gateways;
+    std::uint32_t earlierGateways = 0; // highest number that a gateway had of an earlier leader
+    TimePoint termStart;
     CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
     std::set<UpstreamIncarnation> leaving; // as above, that they leave; reported by gateways
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -56,8 +56,8 @@
 {
     value = { { "gateway", report.gateway },   { "zone", report.zone },
               { "tableTag", report.tableTag }, { "version", report.version },
-              { "requests", report.requests }, { "keys", report.keys },
-              { "timings", report.timings } };
+              { "gateways", report.gateways }, { "requests", report.requests },
+              { "keys", report.keys },         { "timings", report.timings } };
     if (!report.leaving.empty()) {
         value["leaving"] = report.leaving;
     }
@@ -78,6 +78,7 @@
     value.at("zone").get_to(report.zone);
     value.at("tableTag").get_to(report.tableTag);
     value.at("version").get_to(report.version);
+    report.gateways = value.value("gateways", std::uint32_t(0));
     value.at("requests").get_to(report.requests);
     value.at("keys").get_to(report.keys);
     value.at("timings").get_to(report.timings);
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -7,6 +7,12 @@
 
 namespace cassiaroad {
 
+/**
+ * How long a gateway may use GatewayUpdate::gateways, from the time at which the leader made the
+ * update. A gateway without a report for longer uses no part of what gateways divide by it.
+ */
+constexpr Milliseconds gatewayCountLease { 5000 };
+
 /** Requests for one key since the previous report of a gateway. */
 struct KeyRequestCount
 {
@@ -37,6 +43,7 @@
     std::string zone;
     std::uint64_t tableTag = 0; // of its present routing table; 0: none
     ConfigurationVersion version = 0; // of its present configuration; 0: none
+    std::uint32_t gateways = 0; // GatewayUpdate::gateways of its last update; 0: none
     std::uint32_t requests = 0; // since the previous report
     std::vector<KeyRequestCount> keys;
     std::vector<UpstreamTiming> timings;
--- a/tests/request/test_siteretrybudget.cpp
+++ b/tests/request/test_siteretrybudget.cpp
@@ -3,11 +3,14 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <limits>
+
 using namespace cassiaroad;
 
 namespace {
 
 constexpr Milliseconds window { 10000 };
+constexpr TimePoint never { std::numeric_limits<std::int64_t>::max() };
 
 // Takes retries until the budget denies one; returns their number.
 int takeAll(SiteRetryBudget &budget, TimePoint now)
@@ -27,7 +30,7 @@
 {
     SiteRetryBudget budget(0.2, 60.0, window, {});
     const auto gateways = *rc::gen::inRange(1, 12);
-    budget.setGateways(static_cast<std::uint32_t>(gateways));
+    budget.setGateways(static_cast<std::uint32_t>(gateways), never);
     std::vector<std::pair<std::int64_t, bool>> events; // time, whether a retry
     std::int64_t now = 1000000;
     const auto count = *rc::gen::inRange(1, 400);
@@ -58,7 +61,7 @@
 {
     constexpr TimePoint now { 21000 };
     SiteRetryBudget budget(0.2, 60.0, window, {});
-    budget.setGateways(10);
+    budget.setGateways(10, never);
     EXPECT_EQ(takeAll(budget, now), 4);
     EXPECT_TRUE(budget.take(now + Milliseconds { 11000 }));
 }
@@ -71,9 +74,11 @@
     constexpr int restarts = 6;
     TimePoint now { 100000 };
     SiteRetryBudget first(0.2, 60.0, window, {});
+    first.setGateways(1, never);
     int taken = takeAll(first, now);
     for (int i = 0; i < restarts; ++i) {
         SiteRetryBudget next(0.2, 60.0, window, now);
+        next.setGateways(1, never);
         now = now + interval;
         taken += takeAll(next, now);
     }
@@ -85,6 +90,22 @@
 {
     constexpr TimePoint start { 5000 };
     SiteRetryBudget budget(0.2, 60.0, window, start);
+    budget.setGateways(1, never);
     EXPECT_EQ(takeAll(budget, start + window - Milliseconds { 1 }), 0);
     EXPECT_GT(takeAll(budget, start + window), 0);
 }
+
+// Guards against a gateway that goes on using its part of the fixed number after the leader has
+// stopped counting it, and has given its part to the others.
+TEST(SiteRetryBudget, usesNoFixedNumberAfterItsPartHasExpired)
+{
+    constexpr TimePoint validUntil { 50000 };
+    SiteRetryBudget budget(0.2, 60.0, window, {});
+    budget.setGateways(10, validUntil);
+    EXPECT_TRUE(budget.take(validUntil - Milliseconds { 1 }));
+    EXPECT_FALSE(budget.take(validUntil));
+    for (int i = 0; i < 20; ++i) {
+        budget.countRequest(validUntil);
+    }
+    EXPECT_TRUE(budget.take(validUntil)); // the share of the requests is its own
+}
--- a/tests/version/test_gatewayreports.cpp
+++ b/tests/version/test_gatewayreports.cpp
@@ -57,3 +57,44 @@
     manager.onCommandEnded(commands.front());
     EXPECT_EQ(manager.onGatewayReport(seen, { 1200 }), commands);
 }
+
+// Guards against a new leader that tells the first gateways that they are few, so that each of them
+// uses a large part of what all of them share.
+TEST(RegistryManager, countsTheGatewaysOfAnEarlierLeaderAtFirst)
+{
+    RegistryState state;
+    RegistryTiming timing = simulatedTiming();
+    timing.gatewayTimeout = { 15000 };
+    RegistryManager manager(state, timing);
+    manager.startTerm({ 1000 });
+    GatewayReport report;
+    report.gateway = "front-1";
+    report.gateways = 77;
+    manager.onGatewayReport(report, { 1100 });
+    EXPECT_EQ(manager.gatewayCount({ 1100 }), 77U);
+    report.gateway = "front-2"; // has just started
+    report.gateways = 0;
+    manager.onGatewayReport(report, { 15900 });
+    EXPECT_EQ(manager.gatewayCount({ 15900 }), 77U);
+    EXPECT_EQ(manager.gatewayCount({ 16000 }), 2U);
+    manager.startTerm({ 17000 });
+    EXPECT_EQ(manager.gatewayCount({ 17000 }), 1U);
+}
+
+// Guards against gateways that divide the retry budget by too few, since one that is cut off from
+// the leader still uses its part.
+TEST(RegistryManager, countsASilentGatewayWhileItMayUseItsPart)
+{
+    RegistryState state;
+    RegistryTiming timing = simulatedTiming();
+    timing.gatewayTimeout = { 15000 };
+    RegistryManager manager(state, timing);
+    manager.startTerm({ 1000 });
+    GatewayReport report;
+    report.gateway = "front-1";
+    manager.onGatewayReport(report, { 20000 });
+    report.gateway = "front-2";
+    manager.onGatewayReport(report, { 34999 });
+    EXPECT_EQ(manager.gatewayCount({ 34999 }), 2U);
+    EXPECT_EQ(manager.gatewayCount({ 35000 }), 1U);
+}
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -132,6 +132,7 @@
                                  "a",
                                  9,
                                  4,
+                                 12,
                                  100,
                                  { { "ledger", 7, 3 } },
                                  { { "i-1", 3, 90 } },
