gateway: Refuse requests without a route while the configuration may be old

Cause: 404 says that the version in use is the newest; a gateway without a recent confirmation of a leader does not know that. Before: 404 at any age. After: 503 with Retry-After once the last confirmation is older than 2 s; in calm it is at most a watch timeout of 1 s and a round trip old. Evidence: GatewayRequestTest.respondsWith503WithoutARouteInAnOldConfiguration fails with the check switched off. Conclusion: a refusal that promises nothing about the route is true; requests on routes that the gateway knows are still sent, since upstreams check what they own.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -81,7 +81,7 @@
     this->routing.gateways = update.gateways;
     this->routing.gatewaysUntil = confirmedAt + gatewayCountLease;
     if (this->routing.version() >= update.version) {
-        this->routing.confirmedAt = confirmedAt;
+        this->routing.confirmedAt = std::max(this->routing.confirmedAt, confirmedAt);
     }
     // The table of a leader of an earlier term has a lower tag and is ignored.
     const bool hasNewTable = this->updateRoutingTable(update);
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -42,6 +42,10 @@
 // control group is unavailable. A restart of the control group takes about as long.
 constexpr Milliseconds outageRetryAfter { 1000 };
 
+// A configuration that the leader confirmed longer ago may lack routes that are in force. In calm
+// the leader confirms it within the watch timeout of at most a second and a round trip.
+constexpr Milliseconds maxConfirmationAge { 2000 };
+
 // Formats a duration as seconds with three decimals, for Retry-After.
 std::string formatSeconds(Milliseconds span)
 {
@@ -136,7 +140,7 @@
     }
     this->route = this->active->routes.find(this->exchange->header("host"), this->exchange->path());
     if (this->route == nullptr) {
-        this->finish(statusNotFound, {}, {}, "no route");
+        this->rejectUnrouted();
         return false;
     }
     this->responseDeadline = this->arrivedAt + std::min(this->clientTimeout, this->route->timeout);
@@ -145,6 +149,18 @@
     return true;
 }
 
+// A route that the gateway does not know may have been added since the leader last confirmed the
+// configuration.
+void GatewayRequest::rejectUnrouted()
+{
+    const Milliseconds age = this->core.eventLoop().now() - this->core.view().confirmedAt;
+    if (age > maxConfirmationAge) {
+        this->refuseWithRetryAfter(outageRetryAfter, "no route in a configuration that may be old");
+        return;
+    }
+    this->finish(statusNotFound, {}, {}, "no route");
+}
+
 // Reads the key. Responds and returns false if the service needs a key and the request has none.
 bool GatewayRequest::readKey()
 {
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -26,6 +26,7 @@
 
     void start();
     bool findRoute();
+    void rejectUnrouted();
     bool readKey();
     void dispatch();
     std::shared_ptr<GatewayUpstream> findOwner() const;
--- a/tests/gateway/test_gatewayrequest.cpp
+++ b/tests/gateway/test_gatewayrequest.cpp
@@ -215,3 +215,15 @@
     const auto client = this->request("GET", "/none/1");
     EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 404"));
 }
+
+// Guards against telling a client that a route does not exist, by a configuration that may have
+// been replaced since the leader confirmed it.
+TEST_F(GatewayRequestTest, respondsWith503WithoutARouteInAnOldConfiguration)
+{
+    constexpr Milliseconds unconfirmedTime { 2100 };
+    this->serve([](FakePeer::Connection &) {});
+    runFor(this->loop, unconfirmedTime);
+    const auto client = this->request("GET", "/none/1");
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503"));
+    EXPECT_NE(client->received().find("retry-after"), std::string::npos);
+}
