registry: Give the share of removed gateways to the others

Cause: the share of the upstreams' capacity counted every gateway that had reported in the term, with the last number of requests that it had reported, for as long as the leader led. Before: the capacity of a gateway that was removed stayed unused (share 0.5 of one remaining gateway of two). After: its share goes to the others 15 s after its last report, as for the retry budget. Evidence: RegistryManager.givesTheShareOfARemovedGatewayToTheOthers fails while all gateways count. Conclusion: one rule says who is counted.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -434,7 +434,7 @@
     if (report.suspectsTag != this->suspectsTag) {
         update.suspects = this->suspects;
     }
-    update.trafficShare = this->manager.trafficShare(report.gateway);
+    update.trafficShare = this->manager.trafficShare(report.gateway, this->loop.now());
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
     update.waited = this->loop.now() - calledAt;
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -452,15 +452,20 @@
     return table;
 }
 
-double RegistryManager::trafficShare(const std::string &gateway) const
+bool RegistryManager::isCounted(const GatewayLoad &load, TimePoint now) const
+{
+    return now - load.lastReportAt < this->timing.gatewayTimeout;
+}
+
+double RegistryManager::trafficShare(const std::string &gateway, TimePoint now) const
 {
     double all = 0.0;
     double own = 0.0;
     for (const auto &[name, load] : this->gateways) {
-        all += load.requests;
+        all += this->isCounted(load, now) ? load.requests : 0.0;
         own += name == gateway ? load.requests : 0.0;
     }
-    const auto count = static_cast<double>(std::max<std::size_t>(this->gateways.size(), 1));
+    const auto count = static_cast<double>(this->gatewayCount(now));
     // Half of the total is divided equally, so that a gateway can serve a sudden rise of its
     // traffic.
     return all > 0.0 ? 0.5 / count + 0.5 * own / all : 1.0 / count;
@@ -468,11 +473,10 @@
 
 std::uint32_t RegistryManager::gatewayCount(TimePoint now) const
 {
-    const Milliseconds timeout = this->timing.gatewayTimeout;
     const auto count
             = std::count_if(this->gateways.begin(), this->gateways.end(),
-                            [&](const auto &g) { return now - g.second.lastReportAt < timeout; });
-    const bool isComplete = now - this->termStart >= timeout;
+                            [&](const auto &entry) { return this->isCounted(entry.second, now); });
+    const bool isComplete = now - this->termStart >= this->timing.gatewayTimeout;
     const std::uint32_t earlier = isComplete ? 0 : this->earlierGateways;
     return std::max({ static_cast<std::uint32_t>(count), earlier, std::uint32_t(1) });
 }
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -105,9 +105,10 @@
 
     /**
      * Share of the upstream capacity that @p gateway may use, 0 to 1. Half of the total is divided
-     * equally, half in proportion to the requests of each gateway.
+     * equally, half in proportion to the requests of each gateway. Gateways that are not counted by
+     * gatewayCount() have no part.
      */
-    double trafficShare(const std::string &gateway) const;
+    double trafficShare(const std::string &gateway, TimePoint now) const;
     /**
      * Number of gateways that may use a part of what gateways share, at least 1. At the start of a
      * term it is at least the number that an earlier leader has told a gateway.
@@ -133,6 +134,7 @@
     void addRegistration(const UpstreamReport &report, std::vector<RegistryCommand> &commands);
     void addRemovals(TimePoint now, std::vector<RegistryCommand> &commands);
     bool ownsRange(const SiteUpstream &upstream) const;
+    bool isCounted(const GatewayLoad &load, TimePoint now) const;
     std::vector<RegistryCommand> leaveCommands(const std::vector<UpstreamIncarnation> &seen,
                                                TimePoint now);
 
--- a/tests/version/test_gatewayreports.cpp
+++ b/tests/version/test_gatewayreports.cpp
@@ -98,3 +98,28 @@
     EXPECT_EQ(manager.gatewayCount({ 34999 }), 2U);
     EXPECT_EQ(manager.gatewayCount({ 35000 }), 1U);
 }
+
+// Guards against capacity of upstreams that no gateway may use, since it is the share of gateways
+// that were removed.
+TEST(RegistryManager, givesTheShareOfARemovedGatewayToTheOthers)
+{
+    RegistryState state;
+    RegistryTiming timing = simulatedTiming();
+    timing.gatewayTimeout = { 15000 };
+    RegistryManager manager(state, timing);
+    manager.startTerm({ 1000 });
+    GatewayReport report;
+    report.requests = 100;
+    for (std::int64_t at = 2000; at <= 32000; at += 1000) {
+        for (const std::string gateway : { "front-1", "front-2" }) {
+            report.gateway = gateway;
+            if (gateway == "front-1" || at <= 12000) {
+                manager.onGatewayReport(report, { at });
+            }
+        }
+        if (at == 12000) {
+            EXPECT_DOUBLE_EQ(manager.trafficShare("front-1", { at }), 0.5);
+        }
+    }
+    EXPECT_DOUBLE_EQ(manager.trafficShare("front-1", { 32000 }), 1.0);
+}
--- a/tools/registryload.cpp
+++ b/tools/registryload.cpp
@@ -280,7 +280,7 @@
         this->measure(Update, [&] {
             GatewayUpdate update;
             update.change = this->lastChange;
-            update.trafficShare = this->manager.trafficShare(report.gateway);
+            update.trafficShare = this->manager.trafficShare(report.gateway, { this->now });
             update.gateways = this->manager.gatewayCount({ this->now });
             return encode(GatewayWatchReply(update));
         });
