gateway: Select the upstream of a request in a module of its own

Cause: the choice of an upstream and the check before the first byte stood in GatewayRequest beside the steps of a request's life, and pauses had added a third way out of it. After: selectUpstream() returns one of six types, which a visitor turns into the next step; maySendTo() asks again before the first byte.

--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -105,6 +105,7 @@
     GatewayRequestId nextRequestId() { return ++this->lastRequestId; }
 
     EventLoop &eventLoop() { return this->loop; }
+    TimePoint now() const { return this->loop.now(); }
     HttpClient &client() { return this->httpClient; }
     const ExternalCodec &externalCodec() const { return this->codec; }
     EventLog &events() { return this->log; }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -55,6 +55,35 @@
 
 } // namespace
 
+/** Goes on with a request as the selection of its upstream demands. */
+struct GatewayRequest::SelectionVisitor
+{
+    GatewayRequest &request;
+
+    void operator()(const SelectedUpstream &selected) const
+    {
+        this->request.submit(selected.upstream);
+    }
+    void operator()(const PausedUpstream &paused) const
+    {
+        this->request.waitForPause(paused.timeLeft);
+    }
+    void operator()(const KeyWithoutOwner & /*none*/) const { this->request.waitForOwner(); }
+    void operator()(const SuspectedOwner & /*owner*/) const
+    {
+        this->request.refuseWithRetryAfter(this->request.core.ownerReplacementDelay(),
+                                           "owner does not answer");
+    }
+    void operator()(const NoRoutingTable & /*none*/) const
+    {
+        this->request.refuseWithRetryAfter(outageRetryAfter, "no routing table yet");
+    }
+    void operator()(const NoUpstream & /*none*/) const
+    {
+        this->request.refuseWithRetryAfter(outageRetryAfter, "no upstream left");
+    }
+};
+
 void GatewayRequest::begin(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
 {
     const WorkMeter::Scope scope(core.eventLoop().workMeter(), Work::Requests);
@@ -186,44 +215,9 @@
         this->refuseBlocked();
         return;
     }
-    if (!this->core.view().table) {
-        this->refuseWithRetryAfter(outageRetryAfter, "no routing table yet");
-        return;
-    }
-    if (!this->keyed) {
-        this->dispatchUnkeyed();
-        return;
-    }
-    std::shared_ptr<GatewayUpstream> owner = this->findOwner();
-    if (!owner) {
-        this->waitForOwner();
-        return;
-    }
-    const TimePoint now = this->core.eventLoop().now();
-    if (owner->isPaused(now)) {
-        this->waitForPause(owner->pauseLeft(now));
-        return;
-    }
-    if (owner->isSuspected(now) && !this->repeatsSlowRequest) {
-        this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "owner does not answer");
-        return;
-    }
-    this->submit(std::move(owner));
-}
-
-void GatewayRequest::dispatchUnkeyed()
-{
-    const std::vector<std::string> &tried = this->attempts.chosen();
-    std::shared_ptr<GatewayUpstream> chosen = this->core.chooseUpstream(this->service, tried);
-    if (chosen) {
-        this->submit(std::move(chosen));
-        return;
-    }
-    if (const auto pause = this->core.shortestPause(this->service, tried)) {
-        this->waitForPause(*pause);
-        return;
-    }
-    this->refuseWithRetryAfter(outageRetryAfter, "no upstream left");
+    const UpstreamQuery query { this->service, this->key, this->attempts.chosen(),
+                                this->repeatsSlowRequest };
+    std::visit(SelectionVisitor { *this }, selectUpstream(this->core, query));
 }
 
 // Waits until an upstream that has asked for a pause may be used again. Refuses the request if that
@@ -247,28 +241,11 @@
     return pause <= spareTime && waited + pause <= this->maxOwnerWait();
 }
 
-// Returns the owner of the key, or null if the key has no owner that can be used.
-std::shared_ptr<GatewayUpstream> GatewayRequest::findOwner() const
-{
-    const RoutedRange *range = this->core.view().table->find(this->service, *this->key);
-    if (range == nullptr || range->phase != RangePhase::Owned) {
-        return nullptr;
-    }
-    std::shared_ptr<GatewayUpstream> owner = this->core.upstream(range->upstream);
-    return owner && !owner->isReplaced() && !this->core.hasLeft(*owner) ? owner : nullptr;
-}
-
 // Whether the request, which has waited for capacity of its target or a connection, can still be
 // sent there.
 bool GatewayRequest::canSendToTarget() const
 {
-    if (this->isBlocked() || this->target->isPaused(this->core.eventLoop().now())) {
-        return false;
-    }
-    if (this->keyed) {
-        return this->findOwner() == this->target;
-    }
-    return !this->target->isLeaving() && !this->target->isReplaced();
+    return !this->isBlocked() && maySendTo(this->core, this->target, this->service, this->key);
 }
 
 // Whether upstreams have crashed under requests like this one, so that it must not be sent.
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "connection/httpserver.h"
-#include "gateway/gatewaycore.h"
 #include "gateway/requestattempts.h"
 #include "gateway/requestlog.h"
+#include "gateway/upstreamselection.h"
 #include "request/hopheaders.h"
 
 namespace cassiaroad {
@@ -23,14 +23,13 @@
 
 private:
     using Step = void (GatewayRequest::*)();
+    struct SelectionVisitor;
 
     void start();
     bool findRoute();
     void rejectUnrouted();
     bool readKey();
     void dispatch();
-    std::shared_ptr<GatewayUpstream> findOwner() const;
-    void dispatchUnkeyed();
     void waitForOwner();
     void waitForPause(Milliseconds pause);
     bool canWaitFor(Milliseconds pause) const;
--- /dev/null
+++ b/src/gateway/upstreamselection.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "gateway/gatewaycore.h"
+
+#include <variant>
+
+namespace cassiaroad {
+
+/** What a request needs of an upstream. The references must be valid during the call. */
+struct UpstreamQuery
+{
+    const std::string &service;
+    std::optional<KeyNumber> key; // only of a service with keys
+    const std::vector<std::string> &tried; // ids of upstreams to avoid; not for requests with a key
+    bool acceptsSuspected = false; // an owner that has stopped responding is used all the same
+};
+
+/** The request can be submitted to this upstream. */
+struct SelectedUpstream
+{
+    std::shared_ptr<GatewayUpstream> upstream;
+};
+
+/** The gateway has not received a routing table. */
+struct NoRoutingTable
+{ };
+
+/** No upstream owns the key, or its owner may get no more requests. */
+struct KeyWithoutOwner
+{ };
+
+/** The owner of the key has stopped responding. */
+struct SuspectedOwner
+{ };
+
+/** The upstream that would be used has asked for a pause. */
+struct PausedUpstream
+{
+    Milliseconds timeLeft;
+};
+
+/** No upstream without a key is left. */
+struct NoUpstream
+{ };
+
+using UpstreamSelection = std::variant<SelectedUpstream, NoRoutingTable, KeyWithoutOwner,
+                                       SuspectedOwner, PausedUpstream, NoUpstream>;
+
+/** Selects the upstream for a request. Loop thread only. */
+UpstreamSelection selectUpstream(GatewayCore &core, const UpstreamQuery &query);
+
+/**
+ * Whether @p upstream, which was selected for the request earlier, may still get it. Must be asked
+ * again before the first byte is written. Loop thread only.
+ */
+bool maySendTo(const GatewayCore &core, const std::shared_ptr<GatewayUpstream> &upstream,
+               const std::string &service, std::optional<KeyNumber> key);
+
+} // namespace cassiaroad
