gateway: Remember what an upstream has said of itself while the table does not list it

Cause: a gateway dropped its state of an upstream with the entry of the routing table. A table that lists the same incarnation again, as after another writer's heartbeat or a long silence, made a leaving or pausing upstream new. Before: LeavingUpstreamTest.remembersThatAnUpstreamLeavesThatIsListedAgain, a request reaches it. After: the gateway keeps such upstreams, at most 1,024, until what they said is over or an incarnation with the same id and start time is listed again. Conclusion: what an incarnation says ends with the incarnation, not with a table.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds idleCheckInterval { 500 };
 // Idle connections to one upstream that are kept open, beyond those in use.
 constexpr std::size_t maxIdleConnections = 4;
+constexpr std::size_t maxUnlistedUpstreams = 1024;
 // Buckets of the histograms of durations.
 const std::vector<double> secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4,
                                            0.6,  0.8,   1.0,  1.5, 2.0, 3.0, 5.0 };
@@ -163,28 +164,53 @@
     this->routing.table = std::make_shared<const RoutingTable>(table);
     std::map<std::string, std::shared_ptr<GatewayUpstream>> listed;
     for (const RoutedUpstream &routed : table.upstreams) {
-        const std::string &id = routed.upstream.incarnation.id;
-        const auto known = this->upstreams.find(id);
-        const bool isSame = known != this->upstreams.end()
-                            && known->second->upstream().incarnation == routed.upstream.incarnation;
-        if (isSame) {
-            known->second->setRouted(routed, this->routing.tableConfirmedAt);
-            listed.emplace(id, known->second);
-            continue;
-        }
-        auto added
-                = std::make_shared<GatewayUpstream>(routed, this->distanceTo(routed.upstream.zone));
-        added->setRouted(routed, this->routing.tableConfirmedAt);
-        listed.emplace(id, std::move(added));
+        std::shared_ptr<GatewayUpstream> upstream = this->upstreamOf(routed);
+        upstream->setRouted(routed, this->routing.tableConfirmedAt);
+        listed.emplace(routed.upstream.incarnation.id, std::move(upstream));
     }
     for (const auto &[id, upstream] : this->upstreams) {
         if (!listed.contains(id) || listed.at(id) != upstream) {
             this->httpClient.trimIdle(upstream->upstream().address, 0);
+            this->keepUnlisted(upstream);
         }
     }
     this->upstreams = std::move(listed);
 }
 
+// Returns the state of an upstream of the next routing table; a new one if its incarnation is not
+// known.
+std::shared_ptr<GatewayUpstream> GatewayCore::upstreamOf(const RoutedUpstream &routed)
+{
+    const UpstreamIncarnation &incarnation = routed.upstream.incarnation;
+    const auto known = this->upstreams.find(incarnation.id);
+    if (known != this->upstreams.end() && known->second->upstream().incarnation == incarnation) {
+        return known->second;
+    }
+    const auto returned = this->unlisted.find(incarnation);
+    if (returned != this->unlisted.end()) {
+        std::shared_ptr<GatewayUpstream> upstream = std::move(returned->second);
+        this->unlisted.erase(returned);
+        return upstream;
+    }
+    return std::make_shared<GatewayUpstream>(routed, this->distanceTo(routed.upstream.zone));
+}
+
+// Keeps an upstream that the next routing table does not list if it has said something that still
+// holds when a later table lists the same incarnation again.
+void GatewayCore::keepUnlisted(const std::shared_ptr<GatewayUpstream> &upstream)
+{
+    const TimePoint now = this->loop.now();
+    if (!upstream->hasNotice(now)) {
+        return;
+    }
+    std::erase_if(this->unlisted,
+                  [now](const auto &entry) { return !entry.second->hasNotice(now); });
+    if (this->unlisted.size() >= maxUnlistedUpstreams) {
+        this->unlisted.erase(this->unlisted.begin()); // the incarnation that was born first
+    }
+    this->unlisted.emplace(upstream->upstream().incarnation, upstream);
+}
+
 Distance GatewayCore::distanceTo(const std::string &zone) const
 {
     if (zone == this->settings.zone) {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -124,6 +124,8 @@
     std::optional<std::string> fullDocument(const GatewayUpdate &update) const;
     void updateConfiguration(const GatewayUpdate &update);
     void setRoutingTable(const RoutingTable &table);
+    std::shared_ptr<GatewayUpstream> upstreamOf(const RoutedUpstream &routed);
+    void keepUnlisted(const std::shared_ptr<GatewayUpstream> &upstream);
     Distance distanceTo(const std::string &zone) const;
     GatewayUpstreams usableUpstreams(const std::string &service,
                                      const std::vector<std::string> &tried) const;
@@ -140,6 +142,8 @@
     std::string document; // text of the configuration in use; see packText()
     bool needsFullDocument = false; // the last delta could not be applied
     std::map<std::string, std::shared_ptr<GatewayUpstream>> upstreams; // by id
+    // Upstreams with a notice that the present routing table does not list.
+    std::map<UpstreamIncarnation, std::shared_ptr<GatewayUpstream>> unlisted;
     CrashGuard crashes;
     ConnectMonitor connects;
     std::mt19937_64 random; // for the choice of upstreams
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -56,6 +56,8 @@
     bool isPaused(TimePoint now) const { return now < this->pausedUntil; }
     /** Whether it leaves, as the routing table tells or as it has said itself. */
     bool isLeaving() const;
+    /** Whether it has said something that holds on, whether the routing table lists it or not. */
+    bool hasNotice(TimePoint now) const { return this->saidLeavingAt || this->isPaused(now); }
     /** Whether it has said that it leaves, and the routing table does not tell so. */
     bool isLeavingUnlisted() const;
     /**
--- a/tests/gateway/gatewayrequesttest.h
+++ b/tests/gateway/gatewayrequesttest.h
@@ -119,6 +119,16 @@
         this->core.update(update, madeAt);
     }
 
+    /** Sends the gateway a table without upstreams. */
+    void publishNoUpstreams()
+    {
+        GatewayUpdate update;
+        update.version = 1;
+        update.tableTag = ++this->tag;
+        update.change = encode(changeBetween({}, {}));
+        this->core.update(update, this->loop.now());
+    }
+
     std::unique_ptr<RawClient> request(const std::string &method, const std::string &path,
                                        const std::string &deadline = "2000",
                                        const std::string &id = "r1")
--- a/tests/gateway/test_leavingupstreams.cpp
+++ b/tests/gateway/test_leavingupstreams.cpp
@@ -138,3 +138,18 @@
     const auto next = this->request("POST", "/order/1", "2000", "r2");
     EXPECT_TRUE(this->waitForResponse(*next, "HTTP/1.1 200"));
 }
+
+// Guards against an upstream that gets requests again because the routing table has not listed it
+// for a while.
+TEST_F(LeavingUpstreamTest, remembersThatAnUpstreamLeavesThatIsListedAgain)
+{
+    this->serveLeaving();
+    const auto first = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    this->publishNoUpstreams();
+    runFor(this->loop, shortDrainPeriod);
+    this->publish(RangePhase::Owned);
+    const auto late = this->request("POST", "/order/1", "2000", "r2");
+    EXPECT_TRUE(this->waitForResponse(*late, "HTTP/1.1 503"));
+    EXPECT_EQ(this->requests, 1);
+}
