connection: Count the heads of responses in the memory of responses

Cause: Only bodies counted in ResponseMemory. The head of a response may take 80 KB on the connection and, with many short lines, over 1 MB in memory, for each call; no bound covered all calls together. Before: EndlessResponse.countsHeadsInTheBoundOfMemory fails: 40 calls that got 70 KB of a head each count as 0. After: It passes. The bytes of a head, and the space of each header, count like those of a body. Conclusion: Heads without end of many servers fail at the same bound as bodies without end.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -309,10 +309,10 @@
 ResponseParser::State HttpCall::parseInput()
 {
     h2o_buffer_t *&input = this->socket->input;
-    this->parser.limitBody(this->memory->maxSizeOf(this->heldBytes));
+    this->parser.limitHeldBytes(this->memory->maxSizeOf(this->heldBytes));
     const ResponseParser::State state = this->parser.feed({ input->bytes, input->size });
     h2o_buffer_consume(&input, input->size);
-    const std::size_t size = this->parser.response().body.size();
+    const std::size_t size = this->parser.heldBytes();
     this->memory->resize(std::exchange(this->heldBytes, size), size);
     return state;
 }
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -54,7 +54,7 @@
     std::shared_ptr<IdleConnectionPool> idleConnections;
     HostAddress server;
     std::shared_ptr<ResponseMemory> memory;
-    std::size_t heldBytes = 0; // of the response's body, as recorded in `memory`
+    std::size_t heldBytes = 0; // of the response, as recorded in `memory`
     HttpRequest request;
     ResponseParser parser;
     std::function<void(HttpResult)> done;
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -127,7 +127,7 @@
     /** Closes the least recently used idle connections to @p server, until @p maxCount remain. */
     void trimIdle(const HostAddress &server, std::size_t maxCount);
 
-    /** Bytes of the bodies of incomplete responses that all calls hold. */
+    /** Bytes of the heads and bodies of incomplete responses that all calls hold. */
     std::size_t bufferedBytes() const;
 
     /** Number of idle connections to @p server. */
--- a/src/connection/responsememory.h
+++ b/src/connection/responsememory.h
@@ -5,9 +5,9 @@
 namespace cassiaroad {
 
 /**
- * Bounds the bytes of incomplete responses that all calls of a client hold. A response may become
- * as large as the part of the bound that no response uses: small responses still fit while servers
- * send bytes without end. Not thread-safe.
+ * Bounds the bytes of incomplete responses that all calls of a client hold, heads and bodies. A
+ * response may become as large as half of the part of the bound that no other one uses: small
+ * responses still fit while servers send bytes without end. Not thread-safe.
  */
 class ResponseMemory
 {
--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <climits>
+#include <cstdint>
 
 #include <http_parser.h>
 
@@ -30,7 +31,6 @@
     Private(bool isHead, std::size_t maxBodyBytes)
         : isHead(isHead)
         , maxBodyBytes(maxBodyBytes)
-        , bodyLimit(maxBodyBytes)
     {
         http_parser_settings_init(&this->settings);
         this->settings.on_header_field = &Private::onField;
@@ -47,6 +47,22 @@
         this->parser.data = this;
         this->response = {};
         this->inValue = false;
+        this->headBytes = 0;
+    }
+
+    std::size_t heldBytes() const { return this->headBytes + this->response.body.size(); }
+
+    // Counts bytes of the head. Returns the result of the parser's callback.
+    int growHead(std::size_t size)
+    {
+        this->headBytes += size;
+        return this->heldBytes() <= this->maxHeldBytes ? 0 : this->rejectSize();
+    }
+
+    int rejectSize()
+    {
+        this->invalidReason = "the answer is too large";
+        return -1;
     }
 
     static Private *privateOf(http_parser *parser) { return static_cast<Private *>(parser->data); }
@@ -58,9 +74,10 @@
         if (headers.empty() || d->inValue) {
             headers.emplace_back();
             d->inValue = false;
+            d->headBytes += sizeof(headers.back());
         }
         headers.back().first.append(lowerCase({ text, size }));
-        return 0;
+        return d->growHead(size);
     }
 
     static int onValue(http_parser *parser, const char *text, std::size_t size)
@@ -68,7 +85,7 @@
         Private *d = privateOf(parser);
         d->inValue = true;
         d->response.headers.back().second.append(text, size);
-        return 0;
+        return d->growHead(size);
     }
 
     static int onHead(http_parser *parser)
@@ -85,9 +102,9 @@
     static int onBody(http_parser *parser, const char *bytes, std::size_t size)
     {
         Private *d = privateOf(parser);
-        if (d->response.body.size() + size > d->bodyLimit) {
-            d->invalidReason = "the answer is too large";
-            return -1;
+        if (d->response.body.size() + size > d->maxBodyBytes
+            || d->heldBytes() + size > d->maxHeldBytes) {
+            return d->rejectSize();
         }
         d->response.body.append(bytes, size);
         return 0;
@@ -124,18 +141,25 @@
             return;
         }
         if (mayHaveBody && this->parser.content_length != ULLONG_MAX
-            && this->parser.content_length > this->bodyLimit) {
-            this->invalidReason = "the answer is too large";
+            && !this->hasRoomFor(this->parser.content_length)) {
+            this->rejectSize();
             return;
         }
         this->headComplete = true;
     }
 
+    bool hasRoomFor(std::uint64_t bodyBytes) const
+    {
+        return bodyBytes <= this->maxBodyBytes && this->headBytes <= this->maxHeldBytes
+               && bodyBytes <= this->maxHeldBytes - this->headBytes;
+    }
+
     http_parser_settings settings {};
     http_parser parser {};
     bool isHead;
     std::size_t maxBodyBytes;
-    std::size_t bodyLimit; // at most maxBodyBytes
+    std::size_t maxHeldBytes = SIZE_MAX; // of the head and the body
+    std::size_t headBytes = 0; // that the head takes in memory
     int interimResponses = 0;
     HttpResponse response;
     std::string invalidReason;
@@ -154,9 +178,14 @@
 
 ResponseParser::~ResponseParser() = default;
 
-void ResponseParser::limitBody(std::size_t maxBytes)
+void ResponseParser::limitHeldBytes(std::size_t maxBytes)
+{
+    this->d->maxHeldBytes = maxBytes;
+}
+
+std::size_t ResponseParser::heldBytes() const
 {
-    this->d->bodyLimit = std::min(maxBytes, this->d->maxBodyBytes);
+    return this->d->heldBytes();
 }
 
 ResponseParser::State ResponseParser::feed(std::string_view bytes)
--- a/src/connection/responseparser.h
+++ b/src/connection/responseparser.h
@@ -29,8 +29,11 @@
     ResponseParser(const ResponseParser &) = delete;
     ResponseParser &operator=(const ResponseParser &) = delete;
 
-    /** Lowers the bound of the body, or raises it up to that of the constructor. */
-    void limitBody(std::size_t maxBytes);
+    /** Sets the bound of heldBytes(). The bound of the body is that of the constructor. */
+    void limitHeldBytes(std::size_t maxBytes);
+
+    /** Bytes that the head and the body take in memory as far as they have arrived. */
+    std::size_t heldBytes() const;
 
     /** Parses the next bytes of the connection. Precondition: neither Complete nor Invalid. */
     State feed(std::string_view bytes);
--- a/tests/connection/test_endlessresponse.cpp
+++ b/tests/connection/test_endlessresponse.cpp
@@ -131,6 +131,29 @@
     EXPECT_EQ(client.bufferedBytes(), 0U);
 }
 
+// Guards against heads that are held outside the bound of all incomplete responses.
+TEST(EndlessResponse, countsHeadsInTheBoundOfMemory)
+{
+    constexpr std::size_t callCount = 40;
+    constexpr std::size_t headBytes = 70 * kilobyte;
+    const std::string head = "HTTP/1.1 200 OK\r\nx: " + std::string(headBytes, 'y');
+    EventLoop loop;
+    FakePeer peer(loop, [&](FakePeer::Connection &connection) { connection.write(head); });
+    HttpClient client(loop);
+    std::vector<std::unique_ptr<HttpClient::Call>> calls;
+    for (std::size_t i = 0; i < callCount; ++i) {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/";
+        calls.push_back(client.send({ "127.0.0.1", peer.port }, request, megabyte,
+                                    [](const HttpResult &) {}));
+    }
+    EXPECT_TRUE(waitUntil(
+            loop, [&] { return client.bufferedBytes() >= callCount * headBytes; }, { 2000 }));
+    calls.clear();
+    EXPECT_EQ(client.bufferedBytes(), 0U);
+}
+
 // Guards against small responses that fail because endless ones have used up the memory.
 TEST(ResponseMemory, leavesRoomForSmallResponses)
 {
