connection: Bound the number of headers of a response

Cause: The limit of a head counts bytes on the connection. A line of 4 bytes takes over 64 bytes in memory, and a growing list of them up to twice that. Before: EndlessResponse.isInvalidAfterABoundedNumberOfHeaders fails: lines are accepted up to 80 KB of them. After: It passes; a response with more than 256 headers is invalid. Conclusion: A head takes at most about 100 KB in memory.

--- a/src/connection/responseparser.cpp
+++ b/src/connection/responseparser.cpp
@@ -17,6 +17,8 @@
 constexpr int notModified = 304;
 // Servers send one or two interim responses; more come from a server that never sends its response.
 constexpr int maxInterimResponses = 16;
+// A header line of a few bytes takes 64 bytes or more in memory.
+constexpr std::size_t maxHeaders = 256;
 constexpr int skipBody = 1; // returned by on_headers_complete: the response has no body
 
 bool isInterim(int status)
@@ -72,6 +74,10 @@
         Private *d = privateOf(parser);
         auto &headers = d->response.headers;
         if (headers.empty() || d->inValue) {
+            if (headers.size() >= maxHeaders) {
+                d->invalidReason = "the answer has too many headers";
+                return -1;
+            }
             headers.emplace_back();
             d->inValue = false;
             d->headBytes += sizeof(headers.back());
--- a/tests/connection/test_endlessresponse.cpp
+++ b/tests/connection/test_endlessresponse.cpp
@@ -148,12 +148,26 @@
         calls.push_back(client.send({ "127.0.0.1", peer.port }, request, megabyte,
                                     [](const HttpResult &) {}));
     }
-    EXPECT_TRUE(waitUntil(
-            loop, [&] { return client.bufferedBytes() >= callCount * headBytes; }, { 2000 }));
+    EXPECT_TRUE(waitUntil(loop, [&] { return client.bufferedBytes() >= callCount * headBytes; },
+                          { 2000 }));
     calls.clear();
     EXPECT_EQ(client.bufferedBytes(), 0U);
 }
 
+// Guards against heads below the limit of bytes whose many short header lines take a hundred times
+// that limit in memory.
+TEST(EndlessResponse, isInvalidAfterABoundedNumberOfHeaders)
+{
+    constexpr std::size_t maxHeaders = 256;
+    ResponseParser parser(false, megabyte);
+    ResponseParser::State state = parser.feed("HTTP/1.1 200 OK\r\n");
+    for (std::size_t i = 0; i <= maxHeaders && state != ResponseParser::State::Invalid; ++i) {
+        state = parser.feed("a:\r\n");
+    }
+    EXPECT_EQ(state, ResponseParser::State::Invalid);
+    EXPECT_LE(parser.response().headers.size(), maxHeaders);
+}
+
 // Guards against small responses that fail because endless ones have used up the memory.
 TEST(ResponseMemory, leavesRoomForSmallResponses)
 {
