connection: Read responses in bounded pieces

Cause: h2o reads a socket until it is empty before it calls back, and its buffer doubles on the way. While a server sends as fast as it is read, that has no end but the size of the kernel buffer (32 MB at most). A call reads at most 256 KB before others get their turn, and gives each 64 KB to the parser, without the buffer of h2o. Conclusion: What a call holds is what ResponseMemory counts.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -3,6 +3,7 @@
 #include "connection/socketaddress.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <system_error>
 
@@ -18,6 +19,9 @@
 
 // How long a server may take to accept a connection and to reset it again.
 constexpr Milliseconds acceptDuration { 3 };
+// Bytes that a call reads at most before others get their turn.
+constexpr std::size_t maxReadBytes = std::size_t(256) * 1024;
+constexpr std::size_t readBytes = std::size_t(64) * 1024; // of one system call
 constexpr int statusBadRequest = 400;
 constexpr int statusMisdirected = 421;
 
@@ -183,7 +187,9 @@
         this->fail(HttpFailure::Stage::Connect, reason);
         return;
     }
-    this->socket = h2o_evloop_socket_create(this->idleConnections->eventLoop().h2oLoop(), fd, 0);
+    // h2o would read all that arrives while the server sends as fast as it reads.
+    this->socket = h2o_evloop_socket_create(this->idleConnections->eventLoop().h2oLoop(), fd,
+                                            H2O_SOCKET_FLAG_DONT_READ);
     this->socket->data = this;
     h2o_socket_notify_write(this->socket, &Callbacks::onConnected);
 }
@@ -249,6 +255,9 @@
 // The server has closed the connection, or has sent bytes that nothing asked for.
 void HttpCall::onEarlyInput(const char *error)
 {
+    if (error == nullptr && !hasUnexpectedInput(this->socket)) {
+        return;
+    }
     this->confirmTimer = EventLoop::Timer();
     this->fail(HttpFailure::Stage::Refused, error != nullptr ? error : "unexpected bytes");
 }
@@ -280,23 +289,22 @@
 
 void HttpCall::onReadable(const char *error)
 {
-    if (this->socket->input->size > 0) {
-        this->progressAt = this->idleConnections->eventLoop().now();
-        const ResponseParser::State state = this->parseInput();
-        if (state == ResponseParser::State::Invalid) {
-            this->fail(HttpFailure::Stage::ResponseTruncated, this->parser.reason());
+    std::array<char, readBytes> buffer;
+    std::size_t total = 0;
+    while (error == nullptr && total < maxReadBytes) {
+        const ssize_t count
+                = recv(h2o_socket_get_fd(this->socket), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
             return;
         }
-        if (this->parser.hasHead() && !this->isMatchingResponse()) {
-            this->fail(HttpFailure::Stage::ResponseTruncated,
-                       "the answer belongs to another request");
-            return;
+        if (count <= 0) {
+            error = count == 0 ? h2o_socket_error_closed : h2o_socket_error_io;
+            break;
         }
-        if (state == ResponseParser::State::Complete) {
-            this->finishResponse();
+        if (this->parse({ buffer.data(), static_cast<std::size_t>(count) })) {
             return;
         }
-        this->responseBegan = true;
+        total += static_cast<std::size_t>(count);
     }
     if (error != nullptr) {
         this->fail(this->responseBegan ? HttpFailure::Stage::ResponseTruncated
@@ -305,13 +313,32 @@
     }
 }
 
-// Parses what has arrived, within the memory that is free for incomplete responses.
-ResponseParser::State HttpCall::parseInput()
+// Parses bytes of the connection. Returns whether the call has ended.
+bool HttpCall::parse(std::string_view bytes)
+{
+    this->progressAt = this->idleConnections->eventLoop().now();
+    const ResponseParser::State state = this->parseWithinMemory(bytes);
+    if (state == ResponseParser::State::Invalid) {
+        this->fail(HttpFailure::Stage::ResponseTruncated, this->parser.reason());
+        return true;
+    }
+    if (this->parser.hasHead() && !this->isMatchingResponse()) {
+        this->fail(HttpFailure::Stage::ResponseTruncated, "the answer belongs to another request");
+        return true;
+    }
+    if (state == ResponseParser::State::Complete) {
+        this->finishResponse();
+        return true;
+    }
+    this->responseBegan = true;
+    return false;
+}
+
+// Parses bytes within the memory that is free for incomplete responses.
+ResponseParser::State HttpCall::parseWithinMemory(std::string_view bytes)
 {
-    h2o_buffer_t *&input = this->socket->input;
     this->parser.limitHeldBytes(this->memory->maxSizeOf(this->heldBytes));
-    const ResponseParser::State state = this->parser.feed({ input->bytes, input->size });
-    h2o_buffer_consume(&input, input->size);
+    const ResponseParser::State state = this->parser.feed(bytes);
     const std::size_t size = this->parser.heldBytes();
     this->memory->resize(std::exchange(this->heldBytes, size), size);
     return state;
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -40,7 +40,8 @@
     void write();
     void onWritten(const char *error);
     void onReadable(const char *error);
-    ResponseParser::State parseInput();
+    bool parse(std::string_view bytes);
+    ResponseParser::State parseWithinMemory(std::string_view bytes);
     void releaseMemory();
     std::string_view repeatedIdentity();
     bool isMatchingResponse();
--- a/tests/connection/test_endlessresponse.cpp
+++ b/tests/connection/test_endlessresponse.cpp
@@ -12,6 +12,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <thread>
 
 using namespace cassiaroad;
 
@@ -71,6 +72,52 @@
     EventLoop::Timer timer;
 };
 
+/** A server on its own thread that sends bytes without end on one connection, once asked to. */
+class FastServer
+{
+public:
+    explicit FastServer(std::string head)
+        : listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof(address);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        bind(this->listener, generic, length);
+        listen(this->listener, 1);
+        getsockname(this->listener, generic, &length);
+        this->port = ntohs(address.sin_port);
+        this->thread = std::thread([this, head = std::move(head)] { this->sendAll(head); });
+    }
+    ~FastServer()
+    {
+        shutdown(this->listener, SHUT_RDWR);
+        this->thread.join();
+        close(this->listener);
+    }
+    FastServer(const FastServer &) = delete;
+    FastServer &operator=(const FastServer &) = delete;
+
+    std::uint16_t port = 0;
+
+private:
+    // Sends until the client closes the connection.
+    void sendAll(const std::string &head) const
+    {
+        const int fd = accept(this->listener, nullptr, nullptr);
+        const std::string bytes(megabyte, 'a');
+        ssize_t sent = send(fd, head.data(), head.size(), MSG_NOSIGNAL);
+        while (sent > 0) {
+            sent = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        }
+        close(fd);
+    }
+
+    int listener;
+    std::thread thread;
+};
+
 } // namespace
 
 // Guards against a parser that reads a head or a body without end.
@@ -168,6 +215,35 @@
     EXPECT_LE(parser.response().headers.size(), maxHeaders);
 }
 
+// Guards against a client that reads as long as a fast server sends, before it looks at the bytes.
+TEST(EndlessResponse, isReadInPiecesOfABoundedSize)
+{
+    constexpr std::size_t maxResponse = 24 * megabyte;
+    constexpr std::size_t maxPiece = 512 * kilobyte; // of one iteration of the loop
+    EventLoop loop;
+    FastServer server(chunkedHead + "7fffffff\r\n");
+    HttpClient client(loop);
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    bool failed = false;
+    const auto call = client.send({ "127.0.0.1", server.port }, request, maxResponse,
+                                  [&](const HttpResult &) { failed = true; });
+    std::size_t before = 0;
+    std::size_t largestPiece = 0;
+    EventLoop::Timer timer;
+    const std::function<void()> observe = [&] {
+        const std::size_t after = client.bufferedBytes();
+        largestPiece = std::max(largestPiece, after - std::min(before, after));
+        before = after;
+        timer = loop.callAfter({}, observe); // in the next iteration
+    };
+    observe();
+    EXPECT_TRUE(waitUntil(loop, [&] { return failed; }));
+    EXPECT_GT(largestPiece, 0U);
+    EXPECT_LE(largestPiece, maxPiece);
+}
+
 // Guards against small responses that fail because endless ones have used up the memory.
 TEST(ResponseMemory, leavesRoomForSmallResponses)
 {
