connection: Bound the memory that requests take while they arrive

Cause: Nothing bounded the bytes of all requests of a listener: only one body (64 MiB at a gateway) and the connections (2,500) had a limit. h2o read a connection until it was empty; a head without end was ended by a check twice a second. Before: EndlessRequest.waitsForMemoryAndIsRefusedAsNotRun fails: 12 of 12 bodies are held where 4 fit. EndlessRequest.isRefusedAtOnceIfItsHeadIsTooLong fails: no response within 200 ms. After: They pass. RequestReader reads in place of h2o, in pieces, and RequestMemory decides: a body of a known length reserves all of it when its head has arrived, others as they arrive. What does not fit is not read; after 4 s it is refused as not run (503 with Retry-After). An eighth of the bound is left to small requests. A head above 32 KB is refused with 431 as soon as it is seen. The buffer gets its final size at once and is no file. Conclusion: A listener holds at most HttpServerLimits::maxRequestBytes, beside 4 KB of each connection. Not covered: bodies of HTTP/2 requests, which h2o takes out of the buffer of the connection.

--- a/src/connection/h2oexchange.cpp
+++ b/src/connection/h2oexchange.cpp
@@ -1,5 +1,7 @@
 #include "connection/h2oexchange.h"
 
+#include "connection/requestreader.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -203,8 +205,9 @@
 
 // h2o doesn't read from an HTTP/1.1 connection while its request is handled, so it wouldn't notice
 // that the client has closed the connection. This watches the socket for readiness without reading
-// from it, because h2o's read buffer still contains the request. If the client sends more data, the
-// socket stays readable; the server's sweep then polls for the close instead.
+// from it (RequestReader reads, not h2o), because the read buffer still contains the request. If
+// the client sends more data, the socket stays readable; the server's sweep then polls for the
+// close instead.
 void H2oExchange::startWatching()
 {
     if (this->request->version >= http2Version || this->connection->watchedExchange == this) {
@@ -212,7 +215,6 @@
     }
     this->connection->watchedExchange = this;
     this->connection->needsClosePolling = false;
-    h2o_socket_dont_read(this->connection->socket, 1);
     h2o_socket_read_start(this->connection->socket, [](h2o_socket_t *socket, const char *error) {
         auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
         char byte = 0;
@@ -237,7 +239,6 @@
     this->connection->watchedExchange = nullptr;
     this->connection->needsClosePolling = false;
     h2o_socket_read_stop(this->connection->socket);
-    h2o_socket_dont_read(this->connection->socket, 0);
 }
 
 void H2oExchange::abandon()
@@ -275,6 +276,9 @@
     --this->connection->openExchanges;
     this->connection->idleSince = Clock::now();
     this->connection->receiving = false;
+    if (this->connection->openExchanges == 0) {
+        this->connection->reader->onRequestEnded(*this->connection);
+    }
     this->request = nullptr;
     if (this->answered) {
         --this->connection->unwrittenResponses;
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -3,6 +3,7 @@
 #include "connection/h2oexchange.h"
 #include "connection/lingeringclose.h"
 #include "connection/requesthead.h"
+#include "connection/requestreader.h"
 #include "connection/serverconnection.h"
 
 #include <arpa/inet.h>
@@ -21,7 +22,6 @@
 
 constexpr int listenBacklog = 4096;
 constexpr int maxAcceptsPerIteration = 32;
-constexpr std::size_t maxHeadBytes = 32UL * 1024;
 constexpr Milliseconds sweepInterval { 500 };
 constexpr std::int64_t minBytesPerSecond = 1024; // of a request, on average
 // How long a connection without a request stays open during a shutdown, so that a request that is
@@ -32,6 +32,7 @@
 constexpr std::uint64_t h2oRequestTimeout = 24ULL * 3600 * 1000;
 constexpr int http2Version = 0x200;
 constexpr int payloadTooLarge = 413;
+constexpr int serviceUnavailable = 503;
 
 std::size_t headBytes(const h2o_req_t &request)
 {
@@ -71,12 +72,15 @@
     return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-// Whether the request head that is still arriving exceeds maxHeadBytes. "\n\r\n" ends a head.
-bool isHeadTooLong(const h2o_socket_t &socket)
+// Response to a request that is still arriving, and that h2o has not handed on. The outcome is
+// known.
+std::string earlyRefusal(int status)
 {
-    const std::string_view input(socket.input->bytes, socket.input->size);
-    return input.size() > maxHeadBytes
-           && input.substr(0, maxHeadBytes).find("\n\r\n") == std::string_view::npos;
+    const bool isBusy = status == serviceUnavailable;
+    return std::string("HTTP/1.1 ")
+           + (isBusy ? "503 Service Unavailable" : "431 Request Header Fields Too Large")
+           + "\r\ncontent-length: 0\r\nconnection: close\r\ncassiaroad-outcome: not-run\r\n"
+           + (isBusy ? "retry-after: 1.000\r\n" : "") + "\r\n";
 }
 
 } // namespace
@@ -101,6 +105,8 @@
     void acceptOne(h2o_socket_t *listener);
     /** Sends an error response and closes the connection after it. */
     int refuse(h2o_req_t *request, int status, const char *reason);
+    /** Answers the request that is still arriving, and closes the connection. */
+    void refuseEarly(ServerConnection &connection, int status);
     /** Checks all connections; deletes this if the server is destroyed and none is left. */
     void sweep();
     /** Enforces the timeouts of @p connection, or detects that its client has disconnected. */
@@ -116,6 +122,7 @@
     h2o_accept_ctx_t acceptContext {};
     h2o_socket_t *listener = nullptr;
     std::uint16_t port = 0;
+    RequestReader reader;
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
     LingeringClose lingeringClose;
     EventLoop::Timer sweepTimer;
@@ -145,8 +152,14 @@
     : loop(loop)
     , limits(limits)
     , handler(std::move(handler))
+    , reader(loop, { limits.maxRequestBytes, limits.maxMemoryWait },
+             [this](ServerConnection &connection, int status) {
+                 this->refuseEarly(connection, status);
+             })
     , lingeringClose(loop)
 {
+    // Buffers of the reader have their final size, and none of them is to be a file.
+    h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("cassiaroad"));
     this->config.max_request_entity_size = limits.maxBodyBytes;
@@ -205,6 +218,18 @@
     return 0;
 }
 
+void HttpServer::Private::refuseEarly(ServerConnection &connection, int status)
+{
+    const std::string text = earlyRefusal(status);
+    const int fd = h2o_socket_get_fd(connection.socket);
+    // A response that does not fit into the socket's buffer is lost with the connection.
+    [[maybe_unused]] const ssize_t count
+            = send(fd, text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    this->lingeringClose.add(fd);
+    connection.closing = true;
+    RequestReader::end(connection);
+}
+
 int HttpServer::Private::onRequest(h2o_handler_t *self, h2o_req_t *request)
 {
     auto *d = static_cast<Private *>(reinterpret_cast<RequestHandler *>(self)->server);
@@ -213,7 +238,7 @@
     if (d->serverDestroyed || connection->closing) {
         return d->refuse(request, 503, "Service Unavailable");
     }
-    if (headBytes(*request) > maxHeadBytes) {
+    if (headBytes(*request) > maxRequestHeadBytes) {
         return d->refuse(request, 431, "Request Header Fields Too Large");
     }
     const bool http1 = request->version < http2Version;
@@ -263,8 +288,9 @@
     connection->idleSince = this->loop.now();
     socket->on_close.cb = &Private::onClosed;
     socket->on_close.data = connection.get();
-    this->connections.insert(std::move(connection));
+    this->connections.insert(connection);
     h2o_accept(&this->acceptContext, socket);
+    this->reader.start(*connection);
 }
 
 void HttpServer::Private::onClosed(void *data)
@@ -272,6 +298,7 @@
     auto *connection = static_cast<ServerConnection *>(data);
     auto *d = static_cast<Private *>(connection->server);
     connection->socket = nullptr;
+    d->reader.onClosed(*connection);
     d->connections.erase(connection->shared_from_this());
     d->finishShutDownIfEmpty();
 }
@@ -325,7 +352,7 @@
     }
     const Milliseconds maxReceiveDuration = this->limits.receiveGracePeriod
                                             + Milliseconds { buffered * 1000 / minBytesPerSecond };
-    if (now - connection.receivingSince > maxReceiveDuration || isHeadTooLong(*connection.socket)) {
+    if (now - connection.receivingSince > maxReceiveDuration) {
         shutDownSocket(connection);
     }
 }
@@ -429,6 +456,11 @@
     return backlog;
 }
 
+std::size_t HttpServer::heldRequestBytes() const
+{
+    return this->d->reader.heldBytes();
+}
+
 std::uint16_t HttpServer::port() const
 {
     return this->d->port;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -52,6 +52,10 @@
     // slower clients are closed, so that they don't occupy connections and buffers.
     Milliseconds receiveGracePeriod { 10000 };
     Milliseconds idleTimeout { 60000 }; // a connection without a request is closed after this time
+    // Bytes that all requests hold. A request that does not fit is not read; it is refused as not
+    // run after maxMemoryWait, or at once if it is larger than the bound.
+    std::size_t maxRequestBytes = 80UL * 1024 * 1024;
+    Milliseconds maxMemoryWait { 4000 };
 
     bool operator==(const HttpServerLimits &) const = default;
 };
@@ -95,6 +99,9 @@
     /** Returns what is open at present. Takes time in proportion to the number of connections. */
     HttpServerBacklog backlog() const;
 
+    /** Bytes of requests that are received or handled, without those below 4 KiB. */
+    std::size_t heldRequestBytes() const;
+
     /** Port that was bound; differs from the requested one if that was 0. 0 before listen(). */
     std::uint16_t port() const;
 
--- a/src/connection/requesthead.cpp
+++ b/src/connection/requesthead.cpp
@@ -1,5 +1,7 @@
 #include "connection/requesthead.h"
 
+#include "process/parsenumber.h"
+
 #include <algorithm>
 
 namespace cassiaroad {
@@ -23,11 +25,10 @@
     return next == ':' || next == ' ' || next == '\t';
 }
 
-} // namespace
-
-bool hasAmbiguousLength(std::string_view head)
+// Calls @p use with each line of the head, without its end.
+template <typename Use>
+void forEachHeaderLine(std::string_view head, Use use)
 {
-    int framingHeaders = 0;
     std::size_t position = 0;
     while (position < head.size()) {
         const std::size_t end = std::min(head.find('\n', position), head.size());
@@ -36,13 +37,54 @@
             line.remove_suffix(1);
         }
         if (line.empty()) {
-            break;
+            return;
+        }
+        use(line);
+        position = end + 1;
+    }
+}
+
+} // namespace
+
+std::size_t findHeadEnd(std::string_view input)
+{
+    // "\n\r\n" or "\n\n" ends a head; h2o accepts both.
+    for (std::size_t end = input.find('\n'); end != std::string_view::npos;
+         end = input.find('\n', end + 1)) {
+        const std::string_view rest = input.substr(end + 1);
+        if (rest.starts_with("\r\n")) {
+            return end + 3;
         }
+        if (rest.starts_with("\n")) {
+            return end + 2;
+        }
+    }
+    return 0;
+}
+
+std::optional<std::uint64_t> contentLength(std::string_view head)
+{
+    std::optional<std::uint64_t> length = 0;
+    forEachHeaderLine(head, [&](std::string_view line) {
+        if (hasName(line, "transfer-encoding")) {
+            length.reset();
+        } else if (hasName(line, "content-length") && length) {
+            std::string_view value = line.substr(std::min(line.find(':'), line.size() - 1) + 1);
+            value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+            length = parseNumber<std::uint64_t>(value.substr(0, value.find_last_not_of(" \t") + 1));
+        }
+    });
+    return length;
+}
+
+bool hasAmbiguousLength(std::string_view head)
+{
+    int framingHeaders = 0;
+    forEachHeaderLine(head, [&](std::string_view line) {
         if (hasName(line, "content-length") || hasName(line, "transfer-encoding")) {
             ++framingHeaders;
         }
-        position = end + 1;
-    }
+    });
     return framingHeaders > 1;
 }
 
--- /dev/null
+++ b/src/connection/requestreader.cpp
@@ -0,0 +1,283 @@
+#include "connection/requestreader.h"
+
+#include "connection/requesthead.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <optional>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include <h2o.h>
+
+namespace cassiaroad {
+
+namespace {
+
+// Bytes that one connection reads at most before others get their turn.
+constexpr std::size_t maxReadBytes = std::size_t(256) * 1024;
+constexpr std::size_t pieceBytes = std::size_t(64) * 1024; // of a body
+// Size of h2o's first buffer of a connection. A request that fits into it is not counted.
+constexpr std::size_t headPieceBytes = 4096;
+// While a body of unknown length grows, its bytes are copied to a buffer of twice the size.
+constexpr std::size_t unknownLengthFactor = 2;
+constexpr Milliseconds waitCheckInterval { 50 };
+constexpr Milliseconds takeOverInterval { 1 };
+constexpr int headersTooLarge = 431;
+constexpr int unavailable = 503;
+
+std::string_view inputOf(const ServerConnection &connection)
+{
+    return { connection.socket->input->bytes, connection.socket->input->size };
+}
+
+// Bytes to read next from a connection; not beyond a body of a known length.
+std::size_t nextPieceSize(const ServerConnection &connection)
+{
+    const std::size_t held = connection.socket->input->size;
+    if (connection.expectedBytes > held) {
+        return std::min(pieceBytes, connection.expectedBytes - held);
+    }
+    return connection.isLengthUnknown ? pieceBytes : headPieceBytes;
+}
+
+} // namespace
+
+RequestReader::RequestReader(EventLoop &loop, Limits limits, Refuse refuse)
+    : loop(loop)
+    , limits(limits)
+    , refuse(std::move(refuse))
+    , memory(limits.maxBytes)
+{ }
+
+void RequestReader::start(ServerConnection &connection)
+{
+    connection.reader = this;
+    h2o_socket_dont_read(connection.socket, 1);
+    takeOver(connection);
+    connection.http1Callback = connection.readCallback;
+}
+
+bool RequestReader::takeOver(ServerConnection &connection)
+{
+    // An open HTTP/1.1 request has its own callback, which watches for the end of the stream.
+    if (connection.socket == nullptr || connection.socket->_cb.read == nullptr
+        || connection.watchedExchange != nullptr) {
+        return false;
+    }
+    if (connection.socket->_cb.read != &RequestReader::onReadable) {
+        connection.readCallback = connection.socket->_cb.read;
+        connection.socket->_cb.read = &RequestReader::onReadable;
+    }
+    return true;
+}
+
+void RequestReader::onReadable(h2o_socket_t *socket, const char *error)
+{
+    auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
+    if (error != nullptr) {
+        deliver(*connection, error);
+        return;
+    }
+    connection->reader->read(*connection);
+}
+
+void RequestReader::read(ServerConnection &connection)
+{
+    const std::shared_ptr<ServerConnection> keepAlive = connection.shared_from_this();
+    std::size_t total = 0;
+    while (total < maxReadBytes && this->readPiece(connection, total)) { }
+}
+
+bool RequestReader::readPiece(ServerConnection &connection, std::size_t &total)
+{
+    h2o_socket_t *socket = connection.socket;
+    const std::size_t wanted = nextPieceSize(connection);
+    if (!this->reserve(connection, socket->input->size + wanted)) {
+        this->pause(connection);
+        return false;
+    }
+    const h2o_iovec_t space = h2o_buffer_reserve(&socket->input, wanted);
+    const std::size_t size = std::min(space.len, wanted);
+    const ssize_t count = recv(h2o_socket_get_fd(socket), space.base, size, MSG_DONTWAIT);
+    if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return false;
+    }
+    if (count <= 0) {
+        deliver(connection, count == 0 ? h2o_socket_error_closed : h2o_socket_error_io);
+        return false;
+    }
+    socket->input->size += static_cast<std::size_t>(count);
+    socket->bytes_read = static_cast<std::size_t>(count);
+    total += static_cast<std::size_t>(count);
+    return deliver(connection, nullptr) && this->checkIncomplete(connection)
+           && static_cast<std::size_t>(count) == size;
+}
+
+bool RequestReader::deliver(ServerConnection &connection, const char *error)
+{
+    const std::shared_ptr<ServerConnection> keepAlive = connection.shared_from_this();
+    connection.readCallback(connection.socket, error);
+    if (takeOver(connection)) {
+        return true;
+    }
+    // h2o may read again without the end of a request, such as after "100 Continue".
+    if (connection.socket != nullptr && connection.openExchanges == 0) {
+        connection.reader->onRequestEnded(connection);
+    }
+    return false;
+}
+
+void RequestReader::end(ServerConnection &connection)
+{
+    deliver(connection, h2o_socket_error_closed);
+}
+
+bool RequestReader::checkIncomplete(ServerConnection &connection)
+{
+    const std::string_view input = inputOf(connection);
+    const bool isHttp1 = connection.readCallback == connection.http1Callback;
+    if (!isHttp1 || input.empty() || connection.expectedBytes > 0 || connection.isLengthUnknown) {
+        return true;
+    }
+    const std::size_t headSize = findHeadEnd(input.substr(0, maxRequestHeadBytes));
+    if (headSize == 0) {
+        if (input.size() <= maxRequestHeadBytes) {
+            return true;
+        }
+        this->refuse(connection, headersTooLarge);
+        return false;
+    }
+    const std::optional<std::uint64_t> length = contentLength(input.substr(0, headSize));
+    connection.isLengthUnknown = !length;
+    if (!length) {
+        return true;
+    }
+    connection.expectedBytes = headSize + *length;
+    if (!this->memory.canFit(connection.expectedBytes)) {
+        this->refuse(connection, unavailable);
+        return false;
+    }
+    return true;
+}
+
+// Reserves memory for a request of at least @p size bytes; all of it if the length is known.
+bool RequestReader::reserve(ServerConnection &connection, std::size_t size)
+{
+    std::size_t target = connection.isLengthUnknown ? size * unknownLengthFactor : size;
+    target = std::max(target, connection.expectedBytes);
+    if (target <= std::max(connection.reservedBytes, headPieceBytes)) {
+        return true;
+    }
+    if (!this->memory.resize(connection.reservedBytes, target)) {
+        return false;
+    }
+    connection.reservedBytes = target;
+    // One buffer of the final size, since growing would copy it.
+    if (connection.expectedBytes > inputOf(connection).size()) {
+        h2o_buffer_reserve(&connection.socket->input,
+                           connection.expectedBytes - inputOf(connection).size());
+    }
+    return true;
+}
+
+void RequestReader::pause(ServerConnection &connection)
+{
+    h2o_socket_read_stop(connection.socket);
+    connection.waitingSince = this->loop.now();
+    if (this->waiting.empty()) {
+        this->waitTimer = this->loop.callEvery(waitCheckInterval, [this] { this->checkWaiting(); });
+    }
+    this->waiting.push_back(connection.shared_from_this());
+}
+
+// Lets waiting requests continue that fit now. A large one does not overtake an earlier large one.
+void RequestReader::resumeWaiting()
+{
+    bool largeWaits = false;
+    for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+        const std::shared_ptr<ServerConnection> connection = *entry;
+        const std::size_t size = std::max(connection->expectedBytes,
+                                          inputOf(*connection).size() + nextPieceSize(*connection));
+        const bool isLarge = size > RequestMemory::smallRequestBytes;
+        if ((isLarge && largeWaits) || !this->reserve(*connection, size)) {
+            largeWaits = largeWaits || isLarge;
+            ++entry;
+            continue;
+        }
+        entry = this->waiting.erase(entry);
+        h2o_socket_read_start(connection->socket, &RequestReader::onReadable);
+    }
+}
+
+void RequestReader::checkWaiting()
+{
+    const TimePoint oldest = this->loop.now() - this->limits.maxWait;
+    while (!this->waiting.empty() && this->waiting.front()->waitingSince < oldest) {
+        const std::shared_ptr<ServerConnection> connection = this->waiting.front();
+        this->waiting.pop_front();
+        this->refuse(*connection, unavailable);
+    }
+    this->resumeWaiting();
+    if (this->waiting.empty()) {
+        this->waitTimer = {};
+    }
+}
+
+void RequestReader::onRequestEnded(ServerConnection &connection)
+{
+    if (this->ended.empty()) {
+        this->endedTimer = this->loop.callAfter({}, [this] { this->takeOverEnded(); });
+    }
+    this->ended.push_back(connection.shared_from_this());
+}
+
+// Takes over the connections from which h2o reads again, once h2o has removed the ended request
+// from their input.
+void RequestReader::takeOverEnded()
+{
+    Connections connections;
+    connections.swap(this->ended);
+    for (const std::shared_ptr<ServerConnection> &connection : connections) {
+        if (connection->socket == nullptr || connection->watchedExchange != nullptr) {
+            continue;
+        }
+        const bool isRead = takeOver(*connection);
+        if (connection->openExchanges > 0) {
+            continue; // a pipelined request, which ends later
+        }
+        if (isRead) {
+            this->release(*connection, inputOf(*connection).size());
+        } else {
+            this->ended.push_back(connection); // h2o still writes
+        }
+    }
+    if (!this->ended.empty()) {
+        this->endedTimer
+                = this->loop.callAfter(takeOverInterval, [this] { this->takeOverEnded(); });
+    }
+}
+
+// Lowers the reservation of a connection to @p size bytes.
+void RequestReader::release(ServerConnection &connection, std::size_t size)
+{
+    const std::size_t held = std::min(size <= headPieceBytes ? 0 : size, connection.reservedBytes);
+    const bool hasReleased = held < connection.reservedBytes;
+    this->memory.resize(std::exchange(connection.reservedBytes, held), held);
+    connection.expectedBytes = 0;
+    connection.isLengthUnknown = false;
+    if (hasReleased) {
+        this->resumeWaiting();
+    }
+}
+
+void RequestReader::onClosed(ServerConnection &connection)
+{
+    const std::shared_ptr<ServerConnection> closed = connection.shared_from_this();
+    this->waiting.remove(closed);
+    this->ended.remove(closed);
+    this->release(connection, 0);
+}
+
+} // namespace cassiaroad
--- /dev/null
+++ b/src/connection/requestreader.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "connection/requestmemory.h"
+#include "connection/serverconnection.h"
+#include "process/eventloop.h"
+
+#include <functional>
+#include <list>
+#include <vector>
+
+namespace cassiaroad {
+
+/**
+ * Reads the requests of a listener's connections for h2o, in bounded pieces and within a bound of
+ * the bytes that all requests hold. A request that does not fit waits: its connection is not read.
+ * One that has waited too long, that can never fit or whose head is too long is refused. Bodies of
+ * HTTP/2 requests are not counted, since h2o takes them out of the socket's buffer. Loop thread
+ * only.
+ */
+class RequestReader
+{
+public:
+    struct Limits
+    {
+        std::size_t maxBytes = 0; // that all requests hold
+        Milliseconds maxWait; // of one request until it fits
+    };
+
+    /** Answers the request that arrives on the connection with this status, and closes it. */
+    using Refuse = std::function<void(ServerConnection &, int)>;
+
+    /** @p loop must outlive the reader. */
+    RequestReader(EventLoop &loop, Limits limits, Refuse refuse);
+    RequestReader(const RequestReader &) = delete;
+    RequestReader &operator=(const RequestReader &) = delete;
+
+    /** Reads for @p connection from now on. Precondition: h2o has just begun to read from it. */
+    void start(ServerConnection &connection);
+
+    /** A request of @p connection has ended, and h2o is about to read the next one. */
+    void onRequestEnded(ServerConnection &connection);
+
+    /** Releases what @p connection holds. Its socket is closed. */
+    void onClosed(ServerConnection &connection);
+
+    /** Gives h2o the end of the stream, so that it closes @p connection. */
+    static void end(ServerConnection &connection);
+
+    /** Bytes that all requests hold. */
+    std::size_t heldBytes() const { return this->memory.usedBytes(); }
+
+private:
+    static void onReadable(h2o_socket_t *socket, const char *error);
+    /** Takes over reading from h2o if it reads. Returns whether the connection is read. */
+    static bool takeOver(ServerConnection &connection);
+    /** Lets h2o handle its input. Returns whether h2o waits for more of it. */
+    static bool deliver(ServerConnection &connection, const char *error);
+    void read(ServerConnection &connection);
+    /** Reads one piece. Returns whether there may be more. */
+    bool readPiece(ServerConnection &connection, std::size_t &total);
+    /** Checks the incomplete request of @p connection. Returns whether it is read further. */
+    bool checkIncomplete(ServerConnection &connection);
+    bool reserve(ServerConnection &connection, std::size_t size);
+    void pause(ServerConnection &connection);
+    void resumeWaiting();
+    void checkWaiting();
+    void takeOverEnded();
+    void release(ServerConnection &connection, std::size_t size);
+
+    using Connections = std::list<std::shared_ptr<ServerConnection>>;
+
+    EventLoop &loop;
+    Limits limits;
+    Refuse refuse;
+    RequestMemory memory;
+    Connections waiting; // in the order in which they began to wait
+    Connections ended; // whose request has ended, and that are not taken over again
+    EventLoop::Timer waitTimer;
+    EventLoop::Timer endedTimer;
+};
+
+} // namespace cassiaroad
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -2,6 +2,7 @@
 
 #include "process/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 
@@ -10,6 +11,7 @@
 namespace cassiaroad {
 
 class H2oExchange;
+class RequestReader;
 
 /**
  * State of one connection that HttpServer has accepted. The on_close data of its socket points to
@@ -25,6 +27,14 @@
     bool closing = false; // shut down by the server; a request that still arrives is refused
     std::uint32_t openExchanges = 0;
     std::uint32_t unwrittenResponses = 0; // of open exchanges that were answered
+    RequestReader *reader = nullptr; // outlives the socket
+    // h2o's callback for input, and the one for HTTP/1.1.
+    void (*readCallback)(h2o_socket_t *, const char *) = nullptr;
+    void (*http1Callback)(h2o_socket_t *, const char *) = nullptr;
+    std::size_t reservedBytes = 0; // of the reader's memory
+    std::size_t expectedBytes = 0; // head and body of the request that arrives; 0 if not known
+    bool isLengthUnknown = false; // the head is complete and does not tell the length
+    TimePoint waitingSince; // when its request began to wait for memory; valid if it waits
     H2oExchange *watchedExchange = nullptr; // is notified when the client closes the connection
     bool needsClosePolling = false; // unread data hides the close from readiness; sweep() polls
 };
--- a/tests/support/rawclient.h
+++ b/tests/support/rawclient.h
@@ -38,6 +38,13 @@
                == static_cast<ssize_t>(bytes.size());
     }
 
+    /** Writes as much as the socket takes; returns the number of bytes. */
+    std::size_t writeSome(std::string_view bytes)
+    {
+        const ssize_t count = send(this->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+
     /** Reads what has arrived and returns everything received so far. */
     const std::string &received()
     {
