connection, gateway: Share the body of a request with its attempts

Cause: GatewayRequest::buildRequest() copied the body for each attempt, and the call kept the copy. Before: HttpRequest.sharesItsBodyWithItsCopies fails: a copy of a request has its own bytes. After: It passes. HttpBody holds a view and its owner; an attempt refers to the bytes that the exchange has. Conclusion: A gateway holds the body of a request once, however often it is sent.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -274,7 +274,8 @@
     }
     this->sent = true;
     h2o_iovec_t parts[2] = { h2o_iovec_init(this->head.data(), this->head.size()),
-                             h2o_iovec_init(this->request.body.data(), this->request.body.size()) };
+                             h2o_iovec_init(const_cast<char *>(this->request.body.data()),
+                                            this->request.body.size()) };
     h2o_socket_read_start(this->socket, &Callbacks::onReadable);
     h2o_socket_write(this->socket, parts, this->request.body.empty() ? 1 : 2,
                      &Callbacks::onWritten);
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -8,12 +8,42 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <variant>
 #include <vector>
 
 namespace cassiaroad {
 
+/** Bytes of a body that copies share. Immutable; thread-safe. */
+class HttpBody
+{
+public:
+    HttpBody() = default;
+    HttpBody(std::string text)
+        : owner(std::make_shared<const std::string>(std::move(text)))
+        , bytes(*std::static_pointer_cast<const std::string>(this->owner))
+    { }
+    HttpBody(const char *text)
+        : HttpBody(std::string(text))
+    { }
+    /** Bytes that belong to @p owner, which is kept alive. */
+    HttpBody(std::shared_ptr<const void> owner, std::string_view bytes)
+        : owner(std::move(owner))
+        , bytes(bytes)
+    { }
+
+    const char *data() const { return this->bytes.data(); }
+    std::size_t size() const { return this->bytes.size(); }
+    bool empty() const { return this->bytes.empty(); }
+
+    bool operator==(const HttpBody &other) const { return this->bytes == other.bytes; }
+
+private:
+    std::shared_ptr<const void> owner;
+    std::string_view bytes;
+};
+
 /** An HTTP request to send. */
 struct HttpRequest
 {
@@ -21,7 +51,7 @@
     std::string path;
     // Must not contain Content-Length. If Host is absent, the address of the server is sent.
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    HttpBody body;
     // Name of the header that the server repeats in its response, in lower case. A response with
     // another value fails the call.
     std::string identityHeader = "cassiaroad-request";
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -352,7 +352,9 @@
     HttpRequest request;
     request.method = this->exchange->method();
     request.path = this->exchange->path();
-    request.body = this->exchange->body();
+    // The exchange has the bytes until it is answered or its client is gone; end() destroys the
+    // calls before that.
+    request.body = { this->exchange, this->exchange->body() };
     request.identityHeader = names.requestId;
     request.requiresIdentity = true;
     request.refusalHeader = names.notExecuted;
--- a/tests/connection/test_httpclient.cpp
+++ b/tests/connection/test_httpclient.cpp
@@ -426,3 +426,13 @@
     this->peer->connections[0]->write("more");
     EXPECT_TRUE(waitUntil(this->loop, [&] { return call->lastProgress() > last; }));
 }
+
+// Guards against a copy of a large body for each attempt to send a request.
+TEST(HttpRequest, sharesItsBodyWithItsCopies)
+{
+    HttpRequest request;
+    request.body = std::string(1000, 'b');
+    const HttpRequest copy = request;
+    EXPECT_EQ(copy.body.data(), request.body.data());
+    EXPECT_EQ(copy, request);
+}
