review: Fill in limits.memoryMb as the platform does

Cause: deploy/gateway.ini is about to name {{limits.memoryMb}}, which the stand-in of the platform does not know. Before, after: No case changes; the values are those of the machines (260 and 256).

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -117,6 +117,7 @@
                   "seeds": site.seeds()[:3], "faultTolerance": {"machines": site.tolerated},
                   "heartbeatS": HEARTBEAT_S, "dataDir": str(site.folder / f"{self.name}.data"),
                   "bootstrap": bootstrap, "inTolerance": True, "bounds": BOUNDS, "zones": REGIONS,
+                  "limits": {"memoryMb": 260 if self.role == "gateway" else 256},
                   "listen": {"front": f"{self.ip}:{site.port('front')}",
                              "readiness": f"{self.ip}:{site.port('readiness')}",
                              "control": f"{self.ip}:{site.port('control')}"}}
