gateway: Bound the requests that it holds by the memory of its host

Cause: Four clients that upload 48 MiB each at once, which the limits allow, took a gateway over its 260 MB. The process ended, and requests in progress on kept connections got no response although they ran.

--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -19,10 +19,17 @@
 constexpr std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
 constexpr std::uint32_t maxClientConnections = 2500;
 
+constexpr std::size_t megabyte = 1000 * 1000;
+// The process itself takes 14 MB, responses 32 MiB and as much as the largest of them, 16 MiB,
+// while its buffer is copied.
+constexpr std::size_t reservedMegabytes = 80;
+
 // Limits of the listener for clients.
-HttpServerLimits clientLimits()
+HttpServerLimits clientLimits(const SiteSettings &settings)
 {
     HttpServerLimits limits;
+    const auto &role = std::get<GatewaySettings>(settings.role);
+    limits.maxRequestBytes = (role.memoryMegabytes - reservedMegabytes) * megabyte;
     limits.maxBodyBytes = maxBodyBytes;
     limits.maxConnections = maxClientConnections;
     return limits;
@@ -44,7 +51,7 @@
                     [this](const GatewayUpdate &update, TimePoint confirmedAt) {
                         this->core.update(update, confirmedAt);
                     } })
-        , callers(loop, clientLimits(),
+        , callers(loop, clientLimits(settings),
                   [this](std::shared_ptr<HttpExchange> exchange) {
                       GatewayRequest::begin(this->core, std::move(exchange));
                   })
@@ -162,6 +169,10 @@
             .Set(static_cast<double>((this->loop.now() - view.tableConfirmedAt).count) / 1000.0);
     this->metrics.gauge("cassiaroad_gateway_connections", "Open connections of clients.")
             .Set(static_cast<double>(this->callers.connectionCount()));
+    this->metrics
+            .gauge("cassiaroad_gateway_request_bytes",
+                   "Bytes that the requests of clients hold, without those below 4 KiB.")
+            .Set(static_cast<double>(this->callers.heldRequestBytes()));
     updateLogGauges(this->metrics, this->log);
     updateWorkGauges(this->metrics, this->loop.workMeter());
 }
--- a/src/process/sitesettings.cpp
+++ b/src/process/sitesettings.cpp
@@ -13,6 +13,9 @@
 constexpr double millisecondsPerSecond = 1000.0;
 constexpr double maxSeconds = 3600.0;
 constexpr std::int64_t maxPort = 65535;
+// The process itself and the responses take 80 MB (gatewayprocess.cpp).
+constexpr std::int64_t minMemoryMegabytes = 100;
+constexpr std::int64_t maxMemoryMegabytes = 1000000;
 
 Milliseconds seconds(SectionReader &reader, const std::string &key, double fallback)
 {
@@ -87,8 +90,13 @@
 {
     if (this->find("gateway") != nullptr) {
         SectionReader gateway = this->reader("gateway");
-        this->settings.role
-                = GatewaySettings { gateway.address("callers"), gateway.address("readiness") };
+        GatewaySettings role;
+        role.callers = gateway.address("callers");
+        role.readiness = gateway.address("readiness");
+        const std::int64_t memory = gateway.integerOr("memory-mb", minMemoryMegabytes,
+                                                      maxMemoryMegabytes, role.memoryMegabytes);
+        role.memoryMegabytes = static_cast<std::uint32_t>(memory);
+        this->settings.role = role;
         gateway.finish();
         return;
     }
--- a/src/process/sitesettings.h
+++ b/src/process/sitesettings.h
@@ -11,6 +11,7 @@
 {
     HostAddress callers; // for requests of callers
     HostAddress readiness; // for readiness checks
+    std::uint32_t memoryMegabytes = 160; // that the process may use, in units of 10^6 bytes
 
     bool operator==(const GatewaySettings &) const = default;
 };
--- a/tests/process/test_sitesettings.cpp
+++ b/tests/process/test_sitesettings.cpp
@@ -17,6 +17,7 @@
                                 "[gateway]\n"
                                 "callers = 10.1.0.10:8161\n"
                                 "readiness = 10.1.0.10:8167\n"
+                                "memory-mb = 260\n"
                                 "[bounds]\n"
                                 "retry-share = 0.3\n"
                                 "stop-grace-s = 5\n"
@@ -41,6 +42,16 @@
     EXPECT_EQ(settings.regions.at("a"), "north");
     EXPECT_EQ(std::get<GatewaySettings>(settings.role).readiness,
               (HostAddress { "10.1.0.10", 8167 }));
+    EXPECT_EQ(std::get<GatewaySettings>(settings.role).memoryMegabytes, 260U);
+}
+
+// Guards against a gateway whose bound of memory is negative.
+TEST(SiteSettings, refusesLessMemoryThanAGatewayNeeds)
+{
+    std::string text = gatewayText;
+    text.replace(text.find("memory-mb = 260"), 15, "memory-mb = 99");
+    EXPECT_TRUE(std::holds_alternative<std::vector<SettingsError>>(
+            parseSiteSettings(text, "gateway.ini")));
 }
 
 // Guards against a process that starts with invalid settings.
