connection: Bound the responses that clients do not read

Cause: A response that was handed to h2o and not written counted nowhere, and a connection whose client reads nothing was kept as long as the client kept it. Before: EndlessRequest.boundsResponsesThatAreNotRead fails: six responses of 16 MB are held where three times that is allowed, and still 4 s later. After: It passes. Unwritten responses count with the requests of the listener; one that does not fit is replaced by 502, since its request has run. A connection whose client acknowledges nothing for 10 s is closed. keepsAConnectionWhoseResponseIsReadSlowly (a new guard, which held before) passes. Conclusion: Slow readers cost a listener bounded memory and time.

--- a/src/connection/h2oexchange.cpp
+++ b/src/connection/h2oexchange.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int http2Version = 0x200;
+constexpr int badGateway = 502;
 
 // Response headers that are not passed to h2o: they apply to a single connection, or h2o writes
 // them itself.
@@ -78,11 +79,14 @@
 {
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    RequestReader *reader; // in which the body counts
 };
 
 void destroyPendingResponse(void *memory)
 {
-    static_cast<PendingResponse *>(memory)->~PendingResponse();
+    auto *response = static_cast<PendingResponse *>(memory);
+    response->reader->releaseResponse(response->body.size());
+    response->~PendingResponse();
 }
 
 // Without a body (HEAD, 204, 304), the Content-Length of the response's own headers is sent.
@@ -163,6 +167,11 @@
     }
     this->stopWatching();
     this->clientGoneCallback = nullptr;
+    if (!this->connection->reader->holdResponse(body.size())) {
+        // The outcome of the request is lost with the response.
+        this->send(badGateway, {}, {});
+        return;
+    }
     this->send(status, std::move(headers), std::move(body));
 }
 
@@ -174,7 +183,8 @@
     ++this->connection->unwrittenResponses;
     void *memory
             = h2o_mem_alloc_shared(&target->pool, sizeof(PendingResponse), &destroyPendingResponse);
-    auto *stored = new (memory) PendingResponse { std::move(headers), std::move(body) };
+    auto *stored = new (memory)
+            PendingResponse { std::move(headers), std::move(body), this->connection->reader };
     const bool withBody = hasBody(status, this->method());
     target->res.status = status;
     target->res.reason = reasonPhrase(status);
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <unordered_set>
@@ -50,6 +51,15 @@
     return poll(&entry, 1, 0) > 0;
 }
 
+// Bytes that the client has acknowledged.
+std::uint64_t acknowledgedBytes(h2o_socket_t *socket)
+{
+    tcp_info info {};
+    socklen_t length = sizeof(info);
+    getsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &length);
+    return info.tcpi_bytes_acked;
+}
+
 // Shuts the socket down, so that h2o reads the end of the stream and closes the connection.
 void shutDownSocket(ServerConnection &connection)
 {
@@ -111,6 +121,8 @@
     void sweep();
     /** Enforces the timeouts of @p connection, or detects that its client has disconnected. */
     void sweepConnection(ServerConnection &connection, TimePoint now);
+    /** Ends a connection whose client does not read its response. */
+    void sweepUnread(ServerConnection &connection, TimePoint now);
     void closeListener();
     void finishShutDownIfEmpty();
 
@@ -333,9 +345,12 @@
         if (connection.watchedExchange != nullptr && connection.needsClosePolling
             && isClosedByPeer(connection.socket)) {
             connection.watchedExchange->abandon();
+        } else if (connection.unwrittenResponses > 0) {
+            this->sweepUnread(connection, now);
         }
         return;
     }
+    connection.unreadSince.reset();
     const auto buffered = static_cast<std::int64_t>(connection.socket->input->size);
     if (buffered == 0) {
         connection.receiving = false;
@@ -357,6 +372,17 @@
     }
 }
 
+void HttpServer::Private::sweepUnread(ServerConnection &connection, TimePoint now)
+{
+    const std::uint64_t acknowledged = acknowledgedBytes(connection.socket);
+    if (!connection.unreadSince || acknowledged != connection.acknowledgedBytes) {
+        connection.unreadSince = now;
+        connection.acknowledgedBytes = acknowledged;
+    } else if (now - *connection.unreadSince > this->limits.unreadTimeout) {
+        shutDownSocket(connection);
+    }
+}
+
 void HttpServer::Private::closeListener()
 {
     if (this->listener != nullptr) {
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -52,8 +52,11 @@
     // slower clients are closed, so that they don't occupy connections and buffers.
     Milliseconds receiveGracePeriod { 10000 };
     Milliseconds idleTimeout { 60000 }; // a connection without a request is closed after this time
-    // Bytes that all requests hold. A request that does not fit is not read; it is refused as not
-    // run after maxMemoryWait, or at once if it is larger than the bound.
+    // A connection whose client acknowledges nothing of its response for this time is closed.
+    Milliseconds unreadTimeout { 10000 };
+    // Bytes that all requests and unwritten responses hold. A response that does not fit is
+    // replaced by 502, since its request has run. A request that does not fit is not read; it is
+    // refused as not run after maxMemoryWait, or at once if it is larger than the bound.
     std::size_t maxRequestBytes = 80UL * 1024 * 1024;
     Milliseconds maxMemoryWait { 4000 };
 
@@ -99,7 +102,7 @@
     /** Returns what is open at present. Takes time in proportion to the number of connections. */
     HttpServerBacklog backlog() const;
 
-    /** Bytes of requests that are received or handled, without those below 4 KiB. */
+    /** Bytes of requests, without those below 4 KiB, and of unwritten responses. */
     std::size_t heldRequestBytes() const;
 
     /** Port that was bound; differs from the requested one if that was 0. 0 before listen(). */
--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -272,6 +272,12 @@
     }
 }
 
+void RequestReader::releaseResponse(std::size_t size)
+{
+    this->memory.resize(size, 0);
+    this->resumeWaiting();
+}
+
 void RequestReader::onClosed(ServerConnection &connection)
 {
     const std::shared_ptr<ServerConnection> closed = connection.shared_from_this();
--- a/src/connection/requestreader.h
+++ b/src/connection/requestreader.h
@@ -43,10 +43,17 @@
     /** Releases what @p connection holds. Its socket is closed. */
     void onClosed(ServerConnection &connection);
 
+    /**
+     * Counts a response that h2o writes like a request, until releaseResponse(). Returns false if
+     * it does not fit.
+     */
+    bool holdResponse(std::size_t size) { return this->memory.resize(0, size); }
+    void releaseResponse(std::size_t size);
+
     /** Gives h2o the end of the stream, so that it closes @p connection. */
     static void end(ServerConnection &connection);
 
-    /** Bytes that all requests hold. */
+    /** Bytes that all requests and unwritten responses hold. */
     std::size_t heldBytes() const { return this->memory.usedBytes(); }
 
 private:
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 typedef struct st_h2o_socket_t h2o_socket_t;
 
@@ -35,6 +36,8 @@
     std::size_t expectedBytes = 0; // head and body of the request that arrives; 0 if not known
     bool isLengthUnknown = false; // the head is complete and does not tell the length
     TimePoint waitingSince; // when its request began to wait for memory; valid if it waits
+    std::optional<TimePoint> unreadSince; // last progress of the response, as the sweep saw it
+    std::uint64_t acknowledgedBytes = 0; // at unreadSince
     H2oExchange *watchedExchange = nullptr; // is notified when the client closes the connection
     bool needsClosePolling = false; // unread data hides the close from readiness; sweep() polls
 };
--- a/tests/connection/test_endlessrequest.cpp
+++ b/tests/connection/test_endlessrequest.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t megabyte = 1024 * kilobyte;
 constexpr std::size_t maxBody = megabyte;
 constexpr std::size_t maxRequests = 4 * megabyte;
+constexpr std::size_t bigResponse = 16 * megabyte; // more than the buffers of the system take
 const std::string small = "POST /small HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc";
 const std::string chunked = "POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
 
@@ -59,6 +60,8 @@
                 this->loop, limits, [this](std::shared_ptr<HttpExchange> exchange) {
                     if (exchange->path() == "/small") {
                         exchange->answer(200, {}, "small");
+                    } else if (exchange->path() == "/big") {
+                        exchange->answer(200, {}, std::string(bigResponse, 'r'));
                     } else {
                         this->open.push_back(std::move(exchange));
                     }
@@ -240,3 +243,52 @@
     EXPECT_EQ(this->open.size(), clients.size());
     EXPECT_LE(this->largest, maxRequests);
 }
+
+// Guards against large responses that are held without bound and without end, because their clients
+// do not read them.
+TEST_F(EndlessRequest, boundsResponsesThatAreNotRead)
+{
+    HttpServerLimits limits = EndlessRequest::limits({ 300 });
+    limits.maxRequestBytes = 3 * bigResponse;
+    limits.unreadTimeout = { 1000 };
+    this->start(limits);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 6; ++i) {
+        clients.push_back(std::make_unique<RawClient>(this->server->port()));
+        clients.back()->write("GET /big HTTP/1.1\r\nhost: x\r\n\r\n");
+    }
+    EXPECT_TRUE(waitUntil(this->loop, [&] {
+        this->observe();
+        return this->largest > bigResponse && this->server->backlog().unwrittenResponses == 2;
+    }));
+    EXPECT_TRUE(this->isServed());
+    EXPECT_LE(this->largest, limits.maxRequestBytes);
+    const auto refused = std::count_if(clients.begin(), clients.end(), [](const auto &client) {
+        return client->received(kilobyte).starts_with("HTTP/1.1 502");
+    });
+    EXPECT_EQ(refused, 4);
+    EXPECT_TRUE(waitUntil(
+            this->loop, [&] { return this->server->backlog().unwrittenResponses == 0; }, { 4000 }));
+    EXPECT_EQ(this->server->heldRequestBytes(), 0U);
+}
+
+// Guards against a client that reads a large response slowly and is taken for one that does not.
+TEST_F(EndlessRequest, keepsAConnectionWhoseResponseIsReadSlowly)
+{
+    HttpServerLimits limits = EndlessRequest::limits({ 300 });
+    limits.maxRequestBytes = 3 * bigResponse;
+    limits.unreadTimeout = { 1000 };
+    this->start(limits);
+    RawClient client(this->server->port());
+    client.write("GET /big HTTP/1.1\r\nhost: x\r\n\r\n");
+    TimePoint next = this->loop.now();
+    std::size_t received = 0;
+    EXPECT_TRUE(waitUntil(this->loop, [&] {
+        if (this->loop.now() >= next) {
+            next = this->loop.now() + Milliseconds { 400 };
+            received = client.received(received + 2 * megabyte).size();
+        }
+        return received > bigResponse;
+    }));
+    EXPECT_FALSE(client.isClosedByServer());
+}
--- a/tests/support/rawclient.h
+++ b/tests/support/rawclient.h
@@ -45,14 +45,21 @@
         return count > 0 ? static_cast<std::size_t>(count) : 0;
     }
 
-    /** Reads what has arrived and returns everything received so far. */
-    const std::string &received()
+    /**
+     * Reads what has arrived, and nothing more once @p maxBytes are received. Returns everything
+     * received so far.
+     */
+    const std::string &received(std::size_t maxBytes = SIZE_MAX)
     {
         char buffer[65536];
         ssize_t count = 0;
-        while ((count = recv(this->fd, buffer, sizeof(buffer), 0)) > 0) {
+        while (this->text.size() < maxBytes
+               && (count = recv(this->fd, buffer, sizeof(buffer), 0)) > 0) {
             this->text.append(buffer, static_cast<std::size_t>(count));
         }
+        if (this->text.size() >= maxBytes) {
+            return this->text;
+        }
         this->closed = this->closed || count == 0 || (errno != EAGAIN && errno != EINTR);
         return this->text;
     }
