--- a/src/connection/h2oexchange.cpp
+++ b/src/connection/h2oexchange.cpp
@@ -1,5 +1,7 @@
 #include "connection/h2oexchange.h"
 
+#include "connection/requestreader.h"
+
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr int http2Version = 0x200;
+constexpr int badGateway = 502;
 
 // Response headers that are not passed to h2o: they apply to a single connection, or h2o writes
 // them itself.
@@ -76,11 +79,14 @@
 {
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    RequestReader *reader; // in which the body counts
 };
 
 void destroyPendingResponse(void *memory)
 {
-    static_cast<PendingResponse *>(memory)->~PendingResponse();
+    auto *response = static_cast<PendingResponse *>(memory);
+    response->reader->releaseResponse(response->body.size());
+    response->~PendingResponse();
 }
 
 // Without a body (HEAD, 204, 304), the Content-Length of the response's own headers is sent.
@@ -161,6 +167,11 @@
     }
     this->stopWatching();
     this->clientGoneCallback = nullptr;
+    if (!this->connection->reader->holdResponse(body.size())) {
+        // The outcome of the request is lost with the response.
+        this->send(badGateway, {}, {});
+        return;
+    }
     this->send(status, std::move(headers), std::move(body));
 }
 
@@ -172,7 +183,8 @@
     ++this->connection->unwrittenResponses;
     void *memory
             = h2o_mem_alloc_shared(&target->pool, sizeof(PendingResponse), &destroyPendingResponse);
-    auto *stored = new (memory) PendingResponse { std::move(headers), std::move(body) };
+    auto *stored = new (memory)
+            PendingResponse { std::move(headers), std::move(body), this->connection->reader };
     const bool withBody = hasBody(status, this->method());
     target->res.status = status;
     target->res.reason = reasonPhrase(status);
@@ -203,8 +215,9 @@
 
 // h2o doesn't read from an HTTP/1.1 connection while its request is handled, so it wouldn't notice
 // that the client has closed the connection. This watches the socket for readiness without reading
-// from it, because h2o's read buffer still contains the request. If the client sends more data, the
-// socket stays readable; the server's sweep then polls for the close instead.
+// from it (RequestReader reads, not h2o), because the read buffer still contains the request. If
+// the client sends more data, the socket stays readable; the server's sweep then polls for the
+// close instead.
 void H2oExchange::startWatching()
 {
     if (this->request->version >= http2Version || this->connection->watchedExchange == this) {
@@ -212,7 +225,6 @@
     }
     this->connection->watchedExchange = this;
     this->connection->needsClosePolling = false;
-    h2o_socket_dont_read(this->connection->socket, 1);
     h2o_socket_read_start(this->connection->socket, [](h2o_socket_t *socket, const char *error) {
         auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
         char byte = 0;
@@ -237,7 +249,6 @@
     this->connection->watchedExchange = nullptr;
     this->connection->needsClosePolling = false;
     h2o_socket_read_stop(this->connection->socket);
-    h2o_socket_dont_read(this->connection->socket, 0);
 }
 
 void H2oExchange::abandon()
@@ -275,6 +286,9 @@
     --this->connection->openExchanges;
     this->connection->idleSince = Clock::now();
     this->connection->receiving = false;
+    if (this->connection->openExchanges == 0) {
+        this->connection->reader->onRequestEnded(*this->connection);
+    }
     this->request = nullptr;
     if (this->answered) {
         --this->connection->unwrittenResponses;
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -40,7 +40,8 @@
     void write();
     void onWritten(const char *error);
     void onReadable(const char *error);
-    ResponseParser::State parseInput();
+    bool parse(std::string_view bytes);
+    ResponseParser::State parseWithinMemory(std::string_view bytes);
     void releaseMemory();
     std::string_view repeatedIdentity();
     bool isMatchingResponse();
@@ -54,7 +55,7 @@
     std::shared_ptr<IdleConnectionPool> idleConnections;
     HostAddress server;
     std::shared_ptr<ResponseMemory> memory;
-    std::size_t heldBytes = 0; // of the response's body, as recorded in `memory`
+    std::size_t heldBytes = 0; // of the response, as recorded in `memory`
     HttpRequest request;
     ResponseParser parser;
     std::function<void(HttpResult)> done;
