soak: Upstreams that leave, ask for pauses and answer without end; checks beside the faults

After: the random mix also has upstreams that leave in their answers only, ask for pauses of 1 to 4 s with some or all requests, or answer without end in one of eight parts; a request that crashes upstreams at all gateways; restarts of gateways in series beside upstreams that refuse; connections to control hosts that go silent while new ones work; and changes of the configuration in calm. An upstream that crashes resets its connections, and connections are closed before the event loop.

--- a/tools/soaklib/caller.py
+++ b/tools/soaklib/caller.py
@@ -30,7 +30,8 @@
                           f"Content-Length: {len(body)}\r\n{lines}\r\n{body}".encode())
         head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
         received = dict(line.lower().split(": ", 1) for line in head[1:] if ": " in line)
-        text = await self.reader.readexactly(int(received.get("content-length", "0")))
+        length = received.get("content-length")
+        text = await (self.reader.read() if length is None else self.reader.readexactly(int(length)))
         if received.get("connection") == "close":
             self.close()
         return int(head[0].split(" ")[1]), received, text.decode()
--- a/tools/soaklib/relay.py
+++ b/tools/soaklib/relay.py
@@ -11,6 +11,7 @@
         self.listen = listen
         self.target = target
         self.mode = "open"  # open, delay, silent (no bytes), half (no bytes to the client), refuse
+        self.generation = 0  # connections of earlier generations are silent
         self.connections = set()
         self.server = None
 
@@ -32,11 +33,16 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
 
+    def silence(self):
+        """From now on no byte or end passes on the open connections; stop() closes them."""
+        self.generation += 1
+
     async def accept(self, reader, writer):
         if self.mode == "refuse":
             writer.transport.abort()
             return
         ip, port = self.target.split(":")
+        generation = self.generation
         try:
             while self.mode == "silent":
                 await asyncio.sleep(0.05)
@@ -46,21 +52,24 @@
             return
         self.connections |= {writer, target_writer}
         try:
-            await asyncio.gather(self.forward(reader, target_writer, False),
-                                 self.forward(target_reader, writer, True))
+            await asyncio.gather(self.forward(reader, target_writer, False, generation),
+                                 self.forward(target_reader, writer, True, generation))
         except asyncio.CancelledError:
             pass  # the soak has ended
-        self.connections -= {writer, target_writer}
+        if generation == self.generation:
+            self.connections -= {writer, target_writer}
 
-    async def forward(self, reader, writer, towards_client):
+    async def forward(self, reader, writer, towards_client, generation):
         try:
             while data := await reader.read(65536):
                 while self.mode == "silent" or (self.mode == "half" and towards_client):
                     await asyncio.sleep(0.05)
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
-                writer.write(data)
-                await writer.drain()
+                if generation == self.generation:
+                    writer.write(data)
+                    await writer.drain()
         except (OSError, asyncio.CancelledError):
             pass
-        writer.close()
+        if generation == self.generation:
+            writer.close()
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -1,5 +1,4 @@
-"""Simulated upstreams with leases on key ranges, all in one process, and the checks of their
-requests.
+"""Simulated upstreams with leases on key ranges, all in one process.
 
 They use the published protocol of the platform: leases come in the responses to heartbeats
 ("holds") or by calls to the upstream, and requests name the id of the upstream that should run them.
@@ -9,91 +8,9 @@
 import random
 import time
 
-HEARTBEAT_S = 0.5
-DRAIN_S = 2.5  # after which a gateway that has passed on that an upstream leaves sends it nothing
-PAUSE_BEGIN_S = 0.5  # time in which requests that are on their way may still arrive
-MAX_ARRIVALS_IN_PAUSE = 2
-
-
-class Checks:
-    """Records what callers and upstreams see of requests, and every violation of a promise as a
-    line."""
-
-    def __init__(self):
-        self.violations = []
-        self.runs = {}  # request id -> number of runs
-        self.refused = set()  # ids of requests whose response says that they were not run
-        self.sent = {}  # request id -> (gateway, time at which its caller sent it)
-        self.leaving = {}  # (gateway, upstream) -> time of the first response that said so
-        self.pauses = {}  # (gateway, upstream) -> [start, end, arrivals] of the latest pause
-        self.arrivals = []  # (time, request id) of every request that reached an upstream
-
-    def record_sent(self, request_id, gateway):
-        """Records that a caller sends a request to a gateway."""
-        self.sent[request_id] = (gateway, time.monotonic())
+from soaklib import endless
 
-    def record_response(self, request_id, headers):
-        """Records what the response to a caller tells of its upstream."""
-        upstream = headers.get("x-cassiaroad-instance-id")
-        if headers.get("server-leaving") == "1" and upstream:
-            gateway, _ = self.sent[request_id]
-            self.leaving.setdefault((gateway, upstream), time.monotonic())
-
-    def forget_gateway(self, gateway):
-        """The gateway restarts or stands still: it need not remember what upstreams have said."""
-        for known in (self.leaving, self.pauses):
-            for key in [key for key in known if key[0] == gateway]:
-                del known[key]
-
-    def record_arrival(self, request_id, upstream, is_misdirected):
-        """Records that a request has reached an upstream, and checks that it may have."""
-        now = time.monotonic()
-        self.arrivals.append((now, request_id))
-        gateway, sent_at = self.sent.get(request_id, (None, now))
-        left_at = self.leaving.get((gateway, upstream))
-        if left_at is not None and sent_at > left_at + DRAIN_S and not is_misdirected:
-            self.violations.append(
-                f"{upstream} got {request_id}, which was sent {sent_at - left_at:.2f} s after "
-                f"{gateway} had passed on that the upstream leaves")
-        pause = self.pauses.get((gateway, upstream))
-        if pause is not None and pause[0] <= now <= pause[1]:
-            pause[2] += 1
-            if pause[2] > MAX_ARRIVALS_IN_PAUSE:
-                self.violations.append(f"{upstream} got {request_id} of {gateway}, the request "
-                                       f"number {pause[2]} in its pause")
-
-    def record_pause(self, request_id, upstream, seconds):
-        """Records that an upstream has asked a gateway for a pause."""
-        now = time.monotonic()
-        gateway, _ = self.sent.get(request_id, (None, now))
-        start, end, arrivals = self.pauses.get((gateway, upstream), [now + PAUSE_BEGIN_S, 0, 0])
-        if now > end:
-            start, arrivals = now + PAUSE_BEGIN_S, 0
-        self.pauses[(gateway, upstream)] = [start, max(end, now + seconds), arrivals]
-
-    def count_repeats(self, start, end):
-        """Number of arrivals between two times beyond the first of each request."""
-        seen, repeats = set(), 0
-        for at, request_id in self.arrivals:
-            if start <= at < end and request_id in seen:
-                repeats += 1
-            seen.add(request_id)
-        return repeats
-
-    def record_run(self, request_id, idempotent):
-        """Records that an upstream runs a request; only an idempotent one may run more than
-        once."""
-        self.runs[request_id] = self.runs.get(request_id, 0) + 1
-        if not idempotent and self.runs[request_id] > 1:
-            self.violations.append(f"request {request_id} ran twice")
-        if request_id in self.refused:
-            self.violations.append(f"request {request_id} ran after it was refused")
-
-    def record_refusal(self, request_id):
-        """Records that a caller was told that its request was not run."""
-        self.refused.add(request_id)
-        if self.runs.get(request_id):
-            self.violations.append(f"request {request_id} was refused but has run")
+HEARTBEAT_S = 0.5
 
 
 class Upstream:
@@ -123,7 +40,12 @@
         self.running_keys = []  # of the requests in progress
         self.crashes_under = None  # bytes in the body of a request under which it crashes
         self.says_leaving = False  # says in each response that it leaves; heartbeats do not
-        self.pause_s = None  # turns each request away and asks for a pause; 0: without a pause
+        self.pause_s = None  # turns requests away and asks for a pause; 0: without a pause
+        self.pause_share = 1.0  # of the requests that are turned away
+        self.endless_part = None  # of its answers, from endless.PARTS
+        self.reports = True  # sends heartbeats
+        self.accepted_at = 0.0  # time at which it last got a request for a key that it had a lease on
+        self.writers = set()  # of the open connections
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -132,11 +54,24 @@
         self.task = asyncio.create_task(self.send_heartbeats())
 
     async def crash(self):
-        """Stops without notice and drops the leases."""
+        """Stops without notice, drops the leases and resets the connections."""
         self.up = False
         self.leases = []
         self.task.cancel()
         self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    def is_serving(self):
+        """Whether the upstream is up and stays."""
+        return self.up and not self.draining and not self.says_leaving
+
+    def behave(self):
+        """Ends what the upstream does wrong while it serves."""
+        self.applies_late = False
+        self.pause_s = None
+        self.pause_share = 1.0
+        self.endless_part = None
 
     def has_lease(self, key):
         """Whether the upstream has a valid lease on a key."""
@@ -151,6 +86,7 @@
 
     async def serve(self, reader, writer):
         """Serves the requests of one connection."""
+        self.writers.add(writer)
         try:
             while self.up:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -165,19 +101,27 @@
                 status, text = await self.handle(method, headers, body)
                 if self.drops_responses or not self.up:
                     return
-                extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
-                extra += "Server-Leaving: 1\r\n" if self.says_leaving else ""
-                extra += f"Retry-After: {self.pause_s}\r\n" if status == 503 and self.pause_s else ""
-                writer.write(f"HTTP/1.1 {status} S\r\nContent-Length: {len(text)}\r\n{extra}"
-                             f"X-Cassiaroad-Instance-Id: {self.name}\r\n"
-                             f"X-Cassiaroad-Server-Load: 1,0,6\r\nX-Cassiaroad-Request-Id: "
-                             f"{headers.get('x-cassiaroad-request-id', '')}\r\n\r\n{text}".encode())
+                if status == 200 and self.endless_part is not None:
+                    await endless.answer(writer, self.endless_part, self.head(200, headers))
+                    return
+                writer.write(self.head(status, headers)
+                             + f"Content-Length: {len(text)}\r\n\r\n{text}".encode())
                 await writer.drain()
         except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError, ValueError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def head(self, status, headers):
+        """Head of the response to a request with these headers, without its length and end."""
+        extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
+        extra += "Server-Leaving: 1\r\n" if self.says_leaving else ""
+        extra += f"Retry-After: {self.pause_s}\r\n" if status == 503 and self.pause_s else ""
+        return (f"HTTP/1.1 {status} S\r\n{extra}X-Cassiaroad-Instance-Id: {self.name}\r\n"
+                f"X-Cassiaroad-Server-Load: 1,0,6\r\nX-Cassiaroad-Request-Id: "
+                f"{headers.get('x-cassiaroad-request-id', '')}\r\n").encode()
+
     async def answer_call(self, path, call, writer):
         """Applies a call that grants or releases a lease and answers it. Returns False if the call
         gets no answer; then it may be applied later."""
@@ -244,12 +188,14 @@
         self.checks.record_arrival(request_id, self.name, is_misdirected)
         if is_misdirected:
             return 421, ""
-        if self.pause_s is not None:
+        self.accepted_at = time.monotonic()
+        if self.pause_s is not None and random.random() < self.pause_share:
             self.checks.record_pause(request_id, self.name, self.pause_s)
             return 503, ""
         self.checks.record_run(request_id, method == "GET")
         self.check_single_owner(key)
         if self.crashes_under and self.crashes_under in body:
+            self.checks.record_crash(body, self.name)
             await self.crash()
         self.running_keys.append(key)
         await asyncio.sleep(random.uniform(*self.service_time_s))
@@ -269,6 +215,8 @@
             wait = HEARTBEAT_S
             sent = time.monotonic()
             self.remove_expired_leases()
+            if not self.reports:
+                continue
             self.sequence += 1
             report = {
                 "address": self.address, "born": self.born,
