review, soak: Targets that play the review's cases and a soak with sanitizers

make review builds target/cassiaroad with the command of deploy/system.toml and prints one line for each case of review/. make soak-sanitized builds the program with the sanitizers of addresses and undefined behaviour in a folder of its own and runs a soak of 10 s with it, without the bound of memory. Neither is a part of make check.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Shortcuts for CMake, CTest and the scripts.
 BUILD ?= build
 
-.PHONY: install build check demo measure prove format
+.PHONY: install build check demo measure prove format review soak-sanitized
 
 install:
 	@scripts/install
@@ -29,3 +29,19 @@
 
 prove: build
 	@python3 tools/prove.py --build $(BUILD)
+
+# The cases of the independent review, one line each. Not a part of check.
+review: install
+	@scripts/review
+
+# A short soak of the program with the sanitizers of addresses and undefined behaviour. They use more
+# memory than the program, so that the bound of the soak does not apply.
+SANITIZED := $(BUILD)-sanitized
+soak-sanitized: install
+	@cmake -S . -B $(SANITIZED) -G Ninja -DCMAKE_BUILD_TYPE= -DCASSIAROAD_PROGRAM_ONLY=ON \
+		"-DCMAKE_CXX_FLAGS=-O1 -g1 -fsanitize=address,undefined -fno-omit-frame-pointer" >$(SANITIZED).log 2>&1 \
+		|| (cat $(SANITIZED).log; exit 1)
+	@rm -f $(SANITIZED).log
+	@cmake --build $(SANITIZED) --target cassiaroad
+	@UBSAN_OPTIONS=print_stacktrace=1 python3 tools/soak.py --build $(SANITIZED) --seed 3 --seconds 10 \
+		--max-resident-mb 2000
