connection: Read no bytes without calling memcpy with a null pointer

Callers saw nothing; the call is undefined behaviour, and a compiler may conclude from it that the pointer is never null. Cause: h2o's input buffer has no memory before its first byte, and RpcStream::takeInput copied 0 bytes from it. Conclusion: the copy of no bytes is left out.

--- a/src/connection/rpcstream.cpp
+++ b/src/connection/rpcstream.cpp
@@ -319,6 +319,9 @@
         return count;
     }
     const size_t count = std::min(size, this->socket->input->size);
+    if (count == 0) {
+        return 0; // h2o's empty buffer has no bytes to point to, and memcpy() takes no null pointer
+    }
     std::memcpy(buffer, this->socket->input->bytes, count);
     h2o_buffer_consume(&this->socket->input, count);
     this->counters->received += count;
