soak: Processes that end by themselves, lines of sanitizers, and the same faults for a seed

Before: a gateway or registry that ended by itself went unnoticed if it was started again in time; lines of sanitizers stayed in the logs of the processes; callers and faults drew from one sequence of numbers, so that two runs of a seed drew different faults. After: an end without a signal of the soak and each line of a sanitizer are violations, and the faults have a sequence of their own. An end by itself was not injected.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -34,8 +34,10 @@
         self.seconds = seconds
         self.started_at = time.monotonic()
         self.events = []  # faults and changes, as lines with their times
-        self.host_faults = HostFaults(self, self.record_event)
-        self.upstream_faults = UpstreamFaults(self, self.record_event)
+        # Apart from the numbers that callers draw, so that a seed draws the same faults again.
+        self.fault_random = random.Random(seed)
+        self.host_faults = HostFaults(self, self.fault_random, self.record_event)
+        self.upstream_faults = UpstreamFaults(self, self.fault_random, self.record_event)
         self.watches = Watches(self, MAX_RESIDENT_BYTES)
         self.actions = {action.__name__: (weight, action)
                         for weight, action in self.host_faults.actions()
@@ -70,14 +72,15 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
             await self.stop()
+            self.watches.check_logs()
 
     async def inject_faults(self):
         """Injects random faults for the time of the run."""
         end = time.monotonic() + self.seconds
         while time.monotonic() < end:
-            await asyncio.sleep(self.random.uniform(0.2, 1.5))
+            await asyncio.sleep(self.fault_random.uniform(0.2, 1.5))
             weights, actions = zip(*self.actions.values())
-            await self.random.choices(actions, weights)[0]()
+            await self.fault_random.choices(actions, weights)[0]()
         if self.host_faults.rolling_restart is not None:
             await self.host_faults.rolling_restart
 
--- a/tools/soaklib/hostfaults.py
+++ b/tools/soaklib/hostfaults.py
@@ -16,9 +16,9 @@
 class HostFaults:
     """Injects faults into the processes of a site."""
 
-    def __init__(self, site, record_event):
+    def __init__(self, site, random, record_event):
         self.site = site
-        self.random = site.random
+        self.random = random
         self.record_event = record_event
         self.rolling_restart = None  # task that restarts the gateways one after the other
 
--- a/tools/soaklib/hosts.py
+++ b/tools/soaklib/hosts.py
@@ -66,6 +66,10 @@
     def is_up(self):
         return self.process is not None and self.process.poll() is None and not self.paused
 
+    def has_ended_by_itself(self):
+        """Whether the process has ended without a signal to end."""
+        return self.process is not None and self.process.poll() is not None and not self.ending
+
     def has_fault(self):
         """Whether the process is down, ending, suspended or behind a relay with a fault."""
         return not self.is_up() or self.ending or any(r.mode != "open" for r in self.relays)
--- a/tools/soaklib/upstreamfaults.py
+++ b/tools/soaklib/upstreamfaults.py
@@ -14,9 +14,9 @@
 class UpstreamFaults:
     """Injects faults into the upstreams of a site."""
 
-    def __init__(self, site, record_event):
+    def __init__(self, site, random, record_event):
         self.site = site
-        self.random = site.random
+        self.random = random
         self.record_event = record_event
         self.tasks = []  # faults that go on beside others
         self.deadly_requests = 0
@@ -69,10 +69,11 @@
     def begin_for_a_while(self, upstream, text):
         """Ends what the upstream does after some seconds, while other faults continue."""
         self.record_event(f"{upstream.name} {text}")
-        self.tasks.append(asyncio.create_task(self.end_later(upstream)))
+        self.tasks.append(asyncio.create_task(
+            self.end_later(upstream, self.random.uniform(2.0, 5.0))))
 
-    async def end_later(self, upstream):
-        await asyncio.sleep(self.random.uniform(2.0, 5.0))
+    async def end_later(self, upstream, wait_s):
+        await asyncio.sleep(wait_s)
         upstream.behave()
 
     async def ask_for_pauses(self):
@@ -101,10 +102,10 @@
         self.deadly_requests += 1
         self.record_event(f"a request that crashes upstreams, number {self.deadly_requests}")
         body = f"{DEADLY.decode()}{self.deadly_requests}"
-        self.tasks.append(asyncio.create_task(self.repeat_deadly_request(body)))
-
-    async def repeat_deadly_request(self, body):
         method, path = self.random.choice([("GET", "/read/x"), ("POST", "/order/x")])
+        self.tasks.append(asyncio.create_task(self.repeat_deadly_request(method, path, body)))
+
+    async def repeat_deadly_request(self, method, path, body):
         for number in range(DEADLY_SENDS):
             gateway = self.site.gateways[number % len(self.site.gateways)]
             before = [upstream for upstream in self.site.upstreams if upstream.up]
--- a/tools/soaklib/watches.py
+++ b/tools/soaklib/watches.py
@@ -1,12 +1,15 @@
-"""Checks that run beside the faults: the configuration in force and the memory of the gateways."""
+"""Checks that run beside the faults: the configuration in force, the memory of the gateways, and
+processes that end by themselves."""
 import asyncio
 import json
+import pathlib
 import time
 
 APPLY_S = 2.5  # after the acknowledgement of a change all gateways must serve by it
 IN_TOUCH_S = 3.0  # after the latest fault a host is in touch with the others
 MAX_RESIDENT_BYTES = 160 * 10**6
 INTERVAL_S = 0.3
+SANITIZER_MARKS = ("runtime error: ", "ERROR: AddressSanitizer", "ERROR: LeakSanitizer")
 
 
 class Watches:
@@ -20,7 +23,7 @@
 
     def start(self):
         """Starts the watches; returns their tasks."""
-        watches = [self.read_forever(), self.watch_memory()]
+        watches = [self.read_forever(), self.watch_memory(), self.watch_processes()]
         watches += [self.check_routes_forever(gateway) for gateway in self.site.gateways]
         return [asyncio.create_task(watch) for watch in watches]
 
@@ -45,6 +48,24 @@
                     self.site.checks.violations.append(
                         f"{gateway.name} uses {used / 1e6:.0f} MB of memory")
 
+    async def watch_processes(self):
+        """Checks that no process ends without a signal of the soak."""
+        while True:
+            await asyncio.sleep(INTERVAL_S)
+            for host in self.site.controls + self.site.gateways:
+                if host.has_ended_by_itself():
+                    self.site.checks.violations.append(
+                        f"{host.name} ended by itself with {host.process.returncode}")
+                    host.start()
+
+    def check_logs(self):
+        """Checks that no sanitizer has reported a fault; each place in the code counts once."""
+        found = set()
+        for host in self.site.controls + self.site.gateways:
+            lines = pathlib.Path(host.log.name).read_text(errors="replace").splitlines()
+            found |= {line for line in lines if any(mark in line for mark in SANITIZER_MARKS)}
+        self.site.checks.violations += sorted(found)
+
     def is_in_touch(self, gateway):
         """Whether the gateway and all control hosts have been without a fault for IN_TOUCH_S."""
         hosts = self.site.controls + [gateway]
