registry: Take no keys from an upstream because of another writer

What callers saw: one heartbeat for a service that no configuration names, at the address of an upstream that is up, and its keys went to others while it still had leases on them. It got no keys again while the entry of the other writer lasted. A withdrawal by another writer kept an upstream without keys for the rest of its life.

Cause: RegistryManager took any readable heartbeat with the same id or address and a later start time as the proof that the earlier incarnation had ended. RangeSupervisor took an owner that is not registered for ended, and did not wait for its leases.

Now claimOf() decides what a heartbeat proves. Only a restart ends leases early: two reports of a later incarnation of the same id, service and address, half an interval apart and without leases, while the earlier one, heard under this leader, is silent for more than an interval. It gets the keys in the response to its second report, as before. In all other cases the leases run out, also those of an owner that is not registered any more. A heartbeat for an unnamed service registers nothing. An upstream that was withdrawn and reports for two intervals that it is ready is ready again.

Conclusion: a heartbeat that has the id, the service and the address of an upstream and a later start time cannot be told from one of its restart. One of them changes nothing; several, while the upstream is frozen, still do.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -285,8 +285,9 @@
     this->heartbeatCount.Increment();
     this->watchLoad.countHeartbeat();
     const ReportResult result = this->manager.onHeartbeat(report, this->loop.now());
-    if (result.status == ReportStatus::Outdated) {
-        this->log.write({ "heartbeat_outdated",
+    if (result.status != ReportStatus::Accepted) {
+        const bool isContested = result.status == ReportStatus::Contested;
+        this->log.write({ isContested ? "heartbeat_contested" : "heartbeat_outdated",
                           Event::Weight::Important,
                           { { "upstream", report.incarnation.id },
                             { "born", report.incarnation.born },
--- a/src/version/leasecalls.cpp
+++ b/src/version/leasecalls.cpp
@@ -58,6 +58,14 @@
     calls.wakeAt = {};
 }
 
+void LeaseCalls::suspend(const UpstreamIncarnation &upstream)
+{
+    const auto found = this->upstreams.find(upstream);
+    if (found != this->upstreams.end()) {
+        found->second.mayGrant = false;
+    }
+}
+
 void LeaseCalls::wake(const UpstreamIncarnation &upstream)
 {
     const auto found = this->upstreams.find(upstream);
--- a/src/version/leasecalls.h
+++ b/src/version/leasecalls.h
@@ -63,6 +63,12 @@
      */
     void onHeartbeat(const UpstreamIncarnation &upstream);
 
+    /**
+     * Sends no grants to @p upstream until its next heartbeat, because another incarnation may have
+     * its address.
+     */
+    void suspend(const UpstreamIncarnation &upstream);
+
     /** Makes @p upstream due, because the leases that it is to have may have changed. */
     void wake(const UpstreamIncarnation &upstream);
 
--- a/src/version/rangeleasetable.cpp
+++ b/src/version/rangeleasetable.cpp
@@ -51,7 +51,8 @@
 {
     IncarnationLeases &known = this->incarnations[incarnation];
     known.hasResponse = true;
-    known.lastResponseSequence = sequence;
+    // A registration may begin again with lower numbers; then reports prove nothing for now.
+    known.lastResponseSequence = std::max(known.lastResponseSequence, sequence);
     known.lastResponse = leases;
     bool isFirst = false;
     for (const RangeLease &lease : leases) {
@@ -121,6 +122,9 @@
 {
     const auto found = this->incarnations.find(owner.owner);
     const IncarnationLeases *leases = found == this->incarnations.end() ? nullptr : &found->second;
+    if (leases != nullptr && leases->hasEnded) {
+        return true;
+    }
     if (leases != nullptr && leases->calls.mayHold(range, now)) {
         return false;
     }
@@ -135,6 +139,23 @@
            && !overlapsAny(leases->lastResponse, range);
 }
 
+void RangeLeaseTable::forgetOthers(
+        const std::function<bool(const UpstreamIncarnation &)> &isRegistered, TimePoint now)
+{
+    // While a lease of an earlier leader may be valid, it matters who has ended.
+    const TimePoint endOfEarlier
+            = this->termStart + this->timing.leaseDurationOnLeaderClock + this->timing.callTimeout;
+    if (now < endOfEarlier) {
+        return;
+    }
+    std::erase_if(this->incarnations, [&](const auto &entry) {
+        const IncarnationLeases &leases = entry.second;
+        const bool mayHold = std::any_of(leases.grantedUntil.begin(), leases.grantedUntil.end(),
+                                         [&](const auto &granted) { return now < granted.second; });
+        return !mayHold && !leases.calls.mayHold({ 0, lastKey }, now) && !isRegistered(entry.first);
+    });
+}
+
 bool RangeLeaseTable::isGranted(const RangeOwner &owner) const
 {
     const auto found = this->incarnations.find(owner.owner);
--- a/src/version/rangeleasetable.h
+++ b/src/version/rangeleasetable.h
@@ -5,6 +5,7 @@
 #include "version/siteconfiguration.h"
 #include "version/upstreamreport.h"
 
+#include <functional>
 #include <map>
 #include <vector>
 
@@ -75,8 +76,21 @@
     void recordReleased(const UpstreamIncarnation &incarnation, const KeyRange &range,
                         FencingToken fence);
 
-    /** Removes an incarnation that has stopped. */
-    void forget(const UpstreamIncarnation &incarnation) { this->incarnations.erase(incarnation); }
+    /**
+     * Records that an incarnation has certainly ended, and its leases with it; see claimOf() for
+     * what proves that.
+     */
+    void recordEnded(const UpstreamIncarnation &incarnation)
+    {
+        this->incarnations[incarnation].hasEnded = true;
+    }
+
+    /**
+     * Forgets the incarnations for which @p isRegistered is false, once no lease of theirs may be
+     * valid.
+     */
+    void forgetOthers(const std::function<bool(const UpstreamIncarnation &)> &isRegistered,
+                      TimePoint now);
 
     /**
      * Whether the owner of @p owner certainly has no valid lease on @p range any more.
@@ -109,6 +123,7 @@
         bool hasResponse = false;
         bool reportedAfterResponse = false; // the last report was sent after that heartbeat
         CalledLeases calls;
+        bool hasEnded = false; // see recordEnded()
     };
 
     /** A service at the start of the term. */
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -307,14 +307,12 @@
         if (this->isUsable(entry.owner, context) || this->moving.overlaps(entry.range)) {
             continue;
         }
-        const bool hasEnded = context.state.find(entry.owner) == nullptr;
-        if (!hasEnded
-            && !context.rangeLeases.isReleased(this->service, entry, entry.range, context.now)) {
+        // Also of an owner that is not registered any more: it may be up all the same.
+        if (!context.rangeLeases.isReleased(this->service, entry, entry.range, context.now)) {
             continue;
         }
-        // A restarted upstream is assigned its former keys at once.
         const auto successor = context.state.upstreams().find(entry.owner.id);
-        if (hasEnded && successor != context.state.upstreams().end()
+        if (successor != context.state.upstreams().end()
             && this->isUsable(successor->second.incarnation, context)) {
             transfers.push_back({ entry.range, successor->second.incarnation, {} });
             continue;
@@ -370,11 +368,7 @@
             }
         }
     }
-    for (const RangeTransfer &transfer : transfers) {
-        const RangeOwner *entry = ranges == nullptr ? nullptr : ranges->find(transfer.range.from);
-        this->moving.add({ transfer.range, entry == nullptr ? UpstreamIncarnation() : entry->owner,
-                           transfer.to, true });
-    }
+    this->recordProposed(transfers, ranges);
     return transfers;
 }
 
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -77,6 +77,21 @@
         this->leavingSince.try_emplace(incarnation, now);
     }
 
+    /** Records that @p incarnation does not leave: another writer has announced that. */
+    void recordStaying(const UpstreamIncarnation &incarnation)
+    {
+        this->leavingSince.erase(incarnation);
+    }
+
+    /**
+     * Returns transfers of the ranges of @p ended to the next incarnation of the same upstream, to
+     * be committed at once. Returns nothing while earlier transfers are in flight; dueTransfers()
+     * does it later. Precondition: RangeLeaseTable::recordEnded() was called for @p ended.
+     */
+    std::vector<RangeTransfer> succeed(const UpstreamIncarnation &ended,
+                                       const UpstreamIncarnation &successor,
+                                       const RangeContext &context);
+
     /** Records the handovers that @p incarnation has reported. */
     void recordReleases(const UpstreamIncarnation &incarnation,
                         const std::vector<RangeRelease> &releases);
@@ -121,6 +136,7 @@
     std::vector<RangeTransfer> transfersOf(const std::vector<MovingRange> &released,
                                            const RangeContext &context) const;
     std::set<UpstreamIncarnation> receiversOfReleases() const;
+    void recordProposed(const std::vector<RangeTransfer> &transfers, const RangeTable *ranges);
     std::vector<RangeTransfer> replaceUnavailableOwners(const RangeContext &context) const;
     std::vector<RangeTransfer> renewRefused(const RangeContext &context);
     bool canConfirmRelease(const RangeOwner &entry, const RangeContext &context) const;
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -33,13 +33,6 @@
     return result;
 }
 
-SiteUpstream toUpstream(const UpstreamReport &report)
-{
-    return { report.incarnation, report.service,
-             report.address,     report.zone,
-             report.slots,       report.draining ? UpstreamPhase::Draining : UpstreamPhase::Ready };
-}
-
 } // namespace
 
 RegistryManager::RegistryManager(const RegistryState &state, RegistryTiming timing)
@@ -111,85 +104,6 @@
     return this->callers.contains(service) ? LeaseDelivery::Call : LeaseDelivery::Heartbeat;
 }
 
-// Whether a later incarnation is known at the id or address of the report.
-bool RegistryManager::isReplaced(const UpstreamReport &report) const
-{
-    return std::any_of(
-            this->state.upstreams().begin(), this->state.upstreams().end(), [&](const auto &entry) {
-                const SiteUpstream &known = entry.second;
-                const bool hasSameIdOrAddress = known.incarnation.id == report.incarnation.id
-                                                || known.address == report.address;
-                return hasSameIdOrAddress && known.incarnation.born > report.incarnation.born;
-            });
-}
-
-void RegistryManager::addRegistration(const UpstreamReport &report,
-                                      std::vector<RegistryCommand> &commands)
-{
-    // Two processes cannot have the same address: a later one proves that the earlier one has
-    // stopped.
-    for (const auto &[id, known] : this->state.upstreams()) {
-        if (known.incarnation.born >= report.incarnation.born) {
-            continue;
-        }
-        const bool hasSameId = id == report.incarnation.id;
-        const bool hasSameAddress = known.address == report.address;
-        if (LeaseCalls *calls = this->leaseCalls(known.service);
-            calls != nullptr && (hasSameId || hasSameAddress)) {
-            calls->forget(known.incarnation);
-        }
-        if (hasSameAddress && !hasSameId) {
-            commands.emplace_back(RemoveSiteUpstream { known.incarnation });
-        }
-    }
-    const SiteUpstream *known = this->state.find(report.incarnation);
-    if (known == nullptr) {
-        commands.emplace_back(RegisterSiteUpstream { toUpstream(report) });
-        return;
-    }
-    if (report.draining && known->phase == UpstreamPhase::Ready) {
-        commands.emplace_back(SetUpstreamPhase { report.incarnation, UpstreamPhase::Draining });
-    }
-}
-
-ReportResult RegistryManager::onHeartbeat(const UpstreamReport &report, TimePoint now)
-{
-    if (this->isReplaced(report) || !this->monitor.accept(report, now)) {
-        return { ReportStatus::Outdated, {} };
-    }
-    ReportResult result;
-    this->addRegistration(report, result.commands);
-    this->rangeLeases.recordReport(report.incarnation, report.sequence, report.leases);
-    if (LeaseCalls *calls = this->leaseCalls(report.service)) {
-        calls->onHeartbeat(report.incarnation);
-    }
-    if (RangeSupervisor *keyed = this->supervisor(report.service)) {
-        keyed->recordReleases(report.incarnation, report.releases);
-        if (report.draining) {
-            keyed->recordLeaving(report.incarnation, now);
-        }
-    }
-    return result;
-}
-
-HeartbeatResponse RegistryManager::respond(const UpstreamReport &report, TimePoint now)
-{
-    HeartbeatResponse response;
-    RangeSupervisor *keyed = this->supervisor(report.service);
-    if (keyed == nullptr || this->state.find(report.incarnation) == nullptr
-        || this->leaseCalls(report.service) != nullptr) {
-        return response;
-    }
-    response.keyed = true;
-    response.leaseDuration = this->timing.leases.leaseDuration;
-    response.leases = keyed->leasesFor(report.incarnation, this->context(now));
-    if (this->rangeLeases.recordResponse(report.incarnation, report.sequence, response.leases,
-                                         now)) {
-        ++this->firstLeases;
-    }
-    return response;
-}
-
 std::vector<LeaseCall> RegistryManager::dueLeaseCalls(TimePoint now)
 {
     std::vector<LeaseCall> result;
@@ -301,24 +215,6 @@
     return count;
 }
 
-std::vector<RegistryCommand> RegistryManager::onLeave(const UpstreamIncarnation &incarnation,
-                                                      TimePoint now)
-{
-    const auto found = this->state.upstreams().find(incarnation.id);
-    if (found == this->state.upstreams().end()) {
-        return {};
-    }
-    const SiteUpstream &known = found->second;
-    if ((incarnation.born != 0 && known.incarnation != incarnation)
-        || known.phase == UpstreamPhase::Gone) {
-        return {};
-    }
-    if (RangeSupervisor *keyed = this->supervisor(known.service)) {
-        keyed->recordLeaving(known.incarnation, now);
-    }
-    return { SetUpstreamPhase { known.incarnation, UpstreamPhase::Gone } };
-}
-
 void RegistryManager::onGatewayReport(const GatewayReport &report, TimePoint now)
 {
     for (const KeyRequestCount &key : report.keys) {
@@ -368,7 +264,8 @@
 {
     for (const auto &[id, upstream] : this->state.upstreams()) {
         const bool hasExpired = this->monitor.isSilent(upstream.incarnation,
-                                                       now - this->timing.registrationTimeout);
+                                                       now - this->timing.registrationTimeout)
+                                || isSuperseded(upstream, this->known(now));
         if (hasExpired && !this->ownsRange(upstream)
             && this->removing.insert(upstream.incarnation).second) {
             commands.emplace_back(RemoveSiteUpstream { upstream.incarnation });
@@ -386,6 +283,7 @@
         }
     }
     this->addRemovals(now, commands);
+    this->forgetOthers(now);
     return commands;
 }
 
@@ -404,7 +302,6 @@
     if (const auto *removal = std::get_if<RemoveSiteUpstream>(&command)) {
         this->removing.erase(removal->incarnation);
         if (this->state.find(removal->incarnation) == nullptr) {
-            this->rangeLeases.forget(removal->incarnation);
             this->monitor.forget(removal->incarnation);
         }
     }
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -3,6 +3,7 @@
 #include "version/leasecalls.h"
 #include "version/rangesupervisor.h"
 #include "version/sitewatch.h"
+#include "version/upstreamclaims.h"
 
 #include <memory>
 #include <set>
@@ -24,6 +25,7 @@
 enum class ReportStatus {
     Accepted,
     Outdated, // of a stopped incarnation, or older than an earlier arrival: it changes nothing
+    Contested, // its id belongs to another incarnation that may be up: it gets no leases
 };
 
 /** Result of a heartbeat, and the commands that it causes. */
@@ -118,8 +120,13 @@
     std::vector<LeaseCall> leaseCallsTo(const UpstreamIncarnation &incarnation,
                                         RangeSupervisor &keyed, LeaseCalls &calls, TimePoint now);
     RangeSupervisor *supervisor(const std::string &service);
-    bool isReplaced(const UpstreamReport &report) const;
-    void addRegistration(const UpstreamReport &report, std::vector<RegistryCommand> &commands);
+    KnownUpstreams known(TimePoint now) const;
+    ReportStatus recordReport(const UpstreamReport &report, UpstreamClaim claim, TimePoint now);
+    std::vector<RegistryCommand> registrationOf(const UpstreamReport &report, ClaimKind kind,
+                                                TimePoint now);
+    std::vector<RegistryCommand> phaseCommands(const UpstreamReport &report, TimePoint now);
+    void suspendLeaseCalls(const UpstreamReport &report);
+    void forgetOthers(TimePoint now);
     void addRemovals(TimePoint now, std::vector<RegistryCommand> &commands);
     bool ownsRange(const SiteUpstream &upstream) const;
 
@@ -134,6 +141,7 @@
     std::map<std::string, GatewayLoad> gateways;
     CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
+    TimePoint forgottenAt; // when forgetOthers() was last done
     std::uint64_t firstLeases = 0; // responses with a lease that was the first on its range
 };
 
--- a/src/version/upstreammonitor.cpp
+++ b/src/version/upstreammonitor.cpp
@@ -20,6 +20,7 @@
 {
     this->termStart = now;
     this->incarnations.clear();
+    this->doubted.clear();
 }
 
 bool UpstreamMonitor::accept(const UpstreamReport &report, TimePoint now)
@@ -38,6 +39,43 @@
     return true;
 }
 
+bool UpstreamMonitor::acceptDoubted(const UpstreamReport &report, TimePoint now)
+{
+    const auto [entry, isNew] = this->doubted.try_emplace(report.incarnation,
+                                                          DoubtedReports { now, report.sequence });
+    DoubtedReports &reports = entry->second;
+    if (isNew || report.sequence <= reports.sequence) {
+        return false;
+    }
+    reports.sequence = report.sequence;
+    if (now - reports.first > this->heartbeatInterval * 5 / 2) {
+        reports.first = now; // the earlier ones are of another time
+        return false;
+    }
+    if (now - reports.first < this->heartbeatInterval / 2) {
+        return false;
+    }
+    this->doubted.erase(entry);
+    return this->accept(report, now);
+}
+
+bool UpstreamMonitor::hasStayedReady(const UpstreamReport &report, TimePoint now)
+{
+    HeartbeatState &state = this->incarnations[report.incarnation];
+    if (report.draining) {
+        state.readySince.reset();
+        return false;
+    }
+    if (!state.readySince) {
+        state.readySince = now;
+    }
+    if (now - *state.readySince < this->heartbeatInterval * 2) {
+        return false;
+    }
+    state.readySince.reset();
+    return true;
+}
+
 void UpstreamMonitor::recordSeen(const UpstreamIncarnation &incarnation, TimePoint now)
 {
     const auto found = this->incarnations.find(incarnation);
@@ -127,4 +165,13 @@
     this->serviceTimes.erase(incarnation.id);
 }
 
+void UpstreamMonitor::forgetOthers(
+        const std::function<bool(const UpstreamIncarnation &)> &isRegistered, TimePoint before)
+{
+    std::erase_if(this->incarnations, [&](const auto &entry) {
+        return entry.second.last < before && !isRegistered(entry.first);
+    });
+    std::erase_if(this->doubted, [&](const auto &entry) { return entry.second.first < before; });
+}
+
 } // namespace cassiaroad
--- a/src/version/upstreammonitor.h
+++ b/src/version/upstreammonitor.h
@@ -2,7 +2,9 @@
 
 #include "version/upstreamreport.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 
 namespace cassiaroad {
 
@@ -26,6 +28,19 @@
      */
     bool accept(const UpstreamReport &report, TimePoint now);
 
+    /**
+     * Records a heartbeat that may have been sent long ago, by an incarnation that has ended since.
+     * It counts as by accept() if a heartbeat with a lower sequence number came in the same way at
+     * least half a heartbeat interval earlier. Returns whether it counts.
+     */
+    bool acceptDoubted(const UpstreamReport &report, TimePoint now);
+
+    /**
+     * Whether an upstream that was withdrawn has reported for two heartbeat intervals, @p report
+     * included, that it is ready. Precondition: accept() or acceptDoubted() was true for @p report.
+     */
+    bool hasStayedReady(const UpstreamReport &report, TimePoint now);
+
     /** Records a sign of life other than a heartbeat, if a heartbeat of it was recorded before. */
     void recordSeen(const UpstreamIncarnation &incarnation, TimePoint now);
 
@@ -35,6 +50,15 @@
      */
     void recordTiming(const std::string &id, std::uint32_t requests, Milliseconds duration);
 
+    /** Whether a heartbeat of the incarnation was recorded in this term. */
+    bool hasReported(const UpstreamIncarnation &incarnation) const
+    {
+        return this->incarnations.contains(incarnation);
+    }
+
+    /** Returns the time of the last sign of life in this term, or the start of the term. */
+    TimePoint lastSeen(const UpstreamIncarnation &incarnation) const;
+
     /** Whether no heartbeat has arrived for two and a half heartbeat intervals. */
     bool isSilent(const UpstreamIncarnation &incarnation, TimePoint now) const;
 
@@ -54,6 +78,19 @@
     /** Forgets the heartbeats of the incarnation and the service time of its id. */
     void forget(const UpstreamIncarnation &incarnation);
 
+    /** Forgets the heartbeats of an incarnation that is not registered. */
+    void forgetReports(const UpstreamIncarnation &incarnation)
+    {
+        this->incarnations.erase(incarnation);
+    }
+
+    /**
+     * Forgets the incarnations for which @p isRegistered is false and that have been silent since
+     * @p before.
+     */
+    void forgetOthers(const std::function<bool(const UpstreamIncarnation &)> &isRegistered,
+                      TimePoint before);
+
 private:
     /** Times and sequence number of the heartbeats of one incarnation. */
     struct HeartbeatState
@@ -62,6 +99,14 @@
         TimePoint last;
         TimePoint warmupEnd;
         std::uint64_t sequence = 0;
+        std::optional<TimePoint> readySince; // after it was withdrawn; see hasStayedReady()
+    };
+
+    /** Heartbeats of one incarnation that may have been sent long ago. */
+    struct DoubtedReports
+    {
+        TimePoint first;
+        std::uint64_t sequence = 0;
     };
 
     /** Mean duration of the requests that an upstream responded to. */
@@ -73,11 +118,11 @@
 
     double meanServiceMilliseconds() const;
     void setServiceTime(const std::string &id, const ServiceTime &time);
-    TimePoint lastSeen(const UpstreamIncarnation &incarnation) const;
 
     Milliseconds heartbeatInterval;
     TimePoint termStart;
     std::map<UpstreamIncarnation, HeartbeatState> incarnations;
+    std::map<UpstreamIncarnation, DoubtedReports> doubted;
     std::map<std::string, ServiceTime> serviceTimes; // by id of the upstream
     double allRequests = 0.0; // sum over serviceTimes
     double allMilliseconds = 0.0; // total duration of these requests
--- a/tests/version/leasesimulation.h
+++ b/tests/version/leasesimulation.h
@@ -14,6 +14,8 @@
 
 inline constexpr std::int64_t simulationStep = 10; // milliseconds
 inline constexpr std::int64_t simulatedHeartbeatInterval = 1000;
+inline const std::string simulatedService = "ledger";
+inline const std::string otherSimulatedService = "library"; // its upstreams own no keys
 
 inline RegistryTiming simulatedTiming()
 {
@@ -32,6 +34,7 @@
     configuration->version = 1;
     configuration->services[service].keyed = true;
     configuration->services[service].leaseDelivery = delivery;
+    configuration->services[otherSimulatedService].keyed = false;
     return configuration;
 }
 
