version: Bound the ranges of the upstreams that get keys too

What callers saw: nothing yet; found by review. Only the upstream that gives keys away was bounded to 24 ranges. One that gets keys could collect any number, until the response to its heartbeat is longer than the 4 KiB that an upstream reads, and it is left without keys.

Cause: RangePlanner counted the ranges of the source only, and replaceOwner() split busy ranges at any number of them.

Now bestTarget() passes over upstreams with 24 ranges. Keys that need an owner go undivided to the upstream with the fewest ranges if all have as many. A source with 24 ranges may still give away the end of a range, or all of it, which adds none.

Before: RangeBounds.holdForSourcesAndTargetsAfterThousandsOfSplits failed at change 56 (25 ranges), keepRangesWholeIfNoUpstreamHasRoom with 449 and 425 ranges of one upstream after one of three had left.

Conclusion: the bound holds for 5,000 changes of the busy keys, but only 81 moves take place in them: ranges of upstreams that are up are still never joined, so that relief stops when all have 24 ranges.

--- a/src/version/rangeplanner.cpp
+++ b/src/version/rangeplanner.cpp
@@ -37,7 +37,6 @@
 // A range whose owner leaves is split: a part ends at the key with which it adds this much to the
 // utilization of its target.
 constexpr double maxPartUtilization = 0.15;
-constexpr std::size_t maxRangesPerOwner = 24; // a response to a heartbeat has at most 4 KiB
 
 } // namespace
 
@@ -68,12 +67,13 @@
 {
     for (const PlacementCandidate &candidate : view.placementCandidates) {
         this->positions[candidate.incarnation] = this->loads.size();
-        this->loads.push_back({ candidate, 0.0, 0 });
+        this->loads.push_back({ candidate, 0.0, 0, 0 });
     }
     for (const RangeOwner &entry : view.table.owners()) {
         if (CandidateLoad *load = this->find(entry.owner)) {
             load->rate += view.load.rate(entry.range);
             load->keys += entry.range.size();
+            ++load->ranges;
         }
     }
 }
@@ -155,7 +155,7 @@
     double bestCost = 0.0;
     for (CandidateLoad &load : this->loads) {
         if (!load.candidate.canReceiveKeys || load.candidate.hasIncomingKeys
-            || load.candidate.incarnation == excluded) {
+            || load.candidate.incarnation == excluded || load.ranges >= maxRangesPerOwner) {
             continue;
         }
         const double cost = load.cost(extraRate);
@@ -167,28 +167,55 @@
     return best;
 }
 
+// Returns the best target for keys that need an owner, also if no upstream has room for one more
+// range.
+RangePlanner::CandidateLoad *RangePlanner::targetInNeed(double extraRate,
+                                                        const UpstreamIncarnation &excluded)
+{
+    CandidateLoad *best = this->bestTarget(extraRate, excluded);
+    if (best != nullptr) {
+        return best;
+    }
+    for (CandidateLoad &load : this->loads) {
+        const bool isUsable = load.candidate.canReceiveKeys && !load.candidate.hasIncomingKeys
+                              && load.candidate.incarnation != excluded;
+        if (isUsable && (best == nullptr || load.ranges < best->ranges)) {
+            best = &load;
+        }
+    }
+    return best;
+}
+
+// Returns the last key of the part of @p range that @p target is to get.
+KeyNumber RangePlanner::endOfPart(const KeyRange &range, const CandidateLoad &target) const
+{
+    if (target.ranges >= maxRangesPerOwner) {
+        return range.to; // a split would add one more range
+    }
+    const double maxRate = maxPartUtilization * millisecondsPerSecond * target.candidate.slots
+                           / std::max(target.candidate.serviceMilliseconds, 1.0);
+    double rate = 0.0;
+    for (KeyNumber end = range.from; end < range.to; ++end) {
+        rate += this->view.load.rate(end);
+        if (rate >= maxRate) {
+            return end;
+        }
+    }
+    return range.to;
+}
+
 std::vector<RangeTransfer> RangePlanner::replaceOwner(const std::vector<KeyRange> &ranges)
 {
     std::vector<RangeTransfer> transfers;
     for (KeyRange range : ranges) {
         while (true) {
-            CandidateLoad *target = this->bestTarget(0.0, {});
+            CandidateLoad *target = this->targetInNeed(0.0, {});
             if (target == nullptr) {
                 return transfers;
             }
-            const double maxRate = maxPartUtilization * millisecondsPerSecond
-                                   * target->candidate.slots
-                                   / std::max(target->candidate.serviceMilliseconds, 1.0);
-            double rate = 0.0;
-            KeyNumber end = range.from;
-            while (true) {
-                rate += this->view.load.rate(end);
-                if (end == range.to || rate >= maxRate) {
-                    break;
-                }
-                ++end;
-            }
-            target->rate += rate;
+            const KeyNumber end = this->endOfPart(range, *target);
+            target->rate += this->view.load.rate({ range.from, end });
+            ++target->ranges;
             transfers.push_back({ { range.from, end }, target->candidate.incarnation, {} });
             if (end == range.to) {
                 break;
@@ -209,11 +236,12 @@
         return planned;
     }
     const double rate = this->view.load.rate(range);
-    CandidateLoad *best = this->bestTarget(rate, from);
+    CandidateLoad *best = this->targetInNeed(rate, from);
     if (best == nullptr) {
         return std::nullopt;
     }
     best->rate += rate;
+    ++best->ranges;
     return best->candidate.incarnation;
 }
 
@@ -312,36 +340,46 @@
     return RangeTransfer { { middle, first->range.to }, newUpstream.candidate.incarnation, {} };
 }
 
+// Whether the owner of @p range has one more range when it has released it.
+bool RangePlanner::addsRange(const KeyRange &range) const
+{
+    const KeyRange &whole = this->view.table.find(range.from)->range;
+    return whole.from < range.from && range.to < whole.to;
+}
+
 std::optional<RangeTransfer> RangePlanner::relieve(const UpstreamIncarnation &from)
 {
     const CandidateLoad *source = this->find(from);
     if (source == nullptr || source->keys < 2) {
         return std::nullopt;
     }
-    const auto ranges
-            = std::count_if(this->view.table.owners().begin(), this->view.table.owners().end(),
-                            [&](const RangeOwner &o) { return o.owner == from; });
-    if (static_cast<std::size_t>(ranges) >= maxRangesPerOwner) {
+    std::optional<RangeTransfer> transfer = this->planRelief(*source);
+    if (transfer && source->ranges >= maxRangesPerOwner && this->addsRange(transfer->range)) {
         return std::nullopt;
     }
+    return transfer;
+}
+
+std::optional<RangeTransfer> RangePlanner::planRelief(const CandidateLoad &source)
+{
     const double mean = this->meanUtilization();
-    const double utilization = source->utilization(0.0);
+    const double utilization = source.utilization(0.0);
     const CandidateLoad *upstreamWithoutKeys = this->newUpstream();
     if (upstreamWithoutKeys != nullptr && utilization >= mean) {
-        return this->assignToNewUpstream(*source, *upstreamWithoutKeys);
+        return this->assignToNewUpstream(source, *upstreamWithoutKeys);
     }
     if (!this->isOverloaded(utilization, mean)) {
         return std::nullopt;
     }
-    if (auto hotKey = this->moveHotKey(*source)) {
+    if (auto hotKey = this->moveHotKey(source)) {
         return hotKey;
     }
-    const CandidateLoad *target = this->bestTarget(source->rate / 4.0, from);
+    const CandidateLoad *target = this->bestTarget(source.rate / 4.0, source.candidate.incarnation);
     if (target == nullptr || target->utilization(0.0) > utilization * maxTargetRatio) {
         return std::nullopt;
     }
     const double perRequest
-            = source->candidate.serviceMilliseconds / std::max(source->candidate.slots, 1U)
+            = source.candidate.serviceMilliseconds / std::max(source.candidate.slots, 1U)
               + target->candidate.serviceMilliseconds / std::max(target->candidate.slots, 1U);
     const double wantedRate
             = (utilization - target->utilization(0.0)) * millisecondsPerSecond / perRequest;
@@ -349,7 +387,7 @@
     if (rate <= 0.0) {
         return std::nullopt;
     }
-    const auto range = this->rangeWithRate(from, rate);
+    const auto range = this->rangeWithRate(source.candidate.incarnation, rate);
     if (!range
         || target->utilization(this->view.load.rate(*range)) > utilization * maxTargetRatio) {
         return std::nullopt;
--- a/src/version/rangeplanner.h
+++ b/src/version/rangeplanner.h
@@ -36,6 +36,13 @@
 class RangePlanner
 {
 public:
+    /**
+     * Number of ranges up to which an upstream may be a target, since a response to a heartbeat has
+     * at most 4 KiB. Keys without an owner go to the upstream with the fewest ranges if all have as
+     * many.
+     */
+    static constexpr std::size_t maxRangesPerOwner = 24;
+
     explicit RangePlanner(const PlacementView &view);
 
     /**
@@ -65,7 +72,7 @@
     /**
      * Returns a transfer of keys away from @p from that spreads the load better, or nothing. An
      * upstream without keys is preferred as the target. Moved keys lose their warm cache, so a
-     * small imbalance is tolerated.
+     * small imbalance is tolerated. The source ends up with at most `maxRangesPerOwner` ranges.
      */
     std::optional<RangeTransfer> relieve(const UpstreamIncarnation &from);
 
@@ -75,6 +82,7 @@
         PlacementCandidate candidate;
         double rate = 0.0; // requests per second for its keys
         std::uint32_t keys = 0; // number of keys that it owns
+        std::size_t ranges = 0; // number of ranges that these are in
 
         double utilization(double extraRate) const;
         double cost(double extraRate) const;
@@ -83,6 +91,10 @@
 
     CandidateLoad *find(const UpstreamIncarnation &incarnation);
     const CandidateLoad *newUpstream() const;
+    CandidateLoad *targetInNeed(double extraRate, const UpstreamIncarnation &excluded);
+    KeyNumber endOfPart(const KeyRange &range, const CandidateLoad &target) const;
+    bool addsRange(const KeyRange &range) const;
+    std::optional<RangeTransfer> planRelief(const CandidateLoad &source);
     CandidateLoad *bestTarget(double extraRate, const UpstreamIncarnation &excluded);
     std::optional<KeyRange> rangeWithRate(const UpstreamIncarnation &owner, double rate) const;
     std::optional<RangeTransfer> moveHotKey(const CandidateLoad &source);
