version: Join the neighbouring ranges of an upstream that has ended

What callers saw: nothing yet; found by review. Ranges were split and never joined. The upstreams that got the keys of a crashed one got each of its ranges as one of their own, and the table of a service only ever grew.

Cause: RangeSupervisor transferred the ranges of an unavailable owner one by one.

Now neighbours that need a new owner and on which nobody has a lease are transferred as one range, and so are those that a restarted upstream gets back. The routing table lists a joined range by the parts of its present entries until the transfer is committed.

Before: RangeJoin.joinsTheRangesOfACrashedUpstream failed, 4096 ranges of the crashed upstream stayed 4096 (at most 4 are expected).

Conclusion: ranges of upstreams that are up are still not joined. A join gives keys in use a new fencing token, and what upstreams make of that is not known.

--- a/src/version/rangesuccession.cpp
+++ b/src/version/rangesuccession.cpp
@@ -1,3 +1,4 @@
+#include "version/joinedranges.h"
 #include "version/rangesupervisor.h"
 
 // The part of RangeSupervisor that gives a restarted upstream the ranges it had before.
@@ -27,7 +28,7 @@
     for (const RangeOwner &entry : ranges->owners()) {
         // Ranges that it had to release go to the upstreams that were chosen for them.
         if (entry.owner == ended && !this->moving.overlaps(entry.range)) {
-            transfers.push_back({ entry.range, successor, {} });
+            addJoined(transfers, { entry.range, successor, {} });
         }
     }
     this->recordProposed(transfers, ranges);
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -1,5 +1,7 @@
 #include "version/rangesupervisor.h"
 
+#include "version/joinedranges.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -297,33 +299,34 @@
 }
 
 // Returns transfers of the ranges whose owner cannot serve them and can have no valid lease on them
-// any more.
+// any more, except those of @p others. Since nobody has a lease on them, neighbours are joined.
 std::vector<RangeTransfer> RangeSupervisor::replaceUnavailableOwners(
-        const RangeContext &context) const
+        const std::vector<RangeTransfer> &others, const RangeContext &context) const
 {
-    std::vector<KeyRange> ownerless;
+    JoinedRanges ownerless;
     std::vector<RangeTransfer> transfers;
     for (const RangeOwner &entry : this->table(context)->owners()) {
         if (this->isUsable(entry.owner, context) || this->moving.overlaps(entry.range)) {
             continue;
         }
         // Also of an owner that is not registered any more: it may be up all the same.
-        if (!context.rangeLeases.isReleased(this->service, entry, entry.range, context.now)) {
+        if (!context.rangeLeases.isReleased(this->service, entry, entry.range, context.now)
+            || overlapsAny(others, entry.range)) {
             continue;
         }
         const auto successor = context.state.upstreams().find(entry.owner.id);
         if (successor != context.state.upstreams().end()
             && this->isUsable(successor->second.incarnation, context)) {
-            transfers.push_back({ entry.range, successor->second.incarnation, {} });
+            addJoined(transfers, { entry.range, successor->second.incarnation, {} });
             continue;
         }
-        ownerless.push_back(entry.range);
+        ownerless.add(entry.range);
     }
-    if (!ownerless.empty()) {
+    if (!ownerless.all().empty()) {
         const std::vector<PlacementCandidate> candidates
                 = this->placementCandidates(context, this->timing.commitDuration);
         RangePlanner planner({ *this->table(context), this->load, candidates });
-        const std::vector<RangeTransfer> replaced = planner.replaceOwner(ownerless);
+        const std::vector<RangeTransfer> replaced = planner.replaceOwner(ownerless.all());
         transfers.insert(transfers.end(), replaced.begin(), replaced.end());
     }
     return transfers;
@@ -355,16 +358,13 @@
     } else {
         this->findOverloaded(context);
         transfers = this->finishReleases(context);
-        std::vector<RangeTransfer> ownerless = this->replaceUnavailableOwners(context);
-        const std::vector<RangeTransfer> renewed = this->renewRefused(context);
-        ownerless.insert(ownerless.end(), renewed.begin(), renewed.end());
         // A released range for which no target was available is in `ownerless` at the next call.
-        for (const RangeTransfer &transfer : ownerless) {
-            const bool isTransferred
-                    = std::any_of(transfers.begin(), transfers.end(),
-                                  [&](const auto &t) { return t.range.overlaps(transfer.range); });
-            if (!isTransferred) {
-                transfers.push_back(transfer);
+        const std::vector<RangeTransfer> ownerless
+                = this->replaceUnavailableOwners(transfers, context);
+        transfers.insert(transfers.end(), ownerless.begin(), ownerless.end());
+        for (const RangeTransfer &renewed : this->renewRefused(context)) {
+            if (!overlapsAny(transfers, renewed.range)) {
+                transfers.push_back(renewed);
             }
         }
     }
@@ -401,9 +401,10 @@
     }
     for (const RangeOwner &entry : ranges->owners()) {
         for (const MovingRange &range : this->moving.within(entry.range)) {
-            if (entry.range.contains(range.range)) {
-                result.push_back({ range.range, range.to.id, RangePhase::Releasing });
-            }
+            // Joined neighbours reach beyond the entry.
+            const KeyRange part { std::max(range.range.from, entry.range.from),
+                                  std::min(range.range.to, entry.range.to) };
+            result.push_back({ part, range.to.id, RangePhase::Releasing });
         }
         const RangePhase phase = this->phaseOf(entry, context);
         for (const KeyRange &part : this->moving.retainedParts(entry.range)) {
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -137,7 +137,8 @@
                                            const RangeContext &context) const;
     std::set<UpstreamIncarnation> receiversOfReleases() const;
     void recordProposed(const std::vector<RangeTransfer> &transfers, const RangeTable *ranges);
-    std::vector<RangeTransfer> replaceUnavailableOwners(const RangeContext &context) const;
+    std::vector<RangeTransfer> replaceUnavailableOwners(const std::vector<RangeTransfer> &others,
+                                                        const RangeContext &context) const;
     std::vector<RangeTransfer> renewRefused(const RangeContext &context);
     bool canConfirmRelease(const RangeOwner &entry, const RangeContext &context) const;
     void findOverloaded(const RangeContext &context);
