--- a/src/version/registrystate.cpp
+++ b/src/version/registrystate.cpp
@@ -134,7 +134,9 @@
     const auto known = this->upstreamMap.find(command.incarnation.id);
     if (known != this->upstreamMap.end() && known->second.incarnation == command.incarnation) {
         // A late report that it drains does not bring back an upstream that has deregistered.
-        known->second.phase = std::max(known->second.phase, command.phase);
+        const bool isLate = known->second.phase == UpstreamPhase::Gone
+                            && command.phase == UpstreamPhase::Draining;
+        known->second.phase = isLate ? UpstreamPhase::Gone : command.phase;
     }
 }
 
