version: Let a withdrawal hold for as long as a leaving upstream may serve

Cause: the fix for foreign withdrawals made an upstream ready again after two intervals of heartbeats that say so. An upstream may deregister first, and one may say only in its responses that it leaves while its heartbeats say that it is ready; both serve on for seconds, and nothing more may reach them. After: after 20 s, longer than they serve. Conclusion: between a foreign withdrawal and a true one, the promise to leave upstreams alone goes first, and the keys of the withdrawn one are served by others meanwhile.

--- a/src/version/upstreammonitor.cpp
+++ b/src/version/upstreammonitor.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// A leaving upstream may serve for many seconds after its drain period. One that reports for longer
+// that it is ready does not leave.
+constexpr Milliseconds maxLeavingDuration { 20000 };
 // Assumed duration of a request before any was measured.
 constexpr double defaultServiceMilliseconds = 100.0;
 // Number of requests that count towards the mean of an upstream; the weight of earlier ones decays.
@@ -69,7 +72,7 @@
     if (!state.readySince) {
         state.readySince = now;
     }
-    if (now - *state.readySince < this->heartbeatInterval * 2) {
+    if (now - *state.readySince < maxLeavingDuration) {
         return false;
     }
     state.readySince.reset();
--- a/src/version/upstreammonitor.h
+++ b/src/version/upstreammonitor.h
@@ -36,8 +36,9 @@
     bool acceptDoubted(const UpstreamReport &report, TimePoint now);
 
     /**
-     * Whether an upstream that was withdrawn has reported for two heartbeat intervals, @p report
-     * included, that it is ready. Precondition: accept() or acceptDoubted() was true for @p report.
+     * Whether an upstream that was withdrawn has reported for longer than a leaving one serves,
+     * @p report included, that it is ready. Precondition: accept() or acceptDoubted() was true for
+     * @p report.
      */
     bool hasStayedReady(const UpstreamReport &report, TimePoint now);
 
