gateway: Failing test: a 503 response with Retry-After becomes 502

What callers see: 502 "outcome unknown" to an idempotent request with a key, where the upstream has answered 503 with Retry-After and without the header that says "not executed". Cause: onResponse() takes a retry of the budget and dispatches again; the owner is paused, so the request is refused, and mayHaveRun turns that into 502. The response is lost and the retry is never sent. No change of src here.

--- a/tests/gateway/test_pausedupstreams.cpp
+++ b/tests/gateway/test_pausedupstreams.cpp
@@ -93,6 +93,16 @@
     EXPECT_EQ(this->requestTimes.size(), 1U);
 }
 
+// Guards against a 503 response of an upstream that is replaced by "outcome unknown": a repetition
+// that cannot be sent, because of the pause, must not hide the response.
+TEST_F(PausedUpstreamTest, passesOnTheResponseOfAnUpstreamThatAsksForALongPause)
+{
+    this->serveAfterRefusals(1, "HTTP/1.1 503 Full\r\nretry-after: 30\r\n");
+    const auto client = this->request("GET", "/read/1");
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503"));
+    EXPECT_EQ(client->received().find("HTTP/1.1 502"), std::string::npos);
+}
+
 // Guards against a later, shorter pause that ends an earlier one.
 TEST(GatewayUpstream, keepsTheLongestPause)
 {
