gateway: Failing tests: a pause hides that the key moves to another owner

What callers see: requests are refused at once for the pause of an owner that leaves, although its keys move within the wait for an owner; requests in a short pause wait for its end when the key has moved. Cause: PausedUpstream is returned before the owner's leaving is looked at, and waitForPause() does not wait for a change of the table. No change of src here.

--- a/tests/gateway/test_pausedupstreams.cpp
+++ b/tests/gateway/test_pausedupstreams.cpp
@@ -103,6 +103,32 @@
     EXPECT_EQ(client->received().find("HTTP/1.1 502"), std::string::npos);
 }
 
+// Guards against refusing requests for keys that are about to move: an upstream that leaves and
+// asks for a pause loses its keys long before the pause is over.
+TEST_F(PausedUpstreamTest, waitsForTheNextOwnerOfAnUpstreamThatLeavesInItsPause)
+{
+    this->serveAfterRefusals(1, longPause + "x-leaving: 1\r\n");
+    const auto client = this->request("POST", "/order/1");
+    runFor(this->loop, { 200 });
+    EXPECT_EQ(client->received(), "");
+    ++this->born;
+    this->publish(RangePhase::Owned);
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200"));
+}
+
+// Guards against requests that wait for the end of a pause although another upstream owns their key
+// meanwhile.
+TEST_F(PausedUpstreamTest, sendsARequestToTheNextOwnerBeforeThePauseEnds)
+{
+    constexpr Milliseconds mostOfThePause { 300 };
+    this->serveAfterRefusals(1, "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\nretry-after: 0.6\r\n");
+    const auto client = this->request("POST", "/order/1");
+    runFor(this->loop, { 100 });
+    ++this->born;
+    this->publish(RangePhase::Owned);
+    EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200", mostOfThePause));
+}
+
 // Guards against a later, shorter pause that ends an earlier one.
 TEST(GatewayUpstream, keepsTheLongestPause)
 {
