gateway: Failing test: a pause of the former owner refuses a misdirected request

What callers see: 503 to a request whose key has an owner that accepts requests. Cause: onNotExecuted() looks at the pause of the target of the ended attempt, also after 421 and also if the table names another owner by now. No change of src here.

--- a/tests/gateway/test_pausedupstreams.cpp
+++ b/tests/gateway/test_pausedupstreams.cpp
@@ -129,6 +129,32 @@
     EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 200", mostOfThePause));
 }
 
+// Guards against refusing a request for the pause of a former owner: its 421 response says that the
+// key has another owner, which has asked for no pause.
+TEST_F(PausedUpstreamTest, repeatsAMisdirectedRequestAtTheNextOwner)
+{
+    this->serve([this](FakePeer::Connection &connection) {
+        this->requestTimes.push_back(this->loop.now());
+        if (this->requestTimes.size() > 2) {
+            connection.write(withRequestId(connection.received, "HTTP/1.1 200 OK\r\n")
+                             + "content-length: 0\r\n\r\n");
+        }
+    });
+    const auto paused = this->request("POST", "/order/1");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->requestTimes.size() == 1; }));
+    const auto moved = this->request("POST", "/order/1", "2000", "r2");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->requestTimes.size() == 2; }));
+    FakePeer::Connection &first = *this->peer->connections.at(0);
+    first.write(withRequestId(first.received, longPause) + "content-length: 0\r\n\r\n");
+    ASSERT_TRUE(this->waitForResponse(*paused, "HTTP/1.1 503"));
+    ++this->born;
+    this->publish(RangePhase::Owned);
+    FakePeer::Connection &second = *this->peer->connections.at(1);
+    second.write(withRequestId(second.received, "HTTP/1.1 421 Misdirected\r\n")
+                 + "content-length: 0\r\n\r\n");
+    EXPECT_TRUE(this->waitForResponse(*moved, "HTTP/1.1 200"));
+}
+
 // Guards against a later, shorter pause that ends an earlier one.
 TEST(GatewayUpstream, keepsTheLongestPause)
 {
