gateway: Failing test: a notice that arrives while the upstream is not listed is lost

What upstreams see: a request later than the drain period after the gateway has passed on that they leave. Cause: keepUnlisted() runs once, when the table drops the upstream; a response to a request in progress arrives later, and its notice is recorded in an object that no map holds. No change of src here.

--- a/tests/gateway/test_leavingupstreams.cpp
+++ b/tests/gateway/test_leavingupstreams.cpp
@@ -153,3 +153,23 @@
     EXPECT_TRUE(this->waitForResponse(*late, "HTTP/1.1 503"));
     EXPECT_EQ(this->requests, 1);
 }
+
+// Guards against a forgotten statement: the response that says that the upstream leaves arrives
+// while the routing table does not list it.
+TEST_F(LeavingUpstreamTest, remembersAnUpstreamThatSaysThatItLeavesWhileItIsNotListed)
+{
+    this->serve([this](FakePeer::Connection &) { ++this->requests; });
+    const auto first = this->request("POST", "/order/1");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->requests == 1; }));
+    this->publishNoUpstreams();
+    FakePeer::Connection &connection = *this->peer->connections.front();
+    const std::string received = std::exchange(connection.received, {});
+    connection.write(withRequestId(received, "HTTP/1.1 200 OK\r\nx-leaving: 1\r\n")
+                     + "content-length: 0\r\n\r\n");
+    ASSERT_TRUE(this->waitForResponse(*first, "HTTP/1.1 200"));
+    runFor(this->loop, shortDrainPeriod);
+    this->publish(RangePhase::Owned);
+    const auto late = this->request("POST", "/order/1", "2000", "r2");
+    EXPECT_TRUE(this->waitForResponse(*late, "HTTP/1.1 503"));
+    EXPECT_EQ(this->requests, 1);
+}
