gateway: Failing test: a notice of another upstream drains the target

What upstreams see: they are drained for their whole incarnation on the word of another one. Cause: recordNotice() does not compare the upstream that the response names with the target, and it runs before the checks of the response. No change of src here.

--- a/tests/gateway/test_leavingupstreams.cpp
+++ b/tests/gateway/test_leavingupstreams.cpp
@@ -173,3 +173,18 @@
     EXPECT_TRUE(this->waitForResponse(*late, "HTTP/1.1 503"));
     EXPECT_EQ(this->requests, 1);
 }
+
+// Guards against draining an upstream on the word of another one: the response names the upstream
+// that has sent it, and a leader cannot take back that an upstream leaves.
+TEST_F(LeavingUpstreamTest, doesNotReportAnUpstreamForWhichAnotherOneHasResponded)
+{
+    this->serve([](FakePeer::Connection &connection) {
+        connection.write(withRequestId(std::exchange(connection.received, {}),
+                                       "HTTP/1.1 421 Misdirected\r\nx-upstream: i-other\r\n"
+                                       "x-leaving: 1\r\n")
+                         + "content-length: 0\r\n\r\n");
+    });
+    const auto client = this->request("POST", "/order/1");
+    ASSERT_TRUE(this->waitForResponse(*client, "HTTP/1.1 503"));
+    EXPECT_TRUE(this->core.takeReport().leaving.empty());
+}
