gateway: Failing test: a gateway that joins uses its part of the retry budget too early

What upstreams see: more repeats than allowed on growing sites; 232 of 194 for 1 and 2 gateways. Cause: an earlier gateway may use its part of the smaller number for gatewayCountLease after the other has joined, but the joining one waits for one window only and not for the lease and one window. No change of src here.

--- a/tests/gateway/test_siteretries.cpp
+++ b/tests/gateway/test_siteretries.cpp
@@ -156,3 +156,24 @@
     }
     EXPECT_LE(simulation.worstExcess(), 0.0);
 }
+
+// Guards against exceeding the limit when a gateway joins: another one, which the leader cannot
+// reach, may use the larger part of its earlier number until the lease on that number ends. The
+// joining one may use its part only once that has left the window.
+TEST(SiteRetries, staysWithinTheLimitWhenAGatewayJoins)
+{
+    constexpr TimePoint joinedAt { 100000 };
+    const TimePoint leaseEnd = joinedAt + gatewayCountLease;
+    SiteRetryBudget earlier(share, slack, window, {});
+    earlier.setGateways(1, leaseEnd);
+    SiteRetryBudget joining(share, slack, window, joinedAt);
+    joining.setGateways(2, joinedAt + window + gatewayCountLease);
+    int taken = 0;
+    while (earlier.take(leaseEnd - Milliseconds { 1 })) {
+        ++taken;
+    }
+    while (joining.take(joinedAt + window)) { // 5 s later
+        ++taken;
+    }
+    EXPECT_LE(taken, slack);
+}
