registry: Failing test: the part of a silent gateway is given away up to a second early

What upstreams see: more repeats than allowed, for up to a second. Cause: the lease begins with the reply to a watch call, the count of the leader with the report, which is up to the watch timeout earlier. No change of src here.

--- a/tests/version/test_gatewayreports.cpp
+++ b/tests/version/test_gatewayreports.cpp
@@ -123,3 +123,23 @@
     }
     EXPECT_DOUBLE_EQ(manager.trafficShare("front-1", { 32000 }), 1.0);
 }
+
+// Guards against giving the part of a gateway to others too early: the lease on its number begins
+// when the leader replies to the watch call, up to a second after the report.
+TEST(RegistryManager, countsASilentGatewayUntilItsLastUseHasLeftTheWindow)
+{
+    constexpr Milliseconds longestWatch { 1000 };
+    constexpr Milliseconds window { 10000 };
+    RegistryState state;
+    RegistryTiming timing = simulatedTiming();
+    timing.gatewayTimeout = gatewayCountLease + window; // as the registry sets it
+    RegistryManager manager(state, timing);
+    manager.startTerm({ 1000 });
+    GatewayReport report;
+    report.gateway = "front-1";
+    manager.onGatewayReport(report, { 20000 });
+    const TimePoint leaseEnd = TimePoint { 20000 } + longestWatch + gatewayCountLease;
+    report.gateway = "front-2";
+    manager.onGatewayReport(report, leaseEnd + window - Milliseconds { 2 });
+    EXPECT_EQ(manager.gatewayCount(leaseEnd + window - Milliseconds { 2 }), 2U);
+}
