gateway: Failing test: gateways that find their first leader late overrun the retry budget

Cause: the window without the fixed number begins with the process and not with the first update. A gateway that has waited longer than a window for a leader uses at once the part that the number of those that have reported so far gives; the number of an earlier leader is 0. No change of src here.

--- a/tests/gateway/test_siteretries.cpp
+++ b/tests/gateway/test_siteretries.cpp
@@ -177,3 +177,28 @@
     }
     EXPECT_LE(taken, slack);
 }
+
+// Guards against exceeding the limit when gateways find their first leader later than one window
+// after their start: each is told the number of those that have reported before it.
+TEST(SiteRetries, staysWithinTheLimitWhenGatewaysFindTheirFirstLeaderLate)
+{
+    constexpr TimePoint leaderStart { 12000 }; // the gateways have started at 0
+    constexpr Milliseconds reportInterval { 10 };
+    RegistryState state;
+    RegistryManager manager(state, {});
+    manager.startTerm(leaderStart);
+    int taken = 0;
+    TimePoint now = leaderStart;
+    for (std::size_t i = 0; i < gatewayCount; ++i) {
+        now = now + reportInterval;
+        GatewayReport report;
+        report.gateway = "front-" + std::to_string(i);
+        manager.onGatewayReport(report, now);
+        SiteRetryBudget budget(share, slack, window, {});
+        budget.setGateways(manager.gatewayCount(now), now + gatewayCountLease);
+        while (budget.take(now)) {
+            ++taken;
+        }
+    }
+    EXPECT_LE(taken, slack);
+}
