gateway, registry: Use the fixed part of the retry budget only when all others have made room

Cause: the window without the fixed number began with the process and not with the first number that a leader told, and it left out the lease in which others may use the part of a smaller number. The leader counted from a report, the lease ran from its reply, up to 1.4 s later. Before: SiteRetries.staysWithinTheLimitWhenGatewaysFindTheirFirstLeaderLate, staysWithinTheLimitWhenAGatewayJoins and RegistryManager.countsASilentGatewayUntilItsLastUseHasLeftTheWindow fail. After: they hold. A gateway joins with its first number, and again after a gap in which the leader may have ceased to count it; it uses its part one lease and one window later. The tests of the budget tell it the number every second now, as leaders do; their limits are as before.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -59,7 +59,6 @@
     , codec(codec)
     , metrics(metrics)
     , log(log)
-    , startedAt(loop.now())
     , httpClient(loop)
     , random(XXH3_64bits(settings.host.data(), settings.host.size()))
 {
@@ -80,7 +79,7 @@
     this->crashes.applyUpdate(update, this->loop.now());
     this->routing.trafficShare = update.trafficShare;
     this->routing.gateways = update.gateways;
-    this->routing.gatewaysUntil = confirmedAt + gatewayCountLease;
+    this->routing.gatewaysConfirmedAt = confirmedAt;
     if (this->routing.version() >= update.version) {
         this->routing.confirmedAt = std::max(this->routing.confirmedAt, confirmedAt);
     }
@@ -93,7 +92,7 @@
         upstream->setShare(update.trafficShare, roundingOffsetOf(this->settings.host + id));
     }
     for (auto &[service, budget] : this->budgets) {
-        budget.setGateways(update.gateways, this->routing.gatewaysUntil);
+        budget.setGateways(update.gateways, this->routing.gatewaysConfirmedAt);
     }
     if (hasNewTable) {
         this->resumeTableWaits();
@@ -238,7 +237,7 @@
     }
     this->crashes.fillReport(report, this->loop.now());
     for (const auto &[id, upstream] : this->upstreams) {
-        if (upstream->isLeavingUnlisted()) {
+        if (upstream->isLeavingToReport()) {
             report.leaving.push_back(upstream->upstream().incarnation);
         }
         UpstreamTiming timing = upstream->takeTiming();
@@ -305,10 +304,10 @@
 SiteRetryBudget &GatewayCore::budget(const std::string &service)
 {
     const SiteBounds &bounds = this->settings.bounds;
-    const auto [entry, isNew] = this->budgets.try_emplace(
-            service, bounds.retryShare, bounds.retrySlack, bounds.retryWindow, this->startedAt);
+    const auto [entry, isNew] = this->budgets.try_emplace(service, bounds.retryShare,
+                                                          bounds.retrySlack, bounds.retryWindow);
     if (isNew) {
-        entry->second.setGateways(this->routing.gateways, this->routing.gatewaysUntil);
+        entry->second.setGateways(this->routing.gateways, this->routing.gatewaysConfirmedAt);
     }
     return entry->second;
 }
@@ -386,21 +385,26 @@
     }
 }
 
-void GatewayCore::recordNotice(GatewayUpstream &upstream, const UpstreamNotice &notice)
+void GatewayCore::recordNotice(const std::shared_ptr<GatewayUpstream> &upstream,
+                               const UpstreamNotice &notice)
 {
-    if (!notice.isLeaving && !notice.pause) {
+    const bool isNewlyLeaving = notice.isLeaving && !upstream->hasSaidThatItLeaves();
+    if (!isNewlyLeaving && !notice.pause) {
         return;
     }
     this->log.write({ "upstream_notice",
                       Event::Weight::Important,
-                      { { "upstream", upstream.upstream().incarnation.id },
+                      { { "upstream", upstream->upstream().incarnation.id },
                         { "leaving", notice.isLeaving },
                         { "pause_ms", notice.pause ? notice.pause->count : std::int64_t(0) } } });
     if (notice.isLeaving) {
-        upstream.recordLeaving(this->loop.now());
+        upstream->recordLeaving(this->loop.now());
     }
     if (notice.pause) {
-        upstream.recordPause(*notice.pause, this->loop.now());
+        upstream->recordPause(*notice.pause, this->loop.now());
+    }
+    if (this->upstream(upstream->upstream().incarnation.id) != upstream) {
+        this->keepUnlisted(upstream); // the response came after a table without it
     }
 }
 
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -111,7 +111,8 @@
     EventLog &events() { return this->log; }
 
     /** Records what @p upstream has told of itself in a response. */
-    void recordNotice(GatewayUpstream &upstream, const UpstreamNotice &notice);
+    void recordNotice(const std::shared_ptr<GatewayUpstream> &upstream,
+                      const UpstreamNotice &notice);
 
     /** Counts a repetition of a request in the metrics, or one that the budget did not allow. */
     void countRepeat(const std::string &service, bool isAllowed);
@@ -136,7 +137,6 @@
     const ExternalCodec &codec;
     Metrics &metrics;
     EventLog &log;
-    TimePoint startedAt;
     HttpClient httpClient;
     RoutingView routing;
     std::string document; // text of the configuration in use; see packText()
--- a/src/gateway/routingview.h
+++ b/src/gateway/routingview.h
@@ -32,7 +32,7 @@
     TimePoint confirmedAt; // the leader confirmed the configuration then or later
     double trafficShare = 1.0; // share of this gateway in the requests of all gateways
     std::uint32_t gateways = 0; // number of gateways of the site; 0: not known yet
-    TimePoint gatewaysUntil; // end of the lease on that number, see gatewayCountLease
+    TimePoint gatewaysConfirmedAt; // the leader told that number then or later
 
     ConfigurationVersion version() const
     {
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -60,7 +60,9 @@
     timing.ranges.heartbeatInterval = settings.heartbeatInterval;
     timing.ranges.leavingGracePeriod
             = std::max(settings.bounds.drainPeriod - drainMargin, Milliseconds {});
-    timing.gatewayTimeout = gatewayCountLease + settings.bounds.retryWindow;
+    // The lease on the number begins with the reply to a report.
+    timing.gatewayTimeout
+            = maxWatchTimeout + maxLeaseWait + gatewayCountLease + settings.bounds.retryWindow;
     return timing;
 }
 
--- a/src/request/siteretrybudget.cpp
+++ b/src/request/siteretrybudget.cpp
@@ -1,5 +1,7 @@
 #include "request/siteretrybudget.h"
 
+#include "version/sitewatch.h"
+
 #include <algorithm>
 
 namespace cassiaroad {
@@ -12,18 +14,20 @@
 
 } // namespace
 
-SiteRetryBudget::SiteRetryBudget(double share, double slack, Milliseconds window,
-                                 TimePoint startedAt)
+SiteRetryBudget::SiteRetryBudget(double share, double slack, Milliseconds window)
     : share(share)
     , slack(slack)
-    , slackSince(startedAt + window)
+    , window(window)
     , step(std::max(window / static_cast<std::int64_t>(steps - 1), Milliseconds { 1 }))
 { }
 
-void SiteRetryBudget::setGateways(std::uint32_t count, TimePoint validUntil)
+void SiteRetryBudget::setGateways(std::uint32_t count, TimePoint confirmedAt)
 {
     this->gateways = std::max<double>(count, 1.0);
-    this->slackUntil = validUntil;
+    if (!this->slackUntil || confirmedAt >= *this->slackUntil + this->window) {
+        this->slackSince = confirmedAt + gatewayCountLease + this->window;
+    }
+    this->slackUntil = confirmedAt + gatewayCountLease;
 }
 
 // Returns the step of @p now, after clearing the steps that have left the window.
@@ -49,7 +53,7 @@
 // Part of the fixed number that this gateway may use.
 double SiteRetryBudget::slackPart(TimePoint now) const
 {
-    const bool isUsable = now >= this->slackSince && now < this->slackUntil;
+    const bool isUsable = now >= this->slackSince && now < this->slackUntil.value_or(now);
     return isUsable ? this->slack / this->gateways : 0.0;
 }
 
--- a/src/request/siteretrybudget.h
+++ b/src/request/siteretrybudget.h
@@ -4,30 +4,30 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 
 namespace cassiaroad {
 
 /**
  * Budget of one gateway for retries of requests to one service: a share of the requests in a
  * sliding window, and a fixed number on top. Gateways do not see each other's retries, so each uses
- * an equal part of the fixed number. It uses none of it in the first window after its start, since
- * an earlier process of the same gateway may have used the part, and its count has ended with it.
+ * an equal part of the fixed number, under a lease on the number of gateways. A gateway that joins
+ * uses none of it until the lease of the others on a smaller number and one window are over: an
+ * earlier process of the same gateway may also have used its part, and its count has ended with it.
  * Not thread-safe.
  */
 class SiteRetryBudget
 {
 public:
-    /**
-     * @p share: retries per request; @p slack: the fixed number, of all gateways together;
-     * @p startedAt: start of the process.
-     */
-    SiteRetryBudget(double share, double slack, Milliseconds window, TimePoint startedAt);
+    /** @p share: retries per request; @p slack: the fixed number, of all gateways together. */
+    SiteRetryBudget(double share, double slack, Milliseconds window);
 
     /**
-     * Sets the number of gateways that share the fixed number; at least 1. The part of this gateway
-     * may be used until @p validUntil.
+     * Sets the number of gateways that share the fixed number; at least 1. The leader told it at
+     * @p confirmedAt or later; the part of this gateway may be used for gatewayCountLease from
+     * then. The gateway joins with the first call, and when the leader may have ceased to count it.
      */
-    void setGateways(std::uint32_t count, TimePoint validUntil);
+    void setGateways(std::uint32_t count, TimePoint confirmedAt);
 
     void countRequest(TimePoint now);
 
@@ -49,10 +49,11 @@
 
     double share;
     double slack;
+    Milliseconds window;
     TimePoint slackSince; // the fixed number may be used from then on
     Milliseconds step;
     double gateways = 1.0;
-    TimePoint slackUntil; // the fixed number may be used before then
+    std::optional<TimePoint> slackUntil; // and until then; nothing: no number was told yet
     std::array<Step, steps> ring {};
     std::int64_t position = 0;
 };
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -21,7 +21,7 @@
      * How long a gateway is counted after its last report: until it uses no part any more of what
      * the gateways share, and what it has used has left the window of the retry budget.
      */
-    Milliseconds gatewayTimeout { 15000 };
+    Milliseconds gatewayTimeout { 16400 };
 
     bool operator==(const RegistryTiming &) const = default;
 };
--- a/tests/gateway/test_siteretries.cpp
+++ b/tests/gateway/test_siteretries.cpp
@@ -24,7 +24,7 @@
 
 struct SimulatedGateway
 {
-    SiteRetryBudget budget { share, slack, window, {} };
+    SiteRetryBudget budget { share, slack, window };
     std::uint32_t gateways = 0; // as the leader has told
     TimePoint nextReport;
     TimePoint nextRequest;
@@ -104,7 +104,7 @@
         report.gateways = gateway.gateways;
         this->manager.onGatewayReport(report, this->now);
         gateway.gateways = this->manager.gatewayCount(this->now);
-        gateway.budget.setGateways(gateway.gateways, this->now + gatewayCountLease);
+        gateway.budget.setGateways(gateway.gateways, this->now);
         gateway.nextReport = this->now + this->watchInterval;
     }
 
@@ -164,10 +164,13 @@
 {
     constexpr TimePoint joinedAt { 100000 };
     const TimePoint leaseEnd = joinedAt + gatewayCountLease;
-    SiteRetryBudget earlier(share, slack, window, {});
-    earlier.setGateways(1, leaseEnd);
-    SiteRetryBudget joining(share, slack, window, joinedAt);
-    joining.setGateways(2, joinedAt + window + gatewayCountLease);
+    SiteRetryBudget earlier(share, slack, window);
+    for (std::int64_t ago = 15; ago >= 0; --ago) {
+        earlier.setGateways(1, joinedAt - Milliseconds { ago * 1000 });
+    }
+    SiteRetryBudget joining(share, slack, window);
+    joining.setGateways(2, joinedAt);
+    joining.setGateways(2, joinedAt + window);
     int taken = 0;
     while (earlier.take(leaseEnd - Milliseconds { 1 })) {
         ++taken;
@@ -194,8 +197,8 @@
         GatewayReport report;
         report.gateway = "front-" + std::to_string(i);
         manager.onGatewayReport(report, now);
-        SiteRetryBudget budget(share, slack, window, {});
-        budget.setGateways(manager.gatewayCount(now), now + gatewayCountLease);
+        SiteRetryBudget budget(share, slack, window);
+        budget.setGateways(manager.gatewayCount(now), now);
         while (budget.take(now)) {
             ++taken;
         }
--- a/tests/request/test_siteretrybudget.cpp
+++ b/tests/request/test_siteretrybudget.cpp
@@ -1,16 +1,26 @@
 #include "request/siteretrybudget.h"
 
+#include "version/sitewatch.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <limits>
-
 using namespace cassiaroad;
 
 namespace {
 
 constexpr Milliseconds window { 10000 };
-constexpr TimePoint never { std::numeric_limits<std::int64_t>::max() };
+
+// Lets the leader tell @p budget the number of gateways every second, from so long ago that it may
+// use its part now.
+void joinLongAgo(SiteRetryBudget &budget, std::uint32_t gateways, TimePoint now)
+{
+    constexpr Milliseconds interval { 1000 };
+    const TimePoint first = now - gatewayCountLease - window;
+    for (TimePoint at = first; at <= now; at = at + interval) {
+        budget.setGateways(gateways, at);
+    }
+}
 
 // Takes retries until the budget denies one; returns their number.
 int takeAll(SiteRetryBudget &budget, TimePoint now)
@@ -28,14 +38,15 @@
 // retries than the share of the requests and the fixed number.
 RC_GTEST_PROP(SiteRetryBudget, staysWithinTheLimitInEveryWindow, ())
 {
-    SiteRetryBudget budget(0.2, 60.0, window, {});
+    SiteRetryBudget budget(0.2, 60.0, window);
     const auto gateways = *rc::gen::inRange(1, 12);
-    budget.setGateways(static_cast<std::uint32_t>(gateways), never);
     std::vector<std::pair<std::int64_t, bool>> events; // time, whether a retry
     std::int64_t now = 1000000;
+    joinLongAgo(budget, static_cast<std::uint32_t>(gateways), { now });
     const auto count = *rc::gen::inRange(1, 400);
     for (int i = 0; i < count; ++i) {
         now += *rc::gen::inRange(0, 200);
+        budget.setGateways(static_cast<std::uint32_t>(gateways), { now });
         if (*rc::gen::inRange(0, 3) == 0) {
             budget.countRequest({ now });
             events.emplace_back(now, false);
@@ -60,10 +71,12 @@
 TEST(SiteRetryBudget, allowsAFewRetriesWithoutRequests)
 {
     constexpr TimePoint now { 21000 };
-    SiteRetryBudget budget(0.2, 60.0, window, {});
-    budget.setGateways(10, never);
+    SiteRetryBudget budget(0.2, 60.0, window);
+    joinLongAgo(budget, 10, now);
     EXPECT_EQ(takeAll(budget, now), 4);
-    EXPECT_TRUE(budget.take(now + Milliseconds { 11000 }));
+    const TimePoint later = now + Milliseconds { 11000 };
+    budget.setGateways(10, later);
+    EXPECT_TRUE(budget.take(later));
 }
 
 // Guards against gateways that are restarted again and again and get a new fixed number each time:
@@ -73,12 +86,12 @@
     constexpr Milliseconds interval { 1500 }; // between two restarts
     constexpr int restarts = 6;
     TimePoint now { 100000 };
-    SiteRetryBudget first(0.2, 60.0, window, {});
-    first.setGateways(1, never);
+    SiteRetryBudget first(0.2, 60.0, window);
+    joinLongAgo(first, 1, now);
     int taken = takeAll(first, now);
     for (int i = 0; i < restarts; ++i) {
-        SiteRetryBudget next(0.2, 60.0, window, now);
-        next.setGateways(1, never);
+        SiteRetryBudget next(0.2, 60.0, window);
+        next.setGateways(1, now);
         now = now + interval;
         taken += takeAll(next, now);
     }
@@ -86,13 +99,30 @@
 }
 
 // Guards against a gateway that never gets its fixed number after a restart.
-TEST(SiteRetryBudget, allowsAFewRetriesOneWindowAfterTheStart)
+TEST(SiteRetryBudget, allowsAFewRetriesOneLeaseAndOneWindowAfterTheStart)
 {
     constexpr TimePoint start { 5000 };
-    SiteRetryBudget budget(0.2, 60.0, window, start);
-    budget.setGateways(1, never);
-    EXPECT_EQ(takeAll(budget, start + window - Milliseconds { 1 }), 0);
-    EXPECT_GT(takeAll(budget, start + window), 0);
+    const TimePoint end = start + gatewayCountLease + window;
+    SiteRetryBudget budget(0.2, 60.0, window);
+    for (TimePoint at = start; at <= end; at = at + Milliseconds { 1000 }) {
+        budget.setGateways(1, at);
+    }
+    EXPECT_EQ(takeAll(budget, end - Milliseconds { 1 }), 0);
+    EXPECT_GT(takeAll(budget, end), 0);
+}
+
+// Guards against a gateway that returns after a long cut and uses its part at once, while others
+// may still use those of a smaller number.
+TEST(SiteRetryBudget, joinsAgainWhenTheLeaderMayHaveCeasedToCountIt)
+{
+    constexpr TimePoint cutAt { 100000 };
+    const TimePoint returnedAt = cutAt + gatewayCountLease + window;
+    SiteRetryBudget budget(0.2, 60.0, window);
+    joinLongAgo(budget, 1, cutAt);
+    budget.setGateways(1, returnedAt);
+    EXPECT_EQ(takeAll(budget, returnedAt), 0);
+    joinLongAgo(budget, 1, returnedAt + gatewayCountLease + window);
+    EXPECT_GT(takeAll(budget, returnedAt + gatewayCountLease + window), 0);
 }
 
 // Guards against a gateway that goes on using its part of the fixed number after the leader has
@@ -100,8 +130,8 @@
 TEST(SiteRetryBudget, usesNoFixedNumberAfterItsPartHasExpired)
 {
     constexpr TimePoint validUntil { 50000 };
-    SiteRetryBudget budget(0.2, 60.0, window, {});
-    budget.setGateways(10, validUntil);
+    SiteRetryBudget budget(0.2, 60.0, window);
+    joinLongAgo(budget, 10, validUntil - gatewayCountLease);
     EXPECT_TRUE(budget.take(validUntil - Milliseconds { 1 }));
     EXPECT_FALSE(budget.take(validUntil));
     for (int i = 0; i < 20; ++i) {
--- a/tests/version/test_gatewayreports.cpp
+++ b/tests/version/test_gatewayreports.cpp
@@ -132,7 +132,7 @@
     constexpr Milliseconds window { 10000 };
     RegistryState state;
     RegistryTiming timing = simulatedTiming();
-    timing.gatewayTimeout = gatewayCountLease + window; // as the registry sets it
+    timing.gatewayTimeout = longestWatch + gatewayCountLease + window; // as the registry does
     RegistryManager manager(state, timing);
     manager.startTerm({ 1000 });
     GatewayReport report;
