gateway: Look at the present owner and the responder before a pause or a notice counts

Faults and changes, all in how a response's statement about its upstream is used: - a 503 with a long pause to an idempotent request became 502, since a retry was taken that could not be sent (passesOnTheResponseOfAnUpstreamThatAsksForALongPause): the response is passed on; - requests were refused for the pause of an owner that leaves, or waited for a pause though the key had moved (waitsForTheNextOwnerOfAnUpstreamThatLeavesInItsPause, sendsARequestToTheNextOwnerBeforeThePauseEnds), or were refused for a former owner's pause (repeatsAMisdirectedRequestAtTheNextOwner): the present owner is selected first, and a waiting request hears of table changes; - a notice in a response of another upstream drained the target (doesNotReportAnUpstreamForWhichAnotherOneHasResponded): only the target's own counts; - a notice that came after the table had dropped the upstream was lost (remembersAnUpstreamThatSaysThatItLeavesWhileItIsNotListed): it is kept for a later table.

--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -228,7 +228,9 @@
         this->refuseWithRetryAfter(pause, "upstream has asked for a pause");
         return;
     }
-    this->ownerWaitDuration = this->ownerWaitDuration + pause;
+    // Another upstream may own the key before the pause ends.
+    this->queuedAt = this->core.now();
+    this->tableWait = this->core.waitForTableChange(this->callback(&GatewayRequest::dispatch));
     this->waitTimer
             = this->core.eventLoop().callAfter(pause, this->callback(&GatewayRequest::dispatch));
 }
@@ -241,6 +243,21 @@
     return pause <= spareTime && waited + pause <= this->maxOwnerWait();
 }
 
+// Returns the time left of a pause that the owner of the key has asked for, if the request cannot
+// wait for its end.
+std::optional<Milliseconds> GatewayRequest::longPause() const
+{
+    if (!this->key) {
+        return std::nullopt;
+    }
+    const UpstreamQuery query { this->service, this->key, this->attempts.chosen(),
+                                this->repeatsSlowRequest };
+    const UpstreamSelection next = selectUpstream(this->core, query);
+    const auto *paused = std::get_if<PausedUpstream>(&next);
+    const bool isLong = paused != nullptr && !this->canWaitFor(paused->timeLeft);
+    return isLong ? std::optional(paused->timeLeft) : std::nullopt;
+}
+
 // Whether the request, which has waited for capacity of its target or a connection, can still be
 // sent there.
 bool GatewayRequest::canSendToTarget() const
@@ -412,7 +429,7 @@
             this->target->upstream().address, this->buildRequest(), maxResponseBytes,
             [weak = this->weak_from_this(), number, upstream = this->target](HttpResult result) {
                 if (const auto request = weak.lock(); request && !request->ended) {
-                    request->onResult(number, *upstream, std::move(result));
+                    request->onResult(number, upstream, std::move(result));
                 }
             },
             [this] { return this->canWrite(); });
@@ -502,7 +519,8 @@
     return false;
 }
 
-void GatewayRequest::onResult(std::uint32_t attempt, GatewayUpstream &upstream, HttpResult result)
+void GatewayRequest::onResult(std::uint32_t attempt,
+                              const std::shared_ptr<GatewayUpstream> &upstream, HttpResult result)
 {
     const WorkMeter::Scope scope(this->core.eventLoop().workMeter(), Work::Requests);
     this->recordNotice(upstream, result);
@@ -519,11 +537,18 @@
     this->onFailure(std::get<HttpFailure>(result));
 }
 
-// Records what the response, if it is one, tells of the upstream itself.
-void GatewayRequest::recordNotice(GatewayUpstream &upstream, const HttpResult &result)
+// Records what the response, if it is one, tells of the upstream itself. A response that names
+// another upstream tells nothing of this one.
+void GatewayRequest::recordNotice(const std::shared_ptr<GatewayUpstream> &upstream,
+                                  const HttpResult &result)
 {
-    if (const auto *response = std::get_if<HttpResponse>(&result)) {
-        const ExternalHeaders &names = this->core.externalCodec().headers();
+    const auto *response = std::get_if<HttpResponse>(&result);
+    if (response == nullptr) {
+        return;
+    }
+    const ExternalHeaders &names = this->core.externalCodec().headers();
+    const std::string_view responder = HopHeaders::find(response->headers, names.upstreamId);
+    if (responder.empty() || responder == upstream->upstream().incarnation.id) {
         this->core.recordNotice(upstream, readNotice(*response, names));
     }
 }
@@ -596,7 +621,7 @@
     }
     this->core.startWaitingRequests(*this->target);
     if (response.status >= statusServerError && isIdempotent(this->route->kind)
-        && this->timeLeft() > this->typicalDuration() && this->takeRetry()) {
+        && this->timeLeft() > this->typicalDuration() && !this->longPause() && this->takeRetry()) {
         this->mayHaveRun = true;
         this->repeatAfter({}, "upstream failed");
         return;
@@ -623,9 +648,8 @@
         // Another upstream responded at this address, so the target has stopped.
         this->target->markReplaced();
     }
-    const Milliseconds pause = this->target->pauseLeft(this->core.eventLoop().now());
-    if (this->keyed && pause > Milliseconds {} && !this->canWaitFor(pause)) {
-        this->refuseWithRetryAfter(pause, "upstream has asked for a pause");
+    if (const std::optional<Milliseconds> pause = this->longPause()) {
+        this->refuseWithRetryAfter(*pause, "upstream has asked for a pause");
         return;
     }
     if (this->timeLeft() <= this->typicalDuration() || !this->takeRetry()) {
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -33,6 +33,7 @@
     void waitForOwner();
     void waitForPause(Milliseconds pause);
     bool canWaitFor(Milliseconds pause) const;
+    std::optional<Milliseconds> longPause() const;
     void submit(std::shared_ptr<GatewayUpstream> chosen);
     bool canSendToTarget() const;
     bool isBlocked() const;
@@ -45,8 +46,9 @@
     void checkCall();
     bool shouldRepeat(Milliseconds elapsed) const;
     bool canRepeatAtOwner();
-    void onResult(std::uint32_t attempt, GatewayUpstream &upstream, HttpResult result);
-    void recordNotice(GatewayUpstream &upstream, const HttpResult &result);
+    void onResult(std::uint32_t attempt, const std::shared_ptr<GatewayUpstream> &upstream,
+                  HttpResult result);
+    void recordNotice(const std::shared_ptr<GatewayUpstream> &upstream, const HttpResult &result);
     void onSlowResult(HttpResult result);
     void waitForSlowCall();
     bool canWrite();
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -116,7 +116,7 @@
     return this->saidLeavingAt || this->routed.upstream.phase != UpstreamPhase::Ready;
 }
 
-bool GatewayUpstream::isLeavingUnlisted() const
+bool GatewayUpstream::isLeavingToReport() const
 {
     return this->saidLeavingAt && this->routed.upstream.phase == UpstreamPhase::Ready;
 }
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -59,7 +59,8 @@
     /** Whether it has said something that holds on, whether the routing table lists it or not. */
     bool hasNotice(TimePoint now) const { return this->saidLeavingAt || this->isPaused(now); }
     /** Whether it has said that it leaves, and the routing table does not tell so. */
-    bool isLeavingUnlisted() const;
+    bool isLeavingToReport() const;
+    bool hasSaidThatItLeaves() const { return this->saidLeavingAt.has_value(); }
     /**
      * Sets the share of the upstream's slots that this gateway may use. It is rounded down after
      * @p roundingOffset is added. The offsets, from 0 to 1, differ between gateways, so that the
--- a/src/gateway/upstreamselection.cpp
+++ b/src/gateway/upstreamselection.cpp
@@ -23,6 +23,9 @@
         return KeyWithoutOwner {};
     }
     const TimePoint now = core.now();
+    if (owner->isPaused(now) && owner->isLeaving()) {
+        return KeyWithoutOwner {}; // its keys move sooner than a usual pause ends
+    }
     if (owner->isPaused(now)) {
         return PausedUpstream { owner->pauseLeft(now) };
     }
