connection: Receive RPC messages in bounded pieces

Cause: h2o read a connection until it was empty into its own buffer, however little of it the receiver wanted. What was left when a connection closed was moved once for each read. A read receives into the buffer of its caller, at most 256 KB between two checks of the socket. Conclusion: A message takes the memory that its header claims, which Cap'n Proto limits to 64 MiB, and only as far as its bytes have arrived.

--- a/src/connection/rpcstream.cpp
+++ b/src/connection/rpcstream.cpp
@@ -3,10 +3,12 @@
 #include "connection/socketaddress.h"
 
 #include <algorithm>
-#include <cstring>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
+#include <sys/socket.h>
+
 #include <h2o.h>
 #include <kj/debug.h>
 
@@ -22,6 +24,8 @@
 // Interval at which a further attempt to connect begins while the earlier ones continue. The system
 // repeats a lost first packet only after a second or more.
 constexpr Milliseconds attemptInterval { 300 };
+// Bytes that a connection receives at most before others get their turn.
+constexpr std::size_t maxReadBytes = std::size_t(256) * 1024;
 
 /**
  * Attempts to connect; the first that succeeds is used. Closes the other sockets, and all of them
@@ -131,13 +135,17 @@
     PendingRead &operator=(const PendingRead &) = delete;
 
     /**
-     * Moves received bytes into the buffer. Resolves if at least minBytes are there or the peer has
+     * Receives bytes into the buffer. Resolves if at least minBytes are there or the peer has
      * ended its stream; rejects if the connection is closed.
      */
     void advance()
     {
-        this->filled += this->stream.takeInput(this->buffer + this->filled,
-                                               this->maxBytes - this->filled);
+        std::size_t count = 0;
+        do {
+            count = this->stream.receive(this->buffer + this->filled,
+                                         this->maxBytes - this->filled);
+            this->filled += count;
+        } while (count > 0 && this->filled < this->minBytes);
         if (this->filled >= this->minBytes || this->stream.endOfInput) {
             this->unregister();
             this->fulfiller.fulfill(size_t(this->filled));
@@ -227,6 +235,8 @@
     , lastReceivedAt(loop.now())
 {
     socket->data = this;
+    // h2o would read all that arrives while the peer sends as fast as it reads.
+    h2o_socket_dont_read(socket, 1);
     auto paf = kj::newPromiseAndFulfiller<void>();
     this->disconnected = kj::mv(paf.fulfiller);
     this->whenDisconnected = paf.promise.fork();
@@ -304,37 +314,46 @@
     if (this->socket == nullptr) {
         return;
     }
-    this->unreadInput.assign(this->socket->input->bytes, this->socket->input->size);
     h2o_socket_close(this->socket);
     this->socket = nullptr;
     this->disconnected->fulfill();
 }
 
-size_t RpcStream::takeInput(void *buffer, size_t size)
+size_t RpcStream::receive(void *buffer, size_t size)
 {
-    if (this->socket == nullptr) {
-        const size_t count = std::min(size, this->unreadInput.size());
-        std::memcpy(buffer, this->unreadInput.data(), count);
-        this->unreadInput.erase(0, count);
-        return count;
+    const size_t wanted = std::min(size, this->readBudget);
+    if (this->socket == nullptr || wanted == 0) {
+        return 0;
+    }
+    const ssize_t count = recv(h2o_socket_get_fd(this->socket), buffer, wanted, MSG_DONTWAIT);
+    if (count > 0) {
+        this->readBudget -= static_cast<size_t>(count);
+        this->counters->received += static_cast<size_t>(count);
+        return static_cast<size_t>(count);
+    }
+    this->readBudget = 0;
+    if (count == 0 || (errno != EAGAIN && errno != EINTR)) {
+        this->endInput(count == 0);
+    }
+    return 0;
+}
+
+void RpcStream::endInput(bool isEndOfStream)
+{
+    this->endOfInput = isEndOfStream;
+    this->closeSocket();
+    if (this->pendingWrite != nullptr) {
+        this->pendingWrite->reject(disconnectedException("peer closed the connection"));
     }
-    const size_t count = std::min(size, this->socket->input->size);
-    std::memcpy(buffer, this->socket->input->bytes, count);
-    h2o_buffer_consume(&this->socket->input, count);
-    this->counters->received += count;
-    return count;
 }
 
 void RpcStream::onReadable(h2o_socket_t *socket, const char *error)
 {
     auto *self = static_cast<RpcStream *>(socket->data);
     self->lastReceivedAt = self->loop.now();
+    self->readBudget = maxReadBytes;
     if (error != nullptr) {
-        self->endOfInput = error == h2o_socket_error_closed;
-        self->closeSocket();
-        if (self->pendingWrite != nullptr) {
-            self->pendingWrite->reject(disconnectedException("peer closed the connection"));
-        }
+        self->endInput(error == h2o_socket_error_closed);
     }
     if (self->pendingRead != nullptr) {
         self->pendingRead->advance();
--- a/src/connection/rpcstream.h
+++ b/src/connection/rpcstream.h
@@ -3,6 +3,7 @@
 #include "process/eventloop.h"
 #include "process/settings.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -61,15 +62,19 @@
 
     static void onReadable(h2o_socket_t *socket, const char *error);
     static void onWritten(h2o_socket_t *socket, const char *error);
-    /** Moves up to @p size received bytes into @p buffer; returns their number. */
-    size_t takeInput(void *buffer, size_t size);
+    /**
+     * Receives up to @p size bytes of readBudget into @p buffer; returns their number. Closes the
+     * connection at the end of the stream or on an error.
+     */
+    size_t receive(void *buffer, size_t size);
+    void endInput(bool isEndOfStream);
     void closeSocket();
 
     EventLoop &loop;
     h2o_socket_t *socket; // null once closed
     std::shared_ptr<ByteCounters> counters;
     TimePoint lastReceivedAt;
-    std::string unreadInput; // received before the socket was closed, not yet read
+    std::size_t readBudget = 0; // that may be received before the loop checks the socket again
     bool endOfInput = false; // the peer ended its stream
     PendingRead *pendingRead = nullptr;
     PendingWrite *pendingWrite = nullptr;
--- a/tests/connection/test_endlessresponse.cpp
+++ b/tests/connection/test_endlessresponse.cpp
@@ -7,12 +7,12 @@
 #include "connection/responseparser.h"
 
 #include "support/fakepeer.h"
+#include "support/fastserver.h"
 #include "support/loopwait.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <thread>
 
 using namespace cassiaroad;
 
@@ -72,52 +72,6 @@
     EventLoop::Timer timer;
 };
 
-/** A server on its own thread that sends bytes without end on one connection, once asked to. */
-class FastServer
-{
-public:
-    explicit FastServer(std::string head)
-        : listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        auto *generic = reinterpret_cast<sockaddr *>(&address);
-        bind(this->listener, generic, length);
-        listen(this->listener, 1);
-        getsockname(this->listener, generic, &length);
-        this->port = ntohs(address.sin_port);
-        this->thread = std::thread([this, head = std::move(head)] { this->sendAll(head); });
-    }
-    ~FastServer()
-    {
-        shutdown(this->listener, SHUT_RDWR);
-        this->thread.join();
-        close(this->listener);
-    }
-    FastServer(const FastServer &) = delete;
-    FastServer &operator=(const FastServer &) = delete;
-
-    std::uint16_t port = 0;
-
-private:
-    // Sends until the client closes the connection.
-    void sendAll(const std::string &head) const
-    {
-        const int fd = accept(this->listener, nullptr, nullptr);
-        const std::string bytes(megabyte, 'a');
-        ssize_t sent = send(fd, head.data(), head.size(), MSG_NOSIGNAL);
-        while (sent > 0) {
-            sent = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        }
-        close(fd);
-    }
-
-    int listener;
-    std::thread thread;
-};
-
 } // namespace
 
 // Guards against a parser that reads a head or a body without end.
