--- a/tests/connection/test_endlessrequest.cpp
+++ b/tests/connection/test_endlessrequest.cpp
@@ -222,6 +222,24 @@
     EXPECT_TRUE(waitUntil(this->loop, [&] { return this->server->heldRequestBytes() == 0; }));
 }
 
+// Guards against a body that is not read after the interim response which its client waits for.
+TEST_F(EndlessRequest, readsABodyAfterAnInterimResponse)
+{
+    this->start(limits({ 300 }));
+    RawClient client(this->server->port());
+    const std::string body(200 * kilobyte, 'b');
+    client.write("POST /a HTTP/1.1\r\nhost: x\r\nexpect: 100-continue\r\ncontent-length: "
+                 + std::to_string(body.size()) + "\r\n\r\n");
+    ASSERT_TRUE(
+            waitUntil(this->loop, [&] { return client.received().starts_with("HTTP/1.1 100"); }));
+    std::size_t written = 0;
+    ASSERT_TRUE(waitUntil(this->loop, [&] {
+        written += client.writeSome(body.substr(written));
+        return this->open.size() == 1;
+    }));
+    EXPECT_EQ(this->open.front()->body(), body);
+}
+
 // Guards against pipelined requests that are read without end while the first one is handled.
 TEST_F(EndlessRequest, isNotReadWhileAnEarlierOneIsHandled)
 {
