registry: Prove a late restart before the leases of its upstream run out

An upstream that started again under its id one second after a crash waited for the leases of its earlier incarnation, up to 4.04 s from the crash; before it had its keys after at most 2.04 s.

Cause: by its second report the earlier incarnation counted as silent, and claimOf() looked at that before it looked for the proof of a restart.

Now the proof comes first, and a restart of an upstream with keys is waited for with its second report also if the earlier incarnation is silent already.

--- a/src/version/upstreamclaims.cpp
+++ b/src/version/upstreamclaims.cpp
@@ -44,6 +44,21 @@
            && known.now - lastSign > known.heartbeatInterval;
 }
 
+// Whether the next report may prove that @p registered, which is silent, has ended. That is sooner
+// than its leases on keys run out. Precondition: mayBeRestart() is true.
+bool canProveRestart(const SiteUpstream &registered, const UpstreamReport &report,
+                     const KnownUpstreams &known)
+{
+    if (known.configuration == nullptr || !isNamed(report.service, known)
+        || !known.configuration->services.at(report.service).keyed
+        || !known.monitor.hasReported(registered.incarnation)) {
+        return false;
+    }
+    return !known.monitor.hasReported(report.incarnation)
+           || known.monitor.firstSeen(report.incarnation)
+                      > known.monitor.lastSeen(registered.incarnation);
+}
+
 // Whether a later incarnation reports from @p address, and the sender has not been heard since its
 // first report.
 bool isAddressTaken(const UpstreamIncarnation &sender, const HostAddress &address,
@@ -75,13 +90,17 @@
     if (!isNamed(report.service, known)) {
         return { ClaimKind::Foreign, false };
     }
+    const bool mayRestart = registered != nullptr && mayBeRestart(*registered, report);
+    if (mayRestart && provesRestart(*registered, report, known)) {
+        return { ClaimKind::Restart, false };
+    }
+    if (mayRestart
+        && (mayBeUp(*registered, known) || canProveRestart(*registered, report, known))) {
+        return { ClaimKind::RestartClaimed, false };
+    }
     const bool isEarlier
             = registered != nullptr && report.incarnation.born < registered->incarnation.born;
     if (registered != nullptr && mayBeUp(*registered, known)) {
-        if (mayBeRestart(*registered, report)) {
-            const bool isProven = provesRestart(*registered, report, known);
-            return { isProven ? ClaimKind::Restart : ClaimKind::RestartClaimed, false };
-        }
         return { isEarlier ? ClaimKind::Outdated : ClaimKind::Contested, false };
     }
     const bool doubted = isEarlier || isAddressTaken(report.incarnation, report.address, known);
--- a/src/version/upstreamclaims.h
+++ b/src/version/upstreamclaims.h
@@ -27,7 +27,7 @@
     New, // no incarnation is registered under its id
     Restart, // it proves that the registered incarnation has ended, and so have its leases
     TakeOver, // the registered incarnation is silent; its leases may still be valid
-    RestartClaimed, // as Restart, but the registered incarnation may be up
+    RestartClaimed, // as Restart, but it is not proven yet
     Contested, // the registered incarnation may be up, and this is no restart of it
     Outdated, // as Contested, and the sender started earlier
     Foreign, // the configuration names no such service
--- a/tests/version/test_registrymanager.cpp
+++ b/tests/version/test_registrymanager.cpp
@@ -93,6 +93,21 @@
     EXPECT_EQ(simulation.violation(), "");
 }
 
+// Guards against an upstream that restarts after seconds, when the earlier incarnation counts as
+// silent, and waits for the end of its leases.
+TEST(RegistryManager, assignsAnUpstreamThatRestartsLateItsKeysAtItsSecondHeartbeat)
+{
+    for (const int down : { 50, 100, 150 }) {
+        SiteSimulation simulation;
+        simulation.run(400);
+        simulation.apply({ FaultKind::Crash, 90, 2, 0 });
+        simulation.apply({ FaultKind::Restart, down, 2, 0 });
+        simulation.run(110);
+        EXPECT_EQ(simulation.leasedKeys(), keyCount) << down;
+        EXPECT_EQ(simulation.violation(), "");
+    }
+}
+
 // Guards against a late heartbeat of a stopped incarnation that replaces the present one.
 TEST(RegistryManager, ignoresHeartbeatsOfStoppedIncarnations)
 {
