registry: Answer gateways that only ask whether a host leads at once

Cause: the only call of a gateway is the watch call. It waits at the leader for a change, and its report carries load, so it can't be sent to several hosts at the same time.

The report has a new flag. The leader replies to such a report at once with an update without changes, and counts neither the gateway nor load; other hosts reply with a hint as before.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -469,6 +469,11 @@
         return GatewayWatchReply(this->group.hint());
     }
     this->watchLoad.countCall();
+    if (report.isSearch) {
+        GatewayUpdate update;
+        update.watchTimeout = this->watchTimeout();
+        return GatewayWatchReply(update);
+    }
     this->manager.onGatewayReport(report, this->loop.now());
     if (!report.broken.empty() || !report.answered.empty()) {
         this->notifyGateways();
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -84,7 +84,7 @@
 
     /**
      * Resolves when the configuration or the routing table differs from those of the gateway, and
-     * after the watch timeout at the latest.
+     * after the watch timeout at the latest; at once and without changes if the report is a search.
      */
     kj::Promise<GatewayWatchReply> watch(GatewayReport report);
     /**
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -67,6 +67,9 @@
     if (report.suspectsTag != 0) {
         value["suspectsTag"] = report.suspectsTag;
     }
+    if (report.isSearch) {
+        value["search"] = true;
+    }
 }
 
 static void from_json(const json &value, GatewayReport &report)
@@ -81,6 +84,7 @@
     report.broken = value.value("broken", std::vector<BrokenAttempt>());
     report.answered = value.value("answered", std::vector<RequestDigest>());
     report.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
+    report.isSearch = value.value("search", false);
 }
 
 namespace {
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -43,6 +43,9 @@
     std::vector<BrokenAttempt> broken; // that no leader has confirmed yet
     std::vector<RequestDigest> answered; // suspect requests that an upstream has answered since
     std::uint64_t suspectsTag = 0; // of the leader's suspect requests that it received last
+    // The gateway only asks whether the receiver leads. The leader replies at once with an update
+    // that has no changes, and takes nothing from the report.
+    bool isSearch = false;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -139,6 +139,40 @@
     EXPECT_TRUE(std::holds_alternative<HeartbeatResponse>(*response));
 }
 
+// Guards against a leader that lets a gateway which searches for it wait for a change, or that
+// counts its question as a report without load.
+TEST_F(RegistryEngineTest, answersASearchAtOnceAndCountsNothingOfIt)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    std::optional<GatewayUpdate> update;
+    const auto watch = [&](const GatewayReport &sent) {
+        update.reset();
+        return leader->watch(sent)
+                .then([&](const GatewayWatchReply &reply) {
+                    update = std::get<GatewayUpdate>(reply);
+                })
+                .eagerlyEvaluate(nullptr);
+    };
+    GatewayReport report;
+    report.gateway = "front-1";
+    const kj::Promise<void> first = watch(report);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }));
+    EXPECT_EQ(update->gateways, 1U);
+    GatewayReport search;
+    search.gateway = "front-2";
+    search.tableTag = update->tableTag;
+    search.version = update->version;
+    search.isSearch = true;
+    const kj::Promise<void> searching = watch(search);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }, { 100 }));
+    EXPECT_FALSE(update->change.has_value());
+    EXPECT_FALSE(update->document.has_value());
+    const kj::Promise<void> second = watch(report);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }));
+    EXPECT_EQ(update->gateways, 1U);
+}
+
 // Guards against gateways that learn late, with their next report, of a request under which
 // upstreams have crashed at other gateways.
 TEST_F(RegistryEngineTest, tellsWaitingGatewaysOfRequestsThatCrashUpstreams)
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -124,7 +124,8 @@
                                  { { "i-1", 3, 90 } },
                                  { { 5, 3, { 20 } } },
                                  { 6, ~RequestDigest(0) },
-                                 77 };
+                                 77,
+                                 true };
     EXPECT_EQ(decodeGatewayReport(encode(report)), report);
     const JoinRequest request { "10.0.0.1", true };
     EXPECT_EQ(decodeJoinRequest(encode(request)), request);
