gateway: Search for the leader at all control hosts at once

Cause: the search called one host after the other, those with an open connection first. Connections of earlier searches were silent as well, and each call waited for its reply timeout, which doubled and fell back only when the same host replied as the leader.

When an update is late by the expected round trip (0.25 to 0.5 s beyond the watch timeout), the gateway asks all known hosts at the same time, on new connections, and sends its next watch call to the first that leads. The call in progress continues and its reply still counts; at most three are open. LeaderSearch decides whom to ask when, without sockets and clock; RegistryWatcher carries the calls. Reply timeouts of watch calls are fixed, since no search waits for them, so none can grow; ControlHosts is no longer needed. The load of a report goes with a watch call only. A reply to an earlier call than the last does not confirm the crash reports of the last.

Worst case (docs/design.md 11.5), w: watch timeout, r: round trip: w + 0.5 s + 3r after a silence; 0.4 s + 3r after the next leader can be reached.

CrashGuard.reportsAgainWhatALateReplyDoesNotConfirm is for the new function.

--- a/src/connection/rpcconnection.cpp
+++ b/src/connection/rpcconnection.cpp
@@ -19,10 +19,16 @@
     return kj::addRef(*this->session);
 }
 
-bool RpcConnection::isOpen() const
+void RpcConnection::close(const std::string &reason)
 {
-    return this->session.get() != nullptr && this->session->isConnected()
-           && !this->session->isClosed();
+    if (this->session.get() != nullptr) {
+        this->session->close(reason);
+    }
+}
+
+TimePoint RpcConnection::lastReceived() const
+{
+    return this->session.get() != nullptr ? this->session->lastReceived() : TimePoint {};
 }
 
 kj::Promise<void> RpcConnection::waitForConnection(RpcSession &session, Milliseconds maxWait)
--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -51,11 +51,11 @@
                 .attach(kj::mv(session));
     }
 
-    /** Begins to connect, for a later call, unless the connection is open or being opened. */
-    void open() { this->openSession(); }
+    /** Closes the connection; calls in progress are rejected. A later call opens a new one. */
+    void close(const std::string &reason);
 
-    /** Whether the connection is open, so that a call does not wait for one. */
-    bool isOpen() const;
+    /** Time of the last byte on the present connection; the origin of time without one. */
+    TimePoint lastReceived() const;
 
     /** Address of the member. */
     const HostAddress &peer() const { return this->address; }
--- a/src/connection/rpcsession.cpp
+++ b/src/connection/rpcsession.cpp
@@ -35,6 +35,11 @@
     return this->closed || (this->isConnected() && this->stream->isClosed());
 }
 
+TimePoint RpcSession::lastReceived() const
+{
+    return this->isConnected() ? this->stream->lastReceived() : TimePoint {};
+}
+
 rpc::Member::Client RpcSession::member()
 {
     KJ_REQUIRE(this->isConnected(), "the session is not connected");
--- a/src/connection/rpcsession.h
+++ b/src/connection/rpcsession.h
@@ -32,6 +32,9 @@
      */
     rpc::Member::Client member();
 
+    /** Time of the last received byte; the time of the connection if there was none yet. */
+    TimePoint lastReceived() const;
+
     /** Closes the connection; calls in progress are rejected. */
     void close(const std::string &reason);
 
--- a/src/gateway/crashguard.cpp
+++ b/src/gateway/crashguard.cpp
@@ -121,6 +121,11 @@
     // The reply shows that the leader has received the report.
     this->pendingBroken.confirm();
     this->pendingAnswers.confirm();
+    this->applyLateUpdate(update, now);
+}
+
+void CrashGuard::applyLateUpdate(const GatewayUpdate &update, TimePoint now)
+{
     this->leaderTag = update.suspectsTag;
     if (!update.suspects) {
         return;
--- a/src/gateway/crashguard.h
+++ b/src/gateway/crashguard.h
@@ -31,6 +31,8 @@
 
     /** Applies the leader's reply to the previous report. */
     void applyUpdate(const GatewayUpdate &update, TimePoint now);
+    /** Applies the leader's reply to an earlier report; the previous one may be lost. */
+    void applyLateUpdate(const GatewayUpdate &update, TimePoint now);
 
 private:
     /** Values that wait for the confirmation of the leader. */
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -72,16 +72,30 @@
 void GatewayCore::update(const GatewayUpdate &update, TimePoint confirmedAt)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::Updates);
+    this->crashes.applyUpdate(update, this->loop.now());
+    this->apply(update, confirmedAt);
+}
+
+void GatewayCore::lateUpdate(const GatewayUpdate &update, TimePoint confirmedAt)
+{
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Updates);
+    this->crashes.applyLateUpdate(update, this->loop.now());
+    this->apply(update, confirmedAt);
+}
+
+void GatewayCore::apply(const GatewayUpdate &update, TimePoint confirmedAt)
+{
     if (update.document && update.version > this->routing.version()) {
         this->updateConfiguration(update);
     }
-    this->crashes.applyUpdate(update, this->loop.now());
     this->routing.trafficShare = update.trafficShare;
     this->routing.gateways = update.gateways;
     // The table of a leader of an earlier term has a lower tag and is ignored.
     const bool hasNewTable = this->updateRoutingTable(update);
     if (this->routing.tableTag == update.tableTag) {
-        this->routing.tableConfirmedAt = confirmedAt;
+        // A late update may confirm a table at an earlier time than the previous one did.
+        const TimePoint known = hasNewTable ? confirmedAt : this->routing.tableConfirmedAt;
+        this->routing.tableConfirmedAt = std::max(known, confirmedAt);
     }
     for (const auto &[id, upstream] : this->upstreams) {
         upstream->setShare(update.trafficShare, roundingOffsetOf(this->settings.host + id));
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -36,6 +36,8 @@
 
     /** Applies an update that the leader of the control group made at @p confirmedAt or later. */
     void update(const GatewayUpdate &update, TimePoint confirmedAt);
+    /** As update(), in reply to an earlier report than the last one, which may be lost. */
+    void lateUpdate(const GatewayUpdate &update, TimePoint confirmedAt);
 
     /** Returns the report to the leader: the requests since the previous call. */
     GatewayReport takeReport();
@@ -107,6 +109,7 @@
                       Milliseconds queuedDuration);
 
 private:
+    void apply(const GatewayUpdate &update, TimePoint confirmedAt);
     bool updateRoutingTable(const GatewayUpdate &update);
     std::optional<std::string> fullDocument(const GatewayUpdate &update) const;
     void updateConfiguration(const GatewayUpdate &update);
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -43,6 +43,9 @@
                   { [this] { return this->core.takeReport(); },
                     [this](const GatewayUpdate &update, TimePoint confirmedAt) {
                         this->core.update(update, confirmedAt);
+                    },
+                    [this](const GatewayUpdate &update, TimePoint confirmedAt) {
+                        this->core.lateUpdate(update, confirmedAt);
                     } })
         , callers(loop, clientLimits(),
                   [this](std::shared_ptr<HttpExchange> exchange) {
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -1,12 +1,27 @@
 #include "gateway/registrywatcher.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cassiaroad {
 
 namespace {
 
-// How long a call waits for a connection before the gateway calls another host.
-constexpr Milliseconds connectWait { 150 };
-constexpr Milliseconds retryDelay { 60 };
+// How long an attempt to connect lasts; within it, the attempt is repeated every 300 ms.
+constexpr Milliseconds connectTimeout { 1500 };
+// How long a watch call waits if its connection has ended since the previous one.
+constexpr Milliseconds reconnectWait { 150 };
+// Bounds of the time after which an update is late, beyond the time that the call may wait at the
+// leader. The lower bound covers a busy leader. The upper bound limits the delay of
+// the search after a leader that was slow.
+constexpr Milliseconds minRoundTrip { 250 };
+constexpr Milliseconds maxRoundTrip { 500 };
+// How long a reply is waited for, beyond the time that the call may wait at the leader. Longer than
+// a round trip over a full link: the search for the leader does not wait for it.
+constexpr Milliseconds replyTimeout { 2800 };
+// Watch calls without a reply. Each may have a complete routing table on its way to the gateway.
+// The oldest stays until its reply timeout, because it may only be slow.
+constexpr std::size_t maxCalls = 3;
 // Delay between an update and the next call, so that a gateway that cannot apply an update does not
 // use up the leader's processor time.
 constexpr Milliseconds updateDelay { 10 };
@@ -16,119 +31,275 @@
 RegistryWatcher::RegistryWatcher(EventLoop &loop, const SiteSettings &settings, EventLog &log,
                                  Handlers handlers)
     : loop(loop)
+    , settings(settings)
     , log(log)
     , handlers(std::move(handlers))
-    , hosts(loop, settings.internalPort)
+    , bytes(std::make_shared<ByteCounters>())
+    , roundTrip(minRoundTrip, maxRoundTrip)
     , tasks(*this)
 {
-    this->hosts.setSeeds(settings.seeds);
+    if (!this->handlers.lateUpdate) {
+        this->handlers.lateUpdate = this->handlers.update;
+    }
+    this->search.setSeeds(settings.seeds);
 }
 
 RegistryWatcher::~RegistryWatcher() = default;
 
 void RegistryWatcher::start()
 {
-    this->call();
+    this->search.start(this->loop.now());
+    this->scheduleSearch();
 }
 
 void RegistryWatcher::setSeeds(const std::vector<HostAddress> &addresses)
 {
-    this->hosts.setSeeds(addresses);
+    this->search.setSeeds(addresses);
+    this->scheduleSearch();
 }
 
-void RegistryWatcher::call()
+// Calls the host on @p connection. @p onSent runs when the connection is open.
+template <typename OnReply, typename OnFailure>
+void RegistryWatcher::send(RpcConnection &connection, RpcConnection::Timeouts timeouts,
+                           const GatewayReport &report, std::function<void()> onSent,
+                           OnReply onReply, OnFailure onFailure)
 {
-    if (this->target.empty()) {
-        this->target = this->hosts.next();
-    }
-    this->calledAt = this->loop.now();
-    this->receivedBeforeCall = this->hosts.bytes().received;
-    const std::string report = encode(this->handlers.report());
-    const auto send = [report](rpc::Member::Client client) {
+    auto call = [bytes = encode(report), onSent = std::move(onSent)](rpc::Member::Client client) {
+        onSent();
         auto request = client.castAs<rpc::Registry>().watchRequest();
         request.setReport(
-                kj::arrayPtr(reinterpret_cast<const kj::byte *>(report.data()), report.size()));
+                kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
         return request.send().then([](capnp::Response<rpc::Registry::WatchResults> &&results) {
             const auto reply = results.getAnswer().asChars();
             return std::string(reply.begin(), reply.size());
         });
     };
-    ControlHost &host = this->hosts.at(this->target);
-    this->replyTimeout = this->watchTimeout + host.roundTrip.timeout();
-    auto onBytes = [this](const std::string &bytes) {
-        const auto reply = decodeGatewayWatchReply(bytes);
-        if (reply) {
-            this->onReply(*reply);
+    auto onBytes = [onReply, onFailure](const std::string &reply) {
+        if (const auto decoded = decodeGatewayWatchReply(reply)) {
+            onReply(*decoded);
         } else {
-            this->onFailure("the reply cannot be decoded");
+            onFailure("the reply cannot be decoded");
         }
     };
-    auto onException = [this](const kj::Exception &exception) {
-        this->onFailure(exception.getDescription().cStr());
+    auto onException = [onFailure](const kj::Exception &exception) {
+        onFailure(exception.getDescription().cStr());
     };
-    this->tasks.add(host.connection.call<std::string>({ connectWait, this->replyTimeout }, send)
+    this->tasks.add(connection.call<std::string>(timeouts, std::move(call))
                             .then(kj::mv(onBytes), kj::mv(onException)));
 }
 
-void RegistryWatcher::callAfter(Milliseconds delay)
+void RegistryWatcher::callLeader()
 {
-    this->timer = this->loop.callAfter(delay, [this] { this->call(); });
+    this->callTimer = EventLoop::Timer();
+    const std::uint64_t number = ++this->lastCall;
+    const TimePoint now = this->loop.now();
+    this->calls.push_back({ number, this->leader, now, this->bytes->received });
+    if (this->calls.size() > maxCalls) {
+        this->calls[1].peer.connection->close("too many calls without a reply");
+    }
+    this->search.expectUpdate(now + this->watchTimeout + this->roundTrip.timeout());
+    this->scheduleSearch();
+    this->send(
+            *this->leader.connection, { reconnectWait, this->watchTimeout + replyTimeout },
+            this->handlers.report(), [] {},
+            [this, number](const GatewayWatchReply &reply) { this->onReply(number, reply); },
+            [this, number](const std::string &reason) { this->onFailure(number, reason); });
 }
 
-void RegistryWatcher::onReply(const GatewayWatchReply &reply)
+void RegistryWatcher::onReply(std::uint64_t number, const GatewayWatchReply &reply)
 {
-    this->hosts.recordReply(this->target);
+    const std::optional<Call> call = this->takeCall(number);
+    if (!call) {
+        return;
+    }
     if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
-        const Milliseconds duration = this->loop.now() - this->calledAt;
-        this->hosts.at(this->target).roundTrip.recordReply(duration - update->waited);
-        this->setConnected(true);
-        this->confirmedAt = this->calledAt + update->waited;
-        this->hosts.clearFailures();
-        this->watchTimeout = update->watchTimeout;
-        this->handlers.update(*update, this->confirmedAt);
-        this->callAfter(updateDelay);
+        this->onUpdate(*call, *update);
         return;
     }
-    this->followHint(std::get<GroupHint>(reply));
+    this->search.setMembers(std::get<GroupHint>(reply));
+    if (number == this->lastCall) {
+        this->loseLeader();
+    }
 }
 
-// Continues with the leader that another member named, or with the next known address.
-void RegistryWatcher::followHint(const GroupHint &hint)
+// An update in reply to an earlier call than the last one ends the search too, since its sender
+// leads. It does not replace a leader that was found since.
+void RegistryWatcher::onUpdate(const Call &call, const GatewayUpdate &update)
 {
-    this->setConnected(false);
-    this->hosts.setMembers(hint);
-    const bool hasNewLeader = !hint.leaderIp.empty() && hint.leaderIp != this->target
-                              && !this->hosts.hasFailedRecently(hint.leaderIp);
-    this->target = hasNewLeader ? hint.leaderIp : this->hosts.next();
-    this->callAfter(hasNewLeader ? Milliseconds {} : retryDelay);
+    const TimePoint madeAt = call.sentAt + update.waited;
+    this->confirmedAt = std::max(this->confirmedAt, madeAt);
+    this->watchTimeout = update.watchTimeout;
+    const bool isLast = call.number == this->lastCall;
+    if (!isLast) {
+        this->handlers.lateUpdate(update, madeAt);
+        if (!this->search.hasBegun()) {
+            return;
+        }
+    }
+    this->leader = call.peer;
+    this->roundTrip.recordReply(this->loop.now() - madeAt);
+    this->setConnected(true);
+    this->endSearch();
+    if (isLast) {
+        this->handlers.update(update, madeAt);
+    }
+    this->callTimer = this->loop.callAfter(updateDelay, [this] { this->callLeader(); });
 }
 
-void RegistryWatcher::onFailure(const std::string &reason)
+void RegistryWatcher::onFailure(std::uint64_t number, const std::string &reason)
 {
-    this->logFailure(reason);
-    this->setConnected(false);
-    ControlHost &host = this->hosts.at(this->target);
-    host.failedAt = this->loop.now();
-    if (this->loop.now() - this->calledAt >= this->replyTimeout) {
-        this->hosts.recordTimeout(this->target);
+    const std::optional<Call> call = this->takeCall(number);
+    if (!call) {
+        return;
     }
-    host.roundTrip.recordFailure(this->loop.now() - this->calledAt - this->watchTimeout);
-    this->target = this->hosts.next();
-    this->callAfter(retryDelay);
+    this->logFailure(*call, reason);
+    if (number == this->lastCall) {
+        this->loseLeader();
+    }
+}
+
+void RegistryWatcher::loseLeader()
+{
+    this->callTimer = EventLoop::Timer();
+    this->setConnected(false);
+    this->search.start(this->loop.now());
+    this->scheduleSearch();
 }
 
 // The received bytes tell a reply that was too slow from one that did not come.
-void RegistryWatcher::logFailure(const std::string &reason)
+void RegistryWatcher::logFailure(const Call &call, const std::string &reason)
 {
-    const std::uint64_t received = this->hosts.bytes().received - this->receivedBeforeCall;
+    const std::uint64_t received = this->bytes->received - call.receivedBefore;
     this->log.write({ "watch_failed",
                       Event::Weight::Important,
-                      { { "member", this->target },
-                        { "ms", (this->loop.now() - this->calledAt).count },
+                      { { "member", call.peer.ip },
+                        { "ms", (this->loop.now() - call.sentAt).count },
                         { "received_bytes", static_cast<std::int64_t>(received) },
                         { "reason", reason } } });
 }
 
+void RegistryWatcher::scheduleSearch()
+{
+    const std::optional<TimePoint> next = this->search.nextStepAt();
+    if (!next) {
+        this->searchTimer = EventLoop::Timer();
+        return;
+    }
+    const Milliseconds delay = std::max(*next - this->loop.now(), Milliseconds {});
+    this->searchTimer = this->loop.callAfter(delay, [this] { this->stepSearch(); });
+}
+
+void RegistryWatcher::stepSearch()
+{
+    const Call *call = this->presentCall();
+    if (call != nullptr && call->peer.connection->lastReceived() > call->sentAt) {
+        this->search.postpone(call->peer.connection->lastReceived() + this->roundTrip.timeout());
+    }
+    const LeaderSearch::Step step = this->search.step(this->loop.now());
+    for (const LeaderSearch::ConnectionNumber number : step.closed) {
+        this->asked.at(number).connection->close("the question was asked again");
+        this->asked.erase(number);
+    }
+    for (const LeaderSearch::Question &question : step.questions) {
+        this->ask(question);
+    }
+    this->scheduleSearch();
+}
+
+void RegistryWatcher::ask(const LeaderSearch::Question &question)
+{
+    const LeaderSearch::ConnectionNumber number = question.connection;
+    if (question.isNew) {
+        const HostAddress address { question.ip, this->settings.internalPort };
+        this->asked[number]
+                = { question.ip, std::make_shared<RpcConnection>(this->loop, address,
+                                                                 connectTimeout, this->bytes) };
+    }
+    GatewayReport report;
+    report.gateway = this->settings.host;
+    report.zone = this->settings.zone;
+    report.isSearch = true;
+    this->send(
+            *this->asked.at(number).connection, { connectTimeout, replyTimeout }, report,
+            [this, number] {
+                this->search.recordOpened(number, this->loop.now());
+                this->scheduleSearch();
+            },
+            [this, number](const GatewayWatchReply &reply) { this->onAnswer(number, reply); },
+            [this, number](const std::string &) { this->onNoAnswer(number); });
+}
+
+void RegistryWatcher::onAnswer(LeaderSearch::ConnectionNumber number,
+                               const GatewayWatchReply &reply)
+{
+    const auto found = this->asked.find(number);
+    if (found == this->asked.end()) {
+        return;
+    }
+    if (const auto *update = std::get_if<GatewayUpdate>(&reply)) {
+        this->watchTimeout = update->watchTimeout;
+        const Peer peer = found->second;
+        this->asked.erase(found);
+        this->followLeader(peer);
+        return;
+    }
+    this->search.recordAnswer(number);
+    this->search.setMembers(std::get<GroupHint>(reply));
+    this->scheduleSearch();
+}
+
+void RegistryWatcher::onNoAnswer(LeaderSearch::ConnectionNumber number)
+{
+    this->asked.erase(number);
+    this->search.recordFailure(number);
+    this->scheduleSearch();
+}
+
+// Calls the host that was found. A call that is in progress continues: its reply may only be slow.
+void RegistryWatcher::followLeader(const Peer &peer)
+{
+    this->log.write({ "leader_found",
+                      Event::Weight::Important,
+                      { { "leader", peer.ip },
+                        { "search_ms", (this->loop.now() - this->search.beginning()).count },
+                        { "questions", this->search.questionCount() } } });
+    this->setConnected(false);
+    if (this->leader.ip != peer.ip) {
+        this->roundTrip = RoundTripEstimate(minRoundTrip, maxRoundTrip);
+    }
+    this->leader = peer;
+    this->endSearch();
+    this->callLeader();
+}
+
+void RegistryWatcher::endSearch()
+{
+    this->search.stop();
+    for (const auto &[number, peer] : std::exchange(this->asked, {})) {
+        peer.connection->close("the leader is found");
+    }
+    this->scheduleSearch();
+}
+
+std::optional<RegistryWatcher::Call> RegistryWatcher::takeCall(std::uint64_t number)
+{
+    const auto found = std::find_if(this->calls.begin(), this->calls.end(),
+                                    [number](const Call &call) { return call.number == number; });
+    if (found == this->calls.end()) {
+        return std::nullopt;
+    }
+    const Call call = *found;
+    this->calls.erase(found);
+    return call;
+}
+
+// Returns the last call, or null if it has ended.
+const RegistryWatcher::Call *RegistryWatcher::presentCall() const
+{
+    const bool isOpen = !this->calls.empty() && this->calls.back().number == this->lastCall;
+    return isOpen ? &this->calls.back() : nullptr;
+}
+
 void RegistryWatcher::setConnected(bool value)
 {
     if (this->connected == value) {
@@ -137,14 +308,17 @@
     this->connected = value;
     this->log.write({ value ? "control_regained" : "control_lost",
                       Event::Weight::Always,
-                      { { "leader", this->target },
+                      { { "leader", this->leader.ip },
                         { "update_age_ms", (this->loop.now() - this->confirmedAt).count } } });
 }
 
 void RegistryWatcher::taskFailed(kj::Exception &&exception)
 {
-    this->logFailure(exception.getDescription().cStr());
-    this->callAfter(retryDelay);
+    this->log.write(
+            { "watch_failed",
+              Event::Weight::Important,
+              { { "member", this->leader.ip }, { "reason", exception.getDescription().cStr() } } });
+    this->loseLeader();
 }
 
 } // namespace cassiaroad
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -1,18 +1,24 @@
 #pragma once
 
-#include "gateway/controlhosts.h"
+#include "connection/roundtripestimate.h"
+#include "connection/rpcconnection.h"
+#include "gateway/leadersearch.h"
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
 #include "version/sitewatch.h"
 
+#include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 
 namespace cassiaroad {
 
 /**
  * Receives updates from the leader of the control group: repeats a watch call, which waits at the
- * leader until something changes, and finds the next leader through the known members and the
- * seeds. Loop thread only.
+ * leader until something changes. When an update is late, it searches for the leader (see
+ * LeaderSearch) while the call continues, and goes on with the first host that answers as the
+ * leader. Loop thread only.
  */
 class RegistryWatcher : private kj::TaskSet::ErrorHandler
 {
@@ -22,42 +28,79 @@
         std::function<GatewayReport()> report; // returns the report since the previous call
         // Receives an update of the leader, and a time at or before which the leader made it.
         std::function<void(const GatewayUpdate &, TimePoint)> update;
+        // As update, in reply to an earlier report than the last one. If empty, update is called.
+        std::function<void(const GatewayUpdate &, TimePoint)> lateUpdate = nullptr;
     };
 
-    /** @p loop and @p log must outlive the watcher. */
+    /** @p loop, @p settings and @p log must outlive the watcher. */
     RegistryWatcher(EventLoop &loop, const SiteSettings &settings, EventLog &log,
                     Handlers handlers);
     ~RegistryWatcher();
     RegistryWatcher(const RegistryWatcher &) = delete;
     RegistryWatcher &operator=(const RegistryWatcher &) = delete;
 
-    /** Starts the first watch call. */
+    /** Starts the search for the leader. */
     void start();
     /** Sets the seeds after a change of the settings. */
     void setSeeds(const std::vector<HostAddress> &seeds);
 
 private:
-    void call();
-    void onReply(const GatewayWatchReply &reply);
-    void onFailure(const std::string &reason);
-    void logFailure(const std::string &reason);
-    void followHint(const GroupHint &hint);
-    void callAfter(Milliseconds delay);
+    /** A control host and a connection to it. */
+    struct Peer
+    {
+        std::string ip;
+        std::shared_ptr<RpcConnection> connection;
+    };
+
+    /** A watch call without a reply yet. */
+    struct Call
+    {
+        std::uint64_t number = 0;
+        Peer peer;
+        TimePoint sentAt;
+        std::uint64_t receivedBefore = 0; // bytes
+    };
+
+    void callLeader();
+    void onReply(std::uint64_t number, const GatewayWatchReply &reply);
+    void onUpdate(const Call &call, const GatewayUpdate &update);
+    void onFailure(std::uint64_t number, const std::string &reason);
+    void loseLeader();
+    void logFailure(const Call &call, const std::string &reason);
+
+    void scheduleSearch();
+    void stepSearch();
+    void ask(const LeaderSearch::Question &question);
+    void onAnswer(LeaderSearch::ConnectionNumber number, const GatewayWatchReply &reply);
+    void onNoAnswer(LeaderSearch::ConnectionNumber number);
+    void followLeader(const Peer &peer);
+    void endSearch();
+
+    template <typename OnReply, typename OnFailure>
+    void send(RpcConnection &connection, RpcConnection::Timeouts timeouts,
+              const GatewayReport &report, std::function<void()> onSent, OnReply onReply,
+              OnFailure onFailure);
+    std::optional<Call> takeCall(std::uint64_t number);
+    const Call *presentCall() const;
     void setConnected(bool value);
     void taskFailed(kj::Exception &&exception) override;
 
     EventLoop &loop;
+    const SiteSettings &settings;
     EventLog &log;
     Handlers handlers;
-    ControlHosts hosts;
-    std::string target; // ip of the host that is called
+    std::shared_ptr<ByteCounters> bytes; // on all connections
+    LeaderSearch search;
+    std::map<LeaderSearch::ConnectionNumber, Peer> asked; // by the present search
+    Peer leader; // without a connection if the leader is lost
+    RoundTripEstimate roundTrip; // of the leader's updates
+    std::deque<Call> calls; // without a reply, the oldest first
+    std::uint64_t lastCall = 0; // number
     bool connected = false;
     TimePoint confirmedAt; // at or before the time when the leader made its last update
-    TimePoint calledAt; // when the present call was sent
-    std::uint64_t receivedBeforeCall = 0; // bytes
     Milliseconds watchTimeout { 400 }; // as announced by the leader
-    Milliseconds replyTimeout; // of the present call
-    EventLoop::Timer timer;
+    EventLoop::Timer callTimer;
+    EventLoop::Timer searchTimer;
     kj::TaskSet tasks;
 };
 
--- a/tests/gateway/test_crashguard.cpp
+++ b/tests/gateway/test_crashguard.cpp
@@ -78,6 +78,22 @@
     EXPECT_TRUE(next.broken.empty());
 }
 
+// Guards against broken attempts that are forgotten since the reply to an earlier report arrived
+// after the last one was sent, which is lost.
+TEST(CrashGuard, reportsAgainWhatALateReplyDoesNotConfirm)
+{
+    CrashGuard guard;
+    TestLeader leader;
+    const GatewayUpdate late = leader.exchange(guard);
+    guard.recordBroken({ deadly, 1, {} }, now);
+    GatewayReport lost;
+    guard.fillReport(lost, now);
+    guard.applyLateUpdate(late, now);
+    GatewayReport next;
+    guard.fillReport(next, now);
+    EXPECT_EQ(next.broken, lost.broken);
+}
+
 // Guards against a blocked request that is let through again when the control group changes its
 // leader.
 TEST(CrashGuard, tellsANewLeaderOfBlockedRequests)
