gateway: Test that a reply to an earlier report is passed on as such

Guards against a late reply that confirms the crash reports of the last call, which may be lost. The slow call of RegistryWatcherSearch.keepsACallWhoseReplyIsSlow is answered after a newer one was sent.

--- a/tests/gateway/test_registrywatchersearch.cpp
+++ b/tests/gateway/test_registrywatchersearch.cpp
@@ -133,7 +133,11 @@
                 this->loop, this->settings, this->log,
                 RegistryWatcher::Handlers {
                         [this] { return this->takeReport(); },
-                        [this](const GatewayUpdate &update, TimePoint) { this->apply(update); } });
+                        [this](const GatewayUpdate &update, TimePoint) { this->apply(update); },
+                        [this](const GatewayUpdate &update, TimePoint) {
+                            ++this->lateUpdates;
+                            this->apply(update);
+                        } });
         this->watcher->start();
         ASSERT_TRUE(waitUntil(this->loop, [this] { return this->version == 1; }));
         runFor(this->loop, { 50 });
@@ -196,6 +200,7 @@
     ConfigurationVersion version = 0;
     std::uint32_t reportCount = 0;
     int updates = 0;
+    int lateUpdates = 0; // among them, in reply to an earlier report than the last
     std::unique_ptr<RegistryWatcher> watcher;
 };
 
@@ -329,5 +334,6 @@
               },
               { 5000 });
     EXPECT_GT(this->updates, 2);
+    EXPECT_GT(this->lateUpdates, 0);
     EXPECT_LE(connections, maxConnections);
 }
