--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -50,6 +50,9 @@
                   { [this] { return this->core.takeReport(); },
                     [this](const GatewayUpdate &update, TimePoint confirmedAt) {
                         this->core.update(update, confirmedAt);
+                    },
+                    [this](const GatewayUpdate &update, TimePoint confirmedAt) {
+                        this->core.lateUpdate(update, confirmedAt);
                     } })
         , callers(loop, clientLimits(settings),
                   [this](std::shared_ptr<HttpExchange> exchange) {
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -473,6 +473,11 @@
         return GatewayWatchReply(this->group.hint());
     }
     this->watchLoad.countCall();
+    if (report.isSearch) {
+        GatewayUpdate update;
+        update.watchTimeout = this->watchTimeout();
+        return GatewayWatchReply(update);
+    }
     const std::vector<RegistryCommand> commands
             = this->manager.onGatewayReport(report, this->loop.now());
     if (!commands.empty()) {
