--- a/src/connection/rpcconnection.cpp
+++ b/src/connection/rpcconnection.cpp
@@ -26,6 +26,12 @@
     }
 }
 
+bool RpcConnection::isOpen() const
+{
+    return this->session.get() != nullptr && this->session->isConnected()
+           && !this->session->isClosed();
+}
+
 TimePoint RpcConnection::lastReceived() const
 {
     return this->session.get() != nullptr ? this->session->lastReceived() : TimePoint {};
--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -54,6 +54,9 @@
     /** Closes the connection; calls in progress are rejected. A later call opens a new one. */
     void close(const std::string &reason);
 
+    /** Whether the connection is open, so that a call does not wait for one. */
+    bool isOpen() const;
+
     /** Time of the last byte on the present connection; the origin of time without one. */
     TimePoint lastReceived() const;
 
