tests: Let the upstream crash only when it has received all copies of the request

Cause: countsEachCopyOfARequestThatAnUpstreamHadWhenItCrashed closed the connections when three were open; the third request was not always sent by then, and its close was read as a full upstream. After: it waits until each connection has received its request. The expectations are as before.

--- a/tests/gateway/test_crashingrequests.cpp
+++ b/tests/gateway/test_crashingrequests.cpp
@@ -30,10 +30,14 @@
 TEST_F(GatewayRequestTest, countsEachCopyOfARequestThatAnUpstreamHadWhenItCrashed)
 {
     this->serve([this](FakePeer::Connection &) {
-        if (this->peer->connections.size() < 3) {
+        const auto &connections = this->peer->connections;
+        const auto received
+                = std::count_if(connections.begin(), connections.end(),
+                                [](const auto &known) { return !known->received.empty(); });
+        if (received < 3) {
             return;
         }
-        for (const auto &connection : this->peer->connections) {
+        for (const auto &connection : connections) {
             connection->disconnect();
         }
     });
