soak: Base a configuration only on a version that was read, after one without an answer

A leader whose replies were lost for 16 s had accepted a configuration without an answer; no read succeeded either, and the tool built the next one on the older version. That such a leader leads on is in the table of failures of the design.

--- a/tools/soaklib/site.py
+++ b/tools/soaklib/site.py
@@ -39,6 +39,7 @@
         self.crashes_under = None  # bytes in the body of a request under which upstreams crash
         self.route_timeout_s = 1.5
         self.version = 0  # last acknowledged configuration
+        self.is_version_unknown = False  # an accepted configuration may have had no response
         self.dropped_version = 0  # the one before
         self.acknowledged_at = None  # None: it is not known when `version` came into force
         self.counts = {"served": 0, "refused": 0, "unknown": 0}
@@ -89,6 +90,8 @@
 
     async def put_configuration(self, max_wait):
         """Sends the next configuration until it is acknowledged, at most `max_wait` seconds."""
+        if self.is_version_unknown and not await self.learn_version(max_wait):
+            return
         version = self.version + self.random.randrange(1, 4)
         self.acknowledged_at = None
         end = time.monotonic() + max_wait
@@ -105,7 +108,16 @@
             await asyncio.sleep(0.2)
         # The configuration may have been accepted without a response; the next one must be based on
         # the version that a read returns.
-        self.version = max(self.version, await self.read_version(10.0))
+        self.is_version_unknown = True
+        await self.learn_version(10.0)
+
+    async def learn_version(self, max_wait):
+        """Reads the version on which the next configuration must be based; returns whether a read
+        has succeeded. Without it, seed 101 built on a version that was not the newest."""
+        read = await self.read_version(max_wait)
+        self.is_version_unknown = read == 0
+        self.version = max(self.version, read)
+        return not self.is_version_unknown
 
     async def call_control(self, method, path, body="", headers=None):
         """Sends a request to a random control host and follows redirects; returns status and
