replica, registry: Log who votes, what a member waits for, and its version

Cause: from the log of a control host alone one could not tell since when it votes, who the voters are, whose confirmation it waits for after a start, which learners a leader has, or which configuration a restarted host knows. After: a line for each change of the voters, one each second while a member waits (confirmations of its start, votes, promotion, learners that are behind), the event state_restored, and metrics of the vote, the number of voters and the version.

--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -122,6 +122,7 @@
     this->unsynced.clear();
     this->pendingProposals.clear();
     this->handlers.restore(snapshot);
+    this->membershipLog = MembershipLog();
     this->member.emplace(this->options, std::move(opened.recovered), randomNumber(),
                          this->loop.now(), bootstrap);
     this->dispatchEvent(Tick {});
@@ -185,6 +186,7 @@
     }
     this->queue.clear();
     this->isHandlingEvents = false;
+    this->logMembership();
     this->scheduleTick();
     this->handlers.eventsHandled();
 }
@@ -420,6 +422,16 @@
                                      : ", no leader"));
 }
 
+void ReplicaDriver::logMembership()
+{
+    if (!this->member) {
+        return;
+    }
+    for (const std::string &line : this->membershipLog.update(*this->member, this->loop.now())) {
+        replicaLog.info(line);
+    }
+}
+
 void ReplicaDriver::taskFailed(kj::Exception &&exception)
 {
     this->handlers.failed(kj::str(exception).cStr());
--- a/src/cassiaroad/replicadriver.h
+++ b/src/cassiaroad/replicadriver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiaroad/membershiplog.h"
 #include "connection/replicalink.h"
 #include "process/datafolder.h"
 #include "process/metrics.h"
@@ -124,6 +125,7 @@
     void dropFolder();
     void scheduleTick();
     void logRole(const RoleChange &change) const;
+    void logMembership();
     void taskFailed(kj::Exception &&exception) override;
 
     EventLoop &loop;
@@ -138,6 +140,7 @@
 
     std::unique_ptr<DataFolder> folder;
     std::optional<Replica> member;
+    MembershipLog membershipLog; // of `member`
     std::deque<QueuedEvent> queue;
     bool isHandlingEvents = false; // dispatchEvent() is handling the queue
     // Numbers and commands that the next flush() proposes.
--- a/src/process/election.cpp
+++ b/src/process/election.cpp
@@ -154,6 +154,12 @@
     }
 }
 
+ReplicaWait Election::wait() const
+{
+    return this->state.waitFor(ReplicaWait::Reason::Votes,
+                               this->state.log.configuration().majority(), this->votes);
+}
+
 void Election::onTransferRequest(const TransferRequest &request)
 {
     const bool canCampaign = this->state.role == ReplicaRole::Follower && !this->state.installing;
--- a/src/process/election.h
+++ b/src/process/election.h
@@ -24,6 +24,7 @@
     /** Ends an election: it was won, a leader sent a request, or a higher term was seen. */
     void cancel() { this->phase = Phase::None; }
 
+    ReplicaWait wait() const;
     /** Whether a majority has voted for this member in its current term. */
     bool hasWon() const;
 
--- a/src/process/leadership.cpp
+++ b/src/process/leadership.cpp
@@ -146,6 +146,19 @@
            && this->hasQuorumReplySince(now - this->state.options.leaderLease);
 }
 
+std::optional<ReplicaWait> Leadership::wait() const
+{
+    ReplicaWait wait { ReplicaWait::Reason::Learners, 0, {}, {}, 0 };
+    for (const auto &[id, peer] : this->progress) {
+        if (!this->state.isVoter(id)) {
+            const LogIndex match = std::min(peer.match(), this->state.commitIndex);
+            wait.missing.push_back(id.number);
+            wait.entriesBehind = std::max(wait.entriesBehind, this->state.commitIndex - match);
+        }
+    }
+    return wait.missing.empty() ? std::nullopt : std::optional(wait);
+}
+
 bool Leadership::isActive(const MemberId &id) const
 {
     const auto peer = this->progress.find(id);
--- a/src/process/leadership.h
+++ b/src/process/leadership.h
@@ -31,6 +31,8 @@
     /** Whether an earlier run of the member acknowledged more in this term than @p run has. */
     bool hasAcknowledgedMore(const MemberRun &run, const StartReport &report) const;
     bool hasLease(TimePoint now) const;
+    /** The learners that are not voters yet; nothing if there are none. */
+    std::optional<ReplicaWait> wait() const;
     TimePoint nextDeadline() const;
 
 private:
--- a/src/process/replica.cpp
+++ b/src/process/replica.cpp
@@ -40,6 +40,7 @@
     void operator()(const TransferLeadership &event);
 
     TimePoint nextDeadline() const;
+    std::optional<ReplicaWait> wait() const;
     bool isStopped() const
     {
         return this->state.role == ReplicaRole::Failed || this->state.role == ReplicaRole::Dropped;
@@ -218,6 +219,22 @@
     }
 }
 
+std::optional<ReplicaWait> ReplicaCore::wait() const
+{
+    switch (this->state.role) {
+    case ReplicaRole::Starting:
+        return this->startCheck.wait();
+    case ReplicaRole::Learner:
+        return ReplicaWait { ReplicaWait::Reason::Promotion, 0, {}, {}, 0 };
+    case ReplicaRole::Candidate:
+        return this->election.wait();
+    case ReplicaRole::Leader:
+        return this->leadership.wait();
+    default:
+        return std::nullopt;
+    }
+}
+
 namespace {
 
 /** Adds the first entry of a group with this member as its only voter, if the folder has no log. */
@@ -312,6 +329,11 @@
     return { index, log.termAt(index).value_or(0), log.configurationAt(index) };
 }
 
+std::optional<ReplicaWait> Replica::wait() const
+{
+    return this->core->wait();
+}
+
 const std::vector<MemberRun> &Replica::knownRuns() const
 {
     return this->core->state.hard.runs;
--- a/src/process/replica.h
+++ b/src/process/replica.h
@@ -115,6 +115,25 @@
     bool operator==(const RoleChange &) const = default;
 };
 
+/** What a member waits for, or a leader for its learners; for logs. Slots are ascending. */
+struct ReplicaWait
+{
+    enum class Reason {
+        StartConfirmation, // Starting: voters have to confirm the start
+        Votes, // Candidate
+        Promotion, // Learner: the leader has to make this member a voter
+        Learners, // Leader: learners are not voters yet
+    };
+
+    Reason reason = Reason::StartConfirmation;
+    std::size_t needed = 0; // members that have to confirm or to vote, this one included
+    std::vector<std::uint32_t> received; // slots of those that have, this one included
+    std::vector<std::uint32_t> missing; // slots of the others, or of the learners
+    LogIndex entriesBehind = 0; // Learners: of the one that lacks the most committed entries
+
+    bool operator==(const ReplicaWait &) const = default;
+};
+
 struct ProposalAccepted
 {
     LogIndex firstIndex = 0; // of the first command; the others follow without gaps
@@ -186,6 +205,8 @@
     LogIndex snapshotIndex() const;
     /** The voters by the latest configuration in this member's log, committed or not. */
     const Configuration &configuration() const;
+    /** Nothing if this member votes and, as leader, has no learner. */
+    std::optional<ReplicaWait> wait() const;
     /** Metadata for SnapshotSaved at @p index, an index of ReplicaActions::committed. */
     SnapshotMeta snapshotMetaAt(LogIndex index) const;
     /** Latest known run of each peer. */
--- a/src/process/replicastate.cpp
+++ b/src/process/replicastate.cpp
@@ -69,6 +69,24 @@
     }
 }
 
+ReplicaWait ReplicaState::waitFor(ReplicaWait::Reason reason, std::size_t needed,
+                                  const std::set<MemberId> &received) const
+{
+    ReplicaWait wait { reason, needed, { this->self.member.number }, {}, 0 };
+    for (const MemberId &id : received) {
+        if (id != this->self.member) {
+            wait.received.push_back(id.number);
+        }
+    }
+    for (const MemberId &voter : this->log.configuration().voters) {
+        if (voter != this->self.member && !received.contains(voter)) {
+            wait.missing.push_back(voter.number);
+        }
+    }
+    std::sort(wait.received.begin(), wait.received.end());
+    return wait;
+}
+
 const MemberRun *ReplicaState::knownRun(const MemberId &id) const
 {
     for (const MemberRun &run : this->hard.runs) {
--- a/src/process/replicastate.h
+++ b/src/process/replicastate.h
@@ -3,6 +3,7 @@
 #include "process/replicaoutbox.h"
 
 #include <random>
+#include <set>
 
 namespace cassiaroad {
 
@@ -33,6 +34,10 @@
     void resetElectionTimer();
     void advanceCommit(LogIndex index);
 
+    /** Describes a wait for voters of which @p received have replied; see ReplicaWait. */
+    ReplicaWait waitFor(ReplicaWait::Reason reason, std::size_t needed,
+                        const std::set<MemberId> &received) const;
+
     const MemberRun *knownRun(const MemberId &id) const;
     /** Stores @p run if it is newer than the known run of its member. */
     void recordRun(const MemberRun &run);
--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -175,15 +175,23 @@
     if (reply.voter || this->state.isVoter(from.member)) {
         this->acceptedBy.insert(from.member);
     }
-    const std::size_t needed
-            = this->state.isVoter() ? this->state.log.configuration().majority() : 2;
-    const bool done = 1 + this->acceptedBy.size() >= needed;
-    if (done) {
+    if (1 + this->acceptedBy.size() >= this->confirmationsNeeded()) {
         this->finish(reply);
     }
     return false;
 }
 
+std::size_t StartCheck::confirmationsNeeded() const
+{
+    return this->state.isVoter() ? this->state.log.configuration().majority() : 2;
+}
+
+ReplicaWait StartCheck::wait() const
+{
+    return this->state.waitFor(ReplicaWait::Reason::StartConfirmation, this->confirmationsNeeded(),
+                               this->acceptedBy);
+}
+
 void StartCheck::finish(const StartReply &reply)
 {
     this->state.hard.ownRuns = { this->state.self };
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -21,6 +21,8 @@
     /** Returns whether the member's own data folder is stale. */
     bool onReply(const MemberRun &from, const StartReply &reply);
     TimePoint nextDeadline() const { return this->nextReportAt; }
+    /** Precondition: the check has not ended. */
+    ReplicaWait wait() const;
     /**
      * Whether messages of @p run are handled; records the run if its member is not known. Messages
      * of earlier runs are not: they may acknowledge entries that the member has lost since.
@@ -29,6 +31,8 @@
 
 private:
     void report(const MemberId &to);
+    /** Number of members that have to confirm the run, this one included. */
+    std::size_t confirmationsNeeded() const;
     /** Whether this member is leader, or takes part in the group and has contact with a leader. */
     bool isSettled() const;
     void recordOwnRun();
--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -307,12 +307,22 @@
     return replica != nullptr ? replica->term() : 0;
 }
 
-bool GroupMember::hasEnoughVoters() const
+bool GroupMember::isVoter() const
+{
+    const Replica *replica = this->driver ? this->driver->replica() : nullptr;
+    return replica != nullptr && replica->configuration().contains(replica->id());
+}
+
+std::size_t GroupMember::voterCount() const
 {
     const Replica *replica = this->driver ? this->driver->replica() : nullptr;
-    return replica != nullptr
-           && replica->configuration().voters.size()
-                      >= std::max<std::size_t>(std::size_t(2) * this->settings.toleratedLosses, 1);
+    return replica != nullptr ? replica->configuration().voters.size() : 0;
+}
+
+bool GroupMember::hasEnoughVoters() const
+{
+    return this->voterCount()
+           >= std::max<std::size_t>(std::size_t(2) * this->settings.toleratedLosses, 1);
 }
 
 std::string GroupMember::leaderIp() const
--- a/src/registry/groupmember.h
+++ b/src/registry/groupmember.h
@@ -44,6 +44,9 @@
 
     /** Whether this host is the leader and has applied every command of earlier terms. */
     bool isLeader() const { return this->driver && this->driver->isLeading(); }
+    /** Whether this host is a voter by its own log. */
+    bool isVoter() const;
+    std::size_t voterCount() const;
     /** Whether this host has the leader lease: no other member can be leader now. */
     bool hasLease() const { return this->driver && this->driver->hasLeaderLease(); }
     Term term() const;
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -127,6 +127,11 @@
         this->configurationHistory.add(this->state.version(), this->state.document());
     }
     this->group.setMembers(this->state.members());
+    this->log.write({ "state_restored",
+                      Event::Weight::Always,
+                      { { "snapshot", std::int64_t(snapshot ? snapshot->meta.index : 0) },
+                        { "version", std::int64_t(this->state.version()) },
+                        { "members", std::int64_t(this->state.members().size()) } } });
 }
 
 void RegistryEngine::apply(const std::string &bytes, std::uint64_t proposal)
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -94,6 +94,8 @@
     kj::Promise<GroupHint> join(const JoinRequest &request);
 
     GroupMember &member() { return this->group; }
+    /** Version of the newest configuration that this host knows to be committed; 0: none. */
+    ConfigurationVersion configurationVersion() const { return this->state.version(); }
 
 private:
     using CommitHandler = std::function<void(bool committed, PutOutcome outcome)>;
--- a/src/registry/registryprocess.cpp
+++ b/src/registry/registryprocess.cpp
@@ -119,6 +119,14 @@
 {
     this->metrics.gauge("cassiaroad_registry_leads", "1 if this host leads its group.")
             .Set(this->engine.member().isLeader() ? 1.0 : 0.0);
+    this->metrics.gauge("cassiaroad_registry_votes", "1 if this host is a voter of its group.")
+            .Set(this->engine.member().isVoter() ? 1.0 : 0.0);
+    this->metrics.gauge("cassiaroad_registry_voters", "Voters of the group by this host's log.")
+            .Set(static_cast<double>(this->engine.member().voterCount()));
+    this->metrics
+            .gauge("cassiaroad_registry_configuration",
+                   "Version of the newest committed configuration that this host knows.")
+            .Set(static_cast<double>(this->engine.configurationVersion()));
     updateLogGauges(this->metrics, this->log);
     updateWorkGauges(this->metrics, this->loop.workMeter());
 }
