--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -22,10 +22,12 @@
 
 } // namespace
 
-ReplicaOptions ReplicaGroup::defaults()
+ReplicaOptions ReplicaGroup::defaults(int members)
 {
     ReplicaOptions options;
-    options.members = { 1, 2, 3 };
+    for (int number = 1; number <= members; ++number) {
+        options.members.push_back(static_cast<std::uint32_t>(number));
+    }
     options.maxBatchBytes = 400;
     options.snapshotChunkBytes = 100;
     options.entriesRetainedBeforeSnapshot = 3;
@@ -36,8 +38,10 @@
     : options(options)
     , conditions(conditions)
     , random(conditions.seed)
+    , hosts(static_cast<std::size_t>(conditions.members))
+    , copies(static_cast<std::size_t>(conditions.members))
 {
-    for (int slot = 0; slot < size; ++slot) {
+    for (int slot = 0; slot < this->slotCount(); ++slot) {
         this->start(slot);
     }
     const bool complete = this->runUntil([&] { return this->isRepaired(); }, 60000);
@@ -54,9 +58,19 @@
     return std::uniform_int_distribution<int>(low, high)(this->random);
 }
 
+int ReplicaGroup::delayBetween(int from, int to)
+{
+    const std::set<int> &distant = this->conditions.distantSlots;
+    const bool crossesRegions = distant.contains(from) != distant.contains(to);
+    return this->between(this->conditions.minDelay, this->conditions.maxDelay)
+           + (crossesRegions ? this->conditions.distantDelay : 0);
+}
+
 TimePoint ReplicaGroup::localTime(int slot) const
 {
-    return { this->now * this->conditions.clockPermille[slot] / 1000 + slot * 1000000 };
+    const std::vector<int> &speeds = this->conditions.clockPermille;
+    const int permille = speeds.empty() ? 1000 : speeds[slot];
+    return { this->now * permille / 1000 + slot * 1000000 };
 }
 
 void ReplicaGroup::start(int slot)
@@ -100,7 +114,7 @@
 
 void ReplicaGroup::isolate(int slot)
 {
-    for (int other = 0; other < size; ++other) {
+    for (int other = 0; other < this->slotCount(); ++other) {
         if (other != slot) {
             this->cut(slot, other);
         }
@@ -110,7 +124,7 @@
 bool ReplicaGroup::isRepaired() const
 {
     const Configuration latest = this->history.latestConfiguration();
-    if (latest.voters.size() != size) {
+    if (latest.voters.size() != this->hosts.size()) {
         return false;
     }
     return std::all_of(this->hosts.begin(), this->hosts.end(), [&](const Host &host) {
@@ -141,7 +155,7 @@
         if (this->copies[slot]->startCounter == current.startCounter) {
             return false;
         }
-        for (int peer = 0; peer < size; ++peer) {
+        for (int peer = 0; peer < this->slotCount(); ++peer) {
             const std::vector<MemberRun> &runs = this->hosts[peer].folder->hardState.runs;
             const bool knows = std::any_of(runs.begin(), runs.end(), [&](const MemberRun &run) {
                 return run.member == current.id && run.startCounter == current.startCounter;
@@ -204,7 +218,7 @@
 int ReplicaGroup::leader() const
 {
     int found = -1;
-    for (int slot = 0; slot < size; ++slot) {
+    for (int slot = 0; slot < this->slotCount(); ++slot) {
         const Replica *replica = this->hosts[slot].replica.get();
         if (replica != nullptr && replica->role() == ReplicaRole::Leader
             && (found < 0 || replica->term() > this->hosts[found].replica->term())) {
@@ -219,7 +233,7 @@
     for (int i = 0; i < milliseconds; ++i) {
         ++this->now;
         this->deliver();
-        for (int slot = 0; slot < size; ++slot) {
+        for (int slot = 0; slot < this->slotCount(); ++slot) {
             Host &host = this->hosts[slot];
             if (host.replica && !host.paused && !host.unsynced.empty()
                 && this->now >= host.syncAt) {
@@ -271,8 +285,8 @@
     for (int i = 0; i < copies; ++i) {
         if (!this->cutLinks.contains({ std::min(from, to), std::max(from, to) })
             && !this->chance(this->conditions.lossPercent)) {
-            const int delay = this->between(this->conditions.minDelay, this->conditions.maxDelay);
-            this->messagesInTransit.push_back({ this->now + delay, to, message });
+            this->messagesInTransit.push_back(
+                    { this->now + this->delayBetween(from, to), to, message });
         }
     }
 }
@@ -391,7 +405,7 @@
 void ReplicaGroup::checkLeases() const
 {
     int leaseholders = 0;
-    for (int slot = 0; slot < size; ++slot) {
+    for (int slot = 0; slot < this->slotCount(); ++slot) {
         const Replica *replica = this->hosts[slot].replica.get();
         leaseholders
                 += replica != nullptr && replica->hasLeaderLease(this->localTime(slot)) ? 1 : 0;
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -2,7 +2,6 @@
 
 #include "grouphistory.h"
 
-#include <array>
 #include <functional>
 #include <random>
 #include <set>
@@ -18,19 +17,24 @@
     int minDelay = 1; // milliseconds
     int maxDelay = 3; // milliseconds
     int maxSyncDelay = 3; // milliseconds
-    std::array<int, 3> clockPermille { 1000, 1000, 1000 }; // speed of each member's clock
+    std::vector<int> clockPermille; // speed of each member's clock; 1000 if it is not given
+    int members = 3;
+    std::set<int> distantSlots; // members in another region than the rest
+    int distantDelay = 0; // milliseconds, added between the regions
 };
 
-/** Three Replicas with fake data folders and links in virtual time, checked after every step. */
+/** Replicas with fake data folders and links in virtual time, checked after every step. */
 class ReplicaGroup
 {
 public:
-    static constexpr int size = 3;
+    static constexpr int size = 3; // unless the network conditions say otherwise
 
-    explicit ReplicaGroup(const NetworkConditions &conditions,
-                          const ReplicaOptions &options = defaults());
+    explicit ReplicaGroup(const NetworkConditions &conditions, const ReplicaOptions &options);
+    explicit ReplicaGroup(const NetworkConditions &conditions)
+        : ReplicaGroup(conditions, defaults(conditions.members))
+    { }
 
-    static ReplicaOptions defaults();
+    static ReplicaOptions defaults(int members = size);
 
     /** Lets @p milliseconds pass. Throws std::logic_error when an invariant is broken. */
     void run(int milliseconds);
@@ -63,7 +67,7 @@
 
     /** Slot of the leader with the highest term, -1 if there is none. */
     int leader() const;
-    /** Whether all three members are voters of the committed configuration with valid folders. */
+    /** Whether all members are voters of the committed configuration with valid folders. */
     bool isRepaired() const;
     bool isCommitted(const std::string &command) const { return this->history.has(command); }
     const Replica *replica(int slot) const { return this->hosts[slot].replica.get(); }
@@ -97,6 +101,8 @@
 
     bool chance(int percent);
     int between(int low, int high);
+    int slotCount() const { return this->conditions.members; }
+    int delayBetween(int from, int to);
     void step(int slot, const ReplicaEvent &event);
     void perform(int slot, ReplicaActions &actions, const Configuration &before);
     bool install(int slot, const Snapshot &snapshot);
@@ -115,8 +121,8 @@
     NetworkConditions conditions;
     std::mt19937_64 random;
     std::int64_t now = 1000;
-    std::array<Host, size> hosts;
-    std::array<std::optional<FakeFolder>, size> copies;
+    std::vector<Host> hosts;
+    std::vector<std::optional<FakeFolder>> copies;
     std::vector<MessageInTransit> messagesInTransit;
     std::set<std::pair<int, int>> cutLinks;
     std::uint64_t nextIncarnation = 100;
--- a/tests/process/test_replicaproperties.cpp
+++ b/tests/process/test_replicaproperties.cpp
@@ -134,8 +134,8 @@
     conditions.duplicatePercent = *rc::gen::element(0, 5, 20);
     conditions.maxDelay = *rc::gen::element(2, 10, 60);
     conditions.maxSyncDelay = *rc::gen::element(0, 3, 50);
-    for (int &permille : conditions.clockPermille) {
-        permille = *rc::gen::element(1000, 960, 1040);
+    for (int slot = 0; slot < conditions.members; ++slot) {
+        conditions.clockPermille.push_back(*rc::gen::element(1000, 960, 1040));
     }
     return conditions;
 }
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -1,112 +1,15 @@
-#include "registry/registryengine.h"
+#include "registrygroup.h"
 
-#include "connection/rpcserver.h"
-#include "registry/registryservice.h"
-#include "support/fakecodec.h"
-#include "support/loopwait.h"
-
-#include <gtest/gtest.h>
-
-#include <filesystem>
 #include <thread>
 
-#include <stdlib.h>
-
 using namespace cassiaroad;
 
 namespace {
 
-constexpr std::size_t hostCount = 3;
 // Longer than the lease of a leader, shorter than the time after which it gives up its leadership.
 constexpr std::chrono::milliseconds blockedTime { 450 };
 
-/** One control host, at the address 127.0.0.NUMBER. */
-struct TestHost
-{
-    TestHost(EventLoop &loop, SiteSettings hostSettings, const ExternalCodec &codec)
-        : settings(std::move(hostSettings))
-        , log(settings.host)
-        , engine(loop, settings, codec, metrics, log, [](const std::string &) {})
-        , server(loop, {}, kj::heap<RegistryService>(loop, engine))
-    { }
-
-    SiteSettings settings;
-    EventLog log;
-    Metrics metrics;
-    RegistryEngine engine;
-    RpcServer server;
-};
-
-/** A control group of three hosts in one event loop. */
-class RegistryEngineTest : public testing::Test
-{
-protected:
-    RegistryEngineTest()
-    {
-        std::string pattern = (std::filesystem::temp_directory_path() / "registry-XXXXXX").string();
-        this->root = ::mkdtemp(pattern.data());
-        for (std::size_t i = 0; i < hostCount; ++i) {
-            auto host = std::make_unique<TestHost>(this->loop, this->settingsOf(i), this->codec);
-            const std::string reason
-                    = host->server.listen({ host->settings.ip, host->settings.internalPort });
-            EXPECT_EQ(reason, "");
-            this->port = host->server.port(); // the first host takes any free port
-            host->settings.internalPort = this->port;
-            this->hosts.push_back(std::move(host));
-        }
-        for (const auto &host : this->hosts) {
-            EXPECT_EQ(host->engine.start(), "");
-        }
-    }
-
-    ~RegistryEngineTest() override
-    {
-        this->hosts.clear();
-        std::filesystem::remove_all(this->root);
-    }
-
-    SiteSettings settingsOf(std::size_t index) const
-    {
-        SiteSettings settings;
-        settings.host = "core-" + std::to_string(index + 1);
-        settings.ip = ipOf(index);
-        settings.bindIp = settings.ip;
-        settings.internalPort = this->port;
-        for (std::size_t i = 0; i < hostCount; ++i) {
-            settings.seeds.push_back({ ipOf(i), this->port });
-        }
-        RegistrySettings role;
-        role.dataFolder = this->root + "/" + settings.host;
-        role.bootstrap = true;
-        settings.role = role;
-        return settings;
-    }
-
-    static std::string ipOf(std::size_t index) { return "127.0.0." + std::to_string(index + 1); }
-
-    /** Returns the host that leads with a lease once all hosts may vote, or null. */
-    RegistryEngine *waitForLeader()
-    {
-        RegistryEngine *leader = nullptr;
-        waitUntil(this->loop, [&] {
-            for (const auto &host : this->hosts) {
-                GroupMember &member = host->engine.member();
-                const bool leads = member.isLeader() && member.hasLease();
-                const bool isComplete
-                        = member.hint().members.size() == hostCount && member.hasEnoughVoters();
-                leader = leads && isComplete ? &host->engine : leader;
-            }
-            return leader != nullptr;
-        });
-        return leader;
-    }
-
-    EventLoop loop;
-    FakeCodec codec;
-    std::string root;
-    std::uint16_t port = 0;
-    std::vector<std::unique_ptr<TestHost>> hosts;
-};
+using RegistryEngineTest = RegistryGroupTest;
 
 } // namespace
 
