replica: Make a learner a voter that keeps up, not only one with every committed entry

Cause: a learner became a voter only in a moment in which it had acknowledged the commit index. With a majority in the leader's region and a command every few milliseconds the next entry is committed before the acknowledgement of a member 40 ms away arrives, so a replaced member in the other region stayed a learner and the old incarnation in its slot stayed a voter. After the next losses the voters that were left were no majority. After: as in the Raft thesis, the leader counts rounds: a round ends when the learner has acknowledged the last entry at its begin. A learner whose last round and present round each last no longer than the minimum election timeout becomes a voter.

--- a/src/process/leadership.cpp
+++ b/src/process/leadership.cpp
@@ -177,7 +177,7 @@
         return;
     }
     for (const auto &[id, peer] : this->progress) {
-        const bool caughtUp = peer.match() >= this->state.commitIndex && this->isActive(id);
+        const bool caughtUp = peer.keepsUp(this->state) && this->isActive(id);
         if (!this->state.isVoter(id) && caughtUp && this->replaceVoter(id)) {
             return;
         }
--- a/src/process/progress.cpp
+++ b/src/process/progress.cpp
@@ -124,6 +124,24 @@
     this->acknowledgedSentAt = std::max(this->acknowledgedSentAt.value_or(sentAt), sentAt);
 }
 
+void Progress::updateRound(const ReplicaState &state)
+{
+    if (this->roundTarget && this->matchIndex < *this->roundTarget) {
+        return;
+    }
+    if (this->roundTarget) {
+        this->lastRound = state.now - this->roundSince;
+    }
+    this->roundTarget = state.log.lastIndex();
+    this->roundSince = state.now;
+}
+
+bool Progress::keepsUp(const ReplicaState &state) const
+{
+    const Milliseconds limit = state.options.minElectionTimeout;
+    return this->lastRound && *this->lastRound <= limit && state.now - this->roundSince <= limit;
+}
+
 bool Progress::onAppendReply(ReplicaState &state, const MemberRun &from, const AppendReply &reply)
 {
     this->memberRun = from;
@@ -146,6 +164,7 @@
         this->nextIndex = this->matchIndex + 1;
     }
     this->mode = Mode::Replicate;
+    this->updateRound(state);
     return matchAdvanced;
 }
 
@@ -189,6 +208,8 @@
     this->nextIndex = std::max(this->matchIndex, lastIndex) + 1;
     this->inFlight.clear();
     this->snapshot.reset();
+    this->roundTarget.reset();
+    this->lastRound.reset();
 }
 
 } // namespace cassiaroad
--- a/src/process/progress.h
+++ b/src/process/progress.h
@@ -20,6 +20,12 @@
     void onSnapshotReply(ReplicaState &state, const SnapshotReply &reply);
     /** Restarts replication to a member that began @p newRun with entries up to @p lastIndex. */
     void onRestarted(const MemberRun &newRun, LogIndex lastIndex);
+    /**
+     * Whether the member acknowledges entries about as fast as they are appended. Entries that are
+     * appended all the time are committed before a distant member can acknowledge them, so its
+     * match index need not be as high as the commit index.
+     */
+    bool keepsUp(const ReplicaState &state) const;
 
     LogIndex match() const { return this->matchIndex; }
     /** The run that last replied or reported its start; none yet if its start counter is 0. */
@@ -36,6 +42,8 @@
         Snapshot, // sends a snapshot
     };
 
+    /** Begins the next catch-up round if the member has all entries of the present one. */
+    void updateRound(const ReplicaState &state);
     void addRuns(const ReplicaState &state, AppendRequest &request);
     void recordResponse(ReplicaState &state, TimePoint sentAt);
     /** Moves the next index back after a rejected request. */
@@ -53,6 +61,10 @@
     LogIndex matchIndex = 0;
     LogIndex nextIndex = 1;
     bool probeSent = false; // in mode Probe: a request with entries has no reply yet
+    // A catch-up round ends when the member has acknowledged the last entry at its begin.
+    std::optional<LogIndex> roundTarget; // nothing: the first round has not begun
+    TimePoint roundSince;
+    std::optional<Milliseconds> lastRound; // duration of the last complete round
     std::deque<LogIndex> inFlight; // last index of each unacknowledged request with entries
     std::optional<TimePoint> acknowledgedSentAt;
     std::optional<TimePoint> replyAt;
