replica: Confirm a start by the leader and the voters that leave it to the leader

Cause: a start has to be confirmed by a majority of the voters. A follower of a standing leader records the run and answers that the leader has to decide, and this answer did not count. With three voters the leader and the member itself are a majority, with five they are not, so the member waited until the leader was lost. After: voters that have recorded the run and follow a leader of no later term than a leader that has accepted it count as well. Each of them has checked that the folder is not stale, and rejects messages of earlier runs from then on; what only a leader knows has been checked by the leader. The member also takes the highest term of all replies for its own vote, not that of the last reply. The property tests now draw groups of three or five members, a distant one, and up to two lost disks of five.

--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -30,7 +30,7 @@
     this->recordOwnRun();
     const Configuration &configuration = state.log.configuration();
     if (state.isVoter() && configuration.majority() == 1) {
-        this->finish({});
+        this->finish();
     }
 }
 
@@ -167,20 +167,46 @@
         return true;
     }
     this->recordedBy.insert(from.member);
-    if (this->state.role != ReplicaRole::Starting || reply.verdict != StartVerdict::Accepted) {
+    if (this->state.role != ReplicaRole::Starting) {
         return false;
     }
+    this->highestTerm = std::max(this->highestTerm, reply.term);
     // This member's log may lack the entry that made the peer a voter. A peer that is not a voter
     // has not caught up with the group and may not know the latest runs.
     if (reply.voter || this->state.isVoter(from.member)) {
-        this->acceptedBy.insert(from.member);
+        this->record(from.member, reply);
     }
-    if (1 + this->acceptedBy.size() >= this->confirmationsNeeded()) {
-        this->finish(reply);
+    if (1 + this->confirmedBy().size() >= this->confirmationsNeeded()) {
+        this->finish();
     }
     return false;
 }
 
+void StartCheck::record(const MemberId &voter, const StartReply &reply)
+{
+    if (reply.verdict == StartVerdict::AskLeader) {
+        this->leftToLeaderBy[voter] = reply.term;
+        return;
+    }
+    this->acceptedBy.insert(voter);
+    if (reply.leader) {
+        this->acceptingLeaderTerm = std::max(this->acceptingLeaderTerm.value_or(0), reply.term);
+    }
+}
+
+// A voter that follows a leader of a later term than the one that has accepted the run still waits
+// for that leader's decision.
+std::set<MemberId> StartCheck::confirmedBy() const
+{
+    std::set<MemberId> confirmed = this->acceptedBy;
+    for (const auto &[voter, term] : this->leftToLeaderBy) {
+        if (this->acceptingLeaderTerm && term <= *this->acceptingLeaderTerm) {
+            confirmed.insert(voter);
+        }
+    }
+    return confirmed;
+}
+
 std::size_t StartCheck::confirmationsNeeded() const
 {
     return this->state.isVoter() ? this->state.log.configuration().majority() : 2;
@@ -189,16 +215,16 @@
 ReplicaWait StartCheck::wait() const
 {
     return this->state.waitFor(ReplicaWait::Reason::StartConfirmation, this->confirmationsNeeded(),
-                               this->acceptedBy);
+                               this->confirmedBy());
 }
 
-void StartCheck::finish(const StartReply &reply)
+void StartCheck::finish()
 {
     this->state.hard.ownRuns = { this->state.self };
     this->state.persistHardState();
     // If the folder is a copy, a vote of the original one may be unknown here. By voting for itself
     // the member avoids a second vote in a term that a peer has reached.
-    const Term term = std::max(reply.term, this->state.hard.term);
+    const Term term = std::max(this->highestTerm, this->state.hard.term);
     if (term > this->state.hard.term || !this->state.hard.vote) {
         this->state.setVote(term, this->state.self.member);
     }
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -2,13 +2,15 @@
 
 #include "process/leadership.h"
 
+#include <map>
 #include <set>
 
 namespace cassiaroad {
 
 /**
  * Detects stale copies of a data folder. After each start a member reports its run to its peers and
- * takes part in the group only once a majority, itself included, has accepted the run.
+ * takes part in the group only once a majority, itself included, has confirmed the run: accepted
+ * it, or recorded it and left the decision to a leader that has accepted it.
  */
 class StartCheck
 {
@@ -31,6 +33,10 @@
 
 private:
     void report(const MemberId &to);
+    /** Records the verdict of a voter about the own run. */
+    void record(const MemberId &voter, const StartReply &reply);
+    /** The voters among the peers that have confirmed the own run. */
+    std::set<MemberId> confirmedBy() const;
     /** Number of members that have to confirm the run, this one included. */
     std::size_t confirmationsNeeded() const;
     /** Whether this member is leader, or takes part in the group and has contact with a leader. */
@@ -43,13 +49,16 @@
     /** Returns nothing if this member is leader and cannot decide yet; the report is repeated. */
     std::optional<StartVerdict> evaluate(const MemberRun &run, const StartReport &report);
     /** Ends the check: the member takes part in the group from now on. */
-    void finish(const StartReply &reply);
+    void finish();
 
     ReplicaState &state;
     Leadership &leadership;
     std::vector<MemberRun> earlierRuns; // own runs that were stored before this start
     std::set<MemberId> recordedBy; // peers that have stored this run
     std::set<MemberId> acceptedBy; // those of them that are voters and have accepted this run
+    std::map<MemberId, Term> leftToLeaderBy; // voters that have not, and their last known terms
+    std::optional<Term> acceptingLeaderTerm; // the last term in which a leader has accepted it
+    Term highestTerm = 0; // in the replies to this run
     TimePoint nextReportAt;
 };
 
--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -132,13 +132,15 @@
     });
 }
 
-bool ReplicaGroup::loseFolder(int slot)
+bool ReplicaGroup::loseFolders(const std::set<int> &slots)
 {
     if (!this->isRepaired()) {
         return false;
     }
-    this->crash(slot);
-    this->hosts[slot].folder.reset();
+    for (const int slot : slots) {
+        this->crash(slot);
+        this->hosts[slot].folder.reset();
+    }
     return true;
 }
 
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -49,7 +49,9 @@
     void isolate(int slot);
     void heal() { this->cutLinks.clear(); }
     /** Crashes the member and deletes its folder, if isRepaired(); returns whether it did. */
-    bool loseFolder(int slot);
+    bool loseFolder(int slot) { return this->loseFolders({ slot }); }
+    /** As loseFolder(), for several members at the same time. */
+    bool loseFolders(const std::set<int> &slots);
     void copyFolder(int slot) { this->copies[slot] = this->hosts[slot].folder; }
     /** Calls forceCopy() if the start check has to detect that copy; returns whether it did. */
     bool restoreCopy(int slot);
@@ -65,6 +67,7 @@
     void saveSnapshot(int slot);
     void transfer(int slot);
 
+    int slotCount() const { return this->conditions.members; }
     /** Slot of the leader with the highest term, -1 if there is none. */
     int leader() const;
     /** Whether all members are voters of the committed configuration with valid folders. */
@@ -101,7 +104,6 @@
 
     bool chance(int percent);
     int between(int low, int high);
-    int slotCount() const { return this->conditions.members; }
     int delayBetween(int from, int to);
     void step(int slot, const ReplicaEvent &event);
     void perform(int slot, ReplicaActions &actions, const Configuration &before);
--- a/tests/process/test_replicaproperties.cpp
+++ b/tests/process/test_replicaproperties.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr int largestGroup = 5;
+
 enum class Fault {
     None,
     Crash,
@@ -42,7 +44,7 @@
 
 void perform(ReplicaGroup &group, const FaultStep &faultStep, const std::string &command)
 {
-    const int slot = faultStep.slot;
+    const int slot = faultStep.slot % group.slotCount();
     switch (static_cast<Fault>(faultStep.fault)) {
     case Fault::Crash:
         group.crash(slot);
@@ -66,7 +68,7 @@
         group.resume(slot);
         break;
     case Fault::Cut:
-        group.cut(slot, (slot + 1) % ReplicaGroup::size);
+        group.cut(slot, (slot + 1) % group.slotCount());
         break;
     case Fault::Isolate:
         group.isolate(slot);
@@ -107,7 +109,7 @@
 void endFaults(ReplicaGroup &group)
 {
     group.heal();
-    for (int slot = 0; slot < ReplicaGroup::size; ++slot) {
+    for (int slot = 0; slot < group.slotCount(); ++slot) {
         group.freeDisk(slot);
         group.resume(slot);
         const Replica *replica = group.replica(slot);
@@ -121,8 +123,8 @@
 rc::Gen<std::vector<FaultStep>> faultSteps()
 {
     const auto faultStep = rc::gen::construct<FaultStep>(
-            rc::gen::inRange(0, static_cast<int>(Fault::Last)),
-            rc::gen::inRange(0, ReplicaGroup::size), rc::gen::inRange(0, 300));
+            rc::gen::inRange(0, static_cast<int>(Fault::Last)), rc::gen::inRange(0, largestGroup),
+            rc::gen::inRange(0, 300));
     return rc::gen::scale(1.5, rc::gen::container<std::vector<FaultStep>>(faultStep));
 }
 
@@ -134,6 +136,9 @@
     conditions.duplicatePercent = *rc::gen::element(0, 5, 20);
     conditions.maxDelay = *rc::gen::element(2, 10, 60);
     conditions.maxSyncDelay = *rc::gen::element(0, 3, 50);
+    conditions.members = *rc::gen::element(3, largestGroup);
+    conditions.distantSlots = { conditions.members - 1 };
+    conditions.distantDelay = *rc::gen::element(0, 0, 20);
     for (int slot = 0; slot < conditions.members; ++slot) {
         conditions.clockPermille.push_back(*rc::gen::element(1000, 960, 1040));
     }
@@ -167,12 +172,13 @@
     RC_ASSERT(committed);
 }
 
-// Guards against the loss of an acknowledged command when a disk is lost right after the
-// acknowledgement and all other members lose power at the same moment, with the writes that they
-// had not synced.
-RC_GTEST_PROP(ReplicaProperties, keepsCommittedEntriesWhenADiskIsLostAndAllOthersLosePower, ())
+// Guards against the loss of an acknowledged command when a minority of the disks is lost right
+// after the acknowledgement and all other members lose power at the same moment, with the writes
+// that they had not synced.
+RC_GTEST_PROP(ReplicaProperties, keepsCommittedEntriesWhenDisksAreLostAndAllOthersLosePower, ())
 {
-    ReplicaGroup group(anyNetworkConditions());
+    const NetworkConditions conditions = anyNetworkConditions();
+    ReplicaGroup group(conditions);
     RC_ASSERT(group.runUntil([&] { return group.isRepaired() && group.leader() >= 0; }, 30000));
     const auto rounds = *rc::gen::inRange(1, 4);
     for (int round = 0; round < rounds; ++round) {
@@ -185,12 +191,15 @@
             return committed;
         };
         RC_ASSERT(group.runUntil(isCommitted, 30000));
-        const auto lost = *rc::gen::inRange(0, ReplicaGroup::size);
-        const bool isLost = group.loseFolder(lost);
-        for (int slot = 0; slot < ReplicaGroup::size; ++slot) {
+        std::set<int> lost { *rc::gen::inRange(0, conditions.members) };
+        if (conditions.members == largestGroup) {
+            lost.insert(*rc::gen::inRange(0, conditions.members));
+        }
+        const bool isLost = group.loseFolders(lost);
+        for (int slot = 0; slot < group.slotCount(); ++slot) {
             group.crash(slot);
         }
-        for (int slot = 0; slot < ReplicaGroup::size; ++slot) {
+        for (int slot = 0; slot < group.slotCount(); ++slot) {
             group.start(slot);
         }
         RC_ASSERT(group.runUntil([&] { return group.isRepaired() && group.leader() >= 0; }, 30000));
