replica: Count confirmations of a start by the newest configuration that a peer knows

Cause: after a loss of all power a voter waited for three confirmations by the configuration in its own log. One of the three members that were left with a disk was a voter by a later entry that had reached neither that member nor the one that waited, so its confirmation did not count, and the two that had the entry had no majority for an election. After: the reply to a start report carries the latest configuration of the replying member with its position. A start is confirmed by a majority by the own configuration, or by a majority of the newest one that a peer knows.

--- a/schema/replica.capnp
+++ b/schema/replica.capnp
@@ -121,6 +121,7 @@
   term @2 :UInt64;
   leader @3 :Bool;
   voter @4 :Bool;
+  configuration @5 :SnapshotMeta;  # absent before it was added
 }
 
 struct ReplicaMessage {
--- a/schema/replica.capnp.h
+++ b/schema/replica.capnp.h
@@ -288,7 +288,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fd6d04326d9e9146, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fd6d04326d9e9146, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1800,6 +1800,9 @@
 
   inline bool getVoter() const;
 
+  inline bool hasConfiguration() const;
+  inline  ::cassiaroad::wire::SnapshotMeta::Reader getConfiguration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1847,6 +1850,13 @@
   inline bool getVoter();
   inline void setVoter(bool value);
 
+  inline bool hasConfiguration();
+  inline  ::cassiaroad::wire::SnapshotMeta::Builder getConfiguration();
+  inline void setConfiguration( ::cassiaroad::wire::SnapshotMeta::Reader value);
+  inline  ::cassiaroad::wire::SnapshotMeta::Builder initConfiguration();
+  inline void adoptConfiguration(::capnp::Orphan< ::cassiaroad::wire::SnapshotMeta>&& value);
+  inline ::capnp::Orphan< ::cassiaroad::wire::SnapshotMeta> disownConfiguration();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1866,6 +1876,7 @@
       : _typeless(kj::mv(typeless)) {}
 
   inline  ::cassiaroad::wire::MemberRun::Pipeline getRun();
+  inline  ::cassiaroad::wire::SnapshotMeta::Pipeline getConfiguration();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3415,6 +3426,45 @@
       ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool StartReply::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool StartReply::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::cassiaroad::wire::SnapshotMeta::Reader StartReply::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::cassiaroad::wire::SnapshotMeta>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::cassiaroad::wire::SnapshotMeta::Builder StartReply::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::cassiaroad::wire::SnapshotMeta>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::cassiaroad::wire::SnapshotMeta::Pipeline StartReply::Pipeline::getConfiguration() {
+  return  ::cassiaroad::wire::SnapshotMeta::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void StartReply::Builder::setConfiguration( ::cassiaroad::wire::SnapshotMeta::Reader value) {
+  ::capnp::_::PointerHelpers< ::cassiaroad::wire::SnapshotMeta>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::cassiaroad::wire::SnapshotMeta::Builder StartReply::Builder::initConfiguration() {
+  return ::capnp::_::PointerHelpers< ::cassiaroad::wire::SnapshotMeta>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void StartReply::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::cassiaroad::wire::SnapshotMeta>&& value) {
+  ::capnp::_::PointerHelpers< ::cassiaroad::wire::SnapshotMeta>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::cassiaroad::wire::SnapshotMeta> StartReply::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::cassiaroad::wire::SnapshotMeta>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool ReplicaMessage::Reader::hasFrom() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/process/replicacodec.cpp
+++ b/src/process/replicacodec.cpp
@@ -115,6 +115,7 @@
     builder.setTerm(reply.term);
     builder.setLeader(reply.leader);
     builder.setVoter(reply.voter);
+    encode(reply.configuration, builder.initConfiguration());
 }
 
 VoteRequest readBody(wire::VoteRequest::Reader reader)
@@ -172,7 +173,8 @@
 StartReply readBody(wire::StartReply::Reader reader)
 {
     return { decode(reader.getRun()), static_cast<StartVerdict>(reader.getVerdict()),
-             reader.getTerm(), reader.getLeader(), reader.getVoter() };
+             reader.getTerm(),        reader.getLeader(),
+             reader.getVoter(),       decode(reader.getConfiguration()) };
 }
 
 std::optional<MessageBody> readBody(Body::Reader body)
--- a/src/process/replicalog.cpp
+++ b/src/process/replicalog.cpp
@@ -151,6 +151,12 @@
     return std::max(candidate, this->base);
 }
 
+SnapshotMeta ReplicaLog::latestConfiguration() const
+{
+    const LogIndex index = this->configurationIndex();
+    return { index, this->termAt(index).value_or(0), this->configuration() };
+}
+
 const Configuration &ReplicaLog::configurationAt(LogIndex index) const
 {
     const auto after = this->configurations.upper_bound(index);
--- a/src/process/replicalog.h
+++ b/src/process/replicalog.h
@@ -42,6 +42,8 @@
     /** Latest configuration, committed or not. */
     const Configuration &configuration() const { return this->configurations.rbegin()->second; }
     LogIndex configurationIndex() const { return this->configurations.rbegin()->first; }
+    /** The same, with its position. */
+    SnapshotMeta latestConfiguration() const;
     /** Configuration in effect at @p index. */
     const Configuration &configurationAt(LogIndex index) const;
 
--- a/src/process/replicamessage.h
+++ b/src/process/replicamessage.h
@@ -109,6 +109,7 @@
     Term term = 0;
     bool leader = false; // the replying member is leader
     bool voter = false; // the replying member is a voter according to its own log
+    SnapshotMeta configuration; // latest in the log of the replying member, and its position
 
     bool operator==(const StartReply &) const = default;
 };
--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -1,5 +1,7 @@
 #include "process/startcheck.h"
 
+#include <tuple>
+
 namespace cassiaroad {
 
 namespace {
@@ -150,9 +152,10 @@
         return;
     }
     const bool isLeader = this->state.role == ReplicaRole::Leader;
-    this->state.outbox.sendWhenSynced(
-            from.member,
-            StartReply { from, *verdict, this->state.hard.term, isLeader, this->state.isVoter() });
+    this->state.outbox.sendWhenSynced(from.member,
+                                      StartReply { from, *verdict, this->state.hard.term, isLeader,
+                                                   this->state.isVoter(),
+                                                   this->state.log.latestConfiguration() });
     if (!this->recordedBy.contains(from.member)) {
         this->report(from.member);
     }
@@ -170,43 +173,73 @@
     if (this->state.role != ReplicaRole::Starting) {
         return false;
     }
-    this->highestTerm = std::max(this->highestTerm, reply.term);
-    // This member's log may lack the entry that made the peer a voter. A peer that is not a voter
-    // has not caught up with the group and may not know the latest runs.
-    if (reply.voter || this->state.isVoter(from.member)) {
-        this->record(from.member, reply);
-    }
-    if (1 + this->confirmedBy().size() >= this->confirmationsNeeded()) {
+    this->record(from.member, reply);
+    if (this->isConfirmed()) {
         this->finish();
     }
     return false;
 }
 
-void StartCheck::record(const MemberId &voter, const StartReply &reply)
+void StartCheck::record(const MemberId &peer, const StartReply &reply)
 {
+    this->highestTerm = std::max(this->highestTerm, reply.term);
+    const SnapshotMeta &newest = this->newestConfiguration;
+    if (std::tuple(reply.configuration.term, reply.configuration.index)
+        > std::tuple(newest.term, newest.index)) {
+        this->newestConfiguration = reply.configuration;
+    }
+    if (reply.voter) {
+        this->votersByOwnLog.insert(peer);
+    }
     if (reply.verdict == StartVerdict::AskLeader) {
-        this->leftToLeaderBy[voter] = reply.term;
+        this->leftToLeaderBy[peer] = reply.term;
         return;
     }
-    this->acceptedBy.insert(voter);
+    this->acceptedBy.insert(peer);
     if (reply.leader) {
         this->acceptingLeaderTerm = std::max(this->acceptingLeaderTerm.value_or(0), reply.term);
     }
 }
 
-// A voter that follows a leader of a later term than the one that has accepted the run still waits
+// A peer that follows a leader of a later term than the one that has accepted the run still waits
 // for that leader's decision.
+bool StartCheck::hasConfirmed(const MemberId &peer) const
+{
+    const auto left = this->leftToLeaderBy.find(peer);
+    return this->acceptedBy.contains(peer)
+           || (left != this->leftToLeaderBy.end() && this->acceptingLeaderTerm
+               && left->second <= *this->acceptingLeaderTerm);
+}
+
+// A peer that is not a voter has not caught up with the group and may not know the latest runs.
 std::set<MemberId> StartCheck::confirmedBy() const
 {
-    std::set<MemberId> confirmed = this->acceptedBy;
-    for (const auto &[voter, term] : this->leftToLeaderBy) {
-        if (this->acceptingLeaderTerm && term <= *this->acceptingLeaderTerm) {
-            confirmed.insert(voter);
+    std::set<MemberId> confirmed;
+    for (const MemberId &peer : this->recordedBy) {
+        const bool isVoter = this->votersByOwnLog.contains(peer) || this->state.isVoter(peer);
+        if (isVoter && this->hasConfirmed(peer)) {
+            confirmed.insert(peer);
         }
     }
     return confirmed;
 }
 
+// The log of this member and that of a voter that confirms may both lack the entry that made the
+// voter one, while a third member has it. If power was lost just then, no others may be left.
+bool StartCheck::isConfirmed() const
+{
+    if (1 + this->confirmedBy().size() >= this->confirmationsNeeded()) {
+        return true;
+    }
+    const Configuration &newest = this->newestConfiguration.configuration;
+    const auto confirmed
+            = std::count_if(newest.voters.begin(), newest.voters.end(), [&](const MemberId &voter) {
+                  return voter == this->state.self.member || this->hasConfirmed(voter);
+              });
+    return newest.contains(this->state.self.member)
+           && static_cast<std::size_t>(confirmed) >= newest.majority();
+}
+
 std::size_t StartCheck::confirmationsNeeded() const
 {
     return this->state.isVoter() ? this->state.log.configuration().majority() : 2;
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -33,12 +33,14 @@
 
 private:
     void report(const MemberId &to);
-    /** Records the verdict of a voter about the own run. */
-    void record(const MemberId &voter, const StartReply &reply);
-    /** The voters among the peers that have confirmed the own run. */
+    /** Records the verdict of a peer about the own run, and what else it knows. */
+    void record(const MemberId &peer, const StartReply &reply);
+    /** The peers that have confirmed the own run and are voters by their log or by the own one. */
     std::set<MemberId> confirmedBy() const;
+    bool hasConfirmed(const MemberId &peer) const;
     /** Number of members that have to confirm the run, this one included. */
     std::size_t confirmationsNeeded() const;
+    bool isConfirmed() const;
     /** Whether this member is leader, or takes part in the group and has contact with a leader. */
     bool isSettled() const;
     void recordOwnRun();
@@ -55,10 +57,12 @@
     Leadership &leadership;
     std::vector<MemberRun> earlierRuns; // own runs that were stored before this start
     std::set<MemberId> recordedBy; // peers that have stored this run
-    std::set<MemberId> acceptedBy; // those of them that are voters and have accepted this run
-    std::map<MemberId, Term> leftToLeaderBy; // voters that have not, and their last known terms
+    std::set<MemberId> acceptedBy; // those of them that have accepted this run
+    std::map<MemberId, Term> leftToLeaderBy; // those that have not, and their last known terms
+    std::set<MemberId> votersByOwnLog; // peers that are voters according to their own log
     std::optional<Term> acceptingLeaderTerm; // the last term in which a leader has accepted it
     Term highestTerm = 0; // in the replies to this run
+    SnapshotMeta newestConfiguration; // of the replies to this run
     TimePoint nextReportAt;
 };
 
--- a/tests/process/test_replicacodec.cpp
+++ b/tests/process/test_replicacodec.cpp
@@ -23,7 +23,7 @@
              SnapshotReply { 1, 2, 3, { 4 } },
              TransferRequest { 1 },
              StartReport { 1, 2, true, { run, run } },
-             StartReply { run, StartVerdict::AskLeader, 1, true, true } };
+             StartReply { run, StartVerdict::AskLeader, 1, true, true, { 2, 3, configuration } } };
 }
 
 } // namespace
--- a/tests/process/test_replicamember.cpp
+++ b/tests/process/test_replicamember.cpp
@@ -49,7 +49,7 @@
 
     void acceptStart()
     {
-        this->receive(second, StartReply { this->run, StartVerdict::Accepted, 2, false, true });
+        this->receive(second, StartReply { this->run, StartVerdict::Accepted, 2, false, true, {} });
         ASSERT_EQ(this->replica.role(), ReplicaRole::Follower);
     }
     void becomeLeader()
@@ -231,6 +231,36 @@
     EXPECT_EQ(this->replica.configuration(), three);
 }
 
+// Guards against voters that wait for each other for ever after all have lost power, because the
+// entry that made one of them a voter has reached neither that one nor the one that waits.
+TEST(Member, countsConfirmationsByTheNewestConfigurationThatAPeerKnows)
+{
+    const std::vector<MemberRun> runs { { { 1, 11 }, 2, 1 },
+                                        { { 2, 12 }, 2, 2 },
+                                        { { 3, 13 }, 2, 3 },
+                                        { { 4, 14 }, 2, 4 },
+                                        { { 5, 15 }, 2, 5 } };
+    const Configuration four { { runs[0].member, runs[1].member, runs[3].member, runs[4].member } };
+    Configuration five = four;
+    five.voters.insert(five.voters.begin() + 2, runs[2].member);
+    Replica replica(
+            { .members = { 1, 2, 3, 4, 5 } },
+            { runs[4].member, 2, { 2, std::nullopt, {}, {} }, std::nullopt, { { 1, 1, four } } }, 7,
+            { 0 });
+    const ReplicaActions first = replica.step(Tick {}, { 0 });
+    replica.step(LogSynced { first.persist->sequence }, { 0 });
+    const MemberRun self = replica.step(Tick {}, { 100 }).messages.at(0).from;
+    const auto reply = [&](const MemberRun &from, bool voter, const SnapshotMeta &known) {
+        const StartReply body { self, StartVerdict::Accepted, 2, false, voter, known };
+        replica.step(MessageReceived { { from, self.member, body } }, { 100 });
+    };
+    // Members 2 and 4 have lost their disks.
+    reply(runs[2], false, { 1, 1, four });
+    EXPECT_EQ(replica.role(), ReplicaRole::Starting);
+    reply(runs[0], true, { 6, 2, five });
+    EXPECT_EQ(replica.role(), ReplicaRole::Follower);
+}
+
 // Guards against a member that becomes leader before its own vote is synced.
 TEST(Member, soleVoterLeadsOnlyWhenItsVoteIsSynced)
 {
