registry: Keep the newest list of member addresses after a restart

After: the replicated state counts slot assignments; the list, the file and the hints to other hosts carry that revision, and an older list is ignored.

--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -140,8 +140,11 @@
         return;
     }
     this->reportedLeader = hint.leaderIp.empty() ? this->reportedLeader : hint.leaderIp;
-    for (const auto &[slot, address] : hint.members) {
-        this->members[slot] = address;
+    if (hint.membersRevision >= this->membersRevision) {
+        this->membersRevision = hint.membersRevision;
+        for (const auto &[slot, address] : hint.members) {
+            this->members[slot] = address;
+        }
     }
     const std::optional<StartMember> start = this->finder->onHint(ip, hint);
     if (!start) {
@@ -223,10 +226,14 @@
     }
 }
 
-void GroupMember::setMembers(const std::map<std::uint32_t, std::string> &ips)
+void GroupMember::setMembers(const MemberList &list)
 {
-    bool changed = false;
-    for (const auto &[slot, ip] : ips) {
+    if (list.revision < this->membersRevision) {
+        return;
+    }
+    bool changed = list.revision != this->membersRevision;
+    this->membersRevision = list.revision;
+    for (const auto &[slot, ip] : list.ips) {
         std::string &known = this->members[slot];
         if (known != ip) {
             changed = true;
@@ -242,10 +249,11 @@
 
 void GroupMember::saveMembers()
 {
-    nlohmann::json list = nlohmann::json::array();
+    nlohmann::json ips = nlohmann::json::array();
     for (const auto &[slot, ip] : this->members) {
-        list.push_back({ slot, ip });
+        ips.push_back({ slot, ip });
     }
+    const nlohmann::json list = { { "revision", this->membersRevision }, { "members", ips } };
     // Logged only: without the file, the members are looked up through the seeds.
     if (const auto error = replaceFile(this->role.dataFolder, membersFile, list.dump())) {
         this->log.write(
@@ -257,7 +265,12 @@
 {
     const auto content = readWholeFile(this->role.dataFolder + "/" + membersFile);
     const auto *text = std::get_if<std::string>(&content);
-    const auto list = nlohmann::json::parse(text != nullptr ? *text : "", nullptr, false);
+    const auto file = nlohmann::json::parse(text != nullptr ? *text : "", nullptr, false);
+    if (file.is_object() && file.contains("revision") && file["revision"].is_number_unsigned()) {
+        this->membersRevision = file["revision"].get<std::uint64_t>();
+    }
+    // The file was a list without a revision at first.
+    const auto list = file.is_object() ? file.value("members", nlohmann::json()) : file;
     if (!list.is_array()) {
         return;
     }
@@ -341,6 +354,7 @@
     result.groupExists = this->driver != nullptr || !this->members.empty();
     result.leaderIp = this->leaderIp();
     result.members = this->members;
+    result.membersRevision = this->membersRevision;
     return result;
 }
 
--- a/src/registry/groupmember.h
+++ b/src/registry/groupmember.h
@@ -4,6 +4,7 @@
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
 #include "registry/slotfinder.h"
+#include "version/memberlist.h"
 
 #include <map>
 
@@ -35,8 +36,12 @@
     /** Handles a message from the member in slot @p from. */
     void receive(std::uint32_t from, std::string_view message);
 
-    /** Sets the addresses of the members, by slot, that the replicated state contains. */
-    void setMembers(const std::map<std::uint32_t, std::string> &ips);
+    /**
+     * Sets the addresses of the members that the replicated state contains. An older list than the
+     * known one is ignored: a member that starts restores its last snapshot, and the members may
+     * have changed since.
+     */
+    void setMembers(const MemberList &list);
     /** Sets the seeds after a change of the settings. */
     void setSeeds(const std::vector<HostAddress> &seeds);
     /** Transfers leadership to another member, if this host is the leader. */
@@ -90,6 +95,7 @@
     std::shared_ptr<ByteCounters> bytes;
     std::vector<std::string> seedIps;
     std::map<std::uint32_t, std::string> members; // ip by slot
+    std::uint64_t membersRevision = 0; // of `members`, see MemberList
     std::map<std::uint32_t, TimePoint> lastContact; // last message by slot
     std::string reportedLeader; // ip that other hosts reported while this host has no slot
     std::optional<Settings> memberSettings; // outlives the driver
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -126,7 +126,7 @@
     if (this->state.version() != 0) {
         this->configurationHistory.add(this->state.version(), this->state.document());
     }
-    this->group.setMembers(this->state.members());
+    this->group.setMembers(this->state.orderedMembers());
     this->log.write({ "state_restored",
                       Event::Weight::Always,
                       { { "snapshot", std::int64_t(snapshot ? snapshot->meta.index : 0) },
@@ -148,7 +148,7 @@
         }
     }
     if (std::holds_alternative<AssignSlot>(*command)) {
-        this->group.setMembers(this->state.members());
+        this->group.setMembers(this->state.orderedMembers());
     }
     if (const auto *transfer = std::get_if<TransferRanges>(&*command)) {
         this->transferCount.Increment(static_cast<double>(transfer->transfers.size()));
--- a/src/version/registrystate.cpp
+++ b/src/version/registrystate.cpp
@@ -113,9 +113,10 @@
 void RegistryState::applyCommand(const AssignSlot &command)
 {
     // The same slot may have been offered to two hosts; the first command is applied.
-    std::string &ip = this->memberIps[command.slot];
+    std::string &ip = this->memberList.ips[command.slot];
     if (ip == command.replaces) {
         ip = command.ip;
+        ++this->memberList.revision;
     }
 }
 
@@ -168,7 +169,7 @@
         digestList.push_back({ version, digest });
     }
     json memberList = json::array();
-    for (const auto &[slot, ip] : this->memberIps) {
+    for (const auto &[slot, ip] : this->memberList.ips) {
         memberList.push_back({ slot, ip });
     }
     json upstreamList = json::array();
@@ -179,6 +180,7 @@
                         { "document", toBinary(this->currentDocument) },
                         { "digests", digestList },
                         { "members", memberList },
+                        { "membersRevision", this->memberList.revision },
                         { "upstreams", upstreamList },
                         { "ranges", rangesToJson(this->rangeTables) } });
 }
@@ -194,8 +196,11 @@
             state.digests[entry.at(0).get<ConfigurationVersion>()] = entry.at(1);
         }
         for (const json &entry : value.at("members")) {
-            state.memberIps[entry.at(0).get<std::uint32_t>()] = entry.at(1);
+            state.memberList.ips[entry.at(0).get<std::uint32_t>()] = entry.at(1);
         }
+        // Snapshots did not have a revision at first; each slot was assigned at least once.
+        state.memberList.revision
+                = value.value("membersRevision", std::uint64_t(state.memberList.ips.size()));
         for (const json &entry : value.at("upstreams")) {
             auto upstream = entry.get<SiteUpstream>();
             state.upstreamMap[upstream.incarnation.id] = upstream;
--- a/src/version/registrystate.h
+++ b/src/version/registrystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/settings.h"
+#include "version/memberlist.h"
 #include "version/rangetable.h"
 #include "version/siteconfiguration.h"
 
@@ -124,7 +125,9 @@
     /** Current configuration document; see packText(). */
     const std::string &document() const { return this->currentDocument; }
     /** IP addresses of the members by slot. */
-    const std::map<std::uint32_t, std::string> &members() const { return this->memberIps; }
+    const std::map<std::uint32_t, std::string> &members() const { return this->memberList.ips; }
+    /** The same, with the order of the list. */
+    const MemberList &orderedMembers() const { return this->memberList; }
     /** Upstreams by id. */
     const std::map<std::string, SiteUpstream> &upstreams() const { return this->upstreamMap; }
     /** Owners of the ranges by service. */
@@ -149,7 +152,7 @@
     ConfigurationVersion current = 0;
     std::string currentDocument;
     std::map<ConfigurationVersion, std::uint64_t> digests; // of every accepted document
-    std::map<std::uint32_t, std::string> memberIps;
+    MemberList memberList;
     std::map<std::string, SiteUpstream> upstreamMap;
     std::map<std::string, RangeTable> rangeTables; // by service
 };
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -103,6 +103,7 @@
     return { { "group", hint.groupExists },
              { "leader", hint.leaderIp },
              { "members", members },
+             { "membersRevision", hint.membersRevision },
              { "slot", hint.slot } };
 }
 
@@ -112,6 +113,7 @@
     hint.groupExists = value.at("group");
     hint.leaderIp = value.at("leader");
     hint.slot = value.at("slot");
+    hint.membersRevision = value.value("membersRevision", std::uint64_t(0));
     for (const json &member : value.at("members")) {
         hint.members[member.at(0).get<std::uint32_t>()] = member.at(1);
     }
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -90,6 +90,7 @@
     bool groupExists = false;
     std::string leaderIp; // empty: unknown
     std::map<std::uint32_t, std::string> members; // IP address by slot
+    std::uint64_t membersRevision = 0; // see MemberList
     std::uint32_t slot = 0; // assigned to the process that requested one; 0: none
 
     bool operator==(const GroupHint &) const = default;
