replica: Compare the newest configuration of peers with the own one

Cause: a start counted as confirmed by the newest configuration of the replies, without comparing it with that of the own log: a learner that knew only the founder as voter confirmed a restart of the founder by a majority of one. A configuration whose entry was compacted had the term 0, so that an older one passed for newer. After: the comparison begins with the own configuration; a compacted one has the position of the first entry that is known.

--- a/src/process/replicalog.cpp
+++ b/src/process/replicalog.cpp
@@ -153,7 +153,7 @@
 
 SnapshotMeta ReplicaLog::latestConfiguration() const
 {
-    const LogIndex index = this->configurationIndex();
+    const LogIndex index = std::max(this->configurationIndex(), this->base);
     return { index, this->termAt(index).value_or(0), this->configuration() };
 }
 
--- a/src/process/replicalog.h
+++ b/src/process/replicalog.h
@@ -42,7 +42,7 @@
     /** Latest configuration, committed or not. */
     const Configuration &configuration() const { return this->configurations.rbegin()->second; }
     LogIndex configurationIndex() const { return this->configurations.rbegin()->first; }
-    /** The same, with its position. */
+    /** The same, with its position, or the first one that is known if its entry was compacted. */
     SnapshotMeta latestConfiguration() const;
     /** Configuration in effect at @p index. */
     const Configuration &configurationAt(LogIndex index) const;
--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -27,6 +27,7 @@
     : state(state)
     , leadership(leadership)
     , earlierRuns(state.hard.ownRuns)
+    , newestConfiguration(state.log.latestConfiguration())
     , nextReportAt(state.now)
 {
     this->recordOwnRun();
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -56,13 +56,13 @@
     ReplicaState &state;
     Leadership &leadership;
     std::vector<MemberRun> earlierRuns; // own runs that were stored before this start
+    SnapshotMeta newestConfiguration; // of the own log and of the replies to this run
     std::set<MemberId> recordedBy; // peers that have stored this run
     std::set<MemberId> acceptedBy; // those of them that have accepted this run
     std::map<MemberId, Term> leftToLeaderBy; // those that have not, and their last known terms
     std::set<MemberId> votersByOwnLog; // peers that are voters according to their own log
     std::optional<Term> acceptingLeaderTerm; // the last term in which a leader has accepted it
     Term highestTerm = 0; // in the replies to this run
-    SnapshotMeta newestConfiguration; // of the replies to this run
     TimePoint nextReportAt;
 };
 
