registry: Answer a member whose slot was given away at its own address

Cause: messages between members were addressed by slot. A host that was silent until its slot was given away, and came back with its data folder, reported its start, and each reply went to the host that has the slot now. So it never learned that it was replaced, its messages counted as contact of the slot, a former learner ended the replication to its successor with each report, and a voter whose successor was still a learner could not be answered: two of three voters with intact disks found no leader. Before: as above. After: a message names the address of its sender. Contact counts only for the owner of the slot. Another host is answered at its own address, by its exact incarnation; a leader with the lease tells it that it was replaced, unless it is still a voter.

--- a/schema/cassiaroad.capnp
+++ b/schema/cassiaroad.capnp
@@ -204,7 +204,8 @@
 
 interface ReplicaPeer {
   # Delivers a message of the replication protocol, encoded by process/replicacodec.h.
-  deliver @0 (group :Text, fromMember :UInt32, message :Data) -> ();
+  # fromIp: address of the sending host; empty if the members have fixed addresses.
+  deliver @0 (group :Text, fromMember :UInt32, message :Data, fromIp :Text) -> ();
 }
 
 interface Member extends(Control, ReplicaPeer) {
--- a/schema/cassiaroad.capnp.h
+++ b/schema/cassiaroad.capnp.h
@@ -631,7 +631,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f8a6f0e82b6d22d8, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f8a6f0e82b6d22d8, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4042,6 +4042,9 @@
   inline bool hasMessage() const;
   inline  ::capnp::Data::Reader getMessage() const;
 
+  inline bool hasFromIp() const;
+  inline  ::capnp::Text::Reader getFromIp() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4087,6 +4090,13 @@
   inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownMessage();
 
+  inline bool hasFromIp();
+  inline  ::capnp::Text::Builder getFromIp();
+  inline void setFromIp( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initFromIp(unsigned int size);
+  inline void adoptFromIp(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownFromIp();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7985,6 +7995,40 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool ReplicaPeer::DeliverParams::Reader::hasFromIp() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ReplicaPeer::DeliverParams::Builder::hasFromIp() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ReplicaPeer::DeliverParams::Reader::getFromIp() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ReplicaPeer::DeliverParams::Builder::getFromIp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ReplicaPeer::DeliverParams::Builder::setFromIp( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ReplicaPeer::DeliverParams::Builder::initFromIp(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ReplicaPeer::DeliverParams::Builder::adoptFromIp(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ReplicaPeer::DeliverParams::Builder::disownFromIp() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline Member::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -145,6 +145,18 @@
     this->dispatchEvent(MessageReceived { std::move(*decoded) });
 }
 
+void ReplicaDriver::receiveFromFormerOwner(std::string_view message, const HostAddress &sender)
+{
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::Replication);
+    std::optional<ReplicaMessage> decoded = decodeReplicaMessage(message);
+    if (!decoded) {
+        replicaLog.warning("ignores a message that cannot be decoded");
+        return;
+    }
+    this->replicaLink.setFormerOwner(decoded->from.member, sender);
+    this->dispatchEvent(MessageReceived { std::move(*decoded), false });
+}
+
 void ReplicaDriver::transferLeadership(std::optional<std::uint32_t> to)
 {
     this->dispatchEvent(TransferLeadership { to });
@@ -279,7 +291,7 @@
 
 void ReplicaDriver::send(const ReplicaMessage &message)
 {
-    this->replicaLink.send(message.to.number, encodeReplicaMessage(message));
+    this->replicaLink.send(message.to, encodeReplicaMessage(message));
 }
 
 void ReplicaDriver::scheduleFlush()
--- a/src/cassiaroad/replicadriver.h
+++ b/src/cassiaroad/replicadriver.h
@@ -67,6 +67,14 @@
 
     /** Handles an encoded message of another member. */
     void receive(std::string_view message);
+    /**
+     * Handles a message of a member whose slot has been given to another host. It is answered at
+     * @p sender.
+     */
+    void receiveFromFormerOwner(std::string_view message, const HostAddress &sender);
+
+    /** Sets the IP address that messages name as that of this host. */
+    void setOwnIp(const std::string &ip) { this->replicaLink.setOwnIp(ip); }
 
     /** Sets the RPC address of @p member. */
     void setPeer(std::uint32_t member, const HostAddress &address)
--- a/src/connection/replicalink.cpp
+++ b/src/connection/replicalink.cpp
@@ -20,6 +20,7 @@
 // shared.
 constexpr std::size_t bytesPerMillisecond = 1000;
 constexpr std::size_t maxMessagesInTransit = 256;
+constexpr std::size_t maxFormerOwners = 16;
 constexpr std::size_t maxBytesInTransit = std::size_t(8) * 1024 * 1024;
 
 } // namespace
@@ -113,10 +114,38 @@
     this->peers[member] = std::make_unique<Peer>(this->loop, address, this->counters);
 }
 
+void ReplicaLink::setFormerOwner(const MemberId &member, const HostAddress &address)
+{
+    const auto known = this->formerOwners.find(member);
+    if (known != this->formerOwners.end() && known->second->connection.peer() == address) {
+        return;
+    }
+    if (known == this->formerOwners.end() && this->formerOwners.size() >= maxFormerOwners) {
+        this->formerOwners.erase(this->formerOwners.begin());
+    }
+    this->formerOwners[member] = std::make_unique<Peer>(this->loop, address, this->counters);
+}
+
 bool ReplicaLink::send(std::uint32_t member, const std::string &message)
 {
     const auto found = this->peers.find(member);
-    if (found == this->peers.end() || !found->second->hasCapacity(message.size())) {
+    if (found == this->peers.end()) {
+        ++this->dropped;
+        return false;
+    }
+    return this->send(*found->second, message);
+}
+
+bool ReplicaLink::send(const MemberId &member, const std::string &message)
+{
+    const auto found = this->formerOwners.find(member);
+    return found == this->formerOwners.end() ? this->send(member.number, message)
+                                             : this->send(*found->second, message);
+}
+
+bool ReplicaLink::send(Peer &peer, const std::string &message)
+{
+    if (!peer.hasCapacity(message.size())) {
         ++this->dropped;
         return false;
     }
@@ -124,11 +153,12 @@
         auto request = client.deliverRequest();
         request.setGroup(this->group);
         request.setFromMember(this->ownMember);
+        request.setFromIp(this->ownIp);
         request.setMessage(
                 kj::arrayPtr(reinterpret_cast<const kj::byte *>(message.data()), message.size()));
         return request.send().ignoreResult();
     };
-    found->second->send(message.size(), deliver);
+    peer.send(message.size(), deliver);
     return true;
 }
 
--- a/src/process/replica.cpp
+++ b/src/process/replica.cpp
@@ -99,8 +99,16 @@
     const ReplicaMessage &message = event.message;
     const MemberId &self = this->state.self.member;
     const bool forAnyIncarnation = message.to.incarnation == 0 && message.to.number == self.number;
-    if (!this->isStopped() && (forAnyIncarnation || message.to == self)) {
+    if (this->isStopped() || (!forAnyIncarnation && message.to != self)) {
+        return;
+    }
+    // Only a leader with a lease knows for certain who has the slots.
+    const bool isReplaced = !event.fromSlotOwner && !this->state.isVoter(message.from.member)
+                            && this->leadership.hasLease(this->state.now);
+    if (!isReplaced) {
         this->deliver(message);
+    } else if (std::holds_alternative<StartReport>(message.body)) {
+        this->startCheck.refuseFormerOwner(message.from);
     }
 }
 
--- a/src/process/replica.h
+++ b/src/process/replica.h
@@ -44,6 +44,9 @@
 struct MessageReceived
 {
     ReplicaMessage message;
+    // Whether the sender's slot has not been given to another host. A leader tells another host
+    // that it was replaced, unless it is still a voter.
+    bool fromSlotOwner = true;
 };
 
 /** Commands of one iteration of the event loop; they are appended, synced and sent together. */
--- a/src/process/startcheck.cpp
+++ b/src/process/startcheck.cpp
@@ -162,6 +162,13 @@
     }
 }
 
+void StartCheck::refuseFormerOwner(const MemberRun &from)
+{
+    this->state.outbox.sendWhenSynced(
+            from.member, StartReply { from, StartVerdict::Old, this->state.hard.term, true, true,
+                                      this->state.log.latestConfiguration() });
+}
+
 bool StartCheck::onReply(const MemberRun &from, const StartReply &reply)
 {
     if (reply.run != this->state.self) {
--- a/src/process/startcheck.h
+++ b/src/process/startcheck.h
@@ -20,6 +20,11 @@
     /** Sends a due report to peers that have not recorded it, or to all unless isSettled(). */
     void tick();
     void onReport(const MemberRun &from, const StartReport &report);
+    /**
+     * Refuses the report of a member that is no voter and whose slot another host has.
+     * Precondition: this member is leader and has the lease.
+     */
+    void refuseFormerOwner(const MemberRun &from);
     /** Returns whether the member's own data folder is stale. */
     bool onReply(const MemberRun &from, const StartReply &reply);
     TimePoint nextDeadline() const { return this->nextReportAt; }
--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -208,6 +208,7 @@
     this->memberSettings = this->replicaSettings(start.slot);
     this->driver = std::make_unique<ReplicaDriver>(this->loop, *this->memberSettings, this->metrics,
                                                    this->handlers);
+    this->driver->setOwnIp(this->settings.ip);
     this->connect();
     return this->driver->start(start.bootstrap);
 }
@@ -291,11 +292,17 @@
     this->driver->propose(proposal, std::move(command));
 }
 
-void GroupMember::receive(std::uint32_t from, std::string_view message)
+void GroupMember::receive(std::uint32_t from, const std::string &ip, std::string_view message)
 {
-    this->lastContact[from] = this->loop.now();
-    if (this->driver) {
+    const auto owner = this->members.find(from);
+    const bool isOwner = ip.empty() || owner == this->members.end() || owner->second == ip;
+    if (isOwner) {
+        this->lastContact[from] = this->loop.now();
+    }
+    if (this->driver && isOwner) {
         this->driver->receive(message);
+    } else if (this->driver) {
+        this->driver->receiveFromFormerOwner(message, { ip, this->settings.internalPort });
     }
 }
 
--- a/src/registry/groupmember.h
+++ b/src/registry/groupmember.h
@@ -33,8 +33,8 @@
     /** See ReplicaDriver::propose(); a host without a slot fails the proposal. */
     void propose(std::uint64_t proposal, std::string command);
 
-    /** Handles a message from the member in slot @p from. */
-    void receive(std::uint32_t from, std::string_view message);
+    /** Handles a message from the member in slot @p from, which the host at @p ip has sent. */
+    void receive(std::uint32_t from, const std::string &ip, std::string_view message);
 
     /**
      * Sets the addresses of the members that the replicated state contains. An older list than the
--- a/src/registry/registryservice.cpp
+++ b/src/registry/registryservice.cpp
@@ -27,7 +27,9 @@
 kj::Promise<void> RegistryService::deliver(DeliverContext context)
 {
     const auto params = context.getParams();
-    this->engine.member().receive(params.getFromMember(), view(params.getMessage()));
+    const auto ip = params.getFromIp();
+    this->engine.member().receive(params.getFromMember(), std::string(ip.begin(), ip.size()),
+                                  view(params.getMessage()));
     return kj::READY_NOW;
 }
 
