gateway: Learn the members of the control group from the leader

Cause: a gateway knew the leader that it follows, the seeds of its settings and what hosts named while it searched. When all control hosts had been replaced, the followed leader last, it asked only hosts that were gone.

Now the leader sends its list of members (version/memberlist.h) with an update if the gateway's report has another revision, and resumes waiting calls when the list changes. The search asks members, seeds, the last four named leaders and the last 16 former members. A list that another host names counts only if its revision is higher; a list of the leader always counts. A report without a revision (earlier version) gets no list.

--- a/src/gateway/leadersearch.cpp
+++ b/src/gateway/leadersearch.cpp
@@ -1,6 +1,7 @@
 #include "gateway/leadersearch.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cassiaroad {
 
@@ -12,6 +13,11 @@
 // Connections of one search to one host. With these and the watch calls, 200 gateways stay below
 // the registry's limit of 1500 connections.
 constexpr std::size_t maxConnections = 4;
+// Bounds of the addresses that hosts which do not lead have named, and of those kept from earlier
+// lists. A group has a member for each slot, and few hosts disagree on the leader.
+constexpr std::size_t maxMembers = 16;
+constexpr std::size_t maxFormerMembers = 16;
+constexpr std::size_t maxNamedLeaders = 4;
 
 void addOnce(std::vector<std::string> &ips, const std::string &ip)
 {
@@ -20,6 +26,22 @@
     }
 }
 
+// Moves @p ip to the end of @p ips and removes the first address if there are more than @p limit.
+void keepLatest(std::vector<std::string> &ips, const std::string &ip, std::size_t limit)
+{
+    std::erase(ips, ip);
+    ips.push_back(ip);
+    if (ips.size() > limit) {
+        ips.erase(ips.begin());
+    }
+}
+
+bool contains(const MemberList &list, const std::string &ip)
+{
+    return std::any_of(list.ips.begin(), list.ips.end(),
+                       [&ip](const auto &member) { return member.second == ip; });
+}
+
 } // namespace
 
 void LeaderSearch::setSeeds(const std::vector<HostAddress> &seeds)
@@ -33,14 +55,23 @@
 void LeaderSearch::setMembers(const GroupHint &hint)
 {
     if (!hint.leaderIp.empty()) {
-        this->namedLeader = hint.leaderIp;
+        keepLatest(this->namedLeaders, hint.leaderIp, maxNamedLeaders);
     }
-    if (hint.members.empty()) {
-        return;
+    const bool isNewer = this->members.ips.empty() || hint.membersRevision > this->members.revision;
+    if (isNewer && !hint.members.empty() && hint.members.size() <= maxMembers) {
+        this->setConfirmedMembers({ hint.membersRevision, hint.members });
     }
-    this->members.clear();
-    for (const auto &[slot, ip] : hint.members) {
-        this->members.push_back(ip);
+}
+
+// The former members stay candidates: the list may be that of another group, whose host has the
+// address of a former member.
+void LeaderSearch::setConfirmedMembers(const MemberList &list)
+{
+    const MemberList former = std::exchange(this->members, list);
+    for (const auto &[slot, ip] : former.ips) {
+        if (!contains(list, ip)) {
+            keepLatest(this->formerMembers, ip, maxFormerMembers);
+        }
     }
 }
 
@@ -68,6 +99,10 @@
     this->startAt.reset();
     this->begunAt.reset();
     this->questions = 0;
+    const std::vector<std::string> known = this->candidates();
+    std::erase_if(this->hosts, [&known](const auto &host) {
+        return std::find(known.begin(), known.end(), host.first) == known.end();
+    });
     for (auto &[ip, host] : this->hosts) {
         host.connections.clear();
     }
@@ -136,13 +171,14 @@
 std::vector<std::string> LeaderSearch::candidates() const
 {
     std::vector<std::string> result;
-    for (const std::string &ip : this->members) {
+    for (const auto &[slot, ip] : this->members.ips) {
         addOnce(result, ip);
     }
-    for (const std::string &ip : this->seeds) {
-        addOnce(result, ip);
+    for (const auto *ips : { &this->seeds, &this->namedLeaders, &this->formerMembers }) {
+        for (const std::string &ip : *ips) {
+            addOnce(result, ip);
+        }
     }
-    addOnce(result, this->namedLeader);
     return result;
 }
 
--- a/src/gateway/leadersearch.h
+++ b/src/gateway/leadersearch.h
@@ -42,8 +42,15 @@
 
     /** Sets the addresses of the settings. They may be out of date. */
     void setSeeds(const std::vector<HostAddress> &seeds);
-    /** Sets the members and the leader that a host has named. An empty list changes nothing. */
+    /**
+     * Sets the members and the leader that a host has named. The host may have left the group or
+     * belong to another one: a list that is not newer than the known one changes nothing.
+     */
     void setMembers(const GroupHint &hint);
+    /** Sets the members that the leader has confirmed, whatever their revision. */
+    void setConfirmedMembers(const MemberList &list);
+    /** Revision of the known members; 0: none. */
+    std::uint64_t membersRevision() const { return this->members.revision; }
 
     /** A watch call was sent: the search begins at @p dueAt unless the update arrives before. */
     void expectUpdate(TimePoint dueAt);
@@ -68,6 +75,8 @@
     /** Number of questions of the present search. */
     std::int64_t questionCount() const { return this->questions; }
 
+    /** Addresses of the hosts that the search asks; of a bounded number besides the seeds. */
+    std::vector<std::string> candidates() const;
     /** When step() is to be called, or nothing before the next event. */
     std::optional<TimePoint> nextStepAt() const;
     /** Returns what is due at @p now. */
@@ -88,14 +97,14 @@
         TimePoint nextQuestionAt; // at the earliest
     };
 
-    std::vector<std::string> candidates() const;
     std::optional<TimePoint> dueAt(const std::string &ip) const;
     void ask(const std::string &ip, TimePoint now, Step &step);
     Connection *find(ConnectionNumber number);
 
     std::vector<std::string> seeds; // ips
-    std::vector<std::string> members; // ips
-    std::string namedLeader; // ip; empty: none
+    MemberList members;
+    std::vector<std::string> formerMembers; // ips, the latest last
+    std::vector<std::string> namedLeaders; // ips, the latest last
     std::optional<TimePoint> startAt; // of the search; nothing: no update is expected
     std::optional<TimePoint> begunAt;
     std::int64_t questions = 0;
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -99,10 +99,11 @@
     }
     this->search.expectUpdate(now + this->watchTimeout + this->roundTrip.timeout());
     this->scheduleSearch();
+    GatewayReport report = this->handlers.report();
+    report.membersRevision = this->search.membersRevision();
     this->send(
-            *this->leader.connection, { reconnectWait, this->watchTimeout + replyTimeout },
-            this->handlers.report(), [] {},
-            [this, number](const GatewayWatchReply &reply) { this->onReply(number, reply); },
+            *this->leader.connection, { reconnectWait, this->watchTimeout + replyTimeout }, report,
+            [] {}, [this, number](const GatewayWatchReply &reply) { this->onReply(number, reply); },
             [this, number](const std::string &reason) { this->onFailure(number, reason); });
 }
 
@@ -130,6 +131,9 @@
     this->confirmedAt = std::max(this->confirmedAt, madeAt);
     this->watchTimeout = update.watchTimeout;
     const bool isLast = call.number == this->lastCall;
+    if (update.members && (isLast || update.members->revision > this->search.membersRevision())) {
+        this->search.setConfirmedMembers(*update.members);
+    }
     if (!isLast) {
         this->handlers.lateUpdate(update, madeAt);
         if (!this->search.hasBegun()) {
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -410,11 +410,18 @@
     });
 }
 
-// Whether the gateway has the present routing table and configuration.
+// Whether the gateway has the present list of members, or takes none.
+bool RegistryEngine::hasMembers(const GatewayReport &report) const
+{
+    return !report.membersRevision
+           || *report.membersRevision == this->state.orderedMembers().revision;
+}
+
+// Whether the gateway has the present routing table, configuration and list of members.
 bool RegistryEngine::isCurrent(const GatewayReport &report) const
 {
     return report.tableTag == this->tableHistory.tag() && report.version >= this->state.version()
-           && report.suspectsTag == this->suspectsTag;
+           && report.suspectsTag == this->suspectsTag && this->hasMembers(report);
 }
 
 Milliseconds RegistryEngine::watchTimeout() const
@@ -442,6 +449,9 @@
     if (report.suspectsTag != this->suspectsTag) {
         update.suspects = this->suspects;
     }
+    if (!this->hasMembers(report)) {
+        update.members = this->state.orderedMembers();
+    }
     update.trafficShare = this->manager.trafficShare(report.gateway, this->loop.now());
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
@@ -579,9 +589,9 @@
     }
 }
 
-// Replies to the waiting watch calls if the routing table, the configuration or the requests under
-// which upstreams may have crashed have changed. Changes that follow each other closely are sent
-// together.
+// Replies to the waiting watch calls if the routing table, the configuration, the members or the
+// requests under which upstreams may have crashed have changed. Changes that follow each other
+// closely are sent together.
 void RegistryEngine::notifyGateways()
 {
     const auto gateways = static_cast<std::int64_t>(this->waitingCalls.size());
@@ -594,7 +604,10 @@
     this->notifiedAt = now;
     const bool isOtherTable = this->updateTable(now);
     const bool hasOtherSuspects = this->updateSuspects();
-    if (isOtherTable || hasOtherSuspects || this->notifiedVersion != this->state.version()) {
+    const std::uint64_t members = this->state.orderedMembers().revision;
+    const bool hasOtherMembers = std::exchange(this->notifiedMembers, members) != members;
+    if (isOtherTable || hasOtherSuspects || hasOtherMembers
+        || this->notifiedVersion != this->state.version()) {
         this->notifiedVersion = this->state.version();
         this->resumeWatchCalls();
     }
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -151,6 +151,7 @@
     void notifyGateways();
     bool updateTable(TimePoint now);
     void resumeWatchCalls();
+    bool hasMembers(const GatewayReport &report) const;
     bool isCurrent(const GatewayReport &report) const;
     bool updateSuspects();
     GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
@@ -175,6 +176,7 @@
     RoutingTableHistory tableHistory;
     ConfigurationHistory configurationHistory;
     ConfigurationVersion notifiedVersion = 0; // configuration at the last notification of gateways
+    std::uint64_t notifiedMembers = 0; // revision of the members at that time
     TimePoint notifiedAt; // when notifyGateways() last compared the table with the previous one
     bool notifyDue = false; // the table may have changed since `notifiedAt`
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -70,6 +70,9 @@
     if (report.suspectsTag != 0) {
         value["suspectsTag"] = report.suspectsTag;
     }
+    if (report.membersRevision) {
+        value["membersRevision"] = *report.membersRevision;
+    }
     if (report.isSearch) {
         value["search"] = true;
     }
@@ -89,20 +92,37 @@
     report.broken = value.value("broken", std::vector<BrokenAttempt>());
     report.answered = value.value("answered", std::vector<RequestDigest>());
     report.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
+    if (value.contains("membersRevision")) {
+        report.membersRevision = value.at("membersRevision").get<std::uint64_t>();
+    }
     report.isSearch = value.value("search", false);
 }
 
 namespace {
 
-json toJson(const GroupHint &hint)
+json toJson(const std::map<std::uint32_t, std::string> &ips)
 {
     json members = json::array();
-    for (const auto &[slot, ip] : hint.members) {
+    for (const auto &[slot, ip] : ips) {
         members.push_back(json::array({ slot, ip }));
     }
+    return members;
+}
+
+std::map<std::uint32_t, std::string> toIps(const json &members)
+{
+    std::map<std::uint32_t, std::string> ips;
+    for (const json &member : members) {
+        ips[member.at(0).get<std::uint32_t>()] = member.at(1);
+    }
+    return ips;
+}
+
+json toJson(const GroupHint &hint)
+{
     return { { "group", hint.groupExists },
              { "leader", hint.leaderIp },
-             { "members", members },
+             { "members", toJson(hint.members) },
              { "membersRevision", hint.membersRevision },
              { "slot", hint.slot } };
 }
@@ -114,9 +134,7 @@
     hint.leaderIp = value.at("leader");
     hint.slot = value.at("slot");
     hint.membersRevision = value.value("membersRevision", std::uint64_t(0));
-    for (const json &member : value.at("members")) {
-        hint.members[member.at(0).get<std::uint32_t>()] = member.at(1);
-    }
+    hint.members = toIps(value.at("members"));
     return hint;
 }
 
@@ -132,6 +150,10 @@
     if (update.suspects) {
         value["suspects"] = *update.suspects;
     }
+    if (update.members) {
+        value["members"] = toJson(update.members->ips);
+        value["membersRevision"] = update.members->revision;
+    }
     if (update.change) {
         value["change"] = toBinary(*update.change);
     }
@@ -156,6 +178,9 @@
     if (value.contains("suspects")) {
         update.suspects = value.at("suspects").get<std::vector<SuspectRequest>>();
     }
+    if (value.contains("members")) {
+        update.members = MemberList { value.at("membersRevision"), toIps(value.at("members")) };
+    }
     if (value.contains("change")) {
         update.change = fromBinary(value.at("change"));
     }
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "version/crashledger.h"
+#include "version/memberlist.h"
 #include "version/routingtable.h"
 
 #include <optional>
@@ -52,6 +53,8 @@
     std::vector<BrokenAttempt> broken; // that no leader has confirmed yet
     std::vector<RequestDigest> answered; // suspect requests that an upstream has answered since
     std::uint64_t suspectsTag = 0; // of the leader's suspect requests that it received last
+    // Revision of the list of members that it knows; 0: none. Nothing: the gateway takes no list.
+    std::optional<std::uint64_t> membersRevision;
     // The gateway only asks whether the receiver leads. The leader replies at once with an update
     // that has no changes, and takes nothing from the report.
     bool isSearch = false;
@@ -75,6 +78,7 @@
     std::uint64_t suspectsTag = 0; // of the present suspect requests; 0: none
     // All of them, if the gateway has others; see CrashLedger::suspects().
     std::optional<std::vector<SuspectRequest>> suspects;
+    std::optional<MemberList> members; // only if the gateway has another revision
     Milliseconds watchTimeout { 400 }; // how long the next call may wait for a change
     Milliseconds waited; // how long the call waited at the leader before this reply was made
 
--- a/tests/gateway/test_leadersearch.cpp
+++ b/tests/gateway/test_leadersearch.cpp
@@ -157,3 +157,82 @@
     const std::vector<LeaderSearch::Question> expected { { "10.0.0.9", 3, true } };
     EXPECT_EQ(search.step(start + Milliseconds { 5 }).questions, expected);
 }
+
+// Guards against a gateway that knows only the seeds and the leader it follows: when all control
+// hosts were replaced, that leader last, it asked nobody who serves.
+TEST(LeaderSearch, asksTheMembersThatTheLeaderHasConfirmed)
+{
+    LeaderSearch search = begunSearch();
+    search.stop();
+    search.setConfirmedMembers({ 8, { { 1, "10.0.0.6" }, { 2, "10.0.0.7" } } });
+    EXPECT_EQ(search.membersRevision(), 8U);
+    search.start(start + Milliseconds { 1000 });
+    const std::vector<std::string> expected { "10.0.0.6", "10.0.0.7", "10.0.0.1", "10.0.0.2" };
+    EXPECT_EQ(search.candidates(), expected);
+    EXPECT_EQ(search.step(start + Milliseconds { 1000 }).questions.size(), expected.size());
+}
+
+// Guards against a host that has left the group and displaces the members by the old list it knows.
+TEST(LeaderSearch, ignoresAnOlderList)
+{
+    LeaderSearch search;
+    search.setConfirmedMembers({ 8, { { 1, "10.0.0.6" } } });
+    GroupHint old;
+    old.membersRevision = 7;
+    old.members = { { 1, "10.0.0.1" } };
+    search.setMembers(old);
+    EXPECT_EQ(search.candidates(), std::vector<std::string> { "10.0.0.6" });
+    EXPECT_EQ(search.membersRevision(), 8U);
+}
+
+// Guards against a host of another group at the address of a former member: its list looks newer,
+// and the gateway no longer asks its own members.
+TEST(LeaderSearch, keepsFormerMembersAsCandidates)
+{
+    LeaderSearch search;
+    search.setConfirmedMembers({ 8, { { 1, "10.0.0.6" } } });
+    GroupHint foreign;
+    foreign.membersRevision = 90;
+    foreign.members = { { 1, "10.9.0.1" } };
+    search.setMembers(foreign);
+    const std::vector<std::string> expected { "10.9.0.1", "10.0.0.6" };
+    EXPECT_EQ(search.candidates(), expected);
+    search.setConfirmedMembers({ 8, { { 1, "10.0.0.6" } } });
+    EXPECT_EQ(search.membersRevision(), 8U);
+}
+
+// Guards against a search that asks more and more hosts with each replaced member and named leader.
+TEST(LeaderSearch, asksABoundedNumberOfHosts)
+{
+    LeaderSearch search;
+    search.setSeeds({ { "10.0.0.1", 1 } });
+    for (std::uint64_t revision = 1; revision <= 200; ++revision) {
+        GroupHint hint;
+        hint.membersRevision = revision;
+        hint.members[1] = "10.1.0." + std::to_string(revision);
+        hint.leaderIp = "10.2.0." + std::to_string(revision);
+        search.setMembers(hint);
+    }
+    EXPECT_EQ(search.candidates().size(), 1U + 1U + 16U + 4U);
+    GroupHint large;
+    large.membersRevision = 1000;
+    for (std::uint32_t slot = 1; slot <= 100; ++slot) {
+        large.members[slot] = "10.3.0." + std::to_string(slot);
+    }
+    search.setMembers(large);
+    EXPECT_EQ(search.membersRevision(), 200U);
+}
+
+// Guards against a gateway that asks only the leader named last, by a host with an old view.
+TEST(LeaderSearch, asksEachOfTwoNamedLeaders)
+{
+    LeaderSearch search = begunSearch();
+    GroupHint hint;
+    hint.leaderIp = "10.0.0.8";
+    search.setMembers(hint);
+    hint.leaderIp = "10.0.0.9";
+    search.setMembers(hint);
+    const std::vector<LeaderSearch::Question> expected { { "10.0.0.8", 3, true },
+                                                         { "10.0.0.9", 4, true } };
+    EXPECT_EQ(search.step(start + Milliseconds { 5 }).questions, expected);
+}
--- a/tests/gateway/test_registrywatchersearch.cpp
+++ b/tests/gateway/test_registrywatchersearch.cpp
@@ -32,6 +32,7 @@
     bool leads = false;
     ConfigurationVersion version = 1;
     GroupHint hint;
+    MemberList members; // sent with an update if the gateway has another revision
     Milliseconds updateDelay; // of the replies to watch calls, but not to searches
     std::vector<GatewayReport> reports;
 };
@@ -91,6 +92,9 @@
         if (!report.isSearch) {
             update.version = this->state.version;
             update.waited = this->loop.now() - calledAt;
+            if (report.membersRevision.value_or(0) != this->state.members.revision) {
+                update.members = this->state.members;
+            }
         }
         return update;
     }
@@ -123,8 +127,7 @@
     void start(int count, int leader)
     {
         for (int number = 1; number <= count; ++number) {
-            const std::uint16_t port = this->hosts.empty() ? 0 : this->hosts[0]->relay->port;
-            this->hosts.push_back(std::make_unique<TestHost>(this->loop, number, port));
+            this->addHost(number);
             this->settings.seeds.push_back({ ipOf(number), this->hosts[0]->relay->port });
         }
         this->settings.internalPort = this->hosts[0]->relay->port;
@@ -143,6 +146,12 @@
         runFor(this->loop, { 50 });
     }
 
+    void addHost(int number)
+    {
+        const std::uint16_t port = this->hosts.empty() ? 0 : this->hosts[0]->relay->port;
+        this->hosts.push_back(std::make_unique<TestHost>(this->loop, number, port));
+    }
+
     TestHost &host(int number) { return *this->hosts.at(static_cast<std::size_t>(number - 1)); }
 
     /** Lets a host lead (0: none), and all name @p named; by default the same host. */
@@ -337,3 +346,19 @@
     EXPECT_GT(this->lateUpdates, 0);
     EXPECT_LE(connections, maxConnections);
 }
+
+// Guards against a gateway that finds nobody after all hosts of its settings were replaced and the
+// leader that it followed fails last.
+TEST_F(RegistryWatcherSearch, findsAMemberThatOnlyTheLeaderHasNamed)
+{
+    this->start(3, 1);
+    this->addHost(4);
+    this->host(1).state.members = { 7, { { 1, ipOf(4) } } };
+    ASSERT_TRUE(this->learnsOfAChange({ 500 }));
+    for (int number = 1; number <= 3; ++number) {
+        this->host(number).relay->setFrozen(true);
+        this->host(number).state.leads = false;
+    }
+    this->host(4).state.leads = true;
+    EXPECT_TRUE(this->learnsOfAChange(maxAfterElection));
+}
--- a/tests/registry/test_registryengine.cpp
+++ b/tests/registry/test_registryengine.cpp
@@ -126,3 +126,39 @@
     constexpr Milliseconds callersPatience { 1000 };
     EXPECT_LT(this->loop.now() - start, callersPatience);
 }
+
+// Guards against gateways that do not learn who has replaced a member, and against a list of
+// members in each update.
+TEST_F(RegistryEngineTest, sendsTheMembersToGatewaysThatHaveAnotherList)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    std::optional<GatewayUpdate> update;
+    GatewayReport report;
+    report.gateway = "front-1";
+    report.membersRevision = 0;
+    const auto watch = [&] {
+        update.reset();
+        return leader->watch(report)
+                .then([&](const GatewayWatchReply &reply) {
+                    update = std::get<GatewayUpdate>(reply);
+                })
+                .eagerlyEvaluate(nullptr);
+    };
+    const kj::Promise<void> first = watch();
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }));
+    ASSERT_TRUE(update->members.has_value());
+    EXPECT_EQ(update->members->ips, leader->member().hint().members);
+    report.membersRevision = update->members->revision;
+    report.tableTag = update->tableTag;
+    const AssignSlot replacement { 3, "127.0.0.9", update->members->ips.at(3) };
+    const kj::Promise<void> waiting = watch();
+    leader->member().propose(0, encodeCommand(replacement));
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }, { 300 }));
+    ASSERT_TRUE(update->members.has_value());
+    EXPECT_EQ(update->members->ips.at(3), "127.0.0.9");
+    report.membersRevision = update->members->revision;
+    const kj::Promise<void> last = watch();
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return update.has_value(); }));
+    EXPECT_FALSE(update->members.has_value());
+}
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -123,6 +123,7 @@
     update.gateways = 8;
     update.suspectsTag = 77;
     update.suspects = { { 5, { 3, ~AttemptId(0) }, { 250 } }, { 6, {}, { 10 } } };
+    update.members = { 31, { { 1, "10.0.0.1" }, { 2, "10.0.0.2" } } };
     EXPECT_EQ(decodeGatewayWatchReply(encode(GatewayWatchReply(update))),
               GatewayWatchReply(update));
     const GroupHint hint { true, "10.0.0.1", { { 1, "10.0.0.1" }, { 2, "10.0.0.2" } }, 2 };
@@ -140,6 +141,7 @@
                                  { { 5, 3, { 20 } } },
                                  { 6, ~RequestDigest(0) },
                                  77,
+                                 31,
                                  true };
     EXPECT_EQ(decodeGatewayReport(encode(report)), report);
     const JoinRequest request { "10.0.0.1", true };
