gateway: Log who confirmed the configuration and what a search is answered

Cause: the log of a gateway had the version in use, but not which leader confirmed it and since when, and nothing of a search until it succeeded.

Before: no such lines.

--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -93,14 +93,14 @@
     this->callTimer = EventLoop::Timer();
     const std::uint64_t number = ++this->lastCall;
     const TimePoint now = this->loop.now();
-    this->calls.push_back({ number, this->leader, now, this->bytes->received });
+    GatewayReport report = this->handlers.report();
+    report.membersRevision = this->search.membersRevision();
+    this->calls.push_back({ number, this->leader, now, this->bytes->received, report.version });
     if (this->calls.size() > maxCalls) {
         this->calls[1].peer.connection->close("too many calls without a reply");
     }
     this->search.expectUpdate(now + this->watchTimeout + this->roundTrip.timeout());
     this->scheduleSearch();
-    GatewayReport report = this->handlers.report();
-    report.membersRevision = this->search.membersRevision();
     this->send(
             *this->leader.connection, { reconnectWait, this->watchTimeout + replyTimeout }, report,
             [] {}, [this, number](const GatewayWatchReply &reply) { this->onReply(number, reply); },
@@ -130,6 +130,7 @@
     const TimePoint madeAt = call.sentAt + update.waited;
     this->confirmedAt = std::max(this->confirmedAt, madeAt);
     this->watchTimeout = update.watchTimeout;
+    this->logConfirmation(call, update, madeAt);
     const bool isLast = call.number == this->lastCall;
     if (update.members && (isLast || update.members->revision > this->search.membersRevision())) {
         this->search.setConfirmedMembers(*update.members);
@@ -182,8 +183,48 @@
                         { "reason", reason } } });
 }
 
+// Logs which leader has confirmed the configuration in use, when one of the two changes.
+void RegistryWatcher::logConfirmation(const Call &call, const GatewayUpdate &update,
+                                      TimePoint madeAt)
+{
+    const bool isConfirmed = call.version != 0 && call.version >= update.version;
+    const bool isKnown
+            = call.version == this->confirmedVersion && call.peer.ip == this->confirmedBy;
+    if (!isConfirmed || isKnown) {
+        return;
+    }
+    this->confirmedVersion = call.version;
+    this->confirmedBy = call.peer.ip;
+    this->log.write({ "configuration_confirmed",
+                      Event::Weight::Always,
+                      { { "version", std::int64_t(call.version) },
+                        { "leader", call.peer.ip },
+                        { "age_ms", (this->loop.now() - madeAt).count } } });
+}
+
+// Logs about once a second what the asked hosts have answered.
+void RegistryWatcher::logSearch()
+{
+    if (!this->search.hasBegun()) {
+        this->isReporting = false;
+        return;
+    }
+    if (!std::exchange(this->isReporting, true)) {
+        this->report.begin(this->search.beginning());
+    }
+    if (this->report.takeDue(this->loop.now())) {
+        this->log.write({ "leader_search",
+                          Event::Weight::Always,
+                          { { "search_ms", this->report.duration(this->loop.now()).count },
+                            { "version", std::int64_t(this->confirmedVersion) },
+                            { "update_age_ms", (this->loop.now() - this->confirmedAt).count },
+                            { "answers", this->report.text() } } });
+    }
+}
+
 void RegistryWatcher::scheduleSearch()
 {
+    this->logSearch();
     const std::optional<TimePoint> next = this->search.nextStepAt();
     if (!next) {
         this->searchTimer = EventLoop::Timer();
@@ -200,6 +241,7 @@
         this->search.postpone(call->peer.connection->lastReceived() + this->roundTrip.timeout());
     }
     const LeaderSearch::Step step = this->search.step(this->loop.now());
+    this->logSearch();
     for (const LeaderSearch::ConnectionNumber number : step.closed) {
         this->asked.at(number).connection->close("the question was asked again");
         this->asked.erase(number);
@@ -213,6 +255,7 @@
 void RegistryWatcher::ask(const LeaderSearch::Question &question)
 {
     const LeaderSearch::ConnectionNumber number = question.connection;
+    this->report.recordQuestion(question.ip);
     if (question.isNew) {
         const HostAddress address { question.ip, this->settings.internalPort };
         this->asked[number]
@@ -230,7 +273,7 @@
                 this->scheduleSearch();
             },
             [this, number](const GatewayWatchReply &reply) { this->onAnswer(number, reply); },
-            [this, number](const std::string &) { this->onNoAnswer(number); });
+            [this, number](const std::string &reason) { this->onNoAnswer(number, reason); });
 }
 
 void RegistryWatcher::onAnswer(LeaderSearch::ConnectionNumber number,
@@ -247,14 +290,19 @@
         this->followLeader(peer);
         return;
     }
+    this->report.recordAnswer(found->second.ip, std::get<GroupHint>(reply));
     this->search.recordAnswer(number);
     this->search.setMembers(std::get<GroupHint>(reply));
     this->scheduleSearch();
 }
 
-void RegistryWatcher::onNoAnswer(LeaderSearch::ConnectionNumber number)
+void RegistryWatcher::onNoAnswer(LeaderSearch::ConnectionNumber number, const std::string &reason)
 {
-    this->asked.erase(number);
+    const auto found = this->asked.find(number);
+    if (found != this->asked.end()) {
+        this->report.recordFailure(found->second.ip, reason);
+        this->asked.erase(found);
+    }
     this->search.recordFailure(number);
     this->scheduleSearch();
 }
@@ -313,6 +361,7 @@
     this->log.write({ value ? "control_regained" : "control_lost",
                       Event::Weight::Always,
                       { { "leader", this->leader.ip },
+                        { "version", std::int64_t(this->confirmedVersion) },
                         { "update_age_ms", (this->loop.now() - this->confirmedAt).count } } });
 }
 
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -5,6 +5,7 @@
 #include "gateway/leadersearch.h"
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
+#include "version/searchreport.h"
 #include "version/sitewatch.h"
 
 #include <deque>
@@ -59,6 +60,7 @@
         Peer peer;
         TimePoint sentAt;
         std::uint64_t receivedBefore = 0; // bytes
+        ConfigurationVersion version = 0; // of the gateway's report
     };
 
     void callLeader();
@@ -72,7 +74,9 @@
     void stepSearch();
     void ask(const LeaderSearch::Question &question);
     void onAnswer(LeaderSearch::ConnectionNumber number, const GatewayWatchReply &reply);
-    void onNoAnswer(LeaderSearch::ConnectionNumber number);
+    void onNoAnswer(LeaderSearch::ConnectionNumber number, const std::string &reason);
+    void logSearch();
+    void logConfirmation(const Call &call, const GatewayUpdate &update, TimePoint madeAt);
     void followLeader(const Peer &peer);
     void endSearch();
 
@@ -91,11 +95,15 @@
     Handlers handlers;
     std::shared_ptr<ByteCounters> bytes; // on all connections
     LeaderSearch search;
+    bool isReporting = false; // `report` is that of the present search
+    SearchReport report;
     std::map<LeaderSearch::ConnectionNumber, Peer> asked; // by the present search
     Peer leader; // without a connection if the leader is lost
     RoundTripEstimate roundTrip; // of the leader's updates
     std::deque<Call> calls; // without a reply, the oldest first
     std::uint64_t lastCall = 0; // number
+    ConfigurationVersion confirmedVersion = 0; // of the last configuration_confirmed line
+    std::string confirmedBy; // ip in that line
     bool connected = false;
     TimePoint confirmedAt; // at or before the time when the leader made its last update
     Milliseconds watchTimeout { 400 }; // as announced by the leader
