registry: Let members call the hosts of silent slots

Cause: a control host that had lost its data asked only the hosts of its settings. When these had all been replaced, it searched for ever, although the members knew its address: their replica messages carry no address and a host without a slot drops them.

The call has the form of a join request without a wish for a slot and carries the address of the sender. A host that searches asks the sender, from 2 s after the search began, so that seeds that answer come first: its address may have been that of a member of another group. The call gives no slot; that takes the leader's answer with the committed assignment. A host that is called never bootstraps. A member with a replica ignores calls.

The search is a class of its own now (GroupSearch).

--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -17,9 +17,8 @@
 constexpr Milliseconds minElectionTimeout { 500 };
 constexpr Milliseconds maxElectionTimeout { 900 };
 constexpr Milliseconds leaderLease { 420 };
-constexpr Milliseconds searchInterval { 200 };
-constexpr Milliseconds connectTimeout { 1500 };
-constexpr Milliseconds queryTimeout { 500 };
+constexpr Milliseconds slotCheckInterval { 250 };
+constexpr Milliseconds slotCallTimeout { 500 }; // to connect
 // A voter that has been silent for this long loses its slot to a host that requests one.
 constexpr Milliseconds successionDelay { 3000 };
 // A host that has lost its disk receives the state and this much of the log. More would fill the
@@ -57,6 +56,9 @@
     , handlers(std::move(handlers))
     , bytes(std::make_shared<ByteCounters>())
     , seedIps(ipsOf(settings.seeds))
+    , search(loop, settings, log,
+             { [this](const GroupHint &hint) { this->onHint(hint); },
+               [this](const StartMember &start) { this->join(start); } })
     , tasks(*this)
 {
     this->handlers.folderDropped = [this] { this->scheduleSearch(); };
@@ -77,6 +79,7 @@
         return "cannot create " + this->role.dataFolder + ": " + error.message();
     }
     this->loadMembers();
+    this->slotTimer = this->loop.callEvery(slotCheckInterval, [this] { this->callSilentSlots(); });
     const auto identity = readIdentity(this->logFolder());
     const auto *known = std::get_if<std::optional<MemberIdentity>>(&identity);
     if (known != nullptr && *known) {
@@ -91,54 +94,11 @@
     const bool canBootstrapGroup
             = this->role.bootstrap && this->role.canBecomeVoter && !this->seedIps.empty()
               && this->seedIps.front() == this->settings.ip && this->members.empty();
-    this->finder
-            = std::make_unique<SlotFinder>(this->settings.ip, this->seedIps, canBootstrapGroup);
-    const auto queryAll = [this] {
-        // onHint() may end the search and change the targets.
-        for (const std::string &ip : this->finder->targets()) {
-            this->query(ip);
-        }
-    };
-    this->searchTimer = this->loop.callEvery(searchInterval, queryAll);
-    this->log.write(
-            { "group_search", Event::Weight::Always, { { "may_found", canBootstrapGroup } } });
-    if (canBootstrapGroup && this->finder->targets().empty()) {
-        this->onHint(this->settings.ip, {});
-    }
+    this->search.start(this->seedIps, canBootstrapGroup);
 }
 
-void GroupMember::query(const std::string &ip)
+void GroupMember::onHint(const GroupHint &hint)
 {
-    auto &connection = this->queried[ip];
-    if (!connection) {
-        connection = std::make_unique<RpcConnection>(
-                this->loop, HostAddress { ip, this->settings.internalPort }, connectTimeout,
-                this->bytes);
-    }
-    const std::string request
-            = encode(JoinRequest { this->settings.ip, this->role.canBecomeVoter });
-    const auto send = [request](rpc::Member::Client client) {
-        auto call = client.castAs<rpc::Registry>().joinRequest();
-        call.setRequest(
-                kj::arrayPtr(reinterpret_cast<const kj::byte *>(request.data()), request.size()));
-        return call.send().then([](capnp::Response<rpc::Registry::JoinResults> &&results) {
-            const auto hint = results.getHint().asChars();
-            return std::string(hint.begin(), hint.size());
-        });
-    };
-    this->tasks.add(connection->call<std::string>({ queryTimeout, queryTimeout }, send)
-                            .then([this, ip](const std::string &reply) {
-                                if (const auto hint = decodeGroupHint(reply)) {
-                                    this->onHint(ip, *hint);
-                                }
-                            }));
-}
-
-void GroupMember::onHint(const std::string &ip, const GroupHint &hint)
-{
-    if (!this->finder || this->driver) {
-        return;
-    }
     this->reportedLeader = hint.leaderIp.empty() ? this->reportedLeader : hint.leaderIp;
     if (hint.membersRevision >= this->membersRevision) {
         this->membersRevision = hint.membersRevision;
@@ -146,18 +106,35 @@
             this->members[slot] = address;
         }
     }
-    const std::optional<StartMember> start = this->finder->onHint(ip, hint);
-    if (!start) {
-        return;
-    }
-    this->members[start->slot] = this->settings.ip;
+}
+
+void GroupMember::join(const StartMember &start)
+{
+    this->members[start.slot] = this->settings.ip;
     this->saveMembers();
-    const std::string reason = this->startReplica(*start);
+    const std::string reason = this->startReplica(start);
     if (!reason.empty()) {
         this->handlers.failed(reason);
+    }
+}
+
+// Calls the silent slots while this host leads or knows no leader: the others hear only the leader.
+void GroupMember::callSilentSlots()
+{
+    if (!this->driver || (!this->isLeader() && this->driver->leader())) {
         return;
     }
-    this->searchTimer = EventLoop::Timer();
+    const std::uint32_t own = std::get<ControlSettings>(this->memberSettings->role).member;
+    const std::string request = encode(MemberCall { this->settings.ip, own });
+    for (const std::string &ip : this->slotCalls.due(this->members, this->settings.ip,
+                                                     this->lastContact, this->loop.now())) {
+        auto connection = std::make_shared<RpcConnection>(
+                this->loop, HostAddress { ip, this->settings.internalPort }, slotCallTimeout,
+                this->bytes);
+        this->tasks.add(callJoin(*connection, request)
+                                .then([](const GroupHint &) {})
+                                .attach(std::move(connection)));
+    }
 }
 
 // Removes the identity of the data folder and searches for the group again: the folder was a stale
@@ -302,9 +279,7 @@
 void GroupMember::setSeeds(const std::vector<HostAddress> &seeds)
 {
     this->seedIps = ipsOf(seeds);
-    if (this->finder) {
-        this->finder->setSeeds(this->seedIps);
-    }
+    this->search.setSeeds(this->seedIps);
 }
 
 void GroupMember::stepDown()
@@ -393,7 +368,7 @@
 
 void GroupMember::taskFailed(kj::Exception && /*exception*/)
 {
-    // A host that did not reply is queried again by the search.
+    // A silent slot is called again.
 }
 
 } // namespace cassiaroad
--- a/src/registry/groupmember.h
+++ b/src/registry/groupmember.h
@@ -3,7 +3,8 @@
 #include "cassiaroad/replicadriver.h"
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
-#include "registry/slotfinder.h"
+#include "registry/groupsearch.h"
+#include "registry/slotcalls.h"
 #include "version/memberlist.h"
 
 #include <map>
@@ -36,6 +37,9 @@
     /** Handles a message from the member in slot @p from. */
     void receive(std::uint32_t from, std::string_view message);
 
+    /** Handles the call of a member; without effect unless this host searches for the group. */
+    void onMemberCall(const MemberCall &call) { this->search.onCall(call); }
+
     /**
      * Sets the addresses of the members that the replicated state contains. An older list than the
      * known one is ignored: a member that starts restores its last snapshot, and the members may
@@ -76,8 +80,9 @@
 private:
     std::string startReplica(const StartMember &start);
     void searchGroup();
-    void query(const std::string &ip);
-    void onHint(const std::string &ip, const GroupHint &hint);
+    void onHint(const GroupHint &hint);
+    void join(const StartMember &start);
+    void callSilentSlots();
     void scheduleSearch();
     Settings replicaSettings(std::uint32_t slot) const;
     std::string logFolder() const;
@@ -100,9 +105,9 @@
     std::string reportedLeader; // ip that other hosts reported while this host has no slot
     std::optional<Settings> memberSettings; // outlives the driver
     std::unique_ptr<ReplicaDriver> driver;
-    std::unique_ptr<SlotFinder> finder;
-    std::map<std::string, std::unique_ptr<RpcConnection>> queried; // hosts of the search, by ip
-    EventLoop::Timer searchTimer;
+    GroupSearch search;
+    SlotCalls slotCalls;
+    EventLoop::Timer slotTimer;
     EventLoop::Timer restartTimer;
     kj::TaskSet tasks;
 };
--- a/src/registry/registryservice.cpp
+++ b/src/registry/registryservice.cpp
@@ -46,7 +46,11 @@
 
 kj::Promise<void> RegistryService::join(JoinContext context)
 {
-    const auto request = decodeJoinRequest(view(context.getParams().getRequest()));
+    const std::string_view bytes = view(context.getParams().getRequest());
+    if (const auto call = decodeMemberCall(bytes)) {
+        this->engine.member().onMemberCall(*call);
+    }
+    const auto request = decodeJoinRequest(bytes);
     KJ_REQUIRE(request.has_value(), "the request of a control host cannot be decoded");
     return this->engine.join(*request).then([context](const GroupHint &hint) mutable {
         context.getResults().setHint(toData(encode(hint)));
--- a/src/registry/slotfinder.cpp
+++ b/src/registry/slotfinder.cpp
@@ -4,13 +4,24 @@
 
 namespace cassiaroad {
 
-SlotFinder::SlotFinder(std::string ownIp, std::vector<std::string> seeds, bool canBootstrapGroup)
+namespace {
+
+// How long only the seeds and the hosts that they name are asked. Longer than a call to each.
+constexpr Milliseconds callerDelay { 2000 };
+// Callers to remember. A group has fewer members that call.
+constexpr std::size_t maxCallers = 16;
+
+} // namespace
+
+SlotFinder::SlotFinder(std::string ownIp, std::vector<std::string> seeds, bool canBootstrapGroup,
+                       TimePoint startedAt)
     : ownIp(std::move(ownIp))
     , seedIps(std::move(seeds))
     , canBootstrapGroup(canBootstrapGroup)
+    , startedAt(startedAt)
 { }
 
-std::vector<std::string> SlotFinder::targets() const
+std::vector<std::string> SlotFinder::targets(TimePoint now) const
 {
     std::vector<std::string> result;
     const auto add = [&](const std::string &ip) {
@@ -26,14 +37,35 @@
     for (const auto &[slot, ip] : this->members) {
         add(ip);
     }
+    if (now - this->startedAt >= callerDelay) {
+        for (const std::string &ip : this->callers) {
+            add(ip);
+        }
+    }
     return result;
 }
 
+// A host that is called never bootstraps: a group exists.
+bool SlotFinder::onCall(const std::string &ip)
+{
+    this->canBootstrapGroup = false;
+    const bool isKnown
+            = std::find(this->callers.begin(), this->callers.end(), ip) != this->callers.end();
+    if (ip.empty() || ip == this->ownIp || isKnown) {
+        return false;
+    }
+    this->callers.push_back(ip);
+    if (this->callers.size() > maxCallers) {
+        this->callers.erase(this->callers.begin());
+    }
+    return true;
+}
+
 // Whether no group can exist: there is no host to query, or another seed knows of none either. A
 // restarted first seed must not bootstrap a second group.
 bool SlotFinder::isGroupRuledOut() const
 {
-    return this->targets().empty() || !this->withoutGroup.empty();
+    return this->targets(this->startedAt).empty() || !this->withoutGroup.empty();
 }
 
 std::optional<StartMember> SlotFinder::onHint(const std::string &ip, const GroupHint &hint)
--- a/src/registry/slotfinder.h
+++ b/src/registry/slotfinder.h
@@ -19,11 +19,23 @@
 class SlotFinder
 {
 public:
-    /** @p canBootstrapGroup: the site starts for the first time and this host is the first seed. */
-    SlotFinder(std::string ownIp, std::vector<std::string> seeds, bool canBootstrapGroup);
-
-    /** Returns the ip addresses to query now. */
-    std::vector<std::string> targets() const;
+    /**
+     * @p canBootstrapGroup: the site starts for the first time and this host is the first seed.
+     * The search begins at @p startedAt.
+     */
+    SlotFinder(std::string ownIp, std::vector<std::string> seeds, bool canBootstrapGroup,
+               TimePoint startedAt);
+
+    /** Returns the ip addresses to query at @p now. */
+    std::vector<std::string> targets(TimePoint now) const;
+
+    /**
+     * Handles the call of a member at @p ip, whose group has a slot for the address of this host.
+     * Returns whether the caller is a new one. The call gives no slot: the host asks the caller as
+     * it asks a seed, but only after the seeds had time to answer, since the address of this host
+     * may have been that of a member of another group.
+     */
+    bool onCall(const std::string &ip);
 
     /** Handles the reply of @p ip; returns how to start if the search has ended. */
     std::optional<StartMember> onHint(const std::string &ip, const GroupHint &hint);
@@ -37,6 +49,8 @@
     std::string ownIp;
     std::vector<std::string> seedIps;
     bool canBootstrapGroup;
+    TimePoint startedAt;
+    std::vector<std::string> callers; // ips, the latest last
     std::string leaderIp; // empty: unknown
     std::map<std::uint32_t, std::string> members; // ip by slot
     std::vector<std::string> withoutGroup; // other seeds that know of no group
--- a/tests/registry/test_replacedmembers.cpp
+++ b/tests/registry/test_replacedmembers.cpp
@@ -105,3 +105,22 @@
     ASSERT_NE(leader, nullptr);
     EXPECT_EQ(leader->configurationVersion(), 1U);
 }
+
+// Guards against a host that has lost its data and searches for the group for ever, since all hosts
+// of its settings are gone and no member calls it.
+TEST_F(ReplacedMembersTest, areFoundByTheirGroupAfterTheyHaveLostTheirData)
+{
+    ASSERT_TRUE(this->waitUntilComplete());
+    ASSERT_TRUE(this->replaceHost(0, 3));
+    this->seedIndexes = { 1, 2, 3 };
+    ASSERT_TRUE(this->replaceHost(0, 4));
+    this->seedIndexes = { 2, 3, 4 };
+    ASSERT_TRUE(this->replaceHost(0, 5));
+    const std::string folder
+            = std::get<RegistrySettings>(this->hosts.front()->settings.role).dataFolder;
+    this->hosts.erase(this->hosts.begin());
+    std::filesystem::remove_all(folder);
+    this->seedIndexes = { 0, 1, 2 };
+    EXPECT_EQ(this->addHost(3, false).engine.start(), "");
+    EXPECT_TRUE(this->waitUntilComplete({ 6000 }));
+}
