request: Limit the retries of gateways that are restarted one after another

Six gateways killed and started again one a second, while all upstreams turn requests away or reset them, repeated more than the site allows; the worst window was the one that began with the fault. Cause: a gateway limited its retries of the last 11 s by the share of its requests in them. When a fault began it used at once what the requests of the window before allowed. Its next process counted from zero and repeated by the share of the requests that followed. Both counted in one window, which allows the share of the requests of one window only. After: retries since a time at most one window ago are limited by half the share of the requests since one window before that time. The limits of all processes add up to half the share of the requests of two windows, so no sum of processes exceeds the limit, at any load. SiteRetryBudget.usesNoFixedNumberAfterItsPartHasExpired counted 20 requests, of which 0.16 each was allowed at once; at 0.08 they allow no second retry. It counts 30 now and demands exactly one retry instead of at least one. Conclusion: the limit no longer depends on how long a process lives.

--- a/src/request/siteretrybudget.cpp
+++ b/src/request/siteretrybudget.cpp
@@ -18,7 +18,7 @@
     : share(share)
     , slack(slack)
     , window(window)
-    , step(std::max(window / static_cast<std::int64_t>(steps - 1), Milliseconds { 1 }))
+    , step(std::max((window + Milliseconds { windowSteps - 1 }) / windowSteps, Milliseconds { 1 }))
 { }
 
 void SiteRetryBudget::setGateways(std::uint32_t count, TimePoint confirmedAt)
@@ -57,16 +57,37 @@
     return isUsable ? this->slack / this->gateways : 0.0;
 }
 
-bool SiteRetryBudget::take(TimePoint now)
+// Returns the step @p count steps before the current one. Precondition: @p count < steps.
+const SiteRetryBudget::Step &SiteRetryBudget::stepBefore(std::int64_t count) const
+{
+    const std::int64_t wanted = this->position - count + static_cast<std::int64_t>(steps);
+    return this->ring[static_cast<std::size_t>(wanted) % steps];
+}
+
+// Whether one more retry exceeds no limit. A window that begins within a step may contain its
+// retries; the window before it contains all requests of the steps that are fewer than windowSteps
+// before that one.
+bool SiteRetryBudget::hasRoom(double fixedPart) const
 {
-    Step &step = this->current(now);
     double requests = 0.0;
-    double retries = 0.0;
-    for (const Step &entry : this->ring) {
-        requests += entry.requests;
-        retries += entry.retries;
+    for (std::int64_t i = 0; i < windowSteps - 1; ++i) {
+        requests += this->stepBefore(i).requests;
+    }
+    double retries = 1.0;
+    for (std::int64_t first = 0; first <= windowSteps; ++first) {
+        retries += this->stepBefore(first).retries;
+        requests += this->stepBefore(first + windowSteps - 1).requests;
+        if (retries > usableFraction * (this->share / 2.0 * requests + fixedPart)) {
+            return false;
+        }
     }
-    if (retries + 1.0 > usableFraction * (this->share * requests + this->slackPart(now))) {
+    return true;
+}
+
+bool SiteRetryBudget::take(TimePoint now)
+{
+    Step &step = this->current(now);
+    if (!this->hasRoom(this->slackPart(now))) {
         return false;
     }
     ++step.retries;
--- a/src/request/siteretrybudget.h
+++ b/src/request/siteretrybudget.h
@@ -9,12 +9,17 @@
 namespace cassiaroad {
 
 /**
- * Budget of one gateway for retries of requests to one service: a share of the requests in a
- * sliding window, and a fixed number on top. Gateways do not see each other's retries, so each uses
- * an equal part of the fixed number, under a lease on the number of gateways. A gateway that joins
- * uses none of it until the lease of the others on a smaller number and one window are over: an
- * earlier process of the same gateway may also have used its part, and its count has ended with it.
- * Not thread-safe.
+ * Budget of one gateway for retries of requests to one service: a share of the requests, and a
+ * fixed number on top, in any window of all gateways together. They do not see each other's
+ * retries, nor those of an earlier process of the same gateway. Not thread-safe.
+ *
+ * Retries since a time at most one window ago are limited by half the share of the requests since
+ * one window before that time. Such limits of any processes, however long they run, add up to half
+ * the share of the requests of two windows: at most the share of those of the one with more.
+ *
+ * Each gateway uses an equal part of the fixed number, under a lease on the number of gateways. A
+ * gateway that joins uses none of it until the lease of the others on a smaller number and one
+ * window are over: an earlier process may also have used its part.
  */
 class SiteRetryBudget
 {
@@ -35,8 +40,9 @@
     bool take(TimePoint now);
 
 private:
-    // The window slides in steps; the oldest step still counts in full.
-    static constexpr std::size_t steps = 11;
+    // Time is divided into steps, of which a window that begins within one touches one more.
+    static constexpr std::int64_t windowSteps = 20;
+    static constexpr std::size_t steps = 2 * windowSteps;
 
     struct Step
     {
@@ -45,6 +51,8 @@
     };
 
     Step &current(TimePoint now);
+    const Step &stepBefore(std::int64_t count) const;
+    bool hasRoom(double fixedPart) const;
     double slackPart(TimePoint now) const;
 
     double share;
--- a/tests/request/test_siteretrybudget.cpp
+++ b/tests/request/test_siteretrybudget.cpp
@@ -32,6 +32,28 @@
     return taken;
 }
 
+struct RetryCounts
+{
+    int requests = 0;
+    int retries = 0;
+};
+
+// Counts requests at an even rate from 0 to @p end. Those from @p faultAt on fail, and each is
+// retried once if @p budget allows it. Returns the number of these requests and of their retries.
+RetryCounts failFrom(SiteRetryBudget &budget, TimePoint faultAt, TimePoint end)
+{
+    constexpr Milliseconds interval { 10 };
+    RetryCounts counts;
+    for (TimePoint now; now < end; now = now + interval) {
+        budget.countRequest(now);
+        if (now >= faultAt) {
+            ++counts.requests;
+            counts.retries += budget.take(now) ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
 } // namespace
 
 // Guards against exceeding the limit of the site: in no window may all gateways together send more
@@ -134,8 +156,34 @@
     joinLongAgo(budget, 10, validUntil - gatewayCountLease);
     EXPECT_TRUE(budget.take(validUntil - Milliseconds { 1 }));
     EXPECT_FALSE(budget.take(validUntil));
-    for (int i = 0; i < 20; ++i) {
+    for (int i = 0; i < 30; ++i) {
         budget.countRequest(validUntil);
     }
-    EXPECT_TRUE(budget.take(validUntil)); // the share of the requests is its own
+    EXPECT_EQ(takeAll(budget, validUntil), 1); // the share of the requests is its own
+}
+
+// Guards against a limit for restarted processes that also takes retries from one that goes on: in
+// a long fault it may use the usable part of the share of all requests.
+TEST(SiteRetryBudget, retriesByTheWholeShareInALongFault)
+{
+    SiteRetryBudget budget(0.2, 0.0, window);
+    const RetryCounts counts = failFrom(budget, { 40000 }, { 100000 });
+    EXPECT_GE(counts.retries, 0.15 * counts.requests);
+}
+
+// Guards against a gateway that retries nothing at the beginning of a fault: it may use half of the
+// usable part of what the requests of the last window allow at once.
+TEST(SiteRetryBudget, retriesAtOnceWhenAFaultBegins)
+{
+    SiteRetryBudget budget(0.2, 0.0, window);
+    const RetryCounts counts = failFrom(budget, { 40000 }, { 41000 });
+    EXPECT_GE(counts.retries, 0.7 * counts.requests);
+}
+
+// Guards against a restarted gateway that retries nothing in its first window.
+TEST(SiteRetryBudget, retriesByHalfTheShareInItsFirstWindow)
+{
+    SiteRetryBudget budget(0.2, 0.0, window);
+    const RetryCounts counts = failFrom(budget, {}, { 10000 });
+    EXPECT_GE(counts.retries, 0.07 * counts.requests);
 }
--- a/tests/site/siteload.py
+++ b/tests/site/siteload.py
@@ -15,8 +15,9 @@
 class SiteLoad:
     """A site of real processes with callers at each gateway."""
 
-    def __init__(self, build, seed, gateways):
+    def __init__(self, build, seed, gateways, callers_per_gateway=CALLERS_PER_GATEWAY):
         self.site = Soak(build, seed, 0, gateways)
+        self.callers_per_gateway = callers_per_gateway
         self.callers = []
 
     async def start(self):
@@ -24,12 +25,12 @@
         await self.site.start_site()
         self.callers = [
             asyncio.create_task(self.site.call_forever(gateway, keeps_connection=i % 2 == 0))
-            for gateway in self.site.gateways for i in range(CALLERS_PER_GATEWAY)]
+            for gateway in self.site.gateways for i in range(self.callers_per_gateway)]
         end = time.monotonic() + WAIT_S
         while time.monotonic() < end:
             await asyncio.sleep(0.2)
             recent = self.outcomes_since(time.monotonic() - CALM_S)
-            if len(recent) > CALLERS_PER_GATEWAY and all(recent):
+            if len(recent) > self.callers_per_gateway and all(recent):
                 return
         raise AssertionError("requests are not served")
 
--- a/tools/soaklib/site.py
+++ b/tools/soaklib/site.py
@@ -38,6 +38,8 @@
         self.upstreams = []
         self.crashes_under = None  # bytes in the body of a request under which upstreams crash
         self.route_timeout_s = 1.5
+        self.is_keyed = True  # the service has keys
+        self.attempts = 2  # most upstreams that a request without a key may reach
         self.version = 0  # last acknowledged configuration
         self.is_version_unknown = False  # an accepted configuration may have had no response
         self.dropped_version = 0  # the one before
@@ -69,6 +71,7 @@
         """Starts a new incarnation of the upstream at an address."""
         upstream = Upstream(name, address, "orders", self.seeds, self.checks, self.upstreams)
         upstream.takes_calls = self.calls
+        upstream.is_keyed = self.is_keyed
         upstream.crashes_under = self.crashes_under
         self.checks.forget_upstream(name)
         await upstream.start()
@@ -82,10 +85,10 @@
             "routes": {prefix.strip("/"): {
                 "host": "maps.example", "pathPrefix": prefix, "routeType": kind,
                 "timeoutS": self.route_timeout_s, "targetLatencyS": 0.5, "priority": 1,
-                "service": "orders", "attempts": 2}
+                "service": "orders", "attempts": self.attempts}
                 for prefix, kind in route_types.items()},
             "services": {"orders": {"healthPath": "/health", "maxConnections": 100,
-                                    "sharded": True, "warmS": 0,
+                                    "sharded": self.is_keyed, "warmS": 0,
                                     "grants": "call" if self.calls else "heartbeat"}}})
 
     async def put_configuration(self, max_wait):
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -42,6 +42,8 @@
         self.says_leaving = False  # says in each response that it leaves; heartbeats do not
         self.pause_s = None  # turns requests away and asks for a pause; 0: without a pause
         self.pause_share = 1.0  # of the requests that are turned away
+        self.resets = False  # resets the connection of each request and runs none
+        self.is_keyed = True  # its service has keys
         self.endless_part = None  # of its answers, from endless.PARTS
         self.reports = True  # sends heartbeats
         self.accepted_at = 0.0  # time at which it last got a request for a key that it had a lease on
@@ -71,6 +73,7 @@
         self.applies_late = False
         self.pause_s = None
         self.pause_share = 1.0
+        self.resets = False
         self.endless_part = None
 
     def has_lease(self, key):
@@ -99,6 +102,9 @@
                         return
                     continue
                 status, text = await self.handle(method, headers, body)
+                if self.resets:
+                    writer.transport.abort()
+                    return
                 if self.drops_responses or not self.up:
                     return
                 if status == 200 and self.endless_part is not None:
@@ -184,11 +190,13 @@
         key = int(headers.get("x-cassiaroad-shard-key", "-1"))
         request_id = headers["x-cassiaroad-request-id"]
         is_misdirected = (headers.get("x-cassiaroad-expect-instance") != self.name
-                          or not self.has_lease(key))
+                          or self.is_keyed and not self.has_lease(key))
         self.checks.record_arrival(request_id, self.name, is_misdirected)
         if is_misdirected:
             return 421, ""
         self.accepted_at = time.monotonic()
+        if self.resets:
+            return 0, ""
         if self.pause_s is not None and random.random() < self.pause_share:
             self.checks.record_pause(request_id, self.name, self.pause_s)
             return 503, ""
