connection: Leave time above equal round-trip times

Cause, of most failures: a reply timeout is the average round-trip time and four times its variation. With equal times the variation is 0, so the timeout became the average, and a reply that was a millisecond later than the others closed a slow connection that worked. After: the timeout is at least 100 ms above the average.

--- a/src/connection/roundtripestimate.cpp
+++ b/src/connection/roundtripestimate.cpp
@@ -12,6 +12,9 @@
 constexpr std::int64_t variationWeight = 4;
 // The timeout is above the average by so many times the variation.
 constexpr std::int64_t variationFactor = 4;
+// The timeout is above the average by at least that. The variation of equal round-trip times is 0,
+// but a reply can be late by the time that a busy host needs to handle it.
+constexpr Milliseconds minMargin { 100 };
 
 } // namespace
 
@@ -22,7 +25,8 @@
 
 Milliseconds RoundTripEstimate::timeout() const
 {
-    const Milliseconds expected = this->smoothed + this->variation * variationFactor;
+    const Milliseconds margin = std::max(this->variation * variationFactor, minMargin);
+    const Milliseconds expected = this->smoothed + margin;
     const Milliseconds usual = std::max(expected, this->minTimeout);
     return std::min(usual * this->backoff, this->maxTimeout);
 }
--- a/tests/connection/test_roundtripestimate.cpp
+++ b/tests/connection/test_roundtripestimate.cpp
@@ -55,6 +55,17 @@
     }
 }
 
+// Guards against a slow connection that works and is closed when one reply is a little later than
+// the others: the variation of equal round-trip times is 0, so the timeout was their average.
+TEST(RoundTripEstimate, leavesTimeAboveEqualRoundTripTimes)
+{
+    RoundTripEstimate estimate(minTimeout, maxTimeout);
+    for (int i = 0; i < 100; ++i) {
+        estimate.recordReply({ 600 });
+    }
+    EXPECT_GE(estimate.timeout(), Milliseconds { 700 });
+}
+
 // Guards against silent connections that are noticed late for good after the link was slow once.
 TEST(RoundTripEstimate, returnsToTheMinimumWhenRepliesAreQuickAgain)
 {
