tests: Let the upstream send before the lease call is written

LeaseCaller.sendsNothingToAnUpstreamThatSendsFirst was in KNOWN-RED: the call ended in another way than "not sent". Cause: a call waits for a round trip and 3 ms before its first byte. The server of the test accepted and sent on a thread of its own, which a busy machine may run later than that. The call then had nothing to notice and was written, as it should be; the test did not set up the case that it names. After: the test waits until the kernel of the server has the acknowledgement of the bytes, while the kernel opens the connection, and then runs the loop.

--- a/tests/registry/test_leasecaller.cpp
+++ b/tests/registry/test_leasecaller.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <optional>
 
 using namespace cassiaroad;
@@ -16,8 +17,12 @@
 constexpr Milliseconds callTimeout { 3000 };
 constexpr std::size_t endlessPiece = std::size_t(512) * 1024; // more than any part of a response
 
-/** Sends one grant to @p port and returns its result, if there is one before its timeout. */
-std::optional<LeaseCallResult> callOnce(EventLoop &loop, std::uint16_t port)
+/**
+ * Sends one grant to @p port and returns its result, if there is one before its timeout. Calls
+ * @p whileConnecting before the loop runs; the kernel opens the connection meanwhile.
+ */
+std::optional<LeaseCallResult> callOnce(
+        EventLoop &loop, std::uint16_t port, const std::function<void()> &whileConnecting = [] {})
 {
     const FakeCodec codec;
     std::optional<LeaseCallResult> ended;
@@ -30,6 +35,7 @@
     call.body = GrantCall {};
     call.timeout = callTimeout;
     caller.send(call);
+    whileConnecting();
     waitUntil(loop, [&] { return ended.has_value(); }, { callTimeout.count / 2 });
     return ended;
 }
@@ -61,7 +67,8 @@
 {
     EventLoop loop;
     FastServer server("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
-    const std::optional<LeaseCallResult> result = callOnce(loop, server.port);
+    const std::optional<LeaseCallResult> result
+            = callOnce(loop, server.port, [&] { server.waitUntilHeadArrived(); });
     ASSERT_TRUE(result);
     EXPECT_TRUE(std::holds_alternative<LeaseCallNotSent>(*result));
 }
--- a/tests/support/fastserver.h
+++ b/tests/support/fastserver.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <cstdint>
+#include <future>
 #include <string>
 #include <thread>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -38,15 +42,30 @@
     FastServer(const FastServer &) = delete;
     FastServer &operator=(const FastServer &) = delete;
 
+    /** Waits until the head has arrived at the first client. Call it once. */
+    void waitUntilHeadArrived() { this->headArrived.get_future().wait(); }
+
     std::uint16_t port = 0;
 
 private:
+    // Waits until the peer has acknowledged all bytes or closed the connection.
+    static void waitUntilAcknowledged(int fd)
+    {
+        constexpr int checkIntervalMilliseconds = 1;
+        int pending = 0;
+        pollfd closed { fd, 0, 0 };
+        while (ioctl(fd, SIOCOUTQ, &pending) == 0 && pending > 0
+               && poll(&closed, 1, checkIntervalMilliseconds) == 0) { }
+    }
+
     // Sends until the client closes the connection.
-    void sendAll(const std::string &head) const
+    void sendAll(const std::string &head)
     {
         const int fd = accept(this->listener, nullptr, nullptr);
         const std::string bytes(std::size_t(1024) * 1024, 'a');
         ssize_t sent = send(fd, head.data(), head.size(), MSG_NOSIGNAL);
+        waitUntilAcknowledged(fd);
+        this->headArrived.set_value();
         while (sent > 0) {
             sent = send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
         }
@@ -54,6 +73,7 @@
     }
 
     int listener;
+    std::promise<void> headArrived;
     std::thread thread;
 };
 
