soak: Replace control hosts, and cut the power of all hosts

Before: a control host of the soak kept its address; all processes were killed together at the end of a run only, with two disks lost. After: the fault replace_control_host ends a control host for good (SIGTERM or SIGKILL; its addresses answer nothing) and starts an empty one at another address, with the settings files of the others rewritten, or left as long as they name a present host. lose_power_everywhere kills all control hosts and gateways and starts them within a second, with zero to two disks lost; the configuration must be read and changed within 15 s. Until a replacement votes by its log it counts as a lost host, and a disk is deleted only while at most one other control host does not vote; before, three disks could be lost within seconds.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -2,9 +2,10 @@
 """Randomized soak test of gateways and registries as real processes on loopback.
 
 Injects faults from outside the processes (kills, suspensions, restarts, lost disks, links that
-refuse, delay or stall, connections that go silent, upstreams that crash, drain, leave, ask for
-pauses and answer without end, requests that crash upstreams) and checks the promises of
-docs/PROMISES.md from what callers and upstreams see. Half of the callers keep their connections open.
+refuse, delay or stall, connections that go silent, control hosts that are replaced by empty ones,
+loss of power everywhere, upstreams that crash, drain, leave, ask for pauses and answer without end,
+requests that crash upstreams) and checks the promises of docs/PROMISES.md from what callers and
+upstreams see. Half of the callers keep their connections open.
 """
 import argparse
 import asyncio
@@ -16,6 +17,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from soaklib.commandload import SERVICES, CommandLoad  # noqa: E402
 from soaklib.hostfaults import RECOVERY_S, HostFaults  # noqa: E402
 from soaklib.site import CALLERS_PER_GATEWAY, Site  # noqa: E402
 from soaklib.upstreamfaults import UpstreamFaults  # noqa: E402
@@ -29,8 +31,8 @@
 class Soak(Site):
     """A site, the faults that are injected into it and the checks of its promises."""
 
-    def __init__(self, build, seed, seconds, gateways=2, calls=False):
-        super().__init__(build, seed, gateways, calls)
+    def __init__(self, build, seed, seconds, gateways=2, calls=False, distant_s=0.0):
+        super().__init__(build, seed, gateways, calls, distant_s)
         self.seconds = seconds
         self.started_at = time.monotonic()
         self.events = []  # faults and changes, as lines with their times
@@ -38,6 +40,7 @@
         self.fault_random = random.Random(seed)
         self.host_faults = HostFaults(self, self.fault_random, self.record_event)
         self.upstream_faults = UpstreamFaults(self, self.fault_random, self.record_event)
+        self.command_load = None
         self.watches = Watches(self, MAX_RESIDENT_BYTES)
         self.actions = {action.__name__: (weight, action)
                         for weight, action in self.host_faults.actions()
@@ -61,6 +64,8 @@
             tasks += self.watches.start() + [
                 asyncio.create_task(self.call_forever(gateway, keeps_connection=i % 2 == 0))
                 for gateway in self.gateways for i in range(CALLERS_PER_GATEWAY)]
+            if self.extra_services:
+                self.command_load = CommandLoad(self)
             begun_at = time.monotonic()
             await self.inject_faults()
             await self.check_recovery()
@@ -71,6 +76,8 @@
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
+            if self.command_load is not None:
+                self.command_load.stop()
             await self.stop()
             self.watches.check_logs()
 
@@ -93,6 +100,7 @@
         await self.host_faults.change_configuration_in_calm()
         await asyncio.sleep(max(healed_at + RECOVERY_S - time.monotonic(), 0))
         recovered_at = time.monotonic()
+        self.host_faults.check_votes()
         await asyncio.sleep(LAST_CHECK_S)
         late = [served for at, served in self.outcomes if at > recovered_at]
         if not late or sum(late) < MIN_SERVED * len(late):
@@ -120,6 +128,10 @@
                         help="leave out the faults with these names (repeatable)")
     parser.add_argument("--calls", action="store_true",
                         help="upstreams take their leases by calls instead of heartbeats")
+    parser.add_argument("--distant-ms", type=float, default=0.0,
+                        help="delay one way from and to two of the control hosts")
+    parser.add_argument("--commands", action="store_true",
+                        help="let the control group commit commands all the time")
     parser.add_argument("--max-resident-mb", type=int, default=MAX_RESIDENT_BYTES // 10**6,
                         help="memory that a gateway may use")
     return parser.parse_args()
@@ -137,7 +149,9 @@
 def main():
     arguments = parse_arguments()
     soak = Soak(arguments.build, arguments.seed, arguments.seconds, arguments.gateways,
-                arguments.calls)
+                arguments.calls, arguments.distant_ms / 1000)
+    if arguments.commands:
+        soak.extra_services = SERVICES
     soak.choose_faults(arguments.fault, arguments.without)
     soak.watches.max_resident_bytes = arguments.max_resident_mb * 10**6
     asyncio.run(soak.run())
--- a/tools/soaklib/hosts.py
+++ b/tools/soaklib/hosts.py
@@ -6,39 +6,55 @@
 import subprocess
 import time
 
+from soaklib.membership import MembershipLog
 from soaklib.relay import Relay
 
+ADDRESSES_PER_NET = 250
 TOLERATED_LOSSES = 2  # upper bound of the control hosts with a fault at the same time
 
 
 class Host:
-    """A process of the system and the relays in front of its listeners."""
+    """A process of the system and the relays in front of its listeners. With `delay_s` every message
+    from and to its listeners takes that much longer one way."""
 
-    def __init__(self, name, role, number, ports, folder, binary):
+    def __init__(self, name, role, number, ports, folder, binary, delay_s=0.0):
         self.name, self.role, self.binary = name, role, binary
-        self.ip, self.bind_ip = f"127.0.1.{number}", f"127.0.2.{number}"
+        net, last = divmod(number, ADDRESSES_PER_NET)
+        self.ip, self.bind_ip = f"127.{net}.1.{last}", f"127.{net}.2.{last}"
+        self.delay_s = delay_s
         self.ports = ports
+        self.seeds = []  # in the settings file
         self.data = folder / name
         self.file = folder / f"{name}.ini"
         self.log = open(folder / f"{name}.log", "ab")
         self.process = None
         self.paused = False
         self.ending = False  # got a signal to end and has not been started since
+        self.is_replacement = False  # started empty in the place of another control host
+        self.data_begins = 0  # place in the log where the present data folder begins
+        self.started_at_byte = 0  # place in the log where the latest process begins
         self.touched_at = 0.0  # time of the latest fault or end of a fault
         self.on_touch = None  # is called with the name at each of these times
         relayed = ports["internal"], ports["control"]
-        self.relays = [Relay(f"{self.ip}:{port}", f"{self.bind_ip}:{port}") for port in relayed]
+        self.relays = [Relay(f"{self.ip}:{port}", f"{self.bind_ip}:{port}", delay_s)
+                       for port in relayed]
+
+    def control_address(self):
+        """Where upstreams, operators and other hosts reach this control host."""
+        return f"{self.ip}:{self.ports['control']}"
 
     def write_settings(self, seeds, bootstrap):
+        self.seeds = list(seeds)
         ports = self.ports
         role = (f"[registry]\ncontrol = {self.ip}:{ports['control']}\ndata-folder = {self.data}\n"
                 f"bootstrap = {str(bootstrap).lower()}\ncounted = true\n"
                 if self.role == "registry" else
                 f"[gateway]\ncallers = {self.ip}:{ports['callers']}\n"
                 f"readiness = {self.ip}:{ports['ready']}\n")
+        metrics = f"metrics-port = {ports['ready']}\n" if self.role == "registry" else ""
         self.file.write_text(
             f"[host]\nname = {self.name}\nip = {self.ip}\nbind-ip = {self.bind_ip}\nzone = a\n"
-            f"internal-port = {ports['internal']}\nseeds = {','.join(seeds)}\n"
+            f"internal-port = {ports['internal']}\n{metrics}seeds = {','.join(seeds)}\n"
             f"tolerated-losses = {TOLERATED_LOSSES}\nheartbeat-s = 0.5\n{role}"
             "[bounds]\nretry-slack = 50\nstop-grace-s = 4\n[regions]\na = r\n")
 
@@ -50,6 +66,7 @@
 
     def start(self):
         self.touch()
+        self.started_at_byte = pathlib.Path(self.log.name).stat().st_size
         self.process = subprocess.Popen([self.binary, self.role, "-c", str(self.file)],
                                         stdout=self.log, stderr=self.log)
         self.paused = False
@@ -129,6 +146,25 @@
 
     def lose_data(self):
         shutil.rmtree(self.data, ignore_errors=True)
+        self.data_begins = pathlib.Path(self.log.name).stat().st_size
+
+    def membership(self, since_start=False):
+        """What the log tells of this control host in its group since its data folder exists, or
+        since the latest start."""
+        with open(self.log.name, "rb") as log:
+            log.seek(max(self.data_begins, self.started_at_byte) if since_start
+                     else self.data_begins)
+            return MembershipLog(log.read().decode(errors="replace"))
+
+    def votes(self):
+        """Whether this control host votes by its own log; not if its data folder was deleted."""
+        return self.membership().votes_since() is not None
+
+    def leave_for_good(self):
+        """Kills the process and takes its addresses off the network: nobody answers there."""
+        self.end()
+        for relay in self.relays:
+            relay.mode = "silent"
 
     def end(self):
         """Kills the process, also if it is suspended, and waits for its end."""
--- a/tools/soaklib/site.py
+++ b/tools/soaklib/site.py
@@ -12,6 +12,9 @@
 from soaklib.upstreams import Upstream, http
 
 CONTROLS, UPSTREAMS = 5, 5
+DISTANT_CONTROLS = 2  # the last ones, in the region that is `distant_s` away
+FIRST_REPLACEMENT = 250  # number of the first control host that replaces another one
+SEEDS_IN_FILE = 3  # hosts know that many control addresses
 CALLERS_PER_GATEWAY = 6
 CALLER_TIMEOUT_S = 3.0
 
@@ -19,19 +22,26 @@
 class Site:
     """Processes, upstreams and what callers have observed."""
 
-    def __init__(self, build, seed, gateways=2, calls=False):
+    def __init__(self, build, seed, gateways=2, calls=False, distant_s=0.0):
         self.calls = calls  # upstreams take their leases by calls
         self.random = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="cassiaroad-soak-"))
         base = 20000 + seed % 2000 * 4  # so that neighbouring seeds can run at the same time
         self.ports = {"internal": base, "control": base + 1, "callers": base + 2,
                       "ready": base + 3}
-        binary = str(pathlib.Path(build) / "cassiaroad")
-        make_host = lambda name, role, number: Host(name, role, number, self.ports, self.folder,
-                                                    binary)
-        self.controls = [make_host(f"core-{i}", "registry", i) for i in range(1, CONTROLS + 1)]
-        self.gateways = [make_host(f"front-{i}", "gateway", 10 + i) for i in range(1, gateways + 1)]
-        self.seeds = [f"{host.ip}:{self.ports['control']}" for host in self.controls]
+        self.binary = str(pathlib.Path(build) / "cassiaroad")
+        near = CONTROLS - DISTANT_CONTROLS
+        self.controls = [
+            self.make_host(f"core-{i}", "registry", i, distant_s if i > near else 0.0)
+            for i in range(1, CONTROLS + 1)]
+        self.gateways = [self.make_host(f"front-{i}", "gateway", 10 + i)
+                         for i in range(1, gateways + 1)]
+        self.next_control = FIRST_REPLACEMENT
+        self.gone = []  # control hosts that were replaced
+        self.extra_services = {}  # of all configurations
+        self.seeds = [host.control_address() for host in self.controls]  # of the present hosts
+        self.control_list = self.folder / "controls"  # file with the present control addresses
+        self.control_list.write_text("\n".join(self.seeds))
         self.checks = Checks()
         for gateway in self.gateways:
             gateway.on_touch = self.checks.forget_gateway
@@ -47,10 +57,13 @@
         self.outcomes = []  # (time, whether served)
         self.next_id = 0
 
+    def make_host(self, name, role, number, delay_s=0.0):
+        return Host(name, role, number, self.ports, self.folder, self.binary, delay_s)
+
     async def start_site(self):
         """Starts all processes and waits until the first configuration should be in effect."""
         for host in self.controls + self.gateways:
-            host.write_settings(self.seeds[:3], True)
+            host.write_settings(self.seeds[:SEEDS_IN_FILE], True)
             for relay in host.relays if host.role == "registry" else []:
                 await relay.start()
             host.start()
@@ -59,12 +72,48 @@
         for host in self.controls + self.gateways:
             await host.wait_until_started()
         for host in self.controls:
-            host.write_settings(self.seeds[:3], False)
+            host.write_settings(self.seeds[:SEEDS_IN_FILE], False)
         for i in range(UPSTREAMS):
             await self.add_upstream(f"i-{i}", f"127.0.3.{i + 1}:{self.ports['callers']}")
         await self.put_configuration(20.0)
         await asyncio.sleep(3.0)
 
+    async def start_empty_control(self, old):
+        """Starts an empty control host at a new address, as far away as `old`; returns it. Only its
+        own settings file has the present addresses."""
+        host = self.make_host(f"core-{self.next_control}", "registry", self.next_control,
+                              old.delay_s)
+        self.next_control += 1
+        host.is_replacement = True
+        host.write_settings([seed for seed in self.seeds if seed != old.control_address()]
+                            [:SEEDS_IN_FILE], False)
+        for relay in host.relays:
+            await relay.start()
+        host.start()
+        return host
+
+    def list_control_instead(self, host, old):
+        """Puts a control host in the place of one that is gone. Upstreams and operators use the new
+        list at once; settings files are written by rewrite_seeds()."""
+        self.controls[self.controls.index(old)] = host
+        self.gone.append(old)
+        self.seeds[:] = [control.control_address() for control in self.controls]
+        self.control_list.write_text("\n".join(self.seeds))
+        host.touch()
+
+    def rewrite_seeds(self, hosts):
+        """Writes the present control addresses into the settings files of hosts."""
+        for host in hosts:
+            host.write_settings(self.seeds[:SEEDS_IN_FILE], False)
+
+    def needs_seeds(self, host, lost=()):
+        """Whether the settings file of a host names no other present control host with data, so that
+        the host could find nobody. The hosts `lost` are without data."""
+        known = [control for control in self.controls
+                 if control is not host and control not in lost
+                 and control.control_address() in host.seeds]
+        return not known
+
     async def add_upstream(self, name, address):
         """Starts a new incarnation of the upstream at an address."""
         upstream = Upstream(name, address, "orders", self.seeds, self.checks, self.upstreams)
@@ -86,7 +135,8 @@
                 for prefix, kind in route_types.items()},
             "services": {"orders": {"healthPath": "/health", "maxConnections": 100,
                                     "sharded": True, "warmS": 0,
-                                    "grants": "call" if self.calls else "heartbeat"}}})
+                                    "grants": "call" if self.calls else "heartbeat"},
+                         **self.extra_services}})
 
     async def put_configuration(self, max_wait):
         """Sends the next configuration until it is acknowledged, at most `max_wait` seconds."""
@@ -187,7 +237,7 @@
     async def stop(self):
         """Ends all processes, upstreams, relays and connections. What is still open while the event
         loop closes would leave errors behind, which hide the verdict (seed 37)."""
-        for host in self.controls + self.gateways:
+        for host in self.gone + self.controls + self.gateways:
             for relay in host.relays:
                 relay.stop()
             host.end()
--- a/tools/soaklib/watches.py
+++ b/tools/soaklib/watches.py
@@ -61,7 +61,7 @@
     def check_logs(self):
         """Checks that no sanitizer has reported a fault; each place in the code counts once."""
         found = set()
-        for host in self.site.controls + self.site.gateways:
+        for host in self.site.gone + self.site.controls + self.site.gateways:
             lines = pathlib.Path(host.log.name).read_text(errors="replace").splitlines()
             found |= {line for line in lines if any(mark in line for mark in SANITIZER_MARKS)}
         self.site.checks.violations += sorted(found)
