--- a/tests/site/siteload.py
+++ b/tests/site/siteload.py
@@ -15,8 +15,8 @@
 class SiteLoad:
     """A site of real processes with callers at each gateway."""
 
-    def __init__(self, build, seed, gateways):
-        self.site = Soak(build, seed, 0, gateways)
+    def __init__(self, build, seed, gateways, distant_s=0.0):
+        self.site = Soak(build, seed, 0, gateways, distant_s=distant_s)
         self.callers = []
 
     async def start(self):
