--- a/tests/site/test_replaced_control_hosts.py
+++ b/tests/site/test_replaced_control_hosts.py
@@ -44,13 +44,17 @@
         self.site.extra_services = SERVICES
         await self.site.put_configuration(5.0)
         commands = CommandLoad(self.site)
+        watches = self.site.watches.start()
         try:
             await self.check_command_rate()
             await self.replace_all()
             for wiped in self.arguments.wipe:
                 await self.lose_power(wiped)
+            self.site.raise_errors(watches)
         finally:
             commands.stop()
+            for watch in watches:
+                watch.cancel()
 
     async def check_command_rate(self):
         """Fails unless the group commits commands as fast as the fault of slow learners needs."""
