--- a/tools/soak.py
+++ b/tools/soak.py
@@ -157,8 +157,10 @@
     asyncio.run(soak.run())
     violations = soak.checks.violations
     print(f"soak seed {arguments.seed}: {'broken' if violations else 'held'}, {soak.counts}, "
-          f"{len(soak.events)} faults, configuration {soak.version}, {soak.watches.route_checks} "
-          f"checks of routes, at most {soak.watches.peak_bytes / 1e6:.0f} MB")
+          f"{len(soak.events)} faults, {len(soak.gone)} control hosts replaced, power lost "
+          f"{soak.host_faults.power_losses} times, configuration {soak.version}, "
+          f"{soak.watches.route_checks} checks of routes, at most "
+          f"{soak.watches.peak_bytes / 1e6:.0f} MB")
     if violations:
         print(*kinds_of(violations), *soak.events, f"logs in {soak.folder}", sep="\n")
         sys.exit(1)
--- a/tools/soaklib/hostfaults.py
+++ b/tools/soaklib/hostfaults.py
@@ -24,6 +24,7 @@
         self.random = random
         self.record_event = record_event
         self.rolling_restart = None  # task that restarts the gateways one after the other
+        self.power_losses = 0
 
     def actions(self):
         """The faults as pairs of weight and coroutine function."""
@@ -210,6 +211,7 @@
         hosts `lost`, starts all after `down_s`, and checks what was acknowledged. SIGKILL stands in
         for the loss of power, but what a process has written without a sync survives it, unlike
         such bytes on a real machine."""
+        self.power_losses += 1
         self.record_event("kill all processes, data lost on "
                           + (", ".join(host.name for host in lost) or "none"))
         hosts = self.site.controls + self.site.gateways
