registry: Take the list of members from the leader that assigns a slot

Cause: a host without a slot ignored each list with a lower revision than that of its file, also where the file was of another group. After: the answer that assigns a slot comes from the leader; its list replaces the known one. Conclusion: the revision orders lists of one group only.

--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -100,7 +100,13 @@
 void GroupMember::onHint(const GroupHint &hint)
 {
     this->reportedLeader = hint.leaderIp.empty() ? this->reportedLeader : hint.leaderIp;
-    if (hint.membersRevision >= this->membersRevision) {
+    // The leader that assigns a slot knows the list for certain. A list in the data folder may be
+    // of a group that was there before.
+    const bool isCertain = hint.slot != 0;
+    if (isCertain) {
+        this->members.clear();
+    }
+    if (isCertain || hint.membersRevision >= this->membersRevision) {
         this->membersRevision = hint.membersRevision;
         for (const auto &[slot, address] : hint.members) {
             this->members[slot] = address;
