registry: Ask the seeds for the members while no leader is known

Cause: a member that restarts with its data calls only the addresses in members.json. When all others had been replaced in its absence, it never asked the hosts of its settings, also when these were up to date.

Now a member that has known no leader for 2 s asks seeds and known members each second (LostContact), and takes a list with a higher revision. The event members_learned tells whose list it was and who has the member's slot in it. A hint never makes it drop its data: the hint may be wrong.

Before: with the questions left out, ReplacedMembersTest. learnTheMembersFromTheirSeedsAfterAnAbsence failed.

A member whose seeds are all gone as well is still not found.

--- a/src/registry/groupmember.cpp
+++ b/src/registry/groupmember.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <set>
 
 #include <nlohmann/json.hpp>
 
@@ -18,7 +19,7 @@
 constexpr Milliseconds maxElectionTimeout { 900 };
 constexpr Milliseconds leaderLease { 420 };
 constexpr Milliseconds slotCheckInterval { 250 };
-constexpr Milliseconds slotCallTimeout { 500 }; // to connect
+constexpr Milliseconds callTimeout { 500 }; // to connect
 // A voter that has been silent for this long loses its slot to a host that requests one.
 constexpr Milliseconds successionDelay { 3000 };
 // A host that has lost its disk receives the state and this much of the log. More would fill the
@@ -79,7 +80,10 @@
         return "cannot create " + this->role.dataFolder + ": " + error.message();
     }
     this->loadMembers();
-    this->slotTimer = this->loop.callEvery(slotCheckInterval, [this] { this->callSilentSlots(); });
+    this->slotTimer = this->loop.callEvery(slotCheckInterval, [this] {
+        this->callSilentSlots();
+        this->askForMembers();
+    });
     const auto identity = readIdentity(this->logFolder());
     const auto *known = std::get_if<std::optional<MemberIdentity>>(&identity);
     if (known != nullptr && *known) {
@@ -128,13 +132,49 @@
     const std::string request = encode(MemberCall { this->settings.ip, own });
     for (const std::string &ip : this->slotCalls.due(this->members, this->settings.ip,
                                                      this->lastContact, this->loop.now())) {
-        auto connection = std::make_shared<RpcConnection>(
-                this->loop, HostAddress { ip, this->settings.internalPort }, slotCallTimeout,
-                this->bytes);
-        this->tasks.add(callJoin(*connection, request)
-                                .then([](const GroupHint &) {})
-                                .attach(std::move(connection)));
+        this->callOnce(ip, request, [](const GroupHint &) {});
+    }
+}
+
+// Asks the hosts of the settings and the known members for a newer list, if no leader is known.
+void GroupMember::askForMembers()
+{
+    const bool knowsLeader = !this->driver || this->driver->leader().has_value();
+    if (!this->lostContact.isDue(knowsLeader, this->loop.now())) {
+        return;
     }
+    std::set<std::string> ips(this->seedIps.begin(), this->seedIps.end());
+    for (const auto &[slot, ip] : this->members) {
+        ips.insert(ip);
+    }
+    ips.erase(this->settings.ip);
+    const std::string request = encode(JoinRequest { this->settings.ip, false });
+    for (const std::string &ip : ips) {
+        this->callOnce(ip, request, [this, ip](const GroupHint &hint) {
+            if (!hint.groupExists || hint.membersRevision <= this->membersRevision) {
+                return;
+            }
+            const std::uint32_t own = std::get<ControlSettings>(this->memberSettings->role).member;
+            const auto holder = hint.members.find(own);
+            this->log.write({ "members_learned",
+                              Event::Weight::Always,
+                              { { "ip", ip },
+                                { "revision", std::int64_t(hint.membersRevision) },
+                                { "slot_ip", holder == hint.members.end() ? std::string()
+                                                                          : holder->second } } });
+            this->setMembers({ hint.membersRevision, hint.members });
+        });
+    }
+}
+
+// Sends a join request to the host at @p ip on a connection of its own.
+void GroupMember::callOnce(const std::string &ip, const std::string &request,
+                           std::function<void(const GroupHint &)> onHint)
+{
+    auto connection = std::make_shared<RpcConnection>(
+            this->loop, HostAddress { ip, this->settings.internalPort }, callTimeout, this->bytes);
+    this->tasks.add(
+            callJoin(*connection, request).then(std::move(onHint)).attach(std::move(connection)));
 }
 
 // Removes the identity of the data folder and searches for the group again: the folder was a stale
@@ -368,7 +408,7 @@
 
 void GroupMember::taskFailed(kj::Exception && /*exception*/)
 {
-    // A silent slot is called again.
+    // A host that has not answered is called again.
 }
 
 } // namespace cassiaroad
--- a/src/registry/groupmember.h
+++ b/src/registry/groupmember.h
@@ -4,6 +4,7 @@
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
 #include "registry/groupsearch.h"
+#include "registry/lostcontact.h"
 #include "registry/slotcalls.h"
 #include "version/memberlist.h"
 
@@ -83,6 +84,9 @@
     void onHint(const GroupHint &hint);
     void join(const StartMember &start);
     void callSilentSlots();
+    void askForMembers();
+    void callOnce(const std::string &ip, const std::string &request,
+                  std::function<void(const GroupHint &)> onHint);
     void scheduleSearch();
     Settings replicaSettings(std::uint32_t slot) const;
     std::string logFolder() const;
@@ -107,6 +111,7 @@
     std::unique_ptr<ReplicaDriver> driver;
     GroupSearch search;
     SlotCalls slotCalls;
+    LostContact lostContact;
     EventLoop::Timer slotTimer;
     EventLoop::Timer restartTimer;
     kj::TaskSet tasks;
--- a/tests/registry/test_replacedmembers.cpp
+++ b/tests/registry/test_replacedmembers.cpp
@@ -124,3 +124,23 @@
     EXPECT_EQ(this->addHost(3, false).engine.start(), "");
     EXPECT_TRUE(this->waitUntilComplete({ 6000 }));
 }
+
+// Guards against a member that restarts with its data after all others were replaced, and never
+// asks the hosts of its settings, which know the present members.
+TEST_F(ReplacedMembersTest, learnTheMembersFromTheirSeedsAfterAnAbsence)
+{
+    ASSERT_TRUE(this->waitUntilComplete());
+    ASSERT_TRUE(this->replaceHost(0, 3)); // the data of host 0 remain
+    this->seedIndexes = { 1, 2, 3 };
+    ASSERT_TRUE(this->replaceHost(0, 4));
+    this->seedIndexes = { 2, 3, 4 };
+    ASSERT_TRUE(this->replaceHost(0, 5));
+    this->seedIndexes = { 3, 4, 5 };
+    EXPECT_EQ(this->addHost(0, false).engine.start(), "");
+    EXPECT_TRUE(waitUntil(this->loop,
+                          [this] {
+                              return this->hosts.back()->engine.member().hint().members
+                                     == this->hosts.front()->engine.member().hint().members;
+                          },
+                          { 6000 }));
+}
