gateway: Count the deadline of a request from the arrival of its head

Cause: GatewayRequest took the time at which the whole request had arrived, since h2o hands a request on with its body. A body that arrived slowly gave the request its whole deadline anew, and the upstream was told of more time than the client had left.

Change: the reader notes when the head of an HTTP/1.1 request is complete, also of a pipelined one; for HTTP/2, whose streams it does not see, the time comes from h2o's time stamps (wall clock, kept within the life of the connection). The deadline, the time left that upstreams are told, cassiaroad_gateway_seconds and `ms` of the log count from there. A request whose deadline has passed when its body is complete is refused as not run. Waits for an owner count from when the request was complete, as before.

--- a/src/connection/h2oexchange.cpp
+++ b/src/connection/h2oexchange.cpp
@@ -110,9 +110,11 @@
 
 bool H2oExchange::answering = false;
 
-H2oExchange::H2oExchange(st_h2o_req_t *request, std::shared_ptr<ServerConnection> connection)
+H2oExchange::H2oExchange(st_h2o_req_t *request, std::shared_ptr<ServerConnection> connection,
+                         TimePoint arrivedAt)
     : request(request)
     , connection(std::move(connection))
+    , headArrivedAt(arrivedAt)
 {
     ++this->connection->openExchanges;
 }
--- a/src/connection/h2oexchange.h
+++ b/src/connection/h2oexchange.h
@@ -15,13 +15,15 @@
 {
 public:
     /** Precondition: @p request arrived on @p connection and is being handled. */
-    H2oExchange(st_h2o_req_t *request, std::shared_ptr<ServerConnection> connection);
+    H2oExchange(st_h2o_req_t *request, std::shared_ptr<ServerConnection> connection,
+                TimePoint arrivedAt);
 
     std::string_view method() const override;
     std::string_view path() const override;
     std::string_view header(std::string_view lowerCaseName) const override;
     std::vector<std::pair<std::string_view, std::string_view>> headers() const override;
     std::string_view body() const override;
+    TimePoint arrivedAt() const override { return this->headArrivedAt; }
     void answer(int status, std::vector<std::pair<std::string, std::string>> headers,
                 std::string body) override;
     bool isClientGone() const override { return this->clientGone; }
@@ -53,6 +55,7 @@
 
     st_h2o_req_t *request;
     std::shared_ptr<ServerConnection> connection;
+    TimePoint headArrivedAt;
     std::function<void()> clientGoneCallback;
     bool clientGone = false;
     bool answered = false;
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -6,6 +6,8 @@
 #include "connection/requestreader.h"
 #include "connection/serverconnection.h"
 
+#include <algorithm>
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -115,6 +117,8 @@
     void acceptOne(h2o_socket_t *listener);
     /** Sends an error response and closes the connection after it. */
     int refuse(h2o_req_t *request, int status, const char *reason);
+    /** Returns when the head of a complete request was complete. */
+    TimePoint headArrival(const h2o_req_t &request, ServerConnection &connection);
     /** Answers the request that is still arriving, and closes the connection. */
     void refuseEarly(ServerConnection &connection, int status);
     /** Checks all connections; deletes this if the server is destroyed and none is left. */
@@ -263,12 +267,27 @@
         request->http1_is_persistent = 0;
     }
     connection->receiving = false;
-    auto exchange = std::make_shared<H2oExchange>(request, connection->shared_from_this());
+    auto exchange = std::make_shared<H2oExchange>(request, connection->shared_from_this(),
+                                                  d->headArrival(*request, *connection));
     H2oExchange::attach(exchange);
     d->handler(std::move(exchange));
     return 0;
 }
 
+// The reader does not see the streams of HTTP/2. h2o notes the arrival of their heads by the wall
+// clock, so that the result is kept within the life of the connection.
+TimePoint HttpServer::Private::headArrival(const h2o_req_t &request, ServerConnection &connection)
+{
+    const TimePoint now = this->loop.now();
+    if (request.version < http2Version) {
+        return std::exchange(connection.headArrivedAt, std::nullopt).value_or(now);
+    }
+    timeval begun = request.timestamps.request_begin_at;
+    timeval *wallClock = h2o_get_timestamp(&this->context, nullptr, nullptr);
+    const Milliseconds age { h2o_timeval_subtract(&begun, wallClock) / 1000 };
+    return std::clamp(now - age, connection.acceptedAt, now);
+}
+
 void HttpServer::Private::onAcceptable(h2o_socket_t *listener, const char *error)
 {
     if (error != nullptr) {
@@ -297,7 +316,8 @@
     auto connection = std::make_shared<ServerConnection>();
     connection->server = this;
     connection->socket = socket;
-    connection->idleSince = this->loop.now();
+    connection->acceptedAt = this->loop.now();
+    connection->idleSince = connection->acceptedAt;
     socket->on_close.cb = &Private::onClosed;
     socket->on_close.data = connection.get();
     this->connections.insert(connection);
--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -149,6 +149,7 @@
         this->refuse(connection, headersTooLarge);
         return false;
     }
+    this->noteHead(connection);
     const std::optional<std::uint64_t> length = contentLength(input.substr(0, headSize));
     connection.isLengthUnknown = !length;
     if (!length) {
@@ -249,6 +250,7 @@
         }
         if (isRead) {
             this->release(*connection, inputOf(*connection).size());
+            this->noteHead(*connection);
         } else {
             this->ended.push_back(connection); // h2o still writes
         }
@@ -259,6 +261,16 @@
     }
 }
 
+// Notes that the head of a pipelined request arrived with the request before it.
+void RequestReader::noteHead(ServerConnection &connection)
+{
+    const std::string_view input = inputOf(connection);
+    if (connection.readCallback == connection.http1Callback && !connection.headArrivedAt
+        && findHeadEnd(input.substr(0, maxRequestHeadBytes)) > 0) {
+        connection.headArrivedAt = this->loop.now();
+    }
+}
+
 // Lowers the reservation of a connection to @p size bytes.
 void RequestReader::release(ServerConnection &connection, std::size_t size)
 {
--- a/src/connection/requestreader.h
+++ b/src/connection/requestreader.h
@@ -72,6 +72,7 @@
     void resumeWaiting();
     void checkWaiting();
     void takeOverEnded();
+    void noteHead(ServerConnection &connection);
     void release(ServerConnection &connection, std::size_t size);
 
     using Connections = std::list<std::shared_ptr<ServerConnection>>;
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -22,6 +22,7 @@
 {
     void *server = nullptr; // HttpServer::Private
     h2o_socket_t *socket = nullptr; // null once closed
+    TimePoint acceptedAt;
     TimePoint idleSince; // when it was accepted or its last exchange ended
     TimePoint receivingSince; // when the incomplete request began to arrive; valid if receiving
     bool receiving = false; // h2o has buffered a part of a request
@@ -35,6 +36,8 @@
     std::size_t reservedBytes = 0; // of the reader's memory
     std::size_t expectedBytes = 0; // head and body of the request that arrives; 0 if not known
     bool isLengthUnknown = false; // the head is complete and does not tell the length
+    // When the head of the HTTP/1.1 request that still arrives was complete.
+    std::optional<TimePoint> headArrivedAt;
     TimePoint waitingSince; // when its request began to wait for memory; valid if it waits
     std::optional<TimePoint> unreadSince; // last progress of the response, as the sweep saw it
     std::uint64_t acknowledgedBytes = 0; // at unreadSince
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -96,7 +96,8 @@
     : core(core)
     , exchange(std::move(exchange))
     , id(core.nextRequestId())
-    , arrivedAt(core.eventLoop().now())
+    , arrivedAt(this->exchange->arrivedAt())
+    , receivedAt(core.eventLoop().now())
     , responseDeadline(this->arrivedAt + defaultClientTimeout)
 { }
 
@@ -146,6 +147,11 @@
     this->exchange->onClientGone(this->callback(&GatewayRequest::onClientGone));
     this->deadlineTimer = this->core.eventLoop().callAfter(
             this->timeLeft(), this->callback(&GatewayRequest::onDeadline));
+    // The body may have arrived too late.
+    if (this->timeLeft() == Milliseconds {}) {
+        this->onDeadline();
+        return;
+    }
     this->dispatch();
 }
 
@@ -239,7 +245,7 @@
 bool GatewayRequest::canWaitFor(Milliseconds pause) const
 {
     const Milliseconds spareTime = this->timeLeft() - this->typicalDuration();
-    const Milliseconds waited = this->core.eventLoop().now() - this->arrivedAt;
+    const Milliseconds waited = this->core.eventLoop().now() - this->receivedAt;
     return pause <= spareTime && waited + pause <= this->maxOwnerWait();
 }
 
@@ -324,7 +330,7 @@
     this->send();
 }
 
-// Returns how long after its arrival the request may wait for an upstream that can take it.
+// Returns how long after it was received the request may wait for an upstream that can take it.
 Milliseconds GatewayRequest::maxOwnerWait() const
 {
     return std::max(minOwnerWait, this->route->targetLatency / 2);
@@ -335,7 +341,7 @@
 {
     const TimePoint now = this->core.eventLoop().now();
     const Milliseconds spareTime = this->timeLeft() - this->typicalDuration();
-    const Milliseconds wait = std::min(this->arrivedAt + this->maxOwnerWait() - now, spareTime);
+    const Milliseconds wait = std::min(this->receivedAt + this->maxOwnerWait() - now, spareTime);
     if (wait <= Milliseconds {}) {
         this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "key has no owner");
         return;
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -82,7 +82,8 @@
     GatewayCore &core;
     std::shared_ptr<HttpExchange> exchange;
     GatewayRequestId id;
-    TimePoint arrivedAt;
+    TimePoint arrivedAt; // of the head
+    TimePoint receivedAt; // of the whole request
     TimePoint responseDeadline;
     Milliseconds clientTimeout { 0 }; // time from arrival for which the client waits
     std::shared_ptr<const ActiveConfiguration> active; // keeps `route` valid
