gateway: Apply the limits of the configuration to clients

Cause: the `limits` of a configuration were decoded, but the listener for clients had fixed ones: 32 KiB for heads, 64 MiB for bodies, 60 s for idle connections, and none of its own for heads.

Change: HttpServer::setLimits() changes the limits of a listener, also for open connections and for requests that still arrive; withClientLimits() decides which limits a gateway uses, and each gateway applies those of the configuration in use. The size of an HTTP/1.1 head is that of its bytes. The timeout of heads counts from the first byte, not while the request waits for memory.

Before (the same tests with setLimits() empty, heads without timeout and frames not noted): appliesChangedLimitsToOpenConnections, closesConnectionsWhoseHeadTakesTooLong and keepsAnHttp2ConnectionWhileABodyArrives failed; keepsAConnectionWithARequestBeyondTheIdleTimeout guards what held already. After: all of test_connection and test_gateway passed.

That the gateway process calls setLimits() is not covered by a test; 413 before the body over HTTP/2 was not tried.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -112,6 +112,9 @@
     static void markGeneratedResponses(h2o_filter_t *self, h2o_req_t *request,
                                        h2o_ostream_t **slot);
 
+    void setLimits(const HttpServerLimits &changed);
+    /** Whether the head of a complete request is larger than the limit. */
+    bool isHeadTooLarge(const h2o_req_t &request, const ServerConnection &connection) const;
     /** Accepts connections that wait, at most @p maxCount. */
     void acceptConnections(int maxCount);
     void acceptOne(h2o_socket_t *listener);
@@ -125,6 +128,7 @@
     void sweep();
     /** Enforces the timeouts of @p connection, or detects that its client has disconnected. */
     void sweepConnection(ServerConnection &connection, TimePoint now);
+    bool isHeadLate(const ServerConnection &connection, TimePoint now) const;
     /** Ends a connection whose client does not read its response. */
     void sweepUnread(ServerConnection &connection, TimePoint now);
     void closeListener();
@@ -168,7 +172,7 @@
     : loop(loop)
     , limits(limits)
     , handler(std::move(handler))
-    , reader(loop, { limits.maxRequestBytes, limits.maxMemoryWait },
+    , reader(loop, { limits.maxRequestBytes, limits.maxMemoryWait, limits.maxHeadBytes },
              [this](ServerConnection &connection, int status) {
                  this->refuseEarly(connection, status);
              })
@@ -178,9 +182,9 @@
     h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("cassiaroad"));
-    this->config.max_request_entity_size = limits.maxBodyBytes;
     this->config.http1.req_timeout = h2oRequestTimeout;
-    this->config.http2.idle_timeout = static_cast<std::uint64_t>(limits.idleTimeout.count);
+    this->config.http2.idle_timeout = h2oRequestTimeout;
+    this->setLimits(limits);
     h2o_hostconf_t *host
             = h2o_config_register_host(&this->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     h2o_pathconf_t *path = h2o_config_register_path(host, "/", 0);
@@ -200,6 +204,13 @@
     this->sweepTimer = loop.callEvery(sweepInterval, [this] { this->sweep(); });
 }
 
+void HttpServer::Private::setLimits(const HttpServerLimits &changed)
+{
+    this->limits = changed;
+    this->config.max_request_entity_size = changed.maxBodyBytes;
+    this->reader.setMaxHeadBytes(changed.maxHeadBytes);
+}
+
 HttpServer::Private::~Private()
 {
     // h2o_context_request_shutdown leaves this timer linked for a second, and h2o_context_dispose
@@ -254,7 +265,7 @@
     if (d->serverDestroyed || connection->closing) {
         return d->refuse(request, 503, "Service Unavailable");
     }
-    if (headBytes(*request) > maxRequestHeadBytes) {
+    if (d->isHeadTooLarge(*request, *connection)) {
         return d->refuse(request, 431, "Request Header Fields Too Large");
     }
     const bool http1 = request->version < http2Version;
@@ -274,6 +285,17 @@
     return 0;
 }
 
+// h2o keeps the bytes of an HTTP/1.1 request in the socket's buffer until it is answered.
+bool HttpServer::Private::isHeadTooLarge(const h2o_req_t &request,
+                                         const ServerConnection &connection) const
+{
+    const std::size_t limit = this->limits.maxHeadBytes;
+    const std::string_view input { connection.socket->input->bytes,
+                                   connection.socket->input->size };
+    const bool http1 = request.version < http2Version;
+    return headBytes(request) > limit || (http1 && findHeadEnd(input.substr(0, limit)) == 0);
+}
+
 // The reader does not see the streams of HTTP/2. h2o notes the arrival of their heads by the wall
 // clock, so that the result is kept within the life of the connection.
 TimePoint HttpServer::Private::headArrival(const h2o_req_t &request, ServerConnection &connection)
@@ -385,6 +407,10 @@
         connection.receiving = true;
         connection.receivingSince = now;
     }
+    if (this->isHeadLate(connection, now)) {
+        shutDownSocket(connection);
+        return;
+    }
     const Milliseconds maxReceiveDuration = this->limits.receiveGracePeriod
                                             + Milliseconds { buffered * 1000 / minBytesPerSecond };
     if (now - connection.receivingSince > maxReceiveDuration) {
@@ -392,6 +418,14 @@
     }
 }
 
+// A request that waits for memory is not late by its client's fault.
+bool HttpServer::Private::isHeadLate(const ServerConnection &connection, TimePoint now) const
+{
+    return connection.readCallback == connection.http1Callback && !connection.headArrivedAt
+           && !connection.waitingSince
+           && now - connection.receivingSince > this->limits.headTimeout;
+}
+
 void HttpServer::Private::sweepUnread(ServerConnection &connection, TimePoint now)
 {
     const std::uint64_t acknowledged = acknowledgedBytes(connection.socket);
@@ -458,6 +492,11 @@
     return {};
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    this->d->setLimits(limits);
+}
+
 void HttpServer::closeAfterNextResponse()
 {
     this->d->closesAfterResponse = true;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -62,6 +62,9 @@
     // refused as not run after maxMemoryWait, or at once if it is larger than the bound.
     std::size_t maxRequestBytes = 80UL * 1024 * 1024;
     Milliseconds maxMemoryWait { 4000 };
+    std::size_t maxHeadBytes = 32UL * 1024; // of a request; a larger head gets 431
+    // A connection whose request has no complete head after this time is closed.
+    Milliseconds headTimeout { 60000 };
 
     bool operator==(const HttpServerLimits &) const = default;
 };
@@ -91,6 +94,12 @@
     /** Binds and listens; port 0 picks a free port. Returns an empty text, or an error message. */
     std::string listen(const HostAddress &address);
 
+    /**
+     * Changes the limits, also for open connections and for requests that still arrive, except
+     * those of the memory, which stay as they are.
+     */
+    void setLimits(const HttpServerLimits &limits);
+
     /** From now on, closes each HTTP/1.1 connection after its next response, which announces it. */
     void closeAfterNextResponse();
 
--- a/src/connection/requesthead.h
+++ b/src/connection/requesthead.h
@@ -7,9 +7,6 @@
 
 namespace cassiaroad {
 
-/** Upper bound of the head of a request. */
-constexpr std::size_t maxRequestHeadBytes = 32UL * 1024;
-
 /** Returns the size of the request head at the start of @p input, or 0 if its end is missing. */
 std::size_t findHeadEnd(std::string_view input);
 
--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -109,12 +109,26 @@
         return false;
     }
     socket->input->size += static_cast<std::size_t>(count);
+    this->noteBytes(connection);
     socket->bytes_read = static_cast<std::size_t>(count);
     total += static_cast<std::size_t>(count);
     return deliver(connection, nullptr) && this->checkIncomplete(connection)
            && static_cast<std::size_t>(count) == size;
 }
 
+// The head of an HTTP/1.1 request begins to arrive, or HTTP/2 has frames, also of a body that h2o
+// has not handed on yet: its connection is not idle.
+void RequestReader::noteBytes(ServerConnection &connection)
+{
+    const TimePoint now = this->loop.now();
+    if (connection.readCallback != connection.http1Callback) {
+        connection.idleSince = now;
+    } else if (!connection.receiving) {
+        connection.receiving = true;
+        connection.receivingSince = now;
+    }
+}
+
 bool RequestReader::deliver(ServerConnection &connection, const char *error)
 {
     const std::shared_ptr<ServerConnection> keepAlive = connection.shared_from_this();
@@ -141,9 +155,9 @@
     if (!isHttp1 || input.empty() || connection.expectedBytes > 0 || connection.isLengthUnknown) {
         return true;
     }
-    const std::size_t headSize = findHeadEnd(input.substr(0, maxRequestHeadBytes));
+    const std::size_t headSize = findHeadEnd(input.substr(0, this->limits.maxHeadBytes));
     if (headSize == 0) {
-        if (input.size() <= maxRequestHeadBytes) {
+        if (input.size() <= this->limits.maxHeadBytes) {
             return true;
         }
         this->refuse(connection, headersTooLarge);
@@ -208,6 +222,7 @@
             continue;
         }
         entry = this->waiting.erase(entry);
+        connection->waitingSince.reset();
         h2o_socket_read_start(connection->socket, &RequestReader::onReadable);
     }
 }
@@ -266,7 +281,7 @@
 {
     const std::string_view input = inputOf(connection);
     if (connection.readCallback == connection.http1Callback && !connection.headArrivedAt
-        && findHeadEnd(input.substr(0, maxRequestHeadBytes)) > 0) {
+        && findHeadEnd(input.substr(0, this->limits.maxHeadBytes)) > 0) {
         connection.headArrivedAt = this->loop.now();
     }
 }
--- a/src/connection/requestreader.h
+++ b/src/connection/requestreader.h
@@ -24,6 +24,7 @@
     {
         std::size_t maxBytes = 0; // that all requests hold
         Milliseconds maxWait; // of one request until it fits
+        std::size_t maxHeadBytes = 0; // of an HTTP/1.1 request
     };
 
     /** Answers the request that arrives on the connection with this status, and closes it. */
@@ -37,6 +38,9 @@
     /** Reads for @p connection from now on. Precondition: h2o has just begun to read from it. */
     void start(ServerConnection &connection);
 
+    /** Changes the largest head, also for requests that still arrive. */
+    void setMaxHeadBytes(std::size_t size) { this->limits.maxHeadBytes = size; }
+
     /** A request of @p connection has ended, and h2o is about to read the next one. */
     void onRequestEnded(ServerConnection &connection);
 
@@ -73,6 +77,7 @@
     void checkWaiting();
     void takeOverEnded();
     void noteHead(ServerConnection &connection);
+    void noteBytes(ServerConnection &connection);
     void release(ServerConnection &connection, std::size_t size);
 
     using Connections = std::list<std::shared_ptr<ServerConnection>>;
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -38,7 +38,7 @@
     bool isLengthUnknown = false; // the head is complete and does not tell the length
     // When the head of the HTTP/1.1 request that still arrives was complete.
     std::optional<TimePoint> headArrivedAt;
-    TimePoint waitingSince; // when its request began to wait for memory; valid if it waits
+    std::optional<TimePoint> waitingSince; // when its request began to wait for memory
     std::optional<TimePoint> unreadSince; // last progress of the response, as the sweep saw it
     std::uint64_t acknowledgedBytes = 0; // at unreadSince
     H2oExchange *watchedExchange = nullptr; // is notified when the client closes the connection
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/metricsserver.h"
 #include "gateway/gatewayrequest.h"
+#include "gateway/listenerlimits.h"
 #include "gateway/registrywatcher.h"
 #include "gateway/stopschedule.h"
 #include "process/settingswatcher.h"
@@ -50,9 +51,11 @@
                   { [this] { return this->core.takeReport(); },
                     [this](const GatewayUpdate &update, TimePoint confirmedAt) {
                         this->core.update(update, confirmedAt);
+                        this->applyLimits();
                     },
                     [this](const GatewayUpdate &update, TimePoint confirmedAt) {
                         this->core.lateUpdate(update, confirmedAt);
+                        this->applyLimits();
                     } })
         , callers(loop, clientLimits(settings),
                   [this](std::shared_ptr<HttpExchange> exchange) {
@@ -75,6 +78,7 @@
 private:
     bool isReady() const;
     void handleReadiness(HttpExchange &exchange);
+    void applyLimits();
     void updateMetrics();
     void finish();
 
@@ -89,6 +93,7 @@
     HttpServer readiness;
     MetricsServer metricsServer;
     SettingsWatcher settingsWatcher;
+    std::weak_ptr<const ActiveConfiguration> limitsFrom; // whose limits are applied
     bool stopping = false;
     EventLoop::Timer closeTimer;
     EventLoop::Timer refusalTimer;
@@ -119,6 +124,18 @@
     return !this->stopping && this->core.view().active && this->core.view().table;
 }
 
+// Applies the limits that the configuration in use carries.
+void GatewayProcess::applyLimits()
+{
+    const std::shared_ptr<const ActiveConfiguration> &active = this->core.view().active;
+    if (!active || active == this->limitsFrom.lock()) {
+        return;
+    }
+    this->limitsFrom = active;
+    this->callers.setLimits(
+            withClientLimits(clientLimits(this->settings), active->configuration.limits));
+}
+
 void GatewayProcess::handleReadiness(HttpExchange &exchange)
 {
     if (exchange.path() != this->codec.readinessPath()) {
--- a/tests/connection/test_httpserver.cpp
+++ b/tests/connection/test_httpserver.cpp
@@ -300,3 +300,74 @@
     EXPECT_TRUE(this->receives(client, "echo:"));
     EXPECT_EQ(this->requests, (std::vector<std::string> { "GET / " }));
 }
+
+// Guards against open connections that keep the limits with which they were opened.
+TEST_F(HttpServerTest, appliesChangedLimitsToOpenConnections)
+{
+    this->start({ 1 << 20, 100 });
+    RawClient largeBody(this->server->port());
+    RawClient largeHead(this->server->port());
+    RawClient idle(this->server->port());
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->server->connectionCount() == 3; }));
+    HttpServerLimits limits { 1024, 100, { 60000 }, { 300 } };
+    limits.maxHeadBytes = 2048;
+    this->server->setLimits(limits);
+    largeBody.write("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 2000\r\n\r\n");
+    EXPECT_TRUE(this->receives(largeBody, " 413 "));
+    largeHead.write("GET /a HTTP/1.1\r\nhost: x\r\nx: " + std::string(3000, 'y') + "\r\n\r\n");
+    EXPECT_TRUE(this->receives(largeHead, " 431 "));
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return idle.isClosedByServer(); }, { 2000 }));
+    EXPECT_TRUE(this->requests.empty());
+}
+
+// Guards against clients that occupy connections with heads that never end. A slow body has more
+// time.
+TEST_F(HttpServerTest, closesConnectionsWhoseHeadTakesTooLong)
+{
+    HttpServerLimits limits { 1024, 100 };
+    limits.headTimeout = { 300 };
+    this->start(limits);
+    RawClient head(this->server->port());
+    head.write("GET /a HTTP/1.1\r\nx: ");
+    RawClient body(this->server->port());
+    body.write("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\n1");
+    EXPECT_TRUE(waitUntil(this->loop,
+                          [&] {
+                              head.write("y");
+                              return head.isClosedByServer();
+                          },
+                          { 1500 }));
+    runFor(this->loop, { 1100 });
+    body.write("2345");
+    EXPECT_TRUE(this->receives(body, "echo:12345"));
+}
+
+// Guards against closing a connection as idle while its request is in progress.
+TEST_F(HttpServerTest, keepsAConnectionWithARequestBeyondTheIdleTimeout)
+{
+    this->answersAtOnce = false;
+    this->start({ 1024, 100, { 60000 }, { 300 } });
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return this->open.size() == 1; }));
+    runFor(this->loop, { 1500 });
+    EXPECT_FALSE(client.isClosedByServer());
+    this->open[0]->answer(200, {}, "complete");
+    EXPECT_TRUE(this->receives(client, "complete"));
+}
+
+// Guards against closing an HTTP/2 connection as idle while the body of a request arrives.
+TEST_F(HttpServerTest, keepsAnHttp2ConnectionWhileABodyArrives)
+{
+    this->start({ 1024, 100, { 60000 }, { 700 } });
+    RawClient client(this->server->port());
+    client.write(std::string_view("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0", 33));
+    // HEADERS, END_HEADERS, stream 1: POST, http, /, authority "x"; then DATA of one byte each.
+    client.write(std::string_view("\0\0\6\1\4\0\0\0\1\x83\x86\x84\x41\1x", 15));
+    for (int i = 0; i < 10; ++i) {
+        runFor(this->loop, { 200 });
+        client.write(std::string_view("\0\0\1\0\0\0\0\0\1z", 10));
+    }
+    client.write(std::string_view("\0\0\1\0\1\0\0\0\1z", 10));
+    EXPECT_TRUE(this->receives(client, "echo:"));
+}
