registry, gateway: Evacuate an availability zone on an operator's order

An operator orders that nothing more is sent to the upstreams of one zone, and withdraws that later (Evacuation.Start and Evacuation.End of the platform). Before: both calls got 404. The only way to spare a zone was to stop its upstreams. After: the order is a command of the replicated log and is acknowledged when it is committed. Its keys move by the path of a draining upstream; gateways send it nothing, also not on kept connections, as repeats or from queues, and redirect what waits for room or for a connection there. A service without upstreams in another zone is refused at once with Retry-After. An unknown zone gets 404 with a reason. Changed tests: the gateway fixture and the site simulation got zones; RegistryState.survivesItsEncoding and commandsSurviveTheirEncoding and the property of RoutingChange also cover evacuations.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -65,7 +65,8 @@
     this->idleTimer = loop.callEvery(idleCheckInterval, [this] {
         this->httpClient.closeIdleLongerThan(connectionIdleTimeout);
         for (const auto &[id, upstream] : this->upstreams) {
-            this->httpClient.trimIdle(upstream->upstream().address, maxIdleConnections);
+            this->httpClient.trimIdle(upstream->upstream().address,
+                                      upstream->isEvacuated() ? 0 : maxIdleConnections);
         }
     });
 }
@@ -98,6 +99,8 @@
     if (this->routing.version() >= update.version) {
         this->routing.confirmedAt = std::max(this->routing.confirmedAt, confirmedAt);
     }
+    const std::set<std::string> evacuatedBefore
+            = this->routing.table ? this->routing.table->evacuatedZones : std::set<std::string>();
     // The table of a leader of an earlier term has a lower tag and is ignored.
     const bool hasNewTable = this->updateRoutingTable(update);
     if (this->routing.tableTag == update.tableTag) {
@@ -112,6 +115,7 @@
         budget.setGateways(update.gateways, this->routing.gatewaysConfirmedAt);
     }
     if (hasNewTable) {
+        this->applyEvacuations(evacuatedBefore);
         this->resumeTableWaits();
     }
 }
@@ -182,6 +186,7 @@
     for (const RoutedUpstream &routed : table.upstreams) {
         std::shared_ptr<GatewayUpstream> upstream = this->upstreamOf(routed);
         upstream->setRouted(routed, this->routing.tableConfirmedAt);
+        upstream->setEvacuated(table.evacuatedZones.contains(routed.upstream.zone));
         listed.emplace(routed.upstream.incarnation.id, std::move(upstream));
     }
     for (const auto &[id, upstream] : this->upstreams) {
@@ -279,7 +284,7 @@
     GatewayUpstreams usable;
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteUpstream &known = upstream->upstream();
-        if (known.service == service && !upstream->isLeaving() && !upstream->isReplaced()
+        if (known.service == service && upstream->mayBeGivenWork()
             && std::find(tried.begin(), tried.end(), id) == tried.end()) {
             usable.push_back(upstream);
         }
@@ -351,9 +356,10 @@
     }
 }
 
-void GatewayCore::waitForCapacity(GatewayRequestId id, std::function<void()> start)
+void GatewayCore::waitForCapacity(GatewayRequestId id, std::function<void()> start,
+                                  std::function<void()> redirect)
 {
-    this->capacityWaits.emplace(id, std::move(start));
+    this->capacityWaits.emplace(id, CapacityWait { std::move(start), std::move(redirect) });
 }
 
 void GatewayCore::stop(Milliseconds refuseNew)
@@ -396,7 +402,7 @@
             upstream.admission().finishWithoutResponse();
             continue;
         }
-        const std::function<void()> start = std::move(found->second);
+        const std::function<void()> start = std::move(found->second.start);
         this->capacityWaits.erase(found);
         start();
     }
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -74,8 +74,12 @@
     std::uint64_t waitForTableChange(std::function<void()> resume);
     void cancelTableWait(std::uint64_t number) { this->tableWaits.erase(number); }
 
-    /** Calls @p start once, when the upstream at which the request waits has capacity for it. */
-    void waitForCapacity(GatewayRequestId id, std::function<void()> start);
+    /**
+     * Calls @p start once, when the upstream at which the request waits has capacity for it, or
+     * @p redirect if that upstream may get no more requests before.
+     */
+    void waitForCapacity(GatewayRequestId id, std::function<void()> start,
+                         std::function<void()> redirect);
     void cancelCapacityWait(GatewayRequestId id) { this->capacityWaits.erase(id); }
     /** Starts waiting requests of @p upstream; must be called when a request there has ended. */
     void startWaitingRequests(GatewayUpstream &upstream);
@@ -134,6 +138,16 @@
     GatewayUpstreams usableUpstreams(const std::string &service,
                                      const std::vector<std::string> &tried) const;
     void resumeTableWaits();
+    void applyEvacuations(const std::set<std::string> &before);
+    void applyEvacuation(const EvacuationChange &change);
+    std::size_t redirectWaiting(GatewayUpstream &upstream);
+
+    /** What a request that waits for capacity of its upstream does next; see waitForCapacity(). */
+    struct CapacityWait
+    {
+        std::function<void()> start;
+        std::function<void()> redirect;
+    };
 
     EventLoop &loop;
     const SiteSettings &settings;
@@ -155,7 +169,7 @@
     std::map<std::pair<std::string, KeyNumber>, std::uint32_t> keyRequests; // since the last report
     std::uint32_t requestCount = 0; // since the last report
     std::map<std::uint64_t, std::function<void()>> tableWaits;
-    std::map<GatewayRequestId, std::function<void()>> capacityWaits;
+    std::map<GatewayRequestId, CapacityWait> capacityWaits;
     std::map<GatewayRequestId, std::function<void(StopStage)>> openRequests;
     std::uint64_t lastTableWait = 0;
     GatewayRequestId lastRequestId = 0;
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -69,6 +69,10 @@
         this->request.waitForPause(paused.timeLeft);
     }
     void operator()(const KeyWithoutOwner & /*none*/) const { this->request.waitForOwner(); }
+    void operator()(const ServiceEvacuated & /*service*/) const
+    {
+        this->request.refuseWithRetryAfter(outageRetryAfter, "all upstreams are evacuated");
+    }
     void operator()(const SuspectedOwner & /*owner*/) const
     {
         this->request.refuseWithRetryAfter(this->request.core.ownerReplacementDelay(),
@@ -324,6 +328,13 @@
     this->send();
 }
 
+// Called when the target, for whose capacity the request waits, may get no more requests.
+void GatewayRequest::leaveQueue()
+{
+    this->queuedDuration = this->core.eventLoop().now() - this->queuedAt;
+    this->dispatch();
+}
+
 // Returns how long after its arrival the request may wait for an upstream that can take it.
 Milliseconds GatewayRequest::maxOwnerWait() const
 {
@@ -370,7 +381,8 @@
         break;
     }
     this->queuedAt = now;
-    this->core.waitForCapacity(this->id, this->callback(&GatewayRequest::startFromQueue));
+    this->core.waitForCapacity(this->id, this->callback(&GatewayRequest::startFromQueue),
+                               this->callback(&GatewayRequest::leaveQueue));
     const Milliseconds spareTime = this->timeLeft() - this->typicalDuration() * 3 / 4;
     this->waitTimer = this->core.eventLoop().callAfter(
             std::max(spareTime, Milliseconds {}), [weak = this->weak_from_this()] {
@@ -464,6 +476,12 @@
     if (!this->call) {
         return;
     }
+    if (!this->call->isSent() && this->target->isEvacuated()) {
+        this->call.reset();
+        this->releaseUpstream();
+        this->dispatch();
+        return;
+    }
     const Milliseconds elapsed = this->core.eventLoop().now() - this->sentAt;
     if (!this->call->isSent() && elapsed >= this->core.connectMonitor().timeout()) {
         this->onConnectTimeout();
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -40,6 +40,7 @@
     void refuseBlocked();
     void recordBroken();
     void startFromQueue();
+    void leaveQueue();
     void send();
     HttpRequest buildRequest() const;
     void scheduleCallCheck();
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -42,6 +42,15 @@
      * @p previousTableAt, when the leader confirmed the previous table.
      */
     void setRouted(const RoutedUpstream &value, TimePoint previousTableAt);
+    /** Sets whether the upstream's zone is evacuated, so that it gets no requests. */
+    void setEvacuated(bool value) { this->evacuated = value; }
+    bool isEvacuated() const { return this->evacuated; }
+    /** Whether it may get requests that no key binds to it. */
+    bool mayBeGivenWork() const
+    {
+        return !this->saidLeavingAt && !this->replaced
+               && cassiaroad::mayBeGivenWork(this->routed.upstream, this->evacuated);
+    }
     /**
      * Whether it may have announced its shutdown so long ago that it no longer gets requests.
      * @p drainPeriod is how long upstreams serve after an announcement.
@@ -121,6 +130,7 @@
     TimePoint lastFailureAt;
     TimePoint suspectedUntil;
     bool replaced = false;
+    bool evacuated = false; // its zone is
     std::optional<TimePoint> leavingSince; // it announced its shutdown then or later
     TimePoint pausedUntil;
     std::optional<TimePoint> saidLeavingAt; // its first response that said so arrived then
--- a/src/gateway/upstreamselection.cpp
+++ b/src/gateway/upstreamselection.cpp
@@ -13,12 +13,17 @@
         return nullptr;
     }
     std::shared_ptr<GatewayUpstream> owner = core.upstream(range->upstream);
-    return owner && !owner->isReplaced() && !core.hasLeft(*owner) ? owner : nullptr;
+    const bool isUsable
+            = owner && !owner->isReplaced() && !owner->isEvacuated() && !core.hasLeft(*owner);
+    return isUsable ? owner : nullptr;
 }
 
 UpstreamSelection selectOwner(const GatewayCore &core, const UpstreamQuery &query)
 {
     std::shared_ptr<GatewayUpstream> owner = findOwner(core, query.service, *query.key);
+    if (!owner && core.view().table->isEvacuated(query.service)) {
+        return ServiceEvacuated {};
+    }
     if (!owner) {
         return KeyWithoutOwner {};
     }
@@ -43,6 +48,9 @@
     if (const auto pause = core.shortestPause(query.service, query.tried)) {
         return PausedUpstream { *pause };
     }
+    if (core.view().table->isEvacuated(query.service)) {
+        return ServiceEvacuated {};
+    }
     return NoUpstream {};
 }
 
@@ -65,7 +73,7 @@
     if (key) {
         return findOwner(core, service, *key) == upstream;
     }
-    return !upstream->isLeaving() && !upstream->isReplaced();
+    return upstream->mayBeGivenWork();
 }
 
 } // namespace cassiaroad
--- a/src/gateway/upstreamselection.h
+++ b/src/gateway/upstreamselection.h
@@ -29,6 +29,10 @@
 struct KeyWithoutOwner
 { };
 
+/** All upstreams of the service are in evacuated zones. */
+struct ServiceEvacuated
+{ };
+
 /** The owner of the key has stopped responding. */
 struct SuspectedOwner
 { };
@@ -43,8 +47,9 @@
 struct NoUpstream
 { };
 
-using UpstreamSelection = std::variant<SelectedUpstream, NoRoutingTable, KeyWithoutOwner,
-                                       SuspectedOwner, PausedUpstream, NoUpstream>;
+using UpstreamSelection
+        = std::variant<SelectedUpstream, NoRoutingTable, KeyWithoutOwner, ServiceEvacuated,
+                       SuspectedOwner, PausedUpstream, NoUpstream>;
 
 /** Selects the upstream for a request. Loop thread only. */
 UpstreamSelection selectUpstream(GatewayCore &core, const UpstreamQuery &query);
--- a/src/registry/commandlog.cpp
+++ b/src/registry/commandlog.cpp
@@ -1,5 +1,7 @@
 #include "registry/commandlog.h"
 
+#include "version/evacuationorder.h"
+
 namespace cassiaroad {
 
 namespace {
@@ -9,6 +11,7 @@
 {
     EventLog &log;
     PutOutcome outcome;
+    const RegistryState &state;
 
     void operator()(const PutConfiguration &put) const
     {
@@ -63,13 +66,26 @@
                                 { "handover", !moved.handover.empty() } } });
         }
     }
+
+    void operator()(const OrderEvacuation &ordered) const
+    {
+        const EvacuationScope scope = evacuationScope(ordered.order.zone, this->state);
+        this->log.write({ "evacuation",
+                          Event::Weight::Always,
+                          { { "zone", ordered.order.zone },
+                            { "started", ordered.order.started },
+                            { "upstreams", std::int64_t(scope.upstreams) },
+                            { "ranges", std::int64_t(scope.ranges) },
+                            { "ids", scope.ids } } });
+    }
 };
 
 } // namespace
 
-void logCommand(EventLog &log, const RegistryCommand &command, PutOutcome outcome)
+void logCommand(EventLog &log, const RegistryCommand &command, PutOutcome outcome,
+                const RegistryState &state)
 {
-    std::visit(CommandWriter { log, outcome }, command);
+    std::visit(CommandWriter { log, outcome, state }, command);
 }
 
 } // namespace cassiaroad
--- a/src/registry/commandlog.h
+++ b/src/registry/commandlog.h
@@ -7,8 +7,9 @@
 
 /**
  * Writes the event of a committed command, or one for each range that it transfers. @p outcome is
- * that of a configuration. Loop thread only.
+ * that of a configuration, @p state that after the command. Loop thread only.
  */
-void logCommand(EventLog &log, const RegistryCommand &command, PutOutcome outcome);
+void logCommand(EventLog &log, const RegistryCommand &command, PutOutcome outcome,
+                const RegistryState &state);
 
 } // namespace cassiaroad
--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -60,6 +60,8 @@
         this->handleLeave(exchange, leave->incarnation);
     } else if (const auto *put = std::get_if<PutConfigurationCall>(&call)) {
         this->handlePut(exchange, *put);
+    } else if (const auto *evacuation = std::get_if<EvacuationCall>(&call)) {
+        this->handleEvacuation(exchange, evacuation->order);
     } else if (std::holds_alternative<ReadConfigurationCall>(call)) {
         this->handleRead(exchange);
     } else if (const auto *malformed = std::get_if<MalformedCall>(&call)) {
@@ -140,6 +142,29 @@
     });
 }
 
+void ControlService::handleEvacuation(const Exchange &exchange, const EvacuationChange &order)
+{
+    this->engine.orderEvacuation(order, [this, exchange, order](const EvacuationResult &result) {
+        int status = statusUnavailable;
+        std::string body = "{}";
+        if (std::holds_alternative<std::monostate>(result)) {
+            status = statusOk;
+        } else if (const auto *unknown = std::get_if<UnknownZone>(&result)) {
+            status = statusNotFound;
+            body = this->codec.encodeRefusal(unknown->reason);
+        } else if (const auto *elsewhere = std::get_if<NotLeading>(&result)) {
+            this->redirect(exchange, *elsewhere);
+            return;
+        }
+        this->log.write({ "evacuation_answered",
+                          Event::Weight::Important,
+                          { { "zone", order.zone },
+                            { "started", order.started },
+                            { "status", std::int64_t(status) } } });
+        answer(exchange, status, std::move(body));
+    });
+}
+
 void ControlService::handleRead(const Exchange &exchange)
 {
     this->engine.read([this, exchange](const ReadResult &result) {
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -4,6 +4,7 @@
 #include "process/textpack.h"
 #include "registry/commandlog.h"
 #include "registry/leasecalllog.h"
+#include "version/evacuationorder.h"
 
 #include <algorithm>
 #include <utility>
@@ -81,6 +82,8 @@
                                     "Key ranges that changed their owner."))
     , putCount(metrics.counter("cassiaroad_registry_configurations_total",
                                "Configurations that were put in force."))
+    , evacuatedZones(metrics.gauge("cassiaroad_registry_evacuated_zones",
+                                   "Availability zones whose upstreams get no work."))
     , manager(this->state, timingOf(settings))
     , leaseCaller(
               loop, codec, [this] { return this->canAnswer(); },
@@ -122,6 +125,7 @@
         }
         this->state = std::move(*decoded);
     }
+    this->updateEvacuatedZones();
     this->configurationHistory = ConfigurationHistory();
     if (this->state.version() != 0) {
         this->configurationHistory.add(this->state.version(), this->state.document());
@@ -153,7 +157,8 @@
     if (const auto *transfer = std::get_if<TransferRanges>(&*command)) {
         this->transferCount.Increment(static_cast<double>(transfer->transfers.size()));
     }
-    logCommand(this->log, *command, outcome);
+    this->updateEvacuatedZones();
+    logCommand(this->log, *command, outcome, this->state);
     this->manager.onCommandEnded(*command);
     this->endProposal(proposal, true, outcome);
     if (!this->leading) {
@@ -163,6 +168,11 @@
     this->notifyGateways();
 }
 
+void RegistryEngine::updateEvacuatedZones()
+{
+    this->evacuatedZones.Set(static_cast<double>(this->state.evacuations().zones().size()));
+}
+
 // Removes a proposal that was committed or has failed; calls `done` after the last one of its
 // batch.
 void RegistryEngine::endProposal(std::uint64_t proposal, bool committed, PutOutcome outcome)
@@ -399,6 +409,32 @@
     });
 }
 
+void RegistryEngine::orderEvacuation(const EvacuationChange &order,
+                                     const std::function<void(EvacuationResult)> &done)
+{
+    this->whenLeadershipIsCertain(
+            [this, order, done] { this->handleCertainEvacuation(order, done); });
+}
+
+// Commits also an order that changes nothing: an opposite one may be on its way to be committed.
+void RegistryEngine::handleCertainEvacuation(const EvacuationChange &order,
+                                             const std::function<void(EvacuationResult)> &done)
+{
+    const WorkMeter::Scope scope(this->loop.workMeter(), Work::OperatorCalls);
+    if (!this->canAnswer() || !this->group.hasEnoughVoters()) {
+        done(this->notLeading());
+        return;
+    }
+    if (const auto reason = findUnknownZoneReason(order.zone, this->state, this->settings)) {
+        done(UnknownZone { *reason });
+        return;
+    }
+    this->commit({ OrderEvacuation { order } }, [done](bool committed, PutOutcome) {
+        done(committed ? EvacuationResult(std::monostate {})
+                       : EvacuationResult(CallOutcomeUnknown {}));
+    });
+}
+
 void RegistryEngine::read(const std::function<void(ReadResult)> &done)
 {
     this->whenLeadershipIsCertain([this, done] {
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -45,9 +45,18 @@
     bool operator==(const InvalidConfiguration &) const = default;
 };
 
+/** An order names a zone that the site does not have. */
+struct UnknownZone
+{
+    std::string reason;
+
+    bool operator==(const UnknownZone &) const = default;
+};
+
 using HeartbeatResult = std::variant<HeartbeatResponse, NotLeading, CallOutcomeUnknown>;
 using LeaveResult = std::variant<std::monostate, NotLeading, CallOutcomeUnknown>;
 using PutResult = std::variant<PutOutcome, InvalidConfiguration, NotLeading, CallOutcomeUnknown>;
+using EvacuationResult = std::variant<std::monostate, UnknownZone, NotLeading, CallOutcomeUnknown>;
 using ReadResult = std::variant<ConfigurationDocument, NotLeading>;
 
 /**
@@ -79,6 +88,9 @@
                const std::function<void(LeaveResult)> &done);
     /** Checks a configuration and puts it in effect; @p done is called once. */
     void put(const PutConfigurationCall &call, const std::function<void(PutResult)> &done);
+    /** Starts or ends the evacuation of a zone; @p done is called once, after the commit. */
+    void orderEvacuation(const EvacuationChange &order,
+                         const std::function<void(EvacuationResult)> &done);
     /** Reads the configuration in effect; @p done is called once. */
     void read(const std::function<void(ReadResult)> &done);
 
@@ -146,6 +158,9 @@
                             const std::function<void(LeaveResult)> &done);
     void handleCertainPut(const PutConfigurationCall &call,
                           const std::function<void(PutResult)> &done);
+    void handleCertainEvacuation(const EvacuationChange &order,
+                                 const std::function<void(EvacuationResult)> &done);
+    void updateEvacuatedZones();
     kj::Promise<GatewayWatchReply> handleCertainWatch(GatewayReport report, TimePoint calledAt);
     Milliseconds watchTimeout() const;
     void notifyGateways();
@@ -164,6 +179,7 @@
     prometheus::Counter &heartbeatCount;
     prometheus::Counter &transferCount;
     prometheus::Counter &putCount;
+    prometheus::Gauge &evacuatedZones;
 
     RegistryState state;
     RegistryManager manager;
--- a/src/request/upstreamadmission.cpp
+++ b/src/request/upstreamadmission.cpp
@@ -69,6 +69,15 @@
     return id;
 }
 
+std::vector<GatewayRequestId> UpstreamAdmission::takeWaiting()
+{
+    std::vector<GatewayRequestId> ids;
+    for (const auto &[position, request] : std::exchange(this->waiting, {})) {
+        ids.push_back(request.id);
+    }
+    return ids;
+}
+
 void UpstreamAdmission::remove(GatewayRequestId id)
 {
     std::erase_if(this->waiting, [&](const auto &entry) { return entry.second.id == id; });
--- a/src/request/upstreamadmission.h
+++ b/src/request/upstreamadmission.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace cassiaroad {
 
@@ -45,6 +46,9 @@
     /** Removes and returns the next request if there is capacity; it counts as in flight. */
     std::optional<GatewayRequestId> next();
 
+    /** Removes and returns all waiting requests in their order; none counts as in flight. */
+    std::vector<GatewayRequestId> takeWaiting();
+
     /** Removes a waiting request; does nothing if it does not wait. */
     void remove(GatewayRequestId id);
 
--- a/src/version/externalcodec.h
+++ b/src/version/externalcodec.h
@@ -3,6 +3,7 @@
 #include "version/leasecall.h"
 #include "version/siteconfiguration.h"
 #include "version/upstreamreport.h"
+#include "version/zoneevacuations.h"
 
 #include <string_view>
 #include <utility>
@@ -52,6 +53,12 @@
 struct ReadConfigurationCall
 { };
 
+/** An operator starts or ends the evacuation of an availability zone. */
+struct EvacuationCall
+{
+    EvacuationChange order;
+};
+
 /** A call with a known method and path whose content is invalid. */
 struct MalformedCall
 {
@@ -63,7 +70,7 @@
 { };
 
 using ControlCall = std::variant<HeartbeatCall, LeaveCall, PutConfigurationCall,
-                                 ReadConfigurationCall, MalformedCall, UnknownCall>;
+                                 ReadConfigurationCall, EvacuationCall, MalformedCall, UnknownCall>;
 
 /** A call before it is decoded. */
 struct ReceivedCall
@@ -108,6 +115,8 @@
     virtual std::string_view readinessPath() const = 0;
     virtual ControlCall decodeCall(const ReceivedCall &call) const = 0;
     virtual std::string encodeHeartbeatResponse(const HeartbeatResponse &response) const = 0;
+    /** Encodes the body of a response that refuses an operator's call. */
+    virtual std::string encodeRefusal(const std::string &reason) const = 0;
     virtual EncodedLeaseCall encodeLeaseCall(const LeaseCall &call) const = 0;
     /** Decodes the response to a LeaseCall; @p handover is the value of that header. */
     virtual LeaseCallResult decodeLeaseCallResponse(int status,
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -16,6 +16,12 @@
 // heartbeats of hundreds of upstreams would cause a search while new upstreams wait for keys.
 constexpr Milliseconds minPlanInterval { 25 };
 
+bool isInEvacuatedZone(const UpstreamIncarnation &incarnation, const RangeContext &context)
+{
+    const SiteUpstream *upstream = context.state.find(incarnation);
+    return upstream != nullptr && context.state.evacuations().contains(upstream->zone);
+}
+
 } // namespace
 
 RangeSupervisor::RangeSupervisor(std::string service, RangeTiming timing)
@@ -49,7 +55,7 @@
 {
     const SiteUpstream *upstream = context.state.find(incarnation);
     return upstream != nullptr && upstream->service == this->service
-           && upstream->phase == UpstreamPhase::Ready
+           && context.state.mayBeGivenWork(*upstream)
            && !context.monitor.isSilent(incarnation, context.now);
 }
 
@@ -72,7 +78,7 @@
     return result;
 }
 
-// Starts the release of all ranges of @p incarnation, which leaves.
+// Starts the release of all ranges of @p incarnation, which may not keep them.
 void RangeSupervisor::releaseAll(const UpstreamIncarnation &incarnation,
                                  const RangeContext &context)
 {
@@ -126,8 +132,8 @@
     return receivers;
 }
 
-// Starts the release of all ranges of @p incarnation if it leaves, or of one range if it is
-// overloaded.
+// Starts the release of all ranges of @p incarnation if it leaves or its zone is evacuated, or of
+// one range if it is overloaded.
 void RangeSupervisor::planReleases(const UpstreamIncarnation &incarnation,
                                    const RangeContext &context)
 {
@@ -135,7 +141,7 @@
     if (upstream == nullptr) {
         return;
     }
-    if (upstream->phase != UpstreamPhase::Ready) {
+    if (!context.state.mayBeGivenWork(*upstream)) {
         this->releaseAll(incarnation, context);
         return;
     }
@@ -332,12 +338,14 @@
     return transfers;
 }
 
-// Returns transfers that give ranges whose leases were refused a higher fencing token.
+// Returns transfers that give ranges whose leases were refused a higher fencing token. An upstream
+// of an evacuated zone is assigned none; its ranges go to other upstreams.
 std::vector<RangeTransfer> RangeSupervisor::renewRefused(const RangeContext &context)
 {
     std::vector<RangeTransfer> transfers;
     for (const RangeOwner &entry : this->table(context)->owners()) {
-        if (this->refused.contains(entry.fence) && !this->moving.overlaps(entry.range)) {
+        if (this->refused.contains(entry.fence) && !this->moving.overlaps(entry.range)
+            && !isInEvacuatedZone(entry.owner, context)) {
             transfers.push_back({ entry.range, entry.owner, entry.handover });
         }
     }
@@ -375,7 +383,7 @@
 RangePhase RangeSupervisor::phaseOf(const RangeOwner &entry, const RangeContext &context) const
 {
     const SiteUpstream *upstream = context.state.find(entry.owner);
-    if (upstream == nullptr) {
+    if (upstream == nullptr || isInEvacuatedZone(entry.owner, context)) {
         return RangePhase::Pending;
     }
     if (upstream->phase != UpstreamPhase::Ready) {
--- a/src/version/registryheartbeats.cpp
+++ b/src/version/registryheartbeats.cpp
@@ -70,7 +70,8 @@
     }
     this->rangeLeases.recordEnded(replaced.incarnation);
     RangeSupervisor *keyed = this->supervisor(report.service);
-    if (keyed == nullptr || report.draining) {
+    const SiteUpstream &successor = std::get<RegisterSiteUpstream>(commands.back()).upstream;
+    if (keyed == nullptr || !this->state.mayBeGivenWork(successor)) {
         return commands;
     }
     std::vector<RangeTransfer> transfers
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -294,6 +294,17 @@
     return commands;
 }
 
+// Lets the upstreams of @p zone be called at once, since their leases change.
+void RegistryManager::wakeLeaseCalls(const std::string &zone)
+{
+    for (const auto &[id, upstream] : this->state.upstreams()) {
+        LeaseCalls *calls = this->leaseCalls(upstream.service);
+        if (calls != nullptr && upstream.zone == zone) {
+            calls->wake(upstream.incarnation);
+        }
+    }
+}
+
 void RegistryManager::onCommandEnded(const RegistryCommand &command)
 {
     if (const auto *transfer = std::get_if<TransferRanges>(&command)) {
@@ -306,6 +317,9 @@
             }
         }
     }
+    if (const auto *evacuation = std::get_if<OrderEvacuation>(&command)) {
+        this->wakeLeaseCalls(evacuation->order.zone);
+    }
     if (const auto *change = std::get_if<SetUpstreamPhase>(&command)) {
         this->leaving.erase(change->incarnation);
     }
@@ -320,6 +334,7 @@
 RoutingTable RegistryManager::routingTable(TimePoint now) const
 {
     RoutingTable table;
+    table.evacuatedZones = this->state.evacuations().zones();
     for (const auto &[id, upstream] : this->state.upstreams()) {
         table.upstreams.push_back({ upstream, this->monitor.isSilent(upstream.incarnation, now),
                                     this->monitor.isWarmingUp(upstream.incarnation, now) });
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -137,6 +137,7 @@
     std::vector<RegistryCommand> registrationOf(const UpstreamReport &report, ClaimKind kind,
                                                 TimePoint now);
     std::vector<RegistryCommand> phaseCommands(const UpstreamReport &report, TimePoint now);
+    void wakeLeaseCalls(const std::string &zone);
     void suspendLeaseCalls(const UpstreamReport &report);
     void forgetOthers(TimePoint now);
     void addRemovals(TimePoint now, std::vector<RegistryCommand> &commands);
--- a/src/version/registrystate.cpp
+++ b/src/version/registrystate.cpp
@@ -25,6 +25,7 @@
     &readCommand<PutConfiguration>,     &readCommand<AssignSlot>,
     &readCommand<RegisterSiteUpstream>, &readCommand<SetUpstreamPhase>,
     &readCommand<RemoveSiteUpstream>,   &readCommand<TransferRanges>,
+    &readCommand<OrderEvacuation>,
 };
 static_assert(std::size(commandReaders) == std::variant_size_v<RegistryCommand>);
 
@@ -47,6 +48,17 @@
     return tables;
 }
 
+json evacuationsToJson(const ZoneEvacuations &evacuations)
+{
+    return { { "evacuated", evacuations.zones() }, { "withdrawn", evacuations.formerZones() } };
+}
+
+ZoneEvacuations evacuationsFromJson(const json &value)
+{
+    return { value.at("evacuated").get<std::set<std::string>>(),
+             value.at("withdrawn").get<std::set<std::string>>() };
+}
+
 } // namespace
 
 PutConfiguration makePutConfiguration(ConfigurationVersion version, ConfigurationVersion base,
@@ -154,6 +166,11 @@
     this->rangeTables[command.service].transfer(command.transfers);
 }
 
+void RegistryState::applyCommand(const OrderEvacuation &command)
+{
+    this->zoneEvacuations.apply(command.order);
+}
+
 const SiteUpstream *RegistryState::find(const UpstreamIncarnation &incarnation) const
 {
     const auto known = this->upstreamMap.find(incarnation.id);
@@ -182,7 +199,8 @@
                         { "members", memberList },
                         { "membersRevision", this->memberList.revision },
                         { "upstreams", upstreamList },
-                        { "ranges", rangesToJson(this->rangeTables) } });
+                        { "ranges", rangesToJson(this->rangeTables) },
+                        { "evacuations", evacuationsToJson(this->zoneEvacuations) } });
 }
 
 std::optional<RegistryState> RegistryState::decode(std::string_view bytes)
@@ -206,6 +224,10 @@
             state.upstreamMap[upstream.incarnation.id] = upstream;
         }
         state.rangeTables = rangesFromJson(value.at("ranges"));
+        // Snapshots of versions without evacuations do not have them.
+        if (value.contains("evacuations")) {
+            state.zoneEvacuations = evacuationsFromJson(value.at("evacuations"));
+        }
         return state;
     } catch (const json::exception &) {
         return std::nullopt;
--- a/src/version/registrystate.h
+++ b/src/version/registrystate.h
@@ -4,6 +4,7 @@
 #include "version/memberlist.h"
 #include "version/rangetable.h"
 #include "version/siteconfiguration.h"
+#include "version/zoneevacuations.h"
 
 #include <map>
 #include <optional>
@@ -33,6 +34,15 @@
     bool operator==(const SiteUpstream &) const = default;
 };
 
+/**
+ * Whether @p upstream may be given work, so that it is assigned keys and keeps those that it owns,
+ * and is sent requests that no key binds to it. Thread-safe.
+ */
+inline bool mayBeGivenWork(const SiteUpstream &upstream, bool isZoneEvacuated)
+{
+    return upstream.phase == UpstreamPhase::Ready && !isZoneEvacuated;
+}
+
 // Commands of the replicated log.
 
 /**
@@ -93,8 +103,17 @@
     bool operator==(const TransferRanges &) const = default;
 };
 
-using RegistryCommand = std::variant<PutConfiguration, AssignSlot, RegisterSiteUpstream,
-                                     SetUpstreamPhase, RemoveSiteUpstream, TransferRanges>;
+/** Starts or ends the evacuation of an availability zone. */
+struct OrderEvacuation
+{
+    EvacuationChange order;
+
+    bool operator==(const OrderEvacuation &) const = default;
+};
+
+using RegistryCommand
+        = std::variant<PutConfiguration, AssignSlot, RegisterSiteUpstream, SetUpstreamPhase,
+                       RemoveSiteUpstream, TransferRanges, OrderEvacuation>;
 
 /** Returns the command for the text of a configuration document. Thread-safe. */
 PutConfiguration makePutConfiguration(ConfigurationVersion version, ConfigurationVersion base,
@@ -132,6 +151,13 @@
     const std::map<std::string, SiteUpstream> &upstreams() const { return this->upstreamMap; }
     /** Owners of the ranges by service. */
     const std::map<std::string, RangeTable> &ranges() const { return this->rangeTables; }
+    /** Zones whose upstreams get no work. */
+    const ZoneEvacuations &evacuations() const { return this->zoneEvacuations; }
+    /** Whether @p upstream, registered or not, may be given work. */
+    bool mayBeGivenWork(const SiteUpstream &upstream) const
+    {
+        return cassiaroad::mayBeGivenWork(upstream, this->zoneEvacuations.contains(upstream.zone));
+    }
     /** Returns the upstream with exactly this incarnation, or null. */
     const SiteUpstream *find(const UpstreamIncarnation &incarnation) const;
 
@@ -148,6 +174,7 @@
     void applyCommand(const SetUpstreamPhase &command);
     void applyCommand(const RemoveSiteUpstream &command);
     void applyCommand(const TransferRanges &command);
+    void applyCommand(const OrderEvacuation &command);
 
     ConfigurationVersion current = 0;
     std::string currentDocument;
@@ -155,6 +182,7 @@
     MemberList memberList;
     std::map<std::string, SiteUpstream> upstreamMap;
     std::map<std::string, RangeTable> rangeTables; // by service
+    ZoneEvacuations zoneEvacuations;
 };
 
 } // namespace cassiaroad
--- a/src/version/routingchange.cpp
+++ b/src/version/routingchange.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr std::size_t evacuatedZonesPosition = 3; // in an encoded change
+
 bool isBefore(const RoutedRange &a, const RoutedRange &b)
 {
     return a.range < b.range;
@@ -91,6 +93,7 @@
 RoutingChange changeBetween(const RoutingTable &before, const RoutingTable &after)
 {
     RoutingChange change;
+    change.evacuatedZones = after.evacuatedZones;
     std::map<std::string, const RoutedUpstream *> known;
     for (const RoutedUpstream &upstream : before.upstreams) {
         known[upstream.upstream.incarnation.id] = &upstream;
@@ -134,6 +137,7 @@
     for (auto &[id, upstream] : upstreams) {
         result.upstreams.push_back(std::move(upstream));
     }
+    result.evacuatedZones = change.evacuatedZones;
     result.ranges = table.ranges;
     for (const auto &[service, list] : change.ranges) {
         result.ranges[service] = merged(result.ranges[service], list);
@@ -143,8 +147,8 @@
 
 std::string encode(const RoutingChange &change)
 {
-    return packText(toCborText(
-            json::array({ change.upstreams, change.removedUpstreams, toJson(change.ranges) })));
+    return packText(toCborText(json::array({ change.upstreams, change.removedUpstreams,
+                                             toJson(change.ranges), change.evacuatedZones })));
 }
 
 std::optional<RoutingChange> decodeRoutingChange(std::string_view bytes)
@@ -155,8 +159,15 @@
     }
     try {
         const json value = json::from_cbor(text->begin(), text->end());
-        return RoutingChange { value.at(0).get<std::vector<RoutedUpstream>>(),
-                               value.at(1).get<std::vector<std::string>>(), toRanges(value.at(2)) };
+        RoutingChange change { value.at(0).get<std::vector<RoutedUpstream>>(),
+                               value.at(1).get<std::vector<std::string>>(),
+                               toRanges(value.at(2)),
+                               {} };
+        // Leaders of versions without evacuations do not send them.
+        if (value.size() > evacuatedZonesPosition) {
+            value.at(evacuatedZonesPosition).get_to(change.evacuatedZones);
+        }
+        return change;
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/version/routingchange.h
+++ b/src/version/routingchange.h
@@ -13,6 +13,7 @@
     std::vector<RoutedUpstream> upstreams; // added and changed ones
     std::vector<std::string> removedUpstreams; // ids
     RoutedRanges ranges; // each replaces all former ranges that it overlaps
+    std::set<std::string> evacuatedZones; // all of them
 
     bool operator==(const RoutingChange &) const = default;
 };
--- a/src/version/routingtable.cpp
+++ b/src/version/routingtable.cpp
@@ -20,4 +20,20 @@
     return &*std::prev(after);
 }
 
+bool RoutingTable::isEvacuated(const std::string &service) const
+{
+    bool hasEvacuated = false;
+    for (const RoutedUpstream &routed : this->upstreams) {
+        if (routed.upstream.service != service) {
+            continue;
+        }
+        const bool isZoneEvacuated = this->evacuatedZones.contains(routed.upstream.zone);
+        if (mayBeGivenWork(routed.upstream, isZoneEvacuated)) {
+            return false;
+        }
+        hasEvacuated = hasEvacuated || isZoneEvacuated;
+    }
+    return hasEvacuated;
+}
+
 } // namespace cassiaroad
--- a/src/version/routingtable.h
+++ b/src/version/routingtable.h
@@ -39,11 +39,18 @@
 {
     std::vector<RoutedUpstream> upstreams;
     RoutedRanges ranges; // of keyed services
+    std::set<std::string> evacuatedZones; // whose upstreams get no requests
 
     bool operator==(const RoutingTable &) const = default;
 
     /** Returns the range that contains @p key, or null if no upstream owns it. */
     const RoutedRange *find(const std::string &service, KeyNumber key) const;
+
+    /**
+     * Whether evacuations leave @p service without an upstream: it has upstreams in evacuated
+     * zones, and none in other zones that may be given work.
+     */
+    bool isEvacuated(const std::string &service) const;
 };
 
 } // namespace cassiaroad
--- a/src/version/sitejson.h
+++ b/src/version/sitejson.h
@@ -64,6 +64,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(RegisterSiteUpstream, upstream)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TransferRanges, service, transfers)
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(EvacuationChange, zone, started)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(OrderEvacuation, order)
+
 inline void to_json(nlohmann::json &value, const SetUpstreamPhase &command)
 {
     value = { { "life", command.incarnation }, { "phase", command.phase } };
--- a/tests/gateway/gatewayrequesttest.h
+++ b/tests/gateway/gatewayrequesttest.h
@@ -114,7 +114,9 @@
                                           upstreamPhase };
             table.upstreams.push_back({ upstream, false, false });
         }
-        table.ranges[keyedService] = { { { 0, lastKey }, "i-" + keyedService, phase } };
+        table.upstreams.insert(table.upstreams.end(), this->others.begin(), this->others.end());
+        table.evacuatedZones = this->evacuatedZones;
+        table.ranges[keyedService] = { { { 0, lastKey }, this->owner, phase } };
         update.change = encode(changeBetween({}, table));
         this->core.update(update, madeAt);
     }
@@ -158,6 +160,9 @@
     std::unique_ptr<FakePeer> peer;
     std::uint64_t tag = 0;
     std::int64_t born = 1; // of the upstreams in the next table
+    std::vector<RoutedUpstream> others; // in the next tables
+    std::set<std::string> evacuatedZones; // in the next tables
+    std::string owner = "i-" + keyedService; // of all keys in the next tables
 };
 
 } // namespace cassiaroad
--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -383,3 +383,36 @@
             = *rc::gen::arbitrary<char>();
     (void)codec.decodeConfiguration(configuration);
 }
+
+// Guards against an operator's order that gets 404 instead of an acknowledgement, or that is read
+// as its opposite.
+TEST(PlatformCodec, readsOrdersToEvacuateAZone)
+{
+    const ControlCall start = codec.decodeCall({ "POST", "/-/Evacuation.Start/mafraq", "", "" });
+    ASSERT_TRUE(std::holds_alternative<EvacuationCall>(start));
+    EXPECT_EQ(std::get<EvacuationCall>(start).order, (EvacuationChange { "mafraq", true }));
+    const ControlCall end = codec.decodeCall({ "POST", "/-/Evacuation.End/mafraq", "", "" });
+    ASSERT_TRUE(std::holds_alternative<EvacuationCall>(end));
+    EXPECT_EQ(std::get<EvacuationCall>(end).order, (EvacuationChange { "mafraq", false }));
+}
+
+// Guards against zones in the replicated log that no host can have.
+TEST(PlatformCodec, refusesOrdersWithoutAUsableZone)
+{
+    for (const std::string &zone :
+         { std::string(), std::string("a/b"), std::string("a\nb"), std::string(257, 'z') }) {
+        for (const char *path : { "/-/Evacuation.Start/", "/-/Evacuation.End/" }) {
+            const std::string whole = path + zone;
+            EXPECT_TRUE(std::holds_alternative<MalformedCall>(
+                    codec.decodeCall({ "POST", whole, "", "" })))
+                    << whole;
+        }
+    }
+    EXPECT_TRUE(std::holds_alternative<UnknownCall>(
+            codec.decodeCall({ "GET", "/-/Evacuation.Start/a", "", "" })));
+}
+
+TEST(PlatformCodec, encodesTheReasonOfARefusal)
+{
+    EXPECT_EQ(codec.encodeRefusal("zone \"x\" is unknown"), R"({"error":"zone \"x\" is unknown"})");
+}
--- a/tests/request/test_upstreamadmission.cpp
+++ b/tests/request/test_upstreamadmission.cpp
@@ -86,3 +86,17 @@
         RC_ASSERT(admission.waitingCount() == 0 || admission.inFlight() > 0);
     }
 }
+
+// Guards against requests that stay queued at an upstream that may get none, and against a limit
+// that counts them as in flight.
+TEST(UpstreamAdmission, returnsAllWaitingRequestsWithoutStartingThem)
+{
+    UpstreamAdmission admission;
+    admission.setCapacity(1);
+    EXPECT_EQ(admission.submit(admissionRequest(1, 2), now), AdmissionDecision::Start);
+    EXPECT_EQ(admission.submit(admissionRequest(2, 2), now), AdmissionDecision::Wait);
+    EXPECT_EQ(admission.submit(admissionRequest(3, 1), now), AdmissionDecision::Wait);
+    EXPECT_EQ(admission.takeWaiting(), (std::vector<GatewayRequestId> { 3, 2 }));
+    EXPECT_EQ(admission.waitingCount(), 0U);
+    EXPECT_EQ(admission.inFlight(), 1U);
+}
--- a/tests/support/fakecodec.h
+++ b/tests/support/fakecodec.h
@@ -19,6 +19,7 @@
     {
         return {};
     }
+    std::string encodeRefusal(const std::string &reason) const override { return reason; }
     EncodedLeaseCall encodeLeaseCall(const LeaseCall &call) const override
     {
         const bool isGrant = std::holds_alternative<GrantCall>(call.body);
--- a/tests/version/sitesimulation.h
+++ b/tests/version/sitesimulation.h
@@ -21,6 +21,7 @@
     std::int64_t delayingUntil = 0; // its heartbeats arrive late if they are sent before
     std::int64_t delay = 0;
     std::string service = simulatedService;
+    std::string zone = "a";
     bool up = true;
     bool draining = false;
 };
@@ -166,6 +167,18 @@
         }
     }
 
+    /** Sets the zone of an upstream. Precondition: run() was not called. */
+    void setZone(int number, const std::string &zone)
+    {
+        this->upstreams[static_cast<std::size_t>(number)].zone = zone;
+    }
+
+    /** Commits an operator's order. */
+    void order(const EvacuationChange &change)
+    {
+        this->commit({ OrderEvacuation { change } }, [] {});
+    }
+
     std::string violation() const { return this->ownership.violation(); }
 
     std::uint32_t leasedKeys() const
@@ -210,6 +223,7 @@
         started.address = target.address;
         started.nextHeartbeat = this->now;
         started.service = service;
+        started.zone = target.zone;
         target = started;
     }
 
@@ -243,7 +257,7 @@
         report.incarnation = upstream.incarnation;
         report.service = upstream.service;
         report.address = upstream.address;
-        report.zone = "a";
+        report.zone = upstream.zone;
         report.slots = 6;
         report.draining = upstream.draining;
         report.sequence = ++upstream.sequence;
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -68,7 +68,10 @@
 // Guards against state that is missing from a snapshot.
 TEST(RegistryState, survivesItsEncoding)
 {
-    const RegistryState state = sample();
+    RegistryState state = sample();
+    state.apply(OrderEvacuation { { "a", true } });
+    state.apply(OrderEvacuation { { "b", true } });
+    state.apply(OrderEvacuation { { "b", false } });
     EXPECT_EQ(RegistryState::decode(state.encode()), state);
 }
 
@@ -81,6 +84,7 @@
         SetUpstreamPhase { incarnation, UpstreamPhase::Gone },
         RemoveSiteUpstream { incarnation },
         TransferRanges { "ledger", { { { 0, 9 }, incarnation, "x" } } },
+        OrderEvacuation { { "a", true } },
     };
     for (const RegistryCommand &command : commands) {
         EXPECT_EQ(decodeRegistryCommand(encodeCommand(command)), command);
--- a/tests/version/test_routingchange.cpp
+++ b/tests/version/test_routingchange.cpp
@@ -1,5 +1,8 @@
 #include "version/routingchange.h"
 
+#include "process/textpack.h"
+#include "version/sitejson.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -25,6 +28,9 @@
             table.upstreams.push_back(upstream(number, kind == 2));
         }
     }
+    if (*rc::gen::arbitrary<bool>()) {
+        table.evacuatedZones = { "a" };
+    }
     KeyNumber from = 0;
     while (from <= lastKey) {
         const auto to = *rc::gen::inRange<KeyNumber>(from, lastKey + 1);
@@ -69,3 +75,33 @@
 {
     (void)decodeRoutingChange(bytes);
 }
+
+// Guards against gateways that cannot read a table of a leader of a version without evacuations.
+TEST(RoutingChange, readsAChangeWithoutEvacuatedZones)
+{
+    RoutingTable table;
+    table.upstreams = { upstream(1, false) };
+    const std::string encoded = encode(changeBetween({}, table));
+    nlohmann::json value = nlohmann::json::from_cbor(unpackText(encoded).value_or(""));
+    value.erase(3);
+    const auto change = decodeRoutingChange(packText(toCborText(value)));
+    ASSERT_TRUE(change.has_value());
+    EXPECT_EQ(applyChange({}, *change), table);
+}
+
+// Guards against requests that wait for an owner that cannot come, and against refusing those of a
+// service that has upstreams in other zones.
+TEST(RoutingTable, tellsWhetherEvacuationsLeaveAServiceWithoutUpstreams)
+{
+    RoutingTable table;
+    EXPECT_FALSE(table.isEvacuated(service));
+    table.upstreams = { upstream(1, false), upstream(2, false) };
+    EXPECT_FALSE(table.isEvacuated(service));
+    table.evacuatedZones = { "a" };
+    EXPECT_TRUE(table.isEvacuated(service));
+    EXPECT_FALSE(table.isEvacuated("other"));
+    table.upstreams[1].upstream.zone = "b";
+    EXPECT_FALSE(table.isEvacuated(service));
+    table.upstreams[1].upstream.phase = UpstreamPhase::Draining;
+    EXPECT_TRUE(table.isEvacuated(service));
+}
--- a/tools/soaklib/site.py
+++ b/tools/soaklib/site.py
@@ -36,6 +36,7 @@
         for gateway in self.gateways:
             gateway.on_touch = self.checks.forget_gateway
         self.upstreams = []
+        self.zones = {}  # of upstreams by name; the others are in zone a
         self.crashes_under = None  # bytes in the body of a request under which upstreams crash
         self.route_timeout_s = 1.5
         self.version = 0  # last acknowledged configuration
@@ -69,6 +70,7 @@
         """Starts a new incarnation of the upstream at an address."""
         upstream = Upstream(name, address, "orders", self.seeds, self.checks, self.upstreams)
         upstream.takes_calls = self.calls
+        upstream.zone = self.zones.get(name, upstream.zone)
         upstream.crashes_under = self.crashes_under
         self.checks.forget_upstream(name)
         await upstream.start()
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -20,6 +20,7 @@
         self.name = name
         self.address = address
         self.service = service
+        self.zone = "a"
         self.control = control  # addresses of control hosts
         self.checks = checks
         self.peers = peers  # all upstreams, to check that a key has one owner
@@ -44,6 +45,7 @@
         self.pause_share = 1.0  # of the requests that are turned away
         self.endless_part = None  # of its answers, from endless.PARTS
         self.reports = True  # sends heartbeats
+        self.arrived_at = 0.0  # time at which the last request reached it
         self.accepted_at = 0.0  # time at which it last got a request for a key that it had a lease on
         self.writers = set()  # of the open connections
 
@@ -185,6 +187,7 @@
         request_id = headers["x-cassiaroad-request-id"]
         is_misdirected = (headers.get("x-cassiaroad-expect-instance") != self.name
                           or not self.has_lease(key))
+        self.arrived_at = time.monotonic()
         self.checks.record_arrival(request_id, self.name, is_misdirected)
         if is_misdirected:
             return 421, ""
@@ -220,7 +223,7 @@
             self.sequence += 1
             report = {
                 "address": self.address, "born": self.born,
-                "info": {"service": self.service, "version": "v1", "zone": "a",
+                "info": {"service": self.service, "version": "v1", "zone": self.zone,
                          "maxConcurrency": 6},
                 "status": {"state": "draining" if self.draining else "ready",
                            "sequence": self.sequence, "warmupLeftS": 0}}
