--- a/tools/soaklib/site.py
+++ b/tools/soaklib/site.py
@@ -46,6 +46,7 @@
         for gateway in self.gateways:
             gateway.on_touch = self.checks.forget_gateway
         self.upstreams = []
+        self.zones = {}  # of upstreams by name; the others are in zone a
         self.crashes_under = None  # bytes in the body of a request under which upstreams crash
         self.route_timeout_s = 1.5
         self.is_keyed = True  # the service has keys
@@ -121,6 +122,7 @@
         upstream = Upstream(name, address, "orders", self.seeds, self.checks, self.upstreams)
         upstream.takes_calls = self.calls
         upstream.is_keyed = self.is_keyed
+        upstream.zone = self.zones.get(name, upstream.zone)
         upstream.crashes_under = self.crashes_under
         self.checks.forget_upstream(name)
         await upstream.start()
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -20,6 +20,7 @@
         self.name = name
         self.address = address
         self.service = service
+        self.zone = "a"
         self.control = control  # addresses of control hosts
         self.checks = checks
         self.peers = peers  # all upstreams, to check that a key has one owner
@@ -46,6 +47,7 @@
         self.is_keyed = True  # its service has keys
         self.endless_part = None  # of its answers, from endless.PARTS
         self.reports = True  # sends heartbeats
+        self.arrived_at = 0.0  # time at which the last request reached it
         self.accepted_at = 0.0  # time at which it last got a request for a key that it had a lease on
         self.writers = set()  # of the open connections
 
@@ -191,6 +193,7 @@
         request_id = headers["x-cassiaroad-request-id"]
         is_misdirected = (headers.get("x-cassiaroad-expect-instance") != self.name
                           or self.is_keyed and not self.has_lease(key))
+        self.arrived_at = time.monotonic()
         self.checks.record_arrival(request_id, self.name, is_misdirected)
         if is_misdirected:
             return 421, ""
@@ -228,7 +231,7 @@
             self.sequence += 1
             report = {
                 "address": self.address, "born": self.born,
-                "info": {"service": self.service, "version": "v1", "zone": "a",
+                "info": {"service": self.service, "version": "v1", "zone": self.zone,
                          "maxConcurrency": 6},
                 "status": {"state": "draining" if self.draining else "ready",
                            "sequence": self.sequence, "warmupLeftS": 0}}
