tests: Failing tests of lists of members that are foreign, lost or without revision

Cause: orders lists of members by a count of assignments that is unique only within one group and one history. - A host whose members.json is of another group, or of the group before it was founded again, has a higher revision: onHint() and setMembers() ignore each list of its group, and it calls the old addresses for ever (joinsAlthoughItsFileIsOfAnotherGroup). Conclusion: the revision should be the log index of the last assignment, and belong to a group: an identity that the founder draws. src is unchanged.

--- a/tests/registry/test_returnedmembers.cpp
+++ b/tests/registry/test_returnedmembers.cpp
@@ -1,5 +1,9 @@
 #include "registrygroup.h"
 
+#include <fstream>
+
+#include <nlohmann/json.hpp>
+
 using namespace cassiaroad;
 
 namespace {
@@ -69,6 +73,10 @@
                                [&](const auto &member) { return member.second == ipOf(index); });
         });
     }
+    std::string dataFolder(std::size_t index) const
+    {
+        return std::get<RegistrySettings>(this->settingsOf(index, false).role).dataFolder;
+    }
 };
 
 } // namespace
@@ -137,3 +145,50 @@
     runFor(this->loop, { 2000 }); // the leader may have kept its lease for a moment
     EXPECT_TRUE(waitUntil(this->loop, [&] { return this->isLed(); }));
 }
+
+// Guards against a host that keeps the list of another group, or of the group that was there before
+// it was founded again, because the revision in its file is higher than that of its group.
+TEST_F(ReturnedMembersTest, joinsAlthoughItsFileIsOfAnotherGroup)
+{
+    const auto lost = this->followers();
+    ASSERT_EQ(lost.size(), 2U);
+    this->lose(lost[0]);
+    std::filesystem::create_directories(this->dataFolder(3));
+    std::ofstream(this->dataFolder(3) + "/members.json")
+            << R"({"revision":1000,"members":[[1,"127.0.0.99"],[2,"127.0.0.98"],[3,"127.0.0.97"]]})";
+    this->startHost(3);
+    EXPECT_TRUE(this->waitUntilVoting({ 3 }));
+}
+
+// Guards against a member that calls nobody after a restart, because its list of members was lost
+// or damaged while its log is complete.
+TEST_F(ReturnedMembersTest, restartsWithoutItsListOfMembers)
+{
+    const auto lost = this->followers();
+    ASSERT_EQ(lost.size(), 2U);
+    this->lose(lost[0]);
+    std::filesystem::remove(this->dataFolder(lost[0]) + "/members.json");
+    this->startHost(lost[0]);
+    const auto follows = [&] { return !this->host(lost[0])->engine.member().leaderIp().empty(); };
+    EXPECT_TRUE(waitUntil(this->loop, follows));
+}
+
+// Guards against a host that ignores a newer list of members: two members whose snapshots are from
+// before lists had revisions count different assignments for the same list.
+TEST(MemberListRevision, ordersTheListsOfMembersWithSnapshotsOfTheFirstFormat)
+{
+    RegistryState replayed;
+    for (std::uint32_t slot = 1; slot <= 3; ++slot) {
+        replayed.apply(AssignSlot { slot, "127.0.0." + std::to_string(slot), "" });
+    }
+    replayed.apply(AssignSlot { 1, "127.0.0.4", "127.0.0.1" });
+    replayed.apply(AssignSlot { 2, "127.0.0.5", "127.0.0.2" });
+    nlohmann::json value = nlohmann::json::from_cbor(replayed.encode());
+    value.erase("membersRevision");
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_cbor(value);
+    std::optional<RegistryState> restored
+            = RegistryState::decode(std::string(bytes.begin(), bytes.end()));
+    ASSERT_TRUE(restored);
+    restored->apply(AssignSlot { 3, "127.0.0.6", "127.0.0.3" });
+    EXPECT_GT(restored->orderedMembers().revision, replayed.orderedMembers().revision);
+}
