tests: Property of replacements within a minority

The properties lost a disk only while all members were repaired. Change of a check: the harness recorded what a member has stored only at a sync, but a crash may write more to its disk. Writes at a crash are recorded now, since they are on the disk; the check itself is unchanged.

--- a/tests/process/replicagroup.cpp
+++ b/tests/process/replicagroup.cpp
@@ -106,7 +106,7 @@
     // Some of the writes that were not synced may have reached the disk.
     const int writtenCount = this->between(0, static_cast<int>(host.unsynced.size()));
     for (int i = 0; i < writtenCount && !host.diskFull; ++i) {
-        host.folder->apply(host.unsynced[i]);
+        this->write(host, host.unsynced[i]);
     }
     host.unsynced.clear();
     host.replica.reset();
@@ -144,6 +144,27 @@
     return true;
 }
 
+bool ReplicaGroup::isRepaired(int slot) const
+{
+    const Host &host = this->hosts[slot];
+    return host.folder && !host.staleCopy
+           && this->history.latestConfiguration().contains(host.folder->id);
+}
+
+bool ReplicaGroup::loseFolderOfMinority(int slot)
+{
+    int lostCount = 1;
+    for (int other = 0; other < this->slotCount(); ++other) {
+        lostCount += other != slot && !this->isRepaired(other) ? 1 : 0;
+    }
+    if (2 * lostCount >= this->slotCount()) {
+        return false;
+    }
+    this->crash(slot);
+    this->hosts[slot].folder.reset();
+    return true;
+}
+
 bool ReplicaGroup::restoreCopy(int slot)
 {
     if (!this->copies[slot] || !this->isRepaired()) {
@@ -362,6 +383,14 @@
     host.unsynced.push_back(persist);
 }
 
+void ReplicaGroup::write(Host &host, const Persist &persist)
+{
+    host.folder->apply(persist);
+    for (const LogEntry &entry : persist.entries) {
+        this->history.stored(host.folder->id, entry);
+    }
+}
+
 void ReplicaGroup::sync(int slot)
 {
     Host &host = this->hosts[slot];
@@ -375,10 +404,7 @@
     }
     ++host.syncs;
     for (const Persist &persist : host.unsynced) {
-        host.folder->apply(persist);
-        for (const LogEntry &entry : persist.entries) {
-            this->history.stored(host.folder->id, entry);
-        }
+        this->write(host, persist);
     }
     const std::uint64_t sequence = host.unsynced.back().sequence;
     host.unsynced.clear();
--- a/tests/process/replicagroup.h
+++ b/tests/process/replicagroup.h
@@ -52,6 +52,12 @@
     bool loseFolder(int slot) { return this->loseFolders({ slot }); }
     /** As loseFolder(), for several members at the same time. */
     bool loseFolders(const std::set<int> &slots);
+    /**
+     * Crashes the member and deletes its folder if then at most a minority of the slots is without
+     * a voter of the committed configuration that has its folder; returns whether it did. Unlike
+     * loseFolder() it does not wait until an earlier loss is repaired.
+     */
+    bool loseFolderOfMinority(int slot);
     void copyFolder(int slot) { this->copies[slot] = this->hosts[slot].folder; }
     /** Calls forceCopy() if the start check has to detect that copy; returns whether it did. */
     bool restoreCopy(int slot);
@@ -72,6 +78,8 @@
     int leader() const;
     /** Whether all members are voters of the committed configuration with valid folders. */
     bool isRepaired() const;
+    /** Whether the member is a voter of the committed configuration and has its folder. */
+    bool isRepaired(int slot) const;
     bool isCommitted(const std::string &command) const { return this->history.has(command); }
     const Replica *replica(int slot) const { return this->hosts[slot].replica.get(); }
     const FakeFolder &folder(int slot) const { return *this->hosts[slot].folder; }
@@ -109,6 +117,8 @@
     void perform(int slot, ReplicaActions &actions, const Configuration &before);
     bool install(int slot, const Snapshot &snapshot);
     void persist(int slot, const Persist &persist);
+    /** Lets a write reach the disk, by a sync or at a crash before it. */
+    void write(Host &host, const Persist &persist);
     /** Completes the pending writes of a member, or fails them if its disk is full. */
     void sync(int slot);
     void send(const ReplicaMessage &message);
