connection: Take the reply timeout of a message when its connection is open

Cause: a message got its reply timeout when it was sent. One that was sent after a timeout had closed a connection, and before that failure was recorded, went out on the next connection with the timeout from before that doubled, and closed it too early; this failure was shorter than the present timeout and doubled nothing. On a slow link members heard nothing for as long again.

--- a/src/connection/replicalink.cpp
+++ b/src/connection/replicalink.cpp
@@ -74,8 +74,9 @@
                           this->roundTrip.recordFailure(waitedSince(start));
                       }
                   };
-        const Milliseconds replyTimeout = this->roundTrip.timeout() + transfer;
-        this->tasks.add(this->connection.call<void>({ connectWait, replyTimeout }, timedDeliver)
+        // A message that is sent while a connection is closed gets the timeout that doubles then.
+        const auto replyTimeout = [this, transfer] { return this->roundTrip.timeout() + transfer; };
+        this->tasks.add(this->connection.call<void>(connectWait, replyTimeout, timedDeliver)
                                 .then([] {}, kj::mv(onFailure))
                                 .attach(kj::defer([this, size] { this->remove(size); })));
     }
--- a/src/connection/rpcconnection.h
+++ b/src/connection/rpcconnection.h
@@ -36,13 +36,25 @@
      */
     template <typename Reply, typename Send>
     kj::Promise<Reply> call(Timeouts timeouts, Send &&send)
+    {
+        return this->call<Reply>(
+                timeouts.connect, [reply = timeouts.reply] { return reply; },
+                std::forward<Send>(send));
+    }
+
+    /**
+     * As above. The call waits for @p connectWait until the connection is open; then @p
+     * replyTimeout is called and returns how long it waits for the reply.
+     */
+    template <typename Reply, typename ReplyTimeout, typename Send>
+    kj::Promise<Reply> call(Milliseconds connectWait, ReplyTimeout &&replyTimeout, Send &&send)
     {
         kj::Own<RpcSession> session = this->openSession();
         RpcSession *current = session.get();
-        return this->waitForConnection(*current, timeouts.connect)
-                .then([&loop = this->loop, reply = timeouts.reply, current,
-                       send = std::forward<Send>(send)]() -> kj::Promise<Reply> {
-                    kj::Promise<Reply> timedOut = rpcDelay(loop, reply).then([current] {
+        return this->waitForConnection(*current, connectWait)
+                .then([&loop = this->loop, replyTimeout = std::forward<ReplyTimeout>(replyTimeout),
+                       current, send = std::forward<Send>(send)]() -> kj::Promise<Reply> {
+                    kj::Promise<Reply> timedOut = rpcDelay(loop, replyTimeout()).then([current] {
                         return kj::Promise<Reply>(closeAfterTimeout(*current));
                     });
                     return kj::Promise<Reply>(send(current->member()))
--- a/tests/connection/test_replicalink.cpp
+++ b/tests/connection/test_replicalink.cpp
@@ -112,6 +112,25 @@
     EXPECT_LE(server.acceptedCount(), 4U); // the timeout doubles twice from 250 ms
 }
 
+// Guards against a new connection that is closed too early by a message that was sent just after
+// the one before had timed out: it had the timeout from before that doubled.
+TEST(ReplicaLink, keepsANewConnectionForTheDoubledTimeout)
+{
+    constexpr Milliseconds sendInterval { 2 }; // so that one is sent when a connection is closed
+    EventLoop loop;
+    SlowMember::Replies replies;
+    RpcServer server(loop, {}, kj::heap<SlowMember>(loop, Milliseconds { 600 }, replies));
+    ASSERT_EQ(server.listen({ "127.0.0.1", 0 }), "");
+    ReplicaLink link(loop, "etela", 1, { { 2, { "127.0.0.1", server.port() } } });
+    const TimePoint end = loop.now() + Milliseconds { 5000 };
+    while (replies.count == 0 && loop.now() < end) {
+        link.send(2, "heartbeat");
+        loop.wait(rpcDelay(loop, sendInterval));
+    }
+    EXPECT_GT(replies.count, 0);
+    EXPECT_LE(server.acceptedCount(), 3U); // timeouts of 250, 500 and 1000 ms
+}
+
 // Guards against clients that disappeared without closing their connections and use up the
 // connections of a server.
 TEST(RpcServer, limitsItsConnectionsAndClosesIdleOnes)
