gateway: Close idle connections of clients near the limit

Cause: a listener at its limit of connections closed new ones, whatever the others did. Clients that opened connections and left them idle filled a gateway, which said that it was ready. With a limit of fewer than 2500 descriptors it ran out of these before.

Change: a listener may keep a number of connections free (reservedConnections; 0 elsewhere than at the gateway's clients). chooseConnectionsToClose() decides which idle ones are closed for it: those that never sent a request first, then the longest idle; none that was idle for up to a second, since on a busy server those are clients between two requests. A gateway keeps a sixteenth free, takes at most half as many connections as it has descriptors, and is not ready only if it is full and nothing can be closed.

Conclusion: the readiness of the gateway process and its limit of descriptors are not covered by a test.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "connection/httpserver.h"
 
+#include "connection/connectionroom.h"
 #include "connection/h2oexchange.h"
 #include "connection/lingeringclose.h"
 #include "connection/requesthead.h"
@@ -33,6 +34,9 @@
 // So long that the sweep always closes a connection first: h2o's own timeouts follow the wall clock
 // and do not distinguish progress from silence, so the sweep enforces the timeouts instead.
 constexpr std::uint64_t h2oRequestTimeout = 24ULL * 3600 * 1000;
+// An HTTP/2 connection on which frames have arrived within this time may have a request whose body
+// still arrives.
+constexpr Milliseconds frameQuietPeriod { 1000 };
 constexpr int http2Version = 0x200;
 constexpr int payloadTooLarge = 413;
 constexpr int serviceUnavailable = 503;
@@ -118,6 +122,10 @@
     /** Accepts connections that wait, at most @p maxCount. */
     void acceptConnections(int maxCount);
     void acceptOne(h2o_socket_t *listener);
+    /** Closes idle connections, so that the reserved number stays free for new ones. */
+    void makeRoom();
+    /** Whether @p connection has no request in progress. */
+    bool isIdle(const ServerConnection &connection) const;
     /** Sends an error response and closes the connection after it. */
     int refuse(h2o_req_t *request, int status, const char *reason);
     /** Returns when the head of a complete request was complete. */
@@ -278,6 +286,7 @@
         request->http1_is_persistent = 0;
     }
     connection->receiving = false;
+    connection->hasSentRequest = true;
     auto exchange = std::make_shared<H2oExchange>(request, connection->shared_from_this(),
                                                   d->headArrival(*request, *connection));
     H2oExchange::attach(exchange);
@@ -315,7 +324,9 @@
     if (error != nullptr) {
         return;
     }
-    static_cast<Private *>(listener->data)->acceptConnections(maxAcceptsPerIteration);
+    auto *d = static_cast<Private *>(listener->data);
+    d->acceptConnections(maxAcceptsPerIteration);
+    d->makeRoom();
 }
 
 void HttpServer::Private::acceptConnections(int maxCount)
@@ -347,6 +358,38 @@
     this->reader.start(*connection);
 }
 
+bool HttpServer::Private::isIdle(const ServerConnection &connection) const
+{
+    const bool http1 = connection.readCallback == connection.http1Callback;
+    return connection.socket != nullptr && connection.openExchanges == 0
+           && connection.socket->input->size == 0
+           && (http1 || this->loop.now() - connection.idleSince > frameQuietPeriod)
+           && !hasUnreadBytes(connection.socket);
+}
+
+void HttpServer::Private::makeRoom()
+{
+    const std::uint32_t reserved = this->limits.reservedConnections;
+    std::size_t excess
+            = excessConnections(this->connections.size(), this->limits.maxConnections, reserved);
+    if (reserved == 0 || excess == 0) {
+        return;
+    }
+    std::vector<std::shared_ptr<ServerConnection>> closable;
+    std::vector<IdleConnection> idle;
+    for (const std::shared_ptr<ServerConnection> &connection : this->connections) {
+        if (connection->closing) {
+            excess -= std::min<std::size_t>(excess, 1);
+        } else if (this->isIdle(*connection)) {
+            idle.push_back({ closable.size(), connection->hasSentRequest, connection->idleSince });
+            closable.push_back(connection);
+        }
+    }
+    for (const std::size_t index : chooseConnectionsToClose(idle, excess, this->loop.now())) {
+        closeIdle(*closable[index]);
+    }
+}
+
 void HttpServer::Private::onClosed(void *data)
 {
     auto *connection = static_cast<ServerConnection *>(data);
@@ -526,6 +569,18 @@
     return this->d->connections.size();
 }
 
+bool HttpServer::hasRoom() const
+{
+    const auto &connections = this->d->connections;
+    if (connections.size() < this->d->limits.maxConnections) {
+        return true;
+    }
+    return this->d->limits.reservedConnections > 0
+           && std::any_of(connections.begin(), connections.end(), [this](const auto &connection) {
+                  return connection->closing || this->d->isIdle(*connection);
+              });
+}
+
 HttpServerBacklog HttpServer::backlog() const
 {
     HttpServerBacklog backlog;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -65,6 +65,8 @@
     std::size_t maxHeadBytes = 32UL * 1024; // of a request; a larger head gets 431
     // A connection whose request has no complete head after this time is closed.
     Milliseconds headTimeout { 60000 };
+    // Connections that are kept free for new clients by closing idle ones. 0: none is closed.
+    std::uint32_t reservedConnections = 0;
 
     bool operator==(const HttpServerLimits &) const = default;
 };
@@ -111,6 +113,12 @@
 
     std::size_t connectionCount() const;
 
+    /**
+     * Whether a new connection is accepted now, or will be once idle ones are closed, which takes
+     * a second at most.
+     */
+    bool hasRoom() const;
+
     /** Returns what is open at present. Takes time in proportion to the number of connections. */
     HttpServerBacklog backlog() const;
 
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -25,6 +25,7 @@
     TimePoint acceptedAt;
     TimePoint idleSince; // when it was accepted or its last exchange ended
     TimePoint receivingSince; // when the incomplete request began to arrive; valid if receiving
+    bool hasSentRequest = false; // a complete one
     bool receiving = false; // h2o has buffered a part of a request
     bool closing = false; // shut down by the server; a request that still arrives is refused
     std::uint32_t openExchanges = 0;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -9,6 +9,9 @@
 #include "process/siteprocess.h"
 
 #include <algorithm>
+
+#include <sys/resource.h>
+
 namespace cassiaroad {
 
 namespace {
@@ -19,12 +22,25 @@
 // Upper bound of the body of a request.
 constexpr std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
 constexpr std::uint32_t maxClientConnections = 2500;
+// Share of the connections of clients that is kept free for new ones.
+constexpr std::uint32_t reservedConnectionShare = 16;
 
 constexpr std::size_t megabyte = 1000 * 1000;
 // The process itself takes 14 MB, responses 32 MiB and as much as the largest of them, 16 MiB,
 // while its buffer is copied.
 constexpr std::size_t reservedMegabytes = 80;
 
+// Connections that clients may open. Half of the descriptors stay for upstreams and the rest.
+std::uint32_t maxConnectionsOfClients()
+{
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
+        return maxClientConnections;
+    }
+    return static_cast<std::uint32_t>(
+            std::min<rlim_t>(maxClientConnections, descriptors.rlim_cur / 2));
+}
+
 // Limits of the listener for clients.
 HttpServerLimits clientLimits(const SiteSettings &settings)
 {
@@ -32,7 +48,8 @@
     const auto &role = std::get<GatewaySettings>(settings.role);
     limits.maxRequestBytes = (role.memoryMegabytes - reservedMegabytes) * megabyte;
     limits.maxBodyBytes = maxBodyBytes;
-    limits.maxConnections = maxClientConnections;
+    limits.maxConnections = maxConnectionsOfClients();
+    limits.reservedConnections = limits.maxConnections / reservedConnectionShare;
     return limits;
 }
 
@@ -121,7 +138,8 @@
 
 bool GatewayProcess::isReady() const
 {
-    return !this->stopping && this->core.view().active && this->core.view().table;
+    return !this->stopping && this->core.view().active && this->core.view().table
+           && this->callers.hasRoom();
 }
 
 // Applies the limits that the configuration in use carries.
