--- a/tests/site/test_replaced_control_hosts.py
+++ b/tests/site/test_replaced_control_hosts.py
@@ -176,7 +176,7 @@
 
 async def main():
     arguments = parse_arguments()
-    load = SiteLoad(arguments.build, arguments.seed, GATEWAYS, DISTANT_S)
+    load = SiteLoad(arguments.build, arguments.seed, GATEWAYS, distant_s=DISTANT_S)
     await load.run(lambda load: Play(load, arguments).run())
 
 
