registry, gateway: Log waiting proposals and upstreams that begin to leave

A leader that commits nothing could not be told from one that has nothing to commit, and a gateway's log did not say when it learned that an upstream leaves. watch_load now has the number and age of the proposals that are not committed; upstreams_leave names the upstreams and the age of the table before.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -183,9 +183,14 @@
 {
     this->routing.table = std::make_shared<const RoutingTable>(table);
     std::map<std::string, std::shared_ptr<GatewayUpstream>> listed;
+    std::vector<std::string> leaving;
     for (const RoutedUpstream &routed : table.upstreams) {
         std::shared_ptr<GatewayUpstream> upstream = this->upstreamOf(routed);
+        const bool wasLeaving = upstream->isLeaving();
         upstream->setRouted(routed, this->routing.tableConfirmedAt);
+        if (upstream->isLeaving() && !wasLeaving) {
+            leaving.push_back(routed.upstream.incarnation.id);
+        }
         upstream->setEvacuated(table.evacuatedZones.contains(routed.upstream.zone));
         listed.emplace(routed.upstream.incarnation.id, std::move(upstream));
     }
@@ -196,6 +201,27 @@
         }
     }
     this->upstreams = std::move(listed);
+    this->logLeaving(leaving);
+}
+
+// Logs which upstreams leave by the present table and not by the previous one, and how long ago the
+// leader confirmed that one.
+void GatewayCore::logLeaving(const std::vector<std::string> &ids)
+{
+    if (ids.empty()) {
+        return;
+    }
+    constexpr std::size_t maxNames = 8;
+    std::string names;
+    for (std::size_t i = 0; i < std::min(ids.size(), maxNames); ++i) {
+        names += (i == 0 ? "" : " ") + ids[i];
+    }
+    const Milliseconds age = this->loop.now() - this->routing.tableConfirmedAt;
+    this->log.write({ "upstreams_leave",
+                      Event::Weight::Important,
+                      { { "count", static_cast<std::int64_t>(ids.size()) },
+                        { "upstreams", names },
+                        { "previous_table_age_ms", age.count } } });
 }
 
 // Returns the state of an upstream of the next routing table; a new one if its incarnation is not
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -132,6 +132,7 @@
     std::optional<std::string> fullDocument(const GatewayUpdate &update) const;
     void updateConfiguration(const GatewayUpdate &update);
     void setRoutingTable(const RoutingTable &table);
+    void logLeaving(const std::vector<std::string> &ids);
     std::shared_ptr<GatewayUpstream> upstreamOf(const RoutedUpstream &routed);
     void keepUnlisted(const std::shared_ptr<GatewayUpstream> &upstream);
     Distance distanceTo(const std::string &zone) const;
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -203,7 +203,7 @@
     batch->done = std::move(done);
     for (const RegistryCommand &command : commands) {
         const std::uint64_t proposal = ++this->lastProposal;
-        this->proposals.emplace(proposal, Proposal { command, batch });
+        this->proposals.emplace(proposal, Proposal { command, batch, this->loop.now() });
         this->group.propose(proposal, encodeCommand(command));
     }
 }
@@ -689,11 +689,16 @@
 
 void RegistryEngine::logWatchLoad()
 {
-    if (this->leading) {
-        this->watchLoad.write(this->log, this->loop.workMeter(), this->waitingCalls.size());
-    } else {
+    if (!this->leading) {
         this->watchLoad.clear(this->loop.workMeter());
+        return;
+    }
+    WatchLoad::Waiting waiting { this->waitingCalls.size(), this->proposals.size(), {} };
+    if (!this->proposals.empty()) {
+        const Proposal &oldest = this->proposals.begin()->second; // numbered in order
+        waiting.oldestProposal = this->loop.now() - oldest.proposedAt;
     }
+    this->watchLoad.write(this->log, this->loop.workMeter(), waiting);
 }
 
 } // namespace cassiaroad
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -133,6 +133,7 @@
     {
         RegistryCommand command;
         std::shared_ptr<Batch> batch;
+        TimePoint proposedAt;
     };
 
     void restore(const std::optional<Snapshot> &snapshot);
--- a/src/registry/watchload.cpp
+++ b/src/registry/watchload.cpp
@@ -17,7 +17,7 @@
     }
 }
 
-void WatchLoad::write(EventLog &log, const WorkMeter &meter, std::size_t waiting)
+void WatchLoad::write(EventLog &log, const WorkMeter &meter, const Waiting &waiting)
 {
     constexpr std::int64_t microsecondsPerMillisecond = 1000;
     const Counts taken = std::exchange(this->counts, {});
@@ -25,7 +25,7 @@
                 Event::Weight::Important,
                 { { "calls", taken.calls },
                   { "replies", taken.replies },
-                  { "waiting", static_cast<std::int64_t>(waiting) },
+                  { "waiting", static_cast<std::int64_t>(waiting.calls) },
                   { "changes", taken.changes },
                   { "full_tables", taken.fullTables },
                   { "change_bytes", taken.changeBytes },
@@ -33,7 +33,9 @@
                   { "full_documents", taken.fullDocuments },
                   { "document_bytes", taken.documentBytes },
                   { "tables", taken.tables },
-                  { "heartbeats", taken.heartbeats } } });
+                  { "heartbeats", taken.heartbeats },
+                  { "proposals", static_cast<std::int64_t>(waiting.proposals) },
+                  { "oldest_proposal_ms", waiting.oldestProposal.count } } });
     Event work { "loop_work", Event::Weight::Important, {} };
     const std::array<std::int64_t, workKinds> microseconds = this->takeWork(meter);
     for (std::size_t i = 0; i < workKinds; ++i) {
--- a/src/registry/watchload.h
+++ b/src/registry/watchload.h
@@ -20,11 +20,19 @@
     void countHeartbeat() { ++this->counts.heartbeats; }
     void countTable() { ++this->counts.tables; }
 
+    /** What waits at the leader when a line is written. */
+    struct Waiting
+    {
+        std::size_t calls = 0; // watch calls that wait for a change
+        std::size_t proposals = 0; // commands that are proposed and not committed
+        Milliseconds oldestProposal; // how long the oldest of them has waited
+    };
+
     /**
-     * Writes what was counted since the previous call, and the work of @p meter in that time.
-     * @p waiting: watch calls that wait for a change.
+     * Writes what was counted since the previous call, the work of @p meter in that time, and what
+     * waits now.
      */
-    void write(EventLog &log, const WorkMeter &meter, std::size_t waiting);
+    void write(EventLog &log, const WorkMeter &meter, const Waiting &waiting);
     /** Drops what was counted, while this host does not lead. */
     void clear(const WorkMeter &meter);
 
