cassiaroad: Bound the wait of a flush of the log by 10 ms

Cause: the log is written and commands are proposed in kj::evalLast, which runs when no other event is ready. A loop that always has a ready event never gets there.

The wait for a quiet moment, which lets calls share one sync, has a bound now.

Before: BusyLeaderTest.commitsWhileAnEventIsAlwaysReady got no response to a heartbeat within 1 s. Not shown by this: that the loop is busy at all, which has a cause of its own.

--- a/src/cassiaroad/replicadriver.cpp
+++ b/src/cassiaroad/replicadriver.cpp
@@ -15,6 +15,8 @@
 const Log storageLog("storage");
 
 constexpr Milliseconds reopenInterval { 1000 }; // between attempts to open a failed data folder
+// How long a flush waits at most for a moment without other events. A busy loop has none.
+constexpr Milliseconds maxFlushDelay { 10 };
 // Seconds.
 const std::vector<double> syncBuckets { 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5 };
 
@@ -302,13 +304,23 @@
     this->flushScheduled = true;
     // Runs when no other kj event is ready: all calls that arrived together share one sync, and
     // messages to other members are sent before this member blocks in its own sync.
-    this->flushTasks.add(kj::evalLast([this] { this->flush(); }));
+    if (!std::exchange(this->flushesWhenIdle, true)) {
+        this->flushTasks.add(kj::evalLast([this] {
+            this->flushesWhenIdle = false;
+            this->flush();
+        }));
+    }
+    this->flushTimer = this->loop.callAfter(maxFlushDelay, [this] { this->flush(); });
 }
 
 // Writes and syncs the log, then proposes the commands that were collected since the last flush.
+// Does nothing if no flush is scheduled any more, since the other of its two events came first.
 void ReplicaDriver::flush()
 {
-    this->flushScheduled = false;
+    if (!std::exchange(this->flushScheduled, false)) {
+        return;
+    }
+    this->flushTimer = EventLoop::Timer();
     this->sync();
     if (this->proposals.empty()) {
         return;
--- a/src/cassiaroad/replicadriver.h
+++ b/src/cassiaroad/replicadriver.h
@@ -160,6 +160,8 @@
     std::size_t bytesSinceSnapshot = 0;
     std::size_t snapshotBytes = 0; // size of the last snapshot
     bool flushScheduled = false;
+    bool flushesWhenIdle = false; // flush() runs when no other event is ready
+    EventLoop::Timer flushTimer; // bounds the wait of a scheduled flush
     EventLoop::Timer tickTimer;
     EventLoop::Timer reopenTimer;
     kj::TaskSet flushTasks;
