version: Look at all upstreams once to find those to remove

Cause: with each decision, also with each heartbeat of an upstream that releases keys, the leader compared every silent upstream with all others to see whether its address has a new owner, and looked for its ranges among all. The cost is the product of the site and its silent part; the removals that end it were not committed, since the loop was busy.

Now one pass finds all of them, a few times a second: a removal may wait.

--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -10,6 +10,8 @@
 
 constexpr double loadSmoothingSeconds = 3.0; // of the requests per second of a gateway
 
+constexpr Milliseconds removalInterval { 200 }; // between two checks which upstreams to remove
+
 // Expected time from a commit until the call that delivers the lease has arrived.
 constexpr Milliseconds leaseCallDuration { 25 };
 
@@ -256,26 +258,38 @@
     return this->crashes.suspects(now);
 }
 
-bool RegistryManager::ownsRange(const SiteUpstream &upstream) const
+// Removes the incarnations that own ranges from @p incarnations.
+void RegistryManager::eraseOwners(std::set<UpstreamIncarnation> &incarnations) const
 {
-    const auto table = this->state.ranges().find(upstream.service);
-    if (table == this->state.ranges().end()) {
-        return false;
+    for (const auto &[service, table] : this->state.ranges()) {
+        for (const RangeOwner &entry : table.owners()) {
+            if (incarnations.empty()) {
+                return;
+            }
+            incarnations.erase(entry.owner);
+        }
     }
-    const std::vector<RangeOwner> &owners = table->second.owners();
-    return std::any_of(owners.begin(), owners.end(),
-                       [&](const RangeOwner &o) { return o.owner == upstream.incarnation; });
 }
 
+// Adds the removal of upstreams that have been silent for long or whose address another one has,
+// once they own no ranges. It looks at all upstreams and ranges, so it is done a few times a
+// second.
 void RegistryManager::addRemovals(TimePoint now, std::vector<RegistryCommand> &commands)
 {
+    if (now - this->removalsCheckedAt < removalInterval) {
+        return;
+    }
+    this->removalsCheckedAt = now;
+    std::set<UpstreamIncarnation> expired = supersededUpstreams(this->known(now));
     for (const auto &[id, upstream] : this->state.upstreams()) {
-        const bool hasExpired = this->monitor.isSilent(upstream.incarnation,
-                                                       now - this->timing.registrationTimeout)
-                                || isSuperseded(upstream, this->known(now));
-        if (hasExpired && !this->ownsRange(upstream)
-            && this->removing.insert(upstream.incarnation).second) {
-            commands.emplace_back(RemoveSiteUpstream { upstream.incarnation });
+        if (this->monitor.isSilent(upstream.incarnation, now - this->timing.registrationTimeout)) {
+            expired.insert(upstream.incarnation);
+        }
+    }
+    this->eraseOwners(expired);
+    for (const UpstreamIncarnation &incarnation : expired) {
+        if (this->removing.insert(incarnation).second) {
+            commands.emplace_back(RemoveSiteUpstream { incarnation });
         }
     }
 }
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -141,7 +141,7 @@
     void suspendLeaseCalls(const UpstreamReport &report);
     void forgetOthers(TimePoint now);
     void addRemovals(TimePoint now, std::vector<RegistryCommand> &commands);
-    bool ownsRange(const SiteUpstream &upstream) const;
+    void eraseOwners(std::set<UpstreamIncarnation> &incarnations) const;
     bool isCounted(const GatewayLoad &load, TimePoint now) const;
     std::vector<RegistryCommand> leaveCommands(const std::vector<UpstreamIncarnation> &seen,
                                                TimePoint now);
@@ -160,6 +160,7 @@
     CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
     std::set<UpstreamIncarnation> leaving; // as above, that they leave; reported by gateways
+    TimePoint removalsCheckedAt; // when addRemovals() was last done
     TimePoint forgottenAt; // when forgetOthers() was last done
     std::uint64_t firstLeases = 0; // responses with a lease that was the first on its range
 };
--- a/src/version/upstreamclaims.cpp
+++ b/src/version/upstreamclaims.cpp
@@ -1,6 +1,7 @@
 #include "version/upstreamclaims.h"
 
 #include <algorithm>
+#include <map>
 
 namespace cassiaroad {
 
@@ -59,20 +60,27 @@
                       > known.monitor.lastSeen(registered.incarnation);
 }
 
-// Whether a later incarnation reports from @p address, and the sender has not been heard since its
-// first report.
+// Whether @p other started later than @p sender, whose address it has, and reports; and the sender
+// has not been heard since the first report of the other.
+bool hasTakenAddress(const SiteUpstream &other, const UpstreamIncarnation &sender,
+                     const KnownUpstreams &known)
+{
+    if (other.incarnation.born <= sender.born || !known.monitor.hasReported(other.incarnation)
+        || !mayBeUp(other, known)) {
+        return false;
+    }
+    return !known.monitor.hasReported(sender)
+           || known.monitor.lastSeen(sender) < known.monitor.firstSeen(other.incarnation);
+}
+
+// Whether a later incarnation reports from @p address; see hasTakenAddress().
 bool isAddressTaken(const UpstreamIncarnation &sender, const HostAddress &address,
                     const KnownUpstreams &known)
 {
     const auto &upstreams = known.state.upstreams();
     return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto &entry) {
         const SiteUpstream &other = entry.second;
-        if (other.incarnation.born <= sender.born || other.address != address
-            || !known.monitor.hasReported(other.incarnation) || !mayBeUp(other, known)) {
-            return false;
-        }
-        return !known.monitor.hasReported(sender)
-               || known.monitor.lastSeen(sender) < known.monitor.firstSeen(other.incarnation);
+        return other.address == address && hasTakenAddress(other, sender, known);
     });
 }
 
@@ -136,10 +144,27 @@
     return result;
 }
 
-bool isSuperseded(const SiteUpstream &upstream, const KnownUpstreams &known)
+std::set<UpstreamIncarnation> supersededUpstreams(const KnownUpstreams &known)
 {
-    return known.monitor.isSilent(upstream.incarnation, known.now)
-           && isAddressTaken(upstream.incarnation, upstream.address, known);
+    std::map<HostAddress, std::vector<UpstreamIncarnation>> silent;
+    for (const auto &[id, upstream] : known.state.upstreams()) {
+        if (known.monitor.isSilent(upstream.incarnation, known.now)) {
+            silent[upstream.address].push_back(upstream.incarnation);
+        }
+    }
+    std::set<UpstreamIncarnation> superseded;
+    for (const auto &[id, other] : known.state.upstreams()) {
+        const auto found = silent.find(other.address);
+        if (found == silent.end()) {
+            continue;
+        }
+        for (const UpstreamIncarnation &incarnation : found->second) {
+            if (hasTakenAddress(other, incarnation, known)) {
+                superseded.insert(incarnation);
+            }
+        }
+    }
+    return superseded;
 }
 
 } // namespace cassiaroad
--- a/src/version/upstreamclaims.h
+++ b/src/version/upstreamclaims.h
@@ -4,6 +4,7 @@
 #include "version/siteconfiguration.h"
 #include "version/upstreammonitor.h"
 
+#include <set>
 #include <vector>
 
 namespace cassiaroad {
@@ -69,7 +70,10 @@
 std::vector<SiteUpstream> earlierAtAddress(const UpstreamReport &report,
                                            const RegistryState &state);
 
-/** Whether a later incarnation that is up has the address of @p upstream, which is silent. */
-bool isSuperseded(const SiteUpstream &upstream, const KnownUpstreams &known);
+/**
+ * Returns the silent upstreams whose address a later incarnation that is up has. Takes one pass
+ * over the upstreams, also if many are silent. Pure.
+ */
+std::set<UpstreamIncarnation> supersededUpstreams(const KnownUpstreams &known);
 
 } // namespace cassiaroad
