registry, gateway: Tell gateways which changes their routing table may lack

Cause: the leader builds the routing table at most once in 3 ms for each waiting gateway, 0.6 s with 200, but acknowledges at once. A reply in between confirmed the table as of now, and the gateway counted the drain period of an upstream that the next table shows as leaving from that confirmation: up to 0.6 s too late, of a margin of 0.7 s.

A reply now says for how long the leader has had changes that the table does not show, and a gateway takes the table for that much older.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -104,9 +104,10 @@
     // The table of a leader of an earlier term has a lower tag and is ignored.
     const bool hasNewTable = this->updateRoutingTable(update);
     if (this->routing.tableTag == update.tableTag) {
+        const TimePoint tableConfirmedAt = confirmedAt - update.tableAge;
         // A late update may confirm a table at an earlier time than the previous one did.
-        const TimePoint known = hasNewTable ? confirmedAt : this->routing.tableConfirmedAt;
-        this->routing.tableConfirmedAt = std::max(known, confirmedAt);
+        const TimePoint known = hasNewTable ? tableConfirmedAt : this->routing.tableConfirmedAt;
+        this->routing.tableConfirmedAt = std::max(known, tableConfirmedAt);
     }
     for (const auto &[id, upstream] : this->upstreams) {
         upstream->setShare(this->routing.trafficShare, roundingOffsetOf(this->settings.host + id));
--- a/src/gateway/routingview.h
+++ b/src/gateway/routingview.h
@@ -28,7 +28,7 @@
     std::shared_ptr<const ActiveConfiguration> active; // null: none yet
     std::shared_ptr<const RoutingTable> table; // null: none yet
     std::uint64_t tableTag = 0; // version of the table
-    TimePoint tableConfirmedAt; // the leader confirmed the table then or later
+    TimePoint tableConfirmedAt; // the table shows what the leader had committed then, or later
     TimePoint confirmedAt; // the leader confirmed the configuration then or later
     double trafficShare = 1.0; // share of this gateway in the requests of all gateways
     std::uint32_t gateways = 0; // number of gateways of the site; 0: not known yet
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -160,6 +160,9 @@
     this->updateEvacuatedZones();
     logCommand(this->log, *command, outcome, this->state);
     this->manager.onCommandEnded(*command);
+    if (!this->tableOutdatedAt) {
+        this->tableOutdatedAt = this->loop.now();
+    }
     this->endProposal(proposal, true, outcome);
     if (!this->leading) {
         return;
@@ -492,6 +495,8 @@
     update.gateways = this->manager.gatewayCount(this->loop.now());
     update.watchTimeout = this->watchTimeout();
     update.waited = this->loop.now() - calledAt;
+    update.tableAge
+            = this->tableOutdatedAt ? this->loop.now() - *this->tableOutdatedAt : Milliseconds {};
     this->watchLoad.countReply(update);
     return update;
 }
@@ -654,6 +659,7 @@
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::RoutingTable);
     this->watchLoad.countTable();
+    this->tableOutdatedAt.reset();
     return this->tableHistory.set(this->manager.routingTable(now));
 }
 
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -144,6 +144,9 @@
                    { "version", update.version },    { "share", update.trafficShare },
                    { "gateways", update.gateways },  { "hold", update.watchTimeout.count },
                    { "waited", update.waited.count } };
+    if (update.tableAge != Milliseconds {}) {
+        value["tableAge"] = update.tableAge.count;
+    }
     if (update.suspectsTag != 0) {
         value["suspectsTag"] = update.suspectsTag;
     }
@@ -173,6 +176,7 @@
     update.gateways = value.at("gateways");
     update.watchTimeout = { value.at("hold").get<std::int64_t>() };
     update.waited = { value.value("waited", std::int64_t(0)) };
+    update.tableAge = { value.value("tableAge", std::int64_t(0)) };
     update.fromTag = value.at("fromTag");
     update.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
     if (value.contains("suspects")) {
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -81,6 +81,9 @@
     std::optional<MemberList> members; // only if the gateway has another revision
     Milliseconds watchTimeout { 400 }; // how long the next call may wait for a change
     Milliseconds waited; // how long the call waited at the leader before this reply was made
+    // For how long the leader has had changes that the present routing table does not show, when it
+    // made this reply; 0: it shows all of them.
+    Milliseconds tableAge;
 
     bool operator==(const GatewayUpdate &) const = default;
 };
--- a/tests/gateway/test_leavingupstreams.cpp
+++ b/tests/gateway/test_leavingupstreams.cpp
@@ -59,6 +59,24 @@
     EXPECT_TRUE(this->peer->connections.empty());
 }
 
+// Guards against requests to an upstream whose announcement the leader had acknowledged before it
+// confirmed a routing table that it had built earlier.
+TEST_F(GatewayRequestTest, sendsNothingToAnUpstreamWhoseAnnouncementAnOldTableDidNotShow)
+{
+    this->serve([](FakePeer::Connection &) {});
+    GatewayUpdate confirmation;
+    confirmation.version = 1;
+    const TimePoint now = this->loop.now();
+    this->publish(RangePhase::Owned, UpstreamPhase::Ready, now - Milliseconds { 5000 });
+    confirmation.tableTag = this->tag;
+    confirmation.tableAge = { 2000 };
+    this->core.update(confirmation, now);
+    this->publish(RangePhase::Owned, UpstreamPhase::Draining, now);
+    const auto late = this->request("GET", "/read/1");
+    runFor(this->loop, { 200 });
+    EXPECT_TRUE(this->peer->connections.empty());
+}
+
 // Guards against requests to an upstream that has left or lost their key while their connection
 // opened.
 TEST_F(GatewayRequestTest, sendsNothingToAnUpstreamThatLeavesWhileItsConnectionOpens)
--- /dev/null
+++ b/tests/registry/test_leavingupstreams.cpp
@@ -0,0 +1,107 @@
+/** What the leader tells gateways of upstreams that leave. */
+#include "registrygroup.h"
+
+#include "version/routingchange.h"
+
+using namespace cassiaroad;
+
+namespace {
+
+// With so many waiting calls the leader builds a table every 600 ms.
+constexpr int waitingGateways = 200;
+
+/** A leader with one upstream, and calls of gateways. */
+class LeavingUpstreamsTest : public RegistryGroupTest
+{
+protected:
+    /** A watch call and its reply, once there is one. */
+    struct Watch
+    {
+        TimePoint sentAt;
+        std::optional<GatewayUpdate> update;
+        kj::Promise<void> call = nullptr;
+    };
+
+    std::unique_ptr<Watch> watch(RegistryEngine &leader, std::uint64_t tableTag, int gateway = 0)
+    {
+        auto watch = std::make_unique<Watch>();
+        GatewayReport report;
+        report.gateway = "front-" + std::to_string(gateway);
+        report.tableTag = tableTag;
+        watch->sentAt = this->loop.now();
+        watch->call = leader.watch(report)
+                              .then([&update = watch->update](const GatewayWatchReply &reply) {
+                                  update = std::get<GatewayUpdate>(reply);
+                              })
+                              .eagerlyEvaluate(nullptr);
+        return watch;
+    }
+
+    GatewayUpdate present(RegistryEngine &leader)
+    {
+        const auto watch = this->watch(leader, 0);
+        waitUntil(this->loop, [&] { return watch->update.has_value(); });
+        return watch->update.value_or(GatewayUpdate {});
+    }
+
+    void sendHeartbeat(RegistryEngine &leader, const std::string &id, std::uint64_t sequence,
+                       bool draining)
+    {
+        UpstreamReport report;
+        report.incarnation = { id, 1 };
+        report.address = { "10.0.0.1", static_cast<std::uint16_t>(id.back()) };
+        report.sequence = sequence;
+        report.draining = draining;
+        std::optional<HeartbeatResult> response;
+        leader.handleHeartbeat(report, [&](const HeartbeatResult &value) { response = value; });
+        waitUntil(this->loop, [&] { return response.has_value(); });
+        EXPECT_TRUE(response && std::holds_alternative<HeartbeatResponse>(*response));
+    }
+
+    // Returns the phase of the upstream in a complete table, or nothing if the table has none.
+    static std::optional<UpstreamPhase> phaseIn(const GatewayUpdate &update, const std::string &id)
+    {
+        const auto change = decodeRoutingChange(update.change.value_or(""));
+        for (const RoutedUpstream &routed :
+             change ? change->upstreams : std::vector<RoutedUpstream>()) {
+            if (routed.upstream.incarnation.id == id) {
+                return routed.upstream.phase;
+            }
+        }
+        return std::nullopt;
+    }
+};
+
+} // namespace
+
+// Guards against gateways that take a routing table for newer than the acknowledgement of a
+// shutdown that it does not show, and count the drain period from there.
+TEST_F(LeavingUpstreamsTest, areNotInTheTableBeforeTheTimeThatTheLeaderTells)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    this->sendHeartbeat(*leader, "i-1", 1, false);
+    runFor(this->loop, { 300 });
+    std::uint64_t tag = this->present(*leader).tableTag;
+    std::vector<std::unique_ptr<Watch>> waiting;
+    for (int gateway = 1; gateway <= waitingGateways; ++gateway) {
+        waiting.push_back(this->watch(*leader, tag, gateway));
+    }
+    this->sendHeartbeat(*leader, "i-2", 1, false); // a new table resumes the calls
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return waiting.back()->update.has_value(); }));
+    tag = waiting.back()->update->tableTag;
+    waiting.clear();
+    for (int gateway = 1; gateway <= waitingGateways; ++gateway) {
+        waiting.push_back(this->watch(*leader, tag, gateway));
+    }
+    this->sendHeartbeat(*leader, "i-1", 2, true);
+    const TimePoint acknowledgedAt = this->loop.now();
+    runFor(this->loop, { 30 });
+
+    const auto later = this->watch(*leader, 0);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return later->update.has_value(); }));
+    const TimePoint shownUntil = later->sentAt + later->update->waited - later->update->tableAge;
+    const bool isShown = phaseIn(*later->update, "i-1") == UpstreamPhase::Draining;
+    EXPECT_TRUE(isShown || shownUntil <= acknowledgedAt)
+            << (shownUntil - acknowledgedAt).count << " ms too late";
+}
