registry: Build the routing table before a new leader answers gateways

What callers saw: after a change of leader, gateways refuse with "no upstream left" for a moment; and they can send to an upstream beyond its drain period.

Cause: a new leader began with an empty table and built the first one at its next tick, up to 50 ms later. A watch call in between was answered with the empty table. The gateway dropped all upstreams, and with them since when one of them had been leaving; the next table lists it as one that has just begun to.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -228,6 +228,7 @@
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
         this->tableHistory.startTerm(this->leadingTerm);
+        this->updateTable(this->loop.now()); // calls that have waited are answered next
         this->notifiedAt = {};
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { bootstrapSlot, this->settings.ip, "" } },
--- a/tests/registry/test_leavingupstreams.cpp
+++ b/tests/registry/test_leavingupstreams.cpp
@@ -105,3 +105,24 @@
     EXPECT_TRUE(isShown || shownUntil <= acknowledgedAt)
             << (shownUntil - acknowledgedAt).count << " ms too late";
 }
+
+// Guards against a leader that tells gateways an empty routing table before it has built its first
+// one: they drop all upstreams, and forget since when one of them has been leaving.
+TEST_F(LeavingUpstreamsTest, areInTheFirstTableOfANewLeader)
+{
+    RegistryEngine *first = this->waitForLeader();
+    ASSERT_NE(first, nullptr);
+    this->sendHeartbeat(*first, "i-1", 1, false);
+    this->sendHeartbeat(*first, "i-1", 2, true);
+    runFor(this->loop, { 200 });
+    std::erase_if(this->hosts, [&](const auto &host) { return &host->engine == first; });
+    RegistryEngine *next = nullptr;
+    ASSERT_TRUE(waitUntil(this->loop, [&] {
+        for (const auto &host : this->hosts) {
+            GroupMember &member = host->engine.member();
+            next = member.isLeader() && member.hasLease() ? &host->engine : next;
+        }
+        return next != nullptr;
+    }));
+    EXPECT_EQ(phaseIn(this->present(*next), "i-1"), UpstreamPhase::Draining);
+}
