registry: Commit a shutdown before any heartbeat that announces it is acknowledged

What callers saw: nothing that is traced to it.

Cause: a heartbeat that is sent again because its response is slow, or that may be late, changes nothing and was answered with 200 at once. An upstream takes that as the acknowledgement of its shutdown, though the command for its first heartbeat was not committed, and might never be.

Such a heartbeat of a registered upstream now proposes the shutdown too, unless it is committed, and is answered after that.

Before: LeavingUpstreamsTest.areNotAcknowledgedBeforeTheCommit got a response before the loop had run. After: it holds.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -314,19 +314,25 @@
                           { { "upstream", report.incarnation.id },
                             { "born", report.incarnation.born },
                             { "sequence", std::int64_t(report.sequence) } } });
-        done(HeartbeatResponse {});
-        return;
     }
+    const bool changesLeases = result.status == ReportStatus::Accepted;
+    const auto respond = [this, report, done, changesLeases] {
+        if (changesLeases) {
+            this->respondToHeartbeat(report, done);
+        } else {
+            done(HeartbeatResponse {});
+        }
+    };
     if (result.commands.empty()) {
-        this->respondToHeartbeat(report, done);
+        respond();
         return;
     }
-    this->commit(result.commands, [this, report, done](bool committed, PutOutcome) {
-        if (!committed) {
+    this->commit(result.commands, [respond, done](bool committed, PutOutcome) {
+        if (committed) {
+            respond();
+        } else {
             done(CallOutcomeUnknown {});
-            return;
         }
-        this->respondToHeartbeat(report, done);
     });
 }
 
--- a/src/version/registryheartbeats.cpp
+++ b/src/version/registryheartbeats.cpp
@@ -82,6 +82,20 @@
     return commands;
 }
 
+// Returns the command for a registered upstream that reports its shutdown, if none is committed.
+std::vector<RegistryCommand> RegistryManager::drainCommands(const UpstreamReport &report,
+                                                            TimePoint now)
+{
+    const SiteUpstream &upstream = *this->state.find(report.incarnation);
+    if (!report.draining || upstream.phase != UpstreamPhase::Ready) {
+        return {};
+    }
+    if (RangeSupervisor *keyed = this->supervisor(report.service)) {
+        keyed->recordLeaving(report.incarnation, now);
+    }
+    return { SetUpstreamPhase { report.incarnation, UpstreamPhase::Draining } };
+}
+
 // Returns the commands for a change of the phase of a registered upstream. One that was withdrawn
 // and goes on to report that it is ready was withdrawn by another writer.
 std::vector<RegistryCommand> RegistryManager::phaseCommands(const UpstreamReport &report,
@@ -89,9 +103,7 @@
 {
     const SiteUpstream &upstream = *this->state.find(report.incarnation);
     if (upstream.phase == UpstreamPhase::Ready) {
-        return report.draining ? std::vector<RegistryCommand> { SetUpstreamPhase {
-                       report.incarnation, UpstreamPhase::Draining } }
-                               : std::vector<RegistryCommand> {};
+        return this->drainCommands(report, now);
     }
     if (!this->monitor.hasStayedReady(report, now)) {
         return {};
@@ -113,7 +125,11 @@
         this->suspendLeaseCalls(report);
     }
     if (status != ReportStatus::Accepted) {
-        return { status, {} };
+        // The response acknowledges the shutdown all the same, and an incarnation cannot take it
+        // back.
+        const bool isRegistered = claim.kind == ClaimKind::Registered;
+        return { status, isRegistered ? this->drainCommands(report, now)
+                                      : std::vector<RegistryCommand> {} };
     }
     ReportResult result { status, claim.kind == ClaimKind::Registered
                                           ? this->phaseCommands(report, now)
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -136,6 +136,7 @@
     ReportStatus recordReport(const UpstreamReport &report, UpstreamClaim claim, TimePoint now);
     std::vector<RegistryCommand> registrationOf(const UpstreamReport &report, ClaimKind kind,
                                                 TimePoint now);
+    std::vector<RegistryCommand> drainCommands(const UpstreamReport &report, TimePoint now);
     std::vector<RegistryCommand> phaseCommands(const UpstreamReport &report, TimePoint now);
     void wakeLeaseCalls(const std::string &zone);
     void suspendLeaseCalls(const UpstreamReport &report);
--- a/tests/registry/test_leavingupstreams.cpp
+++ b/tests/registry/test_leavingupstreams.cpp
@@ -44,16 +44,22 @@
         return watch->update.value_or(GatewayUpdate {});
     }
 
-    void sendHeartbeat(RegistryEngine &leader, const std::string &id, std::uint64_t sequence,
-                       bool draining)
+    static UpstreamReport heartbeat(const std::string &id, std::uint64_t sequence, bool draining)
     {
         UpstreamReport report;
         report.incarnation = { id, 1 };
         report.address = { "10.0.0.1", static_cast<std::uint16_t>(id.back()) };
         report.sequence = sequence;
         report.draining = draining;
+        return report;
+    }
+
+    void sendHeartbeat(RegistryEngine &leader, const std::string &id, std::uint64_t sequence,
+                       bool draining)
+    {
         std::optional<HeartbeatResult> response;
-        leader.handleHeartbeat(report, [&](const HeartbeatResult &value) { response = value; });
+        leader.handleHeartbeat(heartbeat(id, sequence, draining),
+                               [&](const HeartbeatResult &value) { response = value; });
         waitUntil(this->loop, [&] { return response.has_value(); });
         EXPECT_TRUE(response && std::holds_alternative<HeartbeatResponse>(*response));
     }
@@ -126,3 +132,23 @@
     }));
     EXPECT_EQ(phaseIn(this->present(*next), "i-1"), UpstreamPhase::Draining);
 }
+
+// Guards against a heartbeat that is sent again, because its response is slow, and acknowledged
+// before the shutdown that it announces is committed: it may never be.
+TEST_F(LeavingUpstreamsTest, areNotAcknowledgedBeforeTheCommit)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    this->sendHeartbeat(*leader, "i-1", 1, false);
+    int responses = 0;
+    for (int i = 0; i < 2; ++i) {
+        leader->handleHeartbeat(heartbeat("i-1", 2, true), [&](const HeartbeatResult &value) {
+            EXPECT_TRUE(std::holds_alternative<HeartbeatResponse>(value));
+            ++responses;
+        });
+    }
+    EXPECT_EQ(responses, 0); // the loop has not run, so nothing is committed
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return responses == 2; }));
+    runFor(this->loop, { 300 }); // until the leader has built the next table
+    EXPECT_EQ(phaseIn(this->present(*leader), "i-1"), UpstreamPhase::Draining);
+}
