registry: Count the interval of notifications from the last notification

Cause: the interval, 0.6 s with 195 waiting gateways, began anew with each routing table that the leader built to look for changes that come with time, so that news waited although no gateway had been notified for seconds.

Before: LeavingUpstreamsTest.areToldAtOnceAfterAQuietTime failed (one of four times longer than 250 ms).

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -23,9 +23,10 @@
 constexpr Milliseconds minWatchTimeout { 400 };
 constexpr Milliseconds watchTimeoutPerGateway { 8 };
 constexpr Milliseconds maxWatchTimeout { 1000 };
-// Interval between two notifications of the gateways: the larger of the lower bound and a time per
-// waiting gateway. Notifying one gateway takes a slow leader a good part of a millisecond.
-constexpr Milliseconds minNotifyInterval { 30 };
+// Shortest interval between two routing tables.
+constexpr Milliseconds minTableInterval { 30 };
+// Shortest interval between two notifications of the gateways, for each waiting gateway. Notifying
+// one takes a slow leader a good part of a millisecond.
 constexpr Milliseconds notifyIntervalPerGateway { 3 };
 // How long a call waits for the confirmation of the leader's lease. Upstreams and operators try
 // another host after a second.
@@ -229,6 +230,7 @@
         this->group.startTerm();
         this->tableHistory.startTerm(this->leadingTerm);
         this->updateTable(this->loop.now()); // calls that have waited are answered next
+        this->tableBuiltAt = {};
         this->notifiedAt = {};
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { bootstrapSlot, this->settings.ip, "" } },
@@ -643,13 +645,13 @@
 void RegistryEngine::notifyGateways()
 {
     const auto gateways = static_cast<std::int64_t>(this->waitingCalls.size());
-    const Milliseconds interval = std::max(minNotifyInterval, notifyIntervalPerGateway * gateways);
     const TimePoint now = this->loop.now();
-    this->notifyDue = now - this->notifiedAt < interval;
+    this->notifyDue = now - this->tableBuiltAt < minTableInterval
+                      || now - this->notifiedAt < notifyIntervalPerGateway * gateways;
     if (this->notifyDue) {
         return;
     }
-    this->notifiedAt = now;
+    this->tableBuiltAt = now;
     const bool isOtherTable = this->updateTable(now);
     const bool hasOtherSuspects = this->updateSuspects();
     const std::uint64_t members = this->state.orderedMembers().revision;
@@ -657,6 +659,7 @@
     if (isOtherTable || hasOtherSuspects || hasOtherMembers
         || this->notifiedVersion != this->state.version()) {
         this->notifiedVersion = this->state.version();
+        this->notifiedAt = now;
         this->resumeWatchCalls();
     }
 }
@@ -695,7 +698,7 @@
     }
     this->commitDueCommands();
     this->sendLeaseCalls();
-    if (this->notifyDue || this->loop.now() - this->notifiedAt >= refreshInterval) {
+    if (this->notifyDue || this->loop.now() - this->tableBuiltAt >= refreshInterval) {
         this->notifyGateways();
     }
 }
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -194,11 +194,12 @@
     ConfigurationHistory configurationHistory;
     ConfigurationVersion notifiedVersion = 0; // configuration at the last notification of gateways
     std::uint64_t notifiedMembers = 0; // revision of the members at that time
-    TimePoint notifiedAt; // when notifyGateways() last compared the table with the previous one
+    TimePoint tableBuiltAt; // when notifyGateways() last compared the table with the previous one
+    TimePoint notifiedAt; // when it last resumed the watch calls
     // When the first command was applied that the routing table does not show; nothing: it shows
     // all.
     std::optional<TimePoint> tableOutdatedAt;
-    bool notifyDue = false; // the table may have changed since `notifiedAt`
+    bool notifyDue = false; // the table may have changed since `tableBuiltAt`
     std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
     std::deque<LeaseWait> leaseWaits; // in order of arrival
     LeaseCaller leaseCaller;
--- a/tests/registry/test_leavingupstreams.cpp
+++ b/tests/registry/test_leavingupstreams.cpp
@@ -112,6 +112,27 @@
             << (shownUntil - acknowledgedAt).count << " ms too late";
 }
 
+// Guards against news that waits for the interval between two notifications though no gateway was
+// notified lately.
+TEST_F(LeavingUpstreamsTest, areToldAtOnceAfterAQuietTime)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    this->sendHeartbeat(*leader, "i-1", 1, false);
+    runFor(this->loop, { 800 });
+    for (std::uint64_t i = 0; i < 4; ++i) {
+        const std::uint64_t tag = this->present(*leader).tableTag;
+        std::vector<std::unique_ptr<Watch>> waiting;
+        for (int gateway = 1; gateway <= waitingGateways; ++gateway) {
+            waiting.push_back(this->watch(*leader, tag, gateway));
+        }
+        runFor(this->loop, { 700 }); // longer than the interval, shorter than the watch timeout
+        this->sendHeartbeat(*leader, "j-" + std::to_string(i), 1, false);
+        const auto isTold = [&] { return waiting.front()->update.has_value(); };
+        EXPECT_TRUE(waitUntil(this->loop, isTold, { 250 })) << "time " << i;
+    }
+}
+
 // Guards against a leader that tells gateways an empty routing table before it has built its first
 // one: they drop all upstreams, and forget since when one of them has been leaving.
 TEST_F(LeavingUpstreamsTest, areInTheFirstTableOfANewLeader)
