gateway: Send the last request to a leaving upstream earlier over a full link

Cause: the last request was sent 0.7 s before the drain period may end.

The margin is now at least as long as a connection takes to open.

Before: with the connect time ignored GatewayUpstream.hasLeftEarlierWhileConnectionsOpenSlowly fails. After: it holds.

--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -102,7 +102,8 @@
     /** See GatewayUpstream::hasLeft(). */
     bool hasLeft(const GatewayUpstream &upstream) const
     {
-        return upstream.hasLeft(this->loop.now(), this->settings.bounds.drainPeriod);
+        return upstream.hasLeft(this->loop.now(), this->settings.bounds.drainPeriod,
+                                this->connects.timeout());
     }
 
     /** Time after which a key whose owner is unavailable probably has another owner. */
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -29,9 +29,9 @@
 // Failures that are further apart do not count as failures in a row: an upstream that gets few
 // requests from this gateway may have responded to other gateways in the meantime.
 constexpr Milliseconds maxFailureInterval { 4000 };
-// A leaving upstream gets its last request this long before its drain period may end: time for the
-// way of the request over a full link.
-constexpr Milliseconds lastRequestMargin { 700 };
+// A leaving upstream gets its last request at least this long before its drain period may end: time
+// for the way of the request over a link that is about to be full.
+constexpr Milliseconds minLastRequestMargin { 700 };
 // Surcharges in milliseconds on the cost of an upstream in another zone of the region or in another
 // region. Traffic between regions is slow and paid by volume.
 constexpr double sameRegionCost = 3.0;
@@ -87,9 +87,11 @@
     this->routed = value;
 }
 
-bool GatewayUpstream::hasLeft(TimePoint now, Milliseconds drainPeriod) const
+bool GatewayUpstream::hasLeft(TimePoint now, Milliseconds drainPeriod,
+                              Milliseconds connectTime) const
 {
-    const TimePoint lastLeave = now - (drainPeriod - lastRequestMargin);
+    const Milliseconds margin = std::max(minLastRequestMargin, connectTime);
+    const TimePoint lastLeave = now - (drainPeriod - margin);
     return (this->leavingSince && *this->leavingSince < lastLeave)
            || (this->saidLeavingAt && *this->saidLeavingAt < lastLeave);
 }
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -53,9 +53,10 @@
     }
     /**
      * Whether it may have announced its shutdown so long ago that it no longer gets requests.
-     * @p drainPeriod is how long upstreams serve after an announcement.
+     * @p drainPeriod is how long upstreams serve after an announcement, @p connectTime how long a
+     * connection takes to open now, as a request takes to arrive at most.
      */
-    bool hasLeft(TimePoint now, Milliseconds drainPeriod) const;
+    bool hasLeft(TimePoint now, Milliseconds drainPeriod, Milliseconds connectTime) const;
     /** Records that it has said in a response that it leaves. It cannot take that back. */
     void recordLeaving(TimePoint now);
     /** Records that it wants no further request of this gateway for @p duration. */
--- a/tests/gateway/test_gatewayupstream.cpp
+++ b/tests/gateway/test_gatewayupstream.cpp
@@ -93,9 +93,23 @@
     leaving.upstream.phase = UpstreamPhase::Gone;
     gatewayUpstream.setRouted(leaving, now);
     gatewayUpstream.setRouted(leaving, now + Milliseconds { 1000 });
-    EXPECT_FALSE(gatewayUpstream.hasLeft(now + Milliseconds { 1800 }, { 2500 }));
-    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1801 }, { 2500 }));
-    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1000 }, { 1500 }));
+    constexpr Milliseconds connectTime { 400 };
+    EXPECT_FALSE(gatewayUpstream.hasLeft(now + Milliseconds { 1800 }, { 2500 }, connectTime));
+    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1801 }, { 2500 }, connectTime));
+    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1000 }, { 1500 }, connectTime));
+}
+
+// Guards against a last request to a leaving upstream that arrives after its drain period, because
+// the link of the gateway is full.
+TEST(GatewayUpstream, hasLeftEarlierWhileConnectionsOpenSlowly)
+{
+    GatewayUpstream gatewayUpstream = upstream();
+    RoutedUpstream leaving { gatewayUpstream.upstream(), false, false };
+    leaving.upstream.phase = UpstreamPhase::Draining;
+    gatewayUpstream.setRouted(leaving, now);
+    constexpr Milliseconds connectTime { 1500 };
+    EXPECT_FALSE(gatewayUpstream.hasLeft(now + Milliseconds { 1000 }, { 2500 }, connectTime));
+    EXPECT_TRUE(gatewayUpstream.hasLeft(now + Milliseconds { 1001 }, { 2500 }, connectTime));
 }
 
 // A full upstream. Guards against refusing requests because a few of many got a late response.
