registry: Move what gateways are told out of RegistryEngine

GatewayUpdates has the routing table, the configuration, the suspect requests and the waiting watch calls; RegistryEngine passes calls and commands.

--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -14,20 +14,6 @@
 namespace {
 
 constexpr Milliseconds tickInterval { 50 };
-// Interval at which the routing table is checked for changes that occur with time alone: upstreams
-// that become silent or have warmed up.
-constexpr Milliseconds refreshInterval { 200 };
-// Watch timeout: the longest time that a watch call waits for a change, and so the interval at
-// which gateways report their load. It grows with the number of gateways, since otherwise the calls
-// of many gateways would take much of the leader's processor time.
-constexpr Milliseconds minWatchTimeout { 400 };
-constexpr Milliseconds watchTimeoutPerGateway { 8 };
-constexpr Milliseconds maxWatchTimeout { 1000 };
-// Shortest interval between two routing tables.
-constexpr Milliseconds minTableInterval { 30 };
-// Shortest interval between two notifications of the gateways, for each waiting gateway. Notifying
-// one takes a slow leader a good part of a millisecond.
-constexpr Milliseconds notifyIntervalPerGateway { 3 };
 // How long a call waits for the confirmation of the leader's lease. Upstreams and operators try
 // another host after a second.
 constexpr Milliseconds maxLeaseWait { 400 };
@@ -63,8 +49,8 @@
     timing.ranges.leavingGracePeriod
             = std::max(settings.bounds.drainPeriod - drainMargin, Milliseconds {});
     // The lease on the number begins with the reply to a report.
-    timing.gatewayTimeout
-            = maxWatchTimeout + maxLeaseWait + gatewayCountLease + settings.bounds.retryWindow;
+    timing.gatewayTimeout = GatewayUpdates::maxWatchTimeout + maxLeaseWait + gatewayCountLease
+                            + settings.bounds.retryWindow;
     return timing;
 }
 
@@ -86,6 +72,7 @@
     , evacuatedZones(metrics.gauge("cassiaroad_registry_evacuated_zones",
                                    "Availability zones whose upstreams get no work."))
     , manager(this->state, timingOf(settings))
+    , updates(loop, this->state, this->manager)
     , leaseCaller(
               loop, codec, [this] { return this->canAnswer(); },
               [this](const LeaseCall &call, const LeaseCallResult &result) {
@@ -127,10 +114,7 @@
         this->state = std::move(*decoded);
     }
     this->updateEvacuatedZones();
-    this->configurationHistory = ConfigurationHistory();
-    if (this->state.version() != 0) {
-        this->configurationHistory.add(this->state.version(), this->state.document());
-    }
+    this->updates.restore();
     this->group.setMembers(this->state.orderedMembers());
     this->log.write({ "state_restored",
                       Event::Weight::Always,
@@ -147,7 +131,7 @@
     const PutOutcome outcome = this->state.apply(*command);
     if (std::holds_alternative<PutConfiguration>(*command) && outcome == PutOutcome::Accepted) {
         this->putCount.Increment();
-        this->configurationHistory.add(this->state.version(), this->state.document());
+        this->updates.recordConfiguration();
         if (this->leading) {
             this->readConfiguration();
         }
@@ -161,15 +145,13 @@
     this->updateEvacuatedZones();
     logCommand(this->log, *command, outcome, this->state);
     this->manager.onCommandEnded(*command);
-    if (!this->tableOutdatedAt) {
-        this->tableOutdatedAt = this->loop.now();
-    }
+    this->updates.recordCommand();
     this->endProposal(proposal, true, outcome);
     if (!this->leading) {
         return;
     }
     this->sendLeaseCalls();
-    this->notifyGateways();
+    this->updates.notify();
 }
 
 void RegistryEngine::updateEvacuatedZones()
@@ -228,10 +210,7 @@
         this->readConfiguration();
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
-        this->tableHistory.startTerm(this->leadingTerm);
-        this->updateTable(this->loop.now()); // calls that have waited are answered next
-        this->tableBuiltAt = {};
-        this->notifiedAt = {};
+        this->updates.startTerm(this->leadingTerm);
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { bootstrapSlot, this->settings.ip, "" } },
                          [](bool, PutOutcome) {});
@@ -247,7 +226,7 @@
         this->endProposal(proposal, false, PutOutcome::Conflict);
     }
     this->leaseCaller.cancelAll();
-    this->resumeWatchCalls();
+    this->updates.resumeAll();
 }
 
 // Decodes the configuration in effect and passes it to the manager. Only the leader needs it
@@ -307,7 +286,7 @@
         return;
     }
     this->heartbeatCount.Increment();
-    this->watchLoad.countHeartbeat();
+    this->updates.load().countHeartbeat();
     const ReportResult result = this->manager.onHeartbeat(report, this->loop.now());
     if (result.status != ReportStatus::Accepted) {
         const bool isContested = result.status == ReportStatus::Contested;
@@ -356,7 +335,7 @@
         this->commitDueCommands();
     }
     if (this->manager.changeCount() != changes) {
-        this->notifyGateways();
+        this->updates.notify();
     }
 }
 
@@ -458,26 +437,6 @@
     });
 }
 
-// Whether the gateway has the present list of members, or takes none.
-bool RegistryEngine::hasMembers(const GatewayReport &report) const
-{
-    return !report.membersRevision
-           || *report.membersRevision == this->state.orderedMembers().revision;
-}
-
-// Whether the gateway has the present routing table, configuration and list of members.
-bool RegistryEngine::isCurrent(const GatewayReport &report) const
-{
-    return report.tableTag == this->tableHistory.tag() && report.version >= this->state.version()
-           && report.suspectsTag == this->suspectsTag && this->hasMembers(report);
-}
-
-Milliseconds RegistryEngine::watchTimeout() const
-{
-    const auto gateways = static_cast<std::int64_t>(this->manager.gatewayCount(this->loop.now()));
-    return std::clamp(watchTimeoutPerGateway * gateways, minWatchTimeout, maxWatchTimeout);
-}
-
 // Returns the reply to a watch call that arrived at @p calledAt: what the gateway does not have
 // yet, or a hint to the leader.
 GatewayWatchReply RegistryEngine::update(const GatewayReport &report, TimePoint calledAt)
@@ -486,28 +445,7 @@
     if (!this->canAnswer()) {
         return this->group.hint();
     }
-    GatewayUpdate update;
-    update.tableTag = this->tableHistory.tag();
-    if (report.tableTag != update.tableTag) {
-        update.fromTag = this->tableHistory.baseOf(report.tableTag);
-        update.change = this->tableHistory.changeFrom(update.fromTag);
-    }
-    this->configurationHistory.fill(update, report.version);
-    update.suspectsTag = this->suspectsTag;
-    if (report.suspectsTag != this->suspectsTag) {
-        update.suspects = this->suspects;
-    }
-    if (!this->hasMembers(report)) {
-        update.members = this->state.orderedMembers();
-    }
-    update.trafficShare = this->manager.trafficShare(report.gateway, this->loop.now());
-    update.gateways = this->manager.gatewayCount(this->loop.now());
-    update.watchTimeout = this->watchTimeout();
-    update.waited = this->loop.now() - calledAt;
-    update.tableAge
-            = this->tableOutdatedAt ? this->loop.now() - *this->tableOutdatedAt : Milliseconds {};
-    this->watchLoad.countReply(update);
-    return update;
+    return this->updates.updateFor(report, calledAt);
 }
 
 // Resolves when whenLeadershipIsCertain() would run an action.
@@ -537,10 +475,10 @@
     if (!this->canAnswer()) {
         return GatewayWatchReply(this->group.hint());
     }
-    this->watchLoad.countCall();
+    this->updates.load().countCall();
     if (report.isSearch) {
         GatewayUpdate update;
-        update.watchTimeout = this->watchTimeout();
+        update.watchTimeout = this->updates.watchTimeout();
         return GatewayWatchReply(update);
     }
     const std::vector<RegistryCommand> commands
@@ -549,14 +487,13 @@
         this->commit(commands, [](bool, PutOutcome) {});
     }
     if (!report.broken.empty() || !report.answered.empty()) {
-        this->notifyGateways();
+        this->updates.notify();
     }
-    if (!this->isCurrent(report)) {
+    if (!this->updates.isCurrent(report)) {
         return this->update(report, calledAt);
     }
-    auto paf = kj::newPromiseAndFulfiller<void>();
-    this->waitingCalls.push_back(kj::mv(paf.fulfiller));
-    return paf.promise.exclusiveJoin(rpcDelay(this->loop, this->watchTimeout()))
+    return this->updates.wait()
+            .exclusiveJoin(rpcDelay(this->loop, this->updates.watchTimeout()))
             .then([this] { return this->certainLeadership(); })
             .then([this, calledAt, report = std::move(report)] {
                 return this->update(report, calledAt);
@@ -616,7 +553,7 @@
         this->leaseCaller.send(call);
     }
     if (this->manager.changeCount() != changes) {
-        this->notifyGateways();
+        this->updates.notify();
     }
 }
 
@@ -635,86 +572,33 @@
         this->commitDueCommands();
     }
     if (this->manager.changeCount() != changes) {
-        this->notifyGateways();
-    }
-}
-
-// Replies to the waiting watch calls if the routing table, the configuration, the members or the
-// requests under which upstreams may have crashed have changed. Changes that follow each other
-// closely are sent together.
-void RegistryEngine::notifyGateways()
-{
-    const auto gateways = static_cast<std::int64_t>(this->waitingCalls.size());
-    const TimePoint now = this->loop.now();
-    this->notifyDue = now - this->tableBuiltAt < minTableInterval
-                      || now - this->notifiedAt < notifyIntervalPerGateway * gateways;
-    if (this->notifyDue) {
-        return;
-    }
-    this->tableBuiltAt = now;
-    const bool isOtherTable = this->updateTable(now);
-    const bool hasOtherSuspects = this->updateSuspects();
-    const std::uint64_t members = this->state.orderedMembers().revision;
-    const bool hasOtherMembers = std::exchange(this->notifiedMembers, members) != members;
-    if (isOtherTable || hasOtherSuspects || hasOtherMembers
-        || this->notifiedVersion != this->state.version()) {
-        this->notifiedVersion = this->state.version();
-        this->notifiedAt = now;
-        this->resumeWatchCalls();
-    }
-}
-
-// Builds the routing table; returns whether it differs from the previous one.
-bool RegistryEngine::updateTable(TimePoint now)
-{
-    const WorkMeter::Scope scope(this->loop.workMeter(), Work::RoutingTable);
-    this->watchLoad.countTable();
-    this->tableOutdatedAt.reset();
-    return this->tableHistory.set(this->manager.routingTable(now));
-}
-
-// Updates the list of requests under which upstreams may have crashed; returns whether it differs
-// from the previous one in more than the ages.
-bool RegistryEngine::updateSuspects()
-{
-    this->suspects = this->manager.suspects(this->loop.now());
-    const std::uint64_t tag = tagOf(this->suspects);
-    return std::exchange(this->suspectsTag, tag) != tag;
-}
-
-void RegistryEngine::resumeWatchCalls()
-{
-    for (kj::Own<kj::PromiseFulfiller<void>> &waiter : std::exchange(this->waitingCalls, {})) {
-        waiter->fulfill();
+        this->updates.notify();
     }
 }
 
 void RegistryEngine::tick()
 {
-    this->waitingCalls.remove_if([](auto &waiter) { return !waiter->isWaiting(); });
     this->runLeaseWaits();
     if (!this->canAnswer()) {
         return;
     }
     this->commitDueCommands();
     this->sendLeaseCalls();
-    if (this->notifyDue || this->loop.now() - this->tableBuiltAt >= refreshInterval) {
-        this->notifyGateways();
-    }
+    this->updates.resumeDue();
 }
 
 void RegistryEngine::logWatchLoad()
 {
     if (!this->leading) {
-        this->watchLoad.clear(this->loop.workMeter());
+        this->updates.load().clear(this->loop.workMeter());
         return;
     }
-    WatchLoad::Waiting waiting { this->waitingCalls.size(), this->proposals.size(), {} };
+    WatchLoad::Waiting waiting { this->updates.waitingCount(), this->proposals.size(), {} };
     if (!this->proposals.empty()) {
         const Proposal &oldest = this->proposals.begin()->second; // numbered in order
         waiting.oldestProposal = this->loop.now() - oldest.proposedAt;
     }
-    this->watchLoad.write(this->log, this->loop.workMeter(), waiting);
+    this->updates.load().write(this->log, this->loop.workMeter(), waiting);
 }
 
 } // namespace cassiaroad
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -1,17 +1,13 @@
 #pragma once
 
+#include "registry/gatewayupdates.h"
 #include "registry/groupmember.h"
 #include "registry/leasecaller.h"
-#include "registry/watchload.h"
-#include "version/configurationhistory.h"
 #include "version/externalcodec.h"
 #include "version/registrymanager.h"
-#include "version/routingchange.h"
-#include "version/routingtablehistory.h"
 
 #include <deque>
 #include <functional>
-#include <list>
 
 namespace cassiaroad {
 
@@ -163,13 +159,6 @@
                                  const std::function<void(EvacuationResult)> &done);
     void updateEvacuatedZones();
     kj::Promise<GatewayWatchReply> handleCertainWatch(GatewayReport report, TimePoint calledAt);
-    Milliseconds watchTimeout() const;
-    void notifyGateways();
-    bool updateTable(TimePoint now);
-    void resumeWatchCalls();
-    bool hasMembers(const GatewayReport &report) const;
-    bool isCurrent(const GatewayReport &report) const;
-    bool updateSuspects();
     GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
     void tick();
     void logWatchLoad();
@@ -185,28 +174,15 @@
 
     RegistryState state;
     RegistryManager manager;
+    GatewayUpdates updates;
     ConfigurationVersion decodedVersion = 0; // of the configuration that was passed to the manager
     bool leading = false; // this host is the leader, as of the last checkLeadership()
     Term leadingTerm = 0; // term of that check
     std::uint64_t lastProposal = 0;
     std::map<std::uint64_t, Proposal> proposals;
-    RoutingTableHistory tableHistory;
-    ConfigurationHistory configurationHistory;
-    ConfigurationVersion notifiedVersion = 0; // configuration at the last notification of gateways
-    std::uint64_t notifiedMembers = 0; // revision of the members at that time
-    TimePoint tableBuiltAt; // when notifyGateways() last compared the table with the previous one
-    TimePoint notifiedAt; // when it last resumed the watch calls
-    // When the first command was applied that the routing table does not show; nothing: it shows
-    // all.
-    std::optional<TimePoint> tableOutdatedAt;
-    bool notifyDue = false; // the table may have changed since `tableBuiltAt`
-    std::list<kj::Own<kj::PromiseFulfiller<void>>> waitingCalls; // watch calls
     std::deque<LeaseWait> leaseWaits; // in order of arrival
     LeaseCaller leaseCaller;
     EventLoop::Timer tickTimer;
-    std::vector<SuspectRequest> suspects; // for gateways
-    std::uint64_t suspectsTag = 0; // of suspects without their ages; 0: none
-    WatchLoad watchLoad;
     EventLoop::Timer watchLoadTimer;
     GroupMember group; // its handlers use the members above
 };
--- a/tests/registry/test_evacuationorder.cpp
+++ b/tests/registry/test_evacuationorder.cpp
@@ -1,5 +1,7 @@
 #include "registrygroup.h"
 
+#include "version/routingchange.h"
+
 using namespace cassiaroad;
 
 namespace {
