registry: Space notifications by the gateways of the site, not by those that wait

Cause: the interval of notifications and tables was 3 ms for each waiting call. A busy leader has no waiting calls, so it built a table every 40 ms. Each reply then needed a change of its own: 500 to 600 ms of each second for 150 to 400 replies, against 1,200 replies in 450 ms in calm. Gateways that are older than 40 tables, 1.6 s, got complete ones, 20 to 47 a second and 2.5 to 3.4 MB, which take longer on their links: they fell further behind.

All gateways that report count now, so the interval does not shrink with load.

Before: LeavingUpstreamsTest.makeNoTableForEachOfManyChangesWhileNoCallWaits 20 tables, 3 allowed. After: it holds.

--- a/src/registry/gatewayupdates.cpp
+++ b/src/registry/gatewayupdates.cpp
@@ -16,8 +16,9 @@
 constexpr Milliseconds watchTimeoutPerGateway { 8 };
 // Shortest interval between two routing tables.
 constexpr Milliseconds minTableInterval { 30 };
-// Shortest interval between two notifications of the gateways, for each waiting gateway. Notifying
-// one takes a slow leader a good part of a millisecond.
+// Shortest interval between two notifications, for each gateway of the site. Notifying one takes a
+// slow leader a good part of a millisecond. Gateways whose calls do not wait count too: a busy
+// leader has none that wait.
 constexpr Milliseconds notifyIntervalPerGateway { 3 };
 
 } // namespace
@@ -60,8 +61,8 @@
 
 void GatewayUpdates::notify()
 {
-    const auto gateways = static_cast<std::int64_t>(this->waitingCalls.size());
     const TimePoint now = this->loop.now();
+    const auto gateways = static_cast<std::int64_t>(this->manager.gatewayCount(now));
     this->notifyDue = now - this->tableBuiltAt < minTableInterval
                       || now - this->notifiedAt < notifyIntervalPerGateway * gateways;
     if (this->notifyDue) {
--- a/tests/registry/test_leavingupstreams.cpp
+++ b/tests/registry/test_leavingupstreams.cpp
@@ -133,6 +133,30 @@
     }
 }
 
+// Guards against a leader that builds tables the more often the busier it is, because no gateway's
+// call waits then: each reply needs a change of its own, and gateways fall behind.
+TEST_F(LeavingUpstreamsTest, makeNoTableForEachOfManyChangesWhileNoCallWaits)
+{
+    RegistryEngine *leader = this->waitForLeader();
+    ASSERT_NE(leader, nullptr);
+    std::vector<std::unique_ptr<Watch>> watches;
+    for (int gateway = 1; gateway <= waitingGateways; ++gateway) {
+        watches.push_back(this->watch(*leader, 0, gateway)); // answered at once
+    }
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return watches.back()->update.has_value(); }));
+    runFor(this->loop, { 700 });
+    const std::uint64_t firstTag = this->present(*leader).tableTag;
+    const TimePoint start = this->loop.now();
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        this->sendHeartbeat(*leader, "i-" + std::string(1, static_cast<char>('a' + i)), 1, false);
+        runFor(this->loop, { 35 }); // longer than the shortest interval between two tables
+    }
+    constexpr std::int64_t interval = 3 * waitingGateways; // milliseconds
+    const std::int64_t allowed = (this->loop.now() - start).count / interval + 2;
+    const auto built = static_cast<std::int64_t>(this->present(*leader).tableTag - firstTag);
+    EXPECT_LE(built, allowed);
+}
+
 // Guards against a leader that tells gateways an empty routing table before it has built its first
 // one: they drop all upstreams, and forget since when one of them has been leaving.
 TEST_F(LeavingUpstreamsTest, areInTheFirstTableOfANewLeader)
