gateway: Let a pause of an upstream end no earlier than it has asked for

Cause: the gateway's time is rounded down to a millisecond, so that a pause ended up to a millisecond before the time that the upstream has asked for. By the log of the gateway the notice came at .758 and the waiting requests were released 3000 ms later; four of them arrived at once.

Before: GatewayRequestTest.pausesForTheWholeTimeOnAClockOfMilliseconds fails.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -19,6 +19,7 @@
 // Idle connections to one upstream that are kept open, beyond those in use.
 constexpr std::size_t maxIdleConnections = 4;
 constexpr std::size_t maxUnlistedUpstreams = 1024;
+constexpr Milliseconds clockResolution { 1 };
 // Buckets of the histograms of durations.
 const std::vector<double> secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4,
                                            0.6,  0.8,   1.0,  1.5, 2.0, 3.0, 5.0 };
@@ -451,7 +452,8 @@
         upstream->recordLeaving(this->loop.now());
     }
     if (notice.pause) {
-        upstream->recordPause(*notice.pause, this->loop.now());
+        // The time of the response is rounded down, and the pause may not end early.
+        upstream->recordPause(*notice.pause + clockResolution, this->loop.now());
     }
     if (this->upstream(upstream->upstream().incarnation.id) != upstream) {
         this->keepUnlisted(upstream); // the response came after a table without it
--- a/tests/gateway/test_pausedupstreams.cpp
+++ b/tests/gateway/test_pausedupstreams.cpp
@@ -155,6 +155,18 @@
     EXPECT_TRUE(this->waitForResponse(*moved, "HTTP/1.1 200"));
 }
 
+// Guards against a pause that ends up to a millisecond early, since the clock rounds the time of
+// the response down: requests that wait for its end arrive within it.
+TEST_F(GatewayRequestTest, pausesForTheWholeTimeOnAClockOfMilliseconds)
+{
+    this->serve([](FakePeer::Connection &) {});
+    const auto upstream = this->core.upstream("i-" + keyedService);
+    ASSERT_NE(upstream, nullptr);
+    const TimePoint before = this->loop.now();
+    this->core.recordNotice(upstream, { false, Milliseconds { 1000 } });
+    EXPECT_TRUE(upstream->isPaused(before + Milliseconds { 1000 }));
+}
+
 // Guards against a later, shorter pause that ends an earlier one.
 TEST(GatewayUpstream, keepsTheLongestPause)
 {
