--- a/tests/site/test_uncontrolled_clients.py
+++ b/tests/site/test_uncontrolled_clients.py
@@ -28,19 +28,27 @@
 SETTLED_S = 5.0  # in which the crowd fills the memory
 ATTEMPTS = 20  # of an ordinary request, with pauses between them
 PAUSE_S = 0.25
+UPLOAD_PAUSE_S = 0.1  # between uploads that have memory one after another
 
 KINDS = list(UPLOADS) + ["oversized_declared", "oversized_chunks", "unread_lookups",
-                         "whole_beside_larger_request"]
+                         "whole_beside_larger_request", "followed_chunks", "http2_uploads",
+                         "http2_heads", "whole_at_both_listeners"]
 
 
 def behaviour(crowd, kind):
     """What a client of the crowd does on a connection."""
     if kind == "unread_lookups":
         return crowd.lookups()
+    if kind == "followed_chunks":
+        return crowd.followed_uploads("large_chunks", BODY_BYTES, UPLOAD_PAUSE_S)
+    if kind == "http2_uploads":
+        return crowd.http2_uploads(BODY_BYTES)
+    if kind == "http2_heads":
+        return crowd.http2_heads()
     if kind.startswith("oversized"):
         form = "pieces" if kind == "oversized_declared" else "large_chunks"
         return crowd.upload(form, OVERSIZED_BYTES, EVERY_COMPLETE)
-    if kind == "whole_beside_larger_request":
+    if kind in ("whole_beside_larger_request", "whole_at_both_listeners"):
         return crowd.upload("whole", BODY_BYTES, EVERY_COMPLETE)
     return crowd.upload(kind, SMALL_CHUNKS_BYTES if kind == "small_chunks" else BODY_BYTES,
                         EVERY_COMPLETE)
@@ -91,14 +99,20 @@
     assert 200 in await statuses_until_answered(site, gateway, method, body), "nothing is served"
     for upstream in site.upstreams:
         upstream.answer_bytes = ANSWER_BYTES if kind == "unread_lookups" else 0
-    crowd = Crowd(site, gateway)
-    crowd.start(CLIENTS, behaviour(crowd, kind))
+    crowds = [Crowd(site, gateway, "callers")]
+    if kind == "whole_at_both_listeners":
+        crowds.append(Crowd(site, gateway, "ready"))
+    for crowd in crowds:
+        crowd.start(CLIENTS, behaviour(crowd, kind))
     try:
         await asyncio.sleep(SETTLED_S)
         statuses = await statuses_until_answered(site, gateway, method, body)
-        print(f"{crowd.sent} sent all, {crowd.closed} closed; ordinary request: {statuses}")
+        for crowd in crowds:
+            print(f"{crowd.sent} sent all, {crowd.closed} closed")
+        print(f"ordinary request: {statuses}")
     finally:
-        await crowd.stop()
+        for crowd in crowds:
+            await crowd.stop()
     found = check_processes(site, gateway)
     return found if 200 in statuses else found + [f"an ordinary request got {statuses}"]
 
--- a/tools/soaklib/misbehaving.py
+++ b/tools/soaklib/misbehaving.py
@@ -1,26 +1,47 @@
-"""Clients that no operator controls: uploads that stop short of their end, bodies over the limit, and
-lookups whose answers are not read. Each connects again when the gateway closes its connection."""
+"""Clients that no operator controls: uploads that stop short of their end, bodies over the limit,
+uploads that another request follows, streams of HTTP/2 that stop short, and lookups whose answers are
+not read. Each connects again when the gateway closes its connection."""
 import asyncio
 import itertools
 import select
 import socket
 
+from soaklib import http2
+
 RECEIVE_BUFFER_BYTES = 4096  # so that answers stay in the gateway
 CHECK_S = 0.1  # between looks whether the gateway has closed the connection
 PIECE_BYTES = 65536
 LARGE_CHUNK_BYTES = 1 << 20
 SMALL_CHUNK_BYTES = 1
 LOOKUPS = 200  # on each connection
+STREAMS = 4  # with a body, on each connection of HTTP/2
+HEADS = 100  # of requests whose body does not come, on each connection of HTTP/2
+HEAD_FIELDS, HEAD_FIELD_BYTES = 90, 100  # of each of these
+DEADLINE_MS = 1500
 numbers = itertools.count(1)
 
 
-def head(checks, gateway, method, path, lines):
-    """Head of a request with an id of its own, which the checks of the site know."""
+def request_fields(checks, gateway, deadline_ms=DEADLINE_MS):
+    """Header fields of a request with an id of its own, which the checks of the site know."""
     request_id = f"m{next(numbers):07d}"
     checks.record_sent(request_id, gateway.name)
-    return (f"{method} {path} HTTP/1.1\r\nHost: maps.example\r\n"
-            f"X-Cassiaroad-Request-Id: {request_id}\r\nX-Cassiaroad-Deadline-Ms: 1500\r\n"
-            f"X-Cassiaroad-Shard-Key: {next(numbers) % 65536}\r\n{lines}\r\n").encode()
+    return {"X-Cassiaroad-Request-Id": request_id, "X-Cassiaroad-Deadline-Ms": str(deadline_ms),
+            "X-Cassiaroad-Shard-Key": str(next(numbers) % 65536)}
+
+
+def head(checks, gateway, method, path, lines, deadline_ms=DEADLINE_MS):
+    """Head of a request of HTTP/1.1."""
+    fields = "".join(f"{name}: {value}\r\n"
+                     for name, value in request_fields(checks, gateway, deadline_ms).items())
+    return f"{method} {path} HTTP/1.1\r\nHost: maps.example\r\n{fields}{lines}\r\n".encode()
+
+
+def http2_head(checks, gateway, stream, more=b""):
+    """Head of a POST request of HTTP/2 whose body follows; `more` header fields."""
+    fields = b"".join(http2.literal(name.lower(), value)
+                      for name, value in request_fields(checks, gateway).items())
+    return http2.frame(http2.HEADERS, http2.END_HEADERS, stream,
+                       http2.post_header_block("/order/x", "maps.example") + fields + more)
 
 
 def chunk(data):
@@ -60,11 +81,11 @@
 
 
 class Crowd:
-    """Clients of one gateway that behave alike, until they are stopped."""
+    """Clients of one listener of a gateway that behave alike, until they are stopped."""
 
-    def __init__(self, site, gateway):
+    def __init__(self, site, gateway, port="callers"):
         self.site, self.gateway = site, gateway
-        self.address = (gateway.ip, site.ports["callers"])
+        self.address = (gateway.ip, site.ports[port])
         self.tasks = []
         self.sent = 0  # connections on which a client has sent all that it wants to send
         self.closed = 0  # connections that the gateway has closed
@@ -123,6 +144,49 @@
                 await loop.sock_sendall(sock, end)
         return behave
 
+    def followed_uploads(self, kind, size, pause_s):
+        """Clients that complete a body and send the first byte of another request, one after another
+        with `pause_s` between two."""
+        async def behave(sock, number):
+            loop = asyncio.get_running_loop()
+            await asyncio.sleep(number * pause_s)
+            lines, pieces, end = UPLOADS[kind](size)
+            await loop.sock_sendall(sock, head(self.site.checks, self.gateway, "POST", "/order/x",
+                                               lines))
+            for piece in pieces:
+                await loop.sock_sendall(sock, piece)
+                await asyncio.sleep(0)
+            await loop.sock_sendall(sock, end + b"G")
+        return behave
+
+    def http2_uploads(self, size):
+        """Clients of HTTP/2 that send several bodies at the same time, all but the last byte."""
+        streams = range(1, 2 * STREAMS, 2)
+
+        async def behave(sock, _number):
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, http2.PREFACE + b"".join(
+                http2_head(self.site.checks, self.gateway, stream) for stream in streams))
+            for start in range(0, size - 1, http2.MAX_FRAME_BYTES):
+                piece = b"a" * min(http2.MAX_FRAME_BYTES, size - 1 - start)
+                for stream in streams:
+                    await loop.sock_sendall(sock, http2.frame(http2.DATA, 0, stream, piece))
+                await asyncio.sleep(0)
+        return behave
+
+    def http2_heads(self):
+        """Clients of HTTP/2 that send the heads of many requests and none of their bodies."""
+        more = http2.literal("x-more", "b" * HEAD_FIELD_BYTES) * HEAD_FIELDS
+
+        async def behave(sock, _number):
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, http2.PREFACE)
+            for stream in range(1, 2 * HEADS, 2):
+                await loop.sock_sendall(
+                    sock, http2_head(self.site.checks, self.gateway, stream, more))
+                await asyncio.sleep(0)
+        return behave
+
     def lookups(self):
         """Clients that pipeline lookups and read none of the answers."""
         async def behave(sock, _number):
