connection: Free the buffer of a large request once it has ended

Cause: h2o keeps one input buffer for a connection. It frees it when the last byte is consumed; a byte that came with the end of a chunked body keeps it, at the size of that body, while RequestReader releases its reservation. Change: When a request has ended, what follows it moves to a buffer of its size. h2o holds no pointers into the input at that time: the reader moves it by growing it, too.

--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstring>
 #include <optional>
 #include <utility>
 
@@ -56,6 +57,23 @@
                     inputOf(connection).size() + nextPieceSize(connection));
 }
 
+// Moves the input of a connection to a buffer of its own size. h2o keeps the buffer of a large
+// request for as long as it holds bytes that follow the request.
+void shrinkInput(h2o_socket_t &socket)
+{
+    h2o_buffer_t *large = socket.input;
+    if (large->size == 0 || large->capacity <= large->size + pieceBytes) {
+        return;
+    }
+    h2o_buffer_t *small = nullptr;
+    h2o_buffer_init(&small, &h2o_socket_buffer_prototype);
+    const h2o_iovec_t space = h2o_buffer_reserve(&small, large->size);
+    std::memcpy(space.base, large->bytes, large->size);
+    small->size = large->size;
+    socket.input = small;
+    h2o_buffer_dispose(&large);
+}
+
 } // namespace
 
 RequestReader::RequestReader(EventLoop &loop, Limits limits, Refuse refuse, MakeRoom makeRoom)
@@ -285,6 +303,7 @@
             continue; // a pipelined request, which ends later
         }
         if (isRead) {
+            shrinkInput(*connection->socket);
             this->release(*connection, inputOf(*connection).size());
             this->noteHead(*connection);
         } else {
