connection, gateway: Serve the largest request of a configuration in calm

What callers saw: at a gateway with memory-mb = 112, 503 in 3 of 3 for a single body of 32 or 64 MiB with a length and of 16 MiB in chunks, though nothing else was held; at 160 for one of 64 MiB in chunks; at 260 413 for the latter. Cause: three. The bound of all requests (memory-mb less 80 MB) is below the limit that the configuration allows. A body of unknown length reserved twice its size, since its buffer is copied while it grows (and took up to three times: 182 MB for 64 MiB). h2o compares its limit with the head and, twice, with the last piece as well. Change: RequestMemory holds one request apart that is too large for the bound, while the others take little. Large bodies of unknown length get a buffer of the largest size at once. The limit of a body is compared with the decoded body.

--- a/src/connection/clientroom.cpp
+++ b/src/connection/clientroom.cpp
@@ -133,7 +133,10 @@
         if (connection.reservedBytes == 0 || connection.waitingSince || !connection.receiving) {
             return std::nullopt;
         }
-        return QuietClient { 0, connection.reservedBytes, true, now - connection.receivedAt };
+        // A request that leaves little room for others must not take it for long.
+        const TimePoint since
+                = connection.isHeldApart ? connection.receivingSince : connection.receivedAt;
+        return QuietClient { 0, connection.reservedBytes, true, now - since };
     }
     if (connection.heldResponseBytes == 0) {
         return std::nullopt;
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -4,14 +4,6 @@
 
 namespace cassiaroad {
 
-namespace {
-
-// Bytes of incomplete responses that all calls together hold. While a response grows, its buffer
-// takes up to three times its size, and a gateway has 160 MB.
-constexpr std::size_t maxBufferedBytes = std::size_t(32) * 1024 * 1024;
-
-} // namespace
-
 struct HttpClient::Private
 {
     explicit Private(EventLoop &loop)
@@ -50,6 +42,11 @@
     return call;
 }
 
+void HttpClient::setMaxBufferedBytes(std::size_t size)
+{
+    this->d->memory->setMaxBytes(size);
+}
+
 void HttpClient::closeIdle(const HostAddress &server, TimePoint openedBefore)
 {
     this->d->idleConnections->closeIdle(server, openedBefore);
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -123,6 +123,12 @@
         virtual TimePoint connectionOpenedAt() const = 0;
     };
 
+    /**
+     * Bytes that all incomplete responses may hold if nothing else is set. While a response grows,
+     * its buffer takes up to three times its size, and a gateway has 160 MB.
+     */
+    static constexpr std::size_t maxBufferedBytes = std::size_t(32) * 1024 * 1024;
+
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
@@ -148,6 +154,9 @@
                                                             std::size_t maxResponseBytes,
                                                             std::function<void(HttpResult)> done);
 
+    /** Sets the bound of the bytes of all incomplete responses. */
+    void setMaxBufferedBytes(std::size_t size);
+
     /** Closes idle connections to @p server that were opened before @p openedBefore. */
     void closeIdle(const HostAddress &server, TimePoint openedBefore);
 
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -41,6 +41,9 @@
 constexpr int http2Version = 0x200;
 constexpr int payloadTooLarge = 413;
 constexpr int serviceUnavailable = 503;
+// Connections that may be open beside a request that is larger than the bound of all: each takes up
+// to 14 KB that are not counted.
+constexpr std::size_t maxConnectionsBesideLargest = 500;
 
 std::size_t headBytes(const h2o_req_t &request)
 {
@@ -85,8 +88,10 @@
 std::string earlyRefusal(int status)
 {
     const bool isBusy = status == serviceUnavailable;
-    return std::string("HTTP/1.1 ")
-           + (isBusy ? "503 Service Unavailable" : "431 Request Header Fields Too Large")
+    const std::string phrase = isBusy                      ? "Service Unavailable"
+                               : status == payloadTooLarge ? "Content Too Large"
+                                                           : "Request Header Fields Too Large";
+    return "HTTP/1.1 " + std::to_string(status) + " " + phrase
            + "\r\ncontent-length: 0\r\nconnection: close\r\ncassiaroad-outcome: not-run\r\n"
            + (isBusy ? "retry-after: 1.000\r\n" : "") + "\r\n";
 }
@@ -114,6 +119,9 @@
     /** Accepts connections that wait, at most @p maxCount. */
     void acceptConnections(int maxCount);
     void acceptOne(h2o_socket_t *listener);
+    bool mayHoldLargest() const;
+    /** Refuses a request that is larger than the bound of all when many connections are open. */
+    void limitLargest();
     /** Closes idle connections, so that the reserved number stays free for new ones. */
     void makeRoom();
     /** Whether @p connection has no request in progress. */
@@ -154,6 +162,7 @@
     bool shuttingDown = false;
     bool serverDestroyed = false;
     std::function<void()> shutDownCallback;
+    LargestRequestHandlers largestRequest;
 };
 
 namespace {
@@ -177,12 +186,19 @@
     : loop(loop)
     , limits(limits)
     , handler(std::move(handler))
-    , reader(
-              loop, { limits.maxRequestBytes, limits.maxMemoryWait, limits.maxHeadBytes },
-              [this](ServerConnection &connection, int status) {
+    , reader(loop,
+             { limits.maxRequestBytes, limits.maxLargestRequestBytes, limits.maxMemoryWait,
+               limits.maxHeadBytes, limits.maxBodyBytes },
+             { [this](ServerConnection &connection, int status) {
                   this->refuseEarly(connection, status);
               },
-              [this](std::size_t missing) { return this->room.makeRoom(missing); })
+               [this](std::size_t missing) { return this->room.makeRoom(missing); },
+               [this] { return this->mayHoldLargest(); },
+               [this] {
+                   if (this->largestRequest.ended) {
+                       this->largestRequest.ended();
+                   }
+               } })
     , room(loop, this->reader.requestMemory(), this->connections,
            [this](ServerConnection &connection) {
                this->refuseEarly(connection, serviceUnavailable);
@@ -222,8 +238,9 @@
 void HttpServer::Private::setLimits(const HttpServerLimits &changed)
 {
     this->limits = changed;
-    this->config.max_request_entity_size = changed.maxBodyBytes;
-    this->reader.setMaxHeadBytes(changed.maxHeadBytes);
+    this->config.max_request_entity_size
+            = changed.maxBodyBytes + RequestReader::bodySlack(changed.maxHeadBytes);
+    this->reader.setMaxSizes(changed.maxHeadBytes, changed.maxBodyBytes);
     this->room.setMinQuiet(changed.shortMemoryTimeout);
     this->pipeliner.setMaxHeadBytes(changed.maxHeadBytes);
 }
@@ -287,6 +304,9 @@
     if (d->isHeadTooLarge(*request, *connection)) {
         return d->refuse(request, 431, "Request Header Fields Too Large");
     }
+    if (request->entity.len > d->limits.maxBodyBytes) {
+        return d->refuse(request, payloadTooLarge, "Content Too Large");
+    }
     const bool http1 = request->version < http2Version;
     // h2o keeps the bytes of an HTTP/1.1 request in the socket's buffer until it is answered.
     if (http1 && request->entity.base != nullptr
@@ -382,6 +402,22 @@
     this->connections.insert(connection);
     h2o_accept(&this->acceptContext, socket);
     this->reader.start(*connection);
+    this->limitLargest();
+}
+
+bool HttpServer::Private::mayHoldLargest() const
+{
+    return this->connections.size() <= maxConnectionsBesideLargest
+           && (!this->largestRequest.mayHold || this->largestRequest.mayHold());
+}
+
+void HttpServer::Private::limitLargest()
+{
+    ServerConnection *connection = this->reader.largestRequest();
+    if (this->connections.size() > maxConnectionsBesideLargest && connection != nullptr
+        && connection->openExchanges == 0) {
+        this->refuseEarly(*connection, serviceUnavailable);
+    }
 }
 
 bool HttpServer::Private::isIdle(const ServerConnection &connection) const
@@ -531,6 +567,11 @@
     }
 }
 
+void HttpServer::setLargestRequestHandlers(LargestRequestHandlers handlers)
+{
+    this->d->largestRequest = std::move(handlers);
+}
+
 std::string HttpServer::listen(const HostAddress &address)
 {
     sockaddr_in target {};
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -75,6 +75,9 @@
     // is not read; it is refused as not run after maxMemoryWait, or at once if it is larger than
     // the bound.
     std::size_t maxRequestBytes = 80UL * 1024 * 1024;
+    // While there is little else, one request that is larger than the bound may hold so much. 0:
+    // none.
+    std::size_t maxLargestRequestBytes = 0;
     Milliseconds maxMemoryWait { 4000 };
     std::size_t maxHeadBytes = 32UL * 1024; // of a request; a larger head gets 431
     // A connection whose request has no complete head after this time is closed.
@@ -122,6 +125,13 @@
     using MayRunAhead = std::function<RunAhead(std::string_view method, std::string_view host,
                                                std::string_view path)>;
 
+    /** Of a request that is larger than the bound of all; see HttpServerLimits. */
+    struct LargestRequestHandlers
+    {
+        std::function<bool()> mayHold; // whether others leave room for it, until `ended`
+        std::function<void()> ended;
+    };
+
     /** Without @p mayRunAhead, each HTTP/1.1 request is handled when its turn has come. */
     HttpServer(EventLoop &loop, HttpServerLimits limits, Handler handler,
                MayRunAhead mayRunAhead = {});
@@ -129,6 +139,9 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /** Sets what is asked before a request is read that is larger than the bound of all. */
+    void setLargestRequestHandlers(LargestRequestHandlers handlers);
+
     /** Binds and listens; port 0 picks a free port. Returns an empty text, or an error message. */
     std::string listen(const HostAddress &address);
 
--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -21,10 +21,11 @@
 constexpr std::size_t pieceBytes = std::size_t(64) * 1024; // of a body
 // Size of h2o's first buffer of a connection. A request that fits into it is not counted.
 constexpr std::size_t headPieceBytes = 4096;
-// While a body of unknown length grows, its bytes are copied to a buffer of twice the size.
+// While a small body of unknown length grows, its bytes are copied to a buffer of twice the size.
 constexpr std::size_t unknownLengthFactor = 2;
 constexpr Milliseconds waitCheckInterval { 50 };
 constexpr Milliseconds takeOverInterval { 1 };
+constexpr int bodyTooLarge = 413;
 constexpr int headersTooLarge = 431;
 constexpr int unavailable = 503;
 
@@ -46,8 +47,8 @@
 // Bytes to reserve for a request of at least @p size bytes; all of it if the length is known.
 std::size_t reservationFor(const ServerConnection &connection, std::size_t size)
 {
-    const std::size_t target = connection.isLengthUnknown ? size * unknownLengthFactor : size;
-    return std::max(target, connection.expectedBytes);
+    const bool isCopied = connection.isLengthUnknown && size <= RequestMemory::smallRequestBytes;
+    return std::max(isCopied ? size * unknownLengthFactor : size, connection.expectedBytes);
 }
 
 // Bytes that a request that waits for memory must reserve to be read further.
@@ -76,14 +77,20 @@
 
 } // namespace
 
-RequestReader::RequestReader(EventLoop &loop, Limits limits, Refuse refuse, MakeRoom makeRoom)
+RequestReader::RequestReader(EventLoop &loop, Limits limits, Handlers handlers)
     : loop(loop)
     , limits(limits)
-    , refuse(std::move(refuse))
-    , makeRoom(std::move(makeRoom))
-    , memory(limits.maxBytes)
+    , handlers(std::move(handlers))
+    , memory(limits.maxBytes, limits.maxLargestBytes)
 { }
 
+// h2o compares its limit with a chunked body, the head before it and, twice, the piece that was
+// read last.
+std::size_t RequestReader::bodySlack(std::size_t maxHeadBytes)
+{
+    return maxHeadBytes + 2 * pieceBytes;
+}
+
 void RequestReader::start(ServerConnection &connection)
 {
     connection.reader = this;
@@ -186,31 +193,50 @@
 {
     const std::string_view input = inputOf(connection);
     const bool isHttp1 = connection.readCallback == connection.http1Callback;
-    if (!isHttp1 || input.empty() || connection.expectedBytes > 0 || connection.isLengthUnknown) {
+    if (!isHttp1 || input.empty() || connection.expectedBytes > 0) {
         return true;
     }
+    if (connection.isLengthUnknown) {
+        return this->checkUnknownLength(connection);
+    }
     const std::size_t headSize = findHeadEnd(input.substr(0, this->limits.maxHeadBytes));
     if (headSize == 0) {
         if (input.size() <= this->limits.maxHeadBytes) {
             return true;
         }
-        this->refuse(connection, headersTooLarge);
+        this->handlers.refuse(connection, headersTooLarge);
         return false;
     }
     this->noteHead(connection);
     const std::optional<std::uint64_t> length = contentLength(input.substr(0, headSize));
     connection.isLengthUnknown = !length;
+    connection.headBytes = headSize;
     if (!length) {
-        return true;
+        return this->checkUnknownLength(connection);
+    }
+    if (*length > this->limits.maxBodyBytes) {
+        this->handlers.refuse(connection, bodyTooLarge);
+        return false;
     }
     connection.expectedBytes = headSize + *length;
     if (!this->memory.canFit(connection.expectedBytes)) {
-        this->refuse(connection, unavailable);
+        this->handlers.refuse(connection, unavailable);
         return false;
     }
     return true;
 }
 
+// Refuses a chunked body, which h2o decodes in the input, once it is too large. Returns whether the
+// connection is read further.
+bool RequestReader::checkUnknownLength(ServerConnection &connection)
+{
+    if (inputOf(connection).size() <= connection.headBytes + this->limits.maxBodyBytes) {
+        return true;
+    }
+    this->handlers.refuse(connection, bodyTooLarge);
+    return false;
+}
+
 // Reserves memory for a request of at least @p size bytes.
 bool RequestReader::reserve(ServerConnection &connection, std::size_t size)
 {
@@ -218,18 +244,50 @@
     if (target <= std::max(connection.reservedBytes, headPieceBytes)) {
         return true;
     }
-    if (!this->memory.resize(connection.reservedBytes, target)) {
+    if (!this->record(connection, target)) {
         return false;
     }
     connection.reservedBytes = target;
-    // One buffer of the final size, since growing would copy it.
-    if (connection.expectedBytes > inputOf(connection).size()) {
-        h2o_buffer_reserve(&connection.socket->input,
-                           connection.expectedBytes - inputOf(connection).size());
+    this->reserveBuffer(connection);
+    return true;
+}
+
+// Records in the memory that the request of @p connection grows to @p size bytes.
+bool RequestReader::record(ServerConnection &connection, std::size_t size)
+{
+    if (connection.isHeldApart) {
+        return this->memory.resizeApart(size);
+    }
+    if (this->memory.resize(connection.reservedBytes, size)) {
+        return true;
+    }
+    if (!this->memory.isTooLarge(size) || !this->memory.holdApart(connection.reservedBytes, size)) {
+        return false;
     }
+    if (!this->handlers.mayHoldLargest()) {
+        this->memory.endApart(connection.reservedBytes);
+        return false;
+    }
+    connection.isHeldApart = true;
+    this->largest = &connection;
     return true;
 }
 
+// Gives a request a buffer of its final size, since growing would copy it. That of an unknown
+// length may be as large as the limit; pages that are not written to take no memory.
+void RequestReader::reserveBuffer(ServerConnection &connection) const
+{
+    const std::size_t held = inputOf(connection).size();
+    const bool isLargeUnknown = connection.isLengthUnknown
+                                && connection.reservedBytes > RequestMemory::smallRequestBytes;
+    const std::size_t size
+            = isLargeUnknown ? this->limits.maxBodyBytes + bodySlack(this->limits.maxHeadBytes)
+                             : connection.expectedBytes;
+    if (size > held) {
+        h2o_buffer_reserve(&connection.socket->input, size - held);
+    }
+}
+
 void RequestReader::pause(ServerConnection &connection)
 {
     h2o_socket_read_stop(connection.socket);
@@ -266,14 +324,14 @@
         if (connection->socket != nullptr && connection->waitingSince
             && connection->waitingSince < oldest) {
             this->waiting.remove(connection);
-            this->refuse(*connection, unavailable);
+            this->handlers.refuse(*connection, unavailable);
         }
     }
     this->resumeWaiting();
     if (!this->waiting.empty()) {
         const ServerConnection &first = *this->waiting.front();
-        this->makeRoom(this->memory.missingFor(reservationFor(first, sizeOfWaiting(first)),
-                                               first.reservedBytes));
+        this->handlers.makeRoom(this->memory.missingFor(reservationFor(first, sizeOfWaiting(first)),
+                                                        first.reservedBytes));
     }
     if (this->waiting.empty()) {
         this->waitTimer = {};
@@ -331,8 +389,16 @@
 {
     const std::size_t held = std::min(size <= headPieceBytes ? 0 : size, connection.reservedBytes);
     const bool hasReleased = held < connection.reservedBytes;
-    this->memory.resize(std::exchange(connection.reservedBytes, held), held);
+    if (std::exchange(connection.isHeldApart, false)) {
+        this->memory.endApart(held);
+        this->largest = nullptr;
+        this->handlers.onLargestEnded();
+    } else {
+        this->memory.resize(connection.reservedBytes, held);
+    }
+    connection.reservedBytes = held;
     connection.expectedBytes = 0;
+    connection.headBytes = 0;
     connection.isLengthUnknown = false;
     if (hasReleased) {
         this->resumeWaiting();
--- a/src/connection/requestreader.h
+++ b/src/connection/requestreader.h
@@ -23,25 +23,41 @@
     struct Limits
     {
         std::size_t maxBytes = 0; // that all requests hold
+        std::size_t maxLargestBytes = 0; // of a request that is held apart; see RequestMemory
         Milliseconds maxWait; // of one request until it fits
         std::size_t maxHeadBytes = 0; // of an HTTP/1.1 request
+        std::size_t maxBodyBytes = 0;
     };
 
-    /** Answers the request that arrives on the connection with this status, and closes it. */
-    using Refuse = std::function<void(ServerConnection &, int)>;
-    /** Tries to make connections release this many bytes, for a request that waits. */
-    using MakeRoom = std::function<bool(std::size_t)>;
+    /** What the reader asks of its listener. */
+    struct Handlers
+    {
+        /** Answers the request that arrives on the connection with this status, and closes it. */
+        std::function<void(ServerConnection &, int)> refuse;
+        /** Tries to make connections release this many bytes, for a request that waits. */
+        std::function<bool(std::size_t)> makeRoom;
+        /** Whether a request may be held apart now, until onLargestEnded. */
+        std::function<bool()> mayHoldLargest;
+        std::function<void()> onLargestEnded;
+    };
 
     /** @p loop must outlive the reader. */
-    RequestReader(EventLoop &loop, Limits limits, Refuse refuse, MakeRoom makeRoom);
+    RequestReader(EventLoop &loop, Limits limits, Handlers handlers);
     RequestReader(const RequestReader &) = delete;
     RequestReader &operator=(const RequestReader &) = delete;
 
     /** Reads for @p connection from now on. Precondition: h2o has just begun to read from it. */
     void start(ServerConnection &connection);
 
-    /** Changes the largest head, also for requests that still arrive. */
-    void setMaxHeadBytes(std::size_t size) { this->limits.maxHeadBytes = size; }
+    /** Changes the largest head and body, also for requests that still arrive. */
+    void setMaxSizes(std::size_t headBytes, std::size_t bodyBytes)
+    {
+        this->limits.maxHeadBytes = headBytes;
+        this->limits.maxBodyBytes = bodyBytes;
+    }
+
+    /** Bytes by which h2o's limit of a body must exceed the largest one; see the implementation. */
+    static std::size_t bodySlack(std::size_t maxHeadBytes);
 
     /** A request of @p connection has ended, and h2o is about to read the next one. */
     void onRequestEnded(ServerConnection &connection);
@@ -60,6 +76,9 @@
     /** The memory of requests and unwritten responses. */
     RequestMemory &requestMemory() { return this->memory; }
 
+    /** The connection whose request is held apart; see RequestMemory. Null if there is none. */
+    ServerConnection *largestRequest() const { return this->largest; }
+
     /** Gives h2o the end of the stream, so that it closes @p connection. */
     static void end(ServerConnection &connection);
 
@@ -77,7 +96,10 @@
     bool readPiece(ServerConnection &connection, std::size_t &total);
     /** Checks the incomplete request of @p connection. Returns whether it is read further. */
     bool checkIncomplete(ServerConnection &connection);
+    bool checkUnknownLength(ServerConnection &connection);
     bool reserve(ServerConnection &connection, std::size_t size);
+    bool record(ServerConnection &connection, std::size_t size);
+    void reserveBuffer(ServerConnection &connection) const;
     void pause(ServerConnection &connection);
     void resumeWaiting();
     void checkWaiting();
@@ -90,9 +112,9 @@
 
     EventLoop &loop;
     Limits limits;
-    Refuse refuse;
-    MakeRoom makeRoom;
+    Handlers handlers;
     RequestMemory memory;
+    ServerConnection *largest = nullptr; // its request is held apart
     Connections waiting; // for memory
     Connections ended; // whose request has ended, and that are not taken over again
     EventLoop::Timer waitTimer;
--- a/src/connection/responsememory.h
+++ b/src/connection/responsememory.h
@@ -16,6 +16,9 @@
         : maxBytes(maxBytes)
     { }
 
+    /** Changes the bound, also for responses that grow already. */
+    void setMaxBytes(std::size_t size) { this->maxBytes = size; }
+
     /** Returns the size up to which a response that holds @p size bytes may grow now. */
     std::size_t maxSizeOf(std::size_t size) const
     {
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -46,7 +46,9 @@
     void (*readCallback)(h2o_socket_t *, const char *) = nullptr;
     void (*http1Callback)(h2o_socket_t *, const char *) = nullptr;
     std::size_t reservedBytes = 0; // of the reader's memory
+    bool isHeldApart = false; // its request is the one that is too large for the memory
     std::size_t expectedBytes = 0; // head and body of the request that arrives; 0 if not known
+    std::size_t headBytes = 0; // of the request that arrives, once its head is complete
     bool isLengthUnknown = false; // the head is complete and does not tell the length
     // When the head of the HTTP/1.1 request that still arrives was complete.
     std::optional<TimePoint> headArrivedAt;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -31,6 +31,13 @@
 // The process itself takes 14 MB, responses 32 MiB and as much as the largest of them, 16 MiB,
 // while its buffer is copied.
 constexpr std::size_t reservedMegabytes = 80;
+// Beside a request that is larger than what remains: the process, an eighth of what remains, 500
+// connections of clients, and responses as below.
+constexpr std::size_t reservedBesideLargestMegabytes = 44;
+constexpr std::size_t maxHeadBesideLargest = std::size_t(256) * 1024;
+// Of incomplete responses when such a request begins, and beside it.
+constexpr std::size_t fewResponseBytes = std::size_t(1024) * 1024;
+constexpr std::size_t maxResponsesBesideLargest = std::size_t(8) * 1024 * 1024;
 
 // Connections that clients may open. Half of the descriptors stay for upstreams and the rest.
 std::uint32_t maxConnectionsOfClients()
@@ -49,6 +56,9 @@
     HttpServerLimits limits;
     const auto &role = std::get<GatewaySettings>(settings.role);
     limits.maxRequestBytes = (role.memoryMegabytes - reservedMegabytes) * megabyte;
+    limits.maxLargestRequestBytes
+            = std::min((role.memoryMegabytes - reservedBesideLargestMegabytes) * megabyte,
+                       maxBodyBytes + maxHeadBesideLargest);
     limits.maxBodyBytes = maxBodyBytes;
     limits.maxConnections = maxConnectionsOfClients();
     limits.reservedConnections = limits.maxConnections / reservedConnectionShare;
@@ -101,6 +111,7 @@
     bool isReady() const;
     void handleReadiness(HttpExchange &exchange);
     void applyLimits();
+    bool mayHoldLargest();
     void updateMetrics();
     void updateMemoryMetrics();
     void finish();
@@ -124,8 +135,21 @@
     EventLoop::Timer exitTimer;
 };
 
+// A request that takes most of the memory leaves little for responses.
+bool GatewayProcess::mayHoldLargest()
+{
+    if (this->core.client().bufferedBytes() > fewResponseBytes) {
+        return false;
+    }
+    this->core.client().setMaxBufferedBytes(maxResponsesBesideLargest);
+    return true;
+}
+
 std::string GatewayProcess::start()
 {
+    this->callers.setLargestRequestHandlers(
+            { [this] { return this->mayHoldLargest(); },
+              [this] { this->core.client().setMaxBufferedBytes(HttpClient::maxBufferedBytes); } });
     logSlowIterations(this->loop, this->log);
     this->log.write({ "start", Event::Weight::Always, { { "role", std::string("gateway") } } });
     const auto &role = std::get<GatewaySettings>(this->settings.role);
--- a/tests/connection/test_httpserver.cpp
+++ b/tests/connection/test_httpserver.cpp
@@ -81,6 +81,20 @@
     EXPECT_TRUE(this->requests.empty());
 }
 
+// Guards against 413 for a chunked body of just the largest size, whose chunks take more bytes.
+TEST_F(HttpServerTest, acceptsAChunkedBodyOfTheLargestSize)
+{
+    this->start();
+    RawClient client(this->server->port());
+    std::string chunks;
+    for (int i = 0; i < 1024; ++i) {
+        chunks += "1\r\nx\r\n";
+    }
+    client.write("POST /a HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n" + chunks
+                 + "0\r\n\r\n");
+    EXPECT_TRUE(this->receives(client, "echo:" + std::string(1024, 'x')));
+}
+
 // Guards against request smuggling, where two servers see different ends of a request (P3, P4).
 TEST_F(HttpServerTest, refusesAmbiguousLength)
 {
--- a/tests/connection/test_requestmemory.cpp
+++ b/tests/connection/test_requestmemory.cpp
@@ -51,6 +51,40 @@
     EXPECT_EQ(memory.usedBytes(), 800 * kilobyte);
 }
 
+// Guards against a single request that is refused for ever though nothing else is held, and against
+// one that takes the memory that others use.
+TEST(RequestMemory, holdsOneLargestRequestApartWhileOthersTakeLittle)
+{
+    RequestMemory memory(8 * megabyte, 20 * megabyte);
+    EXPECT_TRUE(memory.canFit(20 * megabyte));
+    EXPECT_FALSE(memory.canFit(20 * megabyte + 1));
+    EXPECT_TRUE(memory.resize(0, 2 * megabyte));
+    EXPECT_FALSE(memory.holdApart(0, 20 * megabyte));
+    EXPECT_EQ(memory.missingFor(20 * megabyte), megabyte);
+    EXPECT_TRUE(memory.resize(2 * megabyte, megabyte));
+    EXPECT_FALSE(memory.holdApart(0, 20 * megabyte + 1));
+    EXPECT_TRUE(memory.holdApart(0, 15 * megabyte));
+    EXPECT_TRUE(memory.resizeApart(20 * megabyte));
+    EXPECT_FALSE(memory.resizeApart(20 * megabyte + 1));
+    EXPECT_FALSE(memory.holdApart(0, 15 * megabyte));
+    EXPECT_EQ(memory.usedBytes(), 21 * megabyte);
+}
+
+// Guards against requests that grow beside one that takes nearly all memory, and against a bound
+// that stays low after it.
+TEST(RequestMemory, leavesLittleToOthersBesideTheLargestRequest)
+{
+    RequestMemory memory(8 * megabyte, 20 * megabyte);
+    ASSERT_TRUE(memory.holdApart(0, 20 * megabyte));
+    EXPECT_FALSE(memory.resize(0, megabyte));
+    EXPECT_TRUE(memory.resize(0, RequestMemory::smallRequestBytes));
+    EXPECT_TRUE(memory.resize(0, 512 * kilobyte));
+    EXPECT_TRUE(memory.isShort());
+    memory.endApart(0);
+    EXPECT_FALSE(memory.isShort());
+    EXPECT_TRUE(memory.resize(0, 6 * megabyte));
+}
+
 // Guards against a length that is read differently from how h2o reads it.
 TEST(RequestHead, tellsTheLengthOfTheBody)
 {
