connection: Count what HTTP/2 requests hold

Cause: RequestReader counts what is in the socket's buffer. h2o takes the frames of HTTP/2 out of it and holds bodies and heads elsewhere, without a bound over all streams. Change: Http2Streams reads the frames as they arrive and estimates what h2o holds; the connection reserves it like a request. Requests end when h2o clears their pool. HTTP/2 begins with a connection only, as the count could not follow an upgrade.

--- a/src/connection/clientroom.cpp
+++ b/src/connection/clientroom.cpp
@@ -129,6 +129,10 @@
     if (connection.socket == nullptr || connection.closing) {
         return std::nullopt;
     }
+    if (connection.http2 && connection.http2->incompleteBytes() > 0 && !connection.waitingSince) {
+        const std::size_t bytes = connection.reservedBytes + connection.heldResponseBytes;
+        return QuietClient { 0, bytes, connection.openExchanges == 0, now - connection.receivedAt };
+    }
     if (connection.openExchanges == 0) {
         if (connection.reservedBytes == 0 || connection.waitingSince || !connection.receiving) {
             return std::nullopt;
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -10,6 +10,7 @@
 #include "connection/serverconnection.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <arpa/inet.h>
 #include <cerrno>
@@ -83,6 +84,35 @@
     return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+std::uint32_t http2StreamId(h2o_req_t &request)
+{
+    const h2o_iovec_t text = request.conn->callbacks->log_.http2.stream_id(&request);
+    std::uint32_t id = 0;
+    std::from_chars(text.base, text.base + text.len, id);
+    return id;
+}
+
+/** An HTTP/2 request that the reader counts. */
+struct CountedStream
+{
+    std::shared_ptr<ServerConnection> connection;
+    std::uint32_t id;
+};
+
+// Tells the reader when h2o frees the memory of an HTTP/2 request.
+void notifyOfEnd(h2o_req_t &request)
+{
+    h2o_socket_t *socket = request.conn->callbacks->get_socket(request.conn);
+    auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
+    void *memory = h2o_mem_alloc_shared(&request.pool, sizeof(CountedStream), [](void *pointer) {
+        auto *attached = static_cast<CountedStream *>(pointer);
+        const CountedStream stream = std::move(*attached);
+        attached->~CountedStream();
+        stream.connection->reader->onStreamEnded(*stream.connection, stream.id);
+    });
+    new (memory) CountedStream { connection->shared_from_this(), http2StreamId(request) };
+}
+
 // Response to a request that is still arriving, and that h2o has not handed on. The outcome is
 // known.
 std::string earlyRefusal(int status)
@@ -186,7 +216,7 @@
     : loop(loop)
     , limits(limits)
     , handler(std::move(handler))
-    , reader(loop,
+    , reader(loop, this->config,
              { limits.maxRequestBytes, limits.maxLargestRequestBytes, limits.maxMemoryWait,
                limits.maxHeadBytes, limits.maxBodyBytes },
              { [this](ServerConnection &connection, int status) {
@@ -260,6 +290,9 @@
 void HttpServer::Private::markGeneratedResponses(h2o_filter_t *self, h2o_req_t *request,
                                                  h2o_ostream_t **slot)
 {
+    if (request->version >= http2Version) {
+        notifyOfEnd(*request);
+    }
     if (!H2oExchange::isAnswering()) {
         if (request->res.status == payloadTooLarge && request->version < http2Version) {
             h2o_socket_t *socket = request->conn->callbacks->get_socket(request->conn);
@@ -283,6 +316,11 @@
 
 void HttpServer::Private::refuseEarly(ServerConnection &connection, int status)
 {
+    if (connection.http2) {
+        connection.closing = true;
+        RequestReader::end(connection);
+        return;
+    }
     const std::string text = earlyRefusal(status);
     const int fd = h2o_socket_get_fd(connection.socket);
     // A response that does not fit into the socket's buffer is lost with the connection.
--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -51,11 +51,17 @@
     return std::max(isCopied ? size * unknownLengthFactor : size, connection.expectedBytes);
 }
 
+// Bytes that the requests of @p connection hold once the next piece has arrived.
+std::size_t sizeWithNextPiece(const ServerConnection &connection)
+{
+    const std::size_t next = inputOf(connection).size() + nextPieceSize(connection);
+    return connection.http2 ? connection.http2->heldBytes() + next : next;
+}
+
 // Bytes that a request that waits for memory must reserve to be read further.
 std::size_t sizeOfWaiting(const ServerConnection &connection)
 {
-    return std::max(connection.expectedBytes,
-                    inputOf(connection).size() + nextPieceSize(connection));
+    return std::max(connection.expectedBytes, sizeWithNextPiece(connection));
 }
 
 // Moves the input of a connection to a buffer of its own size. h2o keeps the buffer of a large
@@ -77,8 +83,10 @@
 
 } // namespace
 
-RequestReader::RequestReader(EventLoop &loop, Limits limits, Handlers handlers)
+RequestReader::RequestReader(EventLoop &loop, h2o_globalconf_t &config, Limits limits,
+                             Handlers handlers)
     : loop(loop)
+    , config(config)
     , limits(limits)
     , handlers(std::move(handlers))
     , memory(limits.maxBytes, limits.maxLargestBytes)
@@ -134,7 +142,7 @@
 {
     h2o_socket_t *socket = connection.socket;
     const std::size_t wanted = nextPieceSize(connection);
-    if (!this->reserve(connection, socket->input->size + wanted)) {
+    if (!this->reserve(connection, sizeWithNextPiece(connection))) {
         this->pause(connection);
         return false;
     }
@@ -149,7 +157,7 @@
         return false;
     }
     socket->input->size += static_cast<std::size_t>(count);
-    this->noteBytes(connection);
+    this->noteBytes(connection, static_cast<std::size_t>(count));
     socket->bytes_read = static_cast<std::size_t>(count);
     total += static_cast<std::size_t>(count);
     return deliver(connection, nullptr) && this->checkIncomplete(connection)
@@ -158,10 +166,17 @@
 
 // The head of an HTTP/1.1 request begins to arrive, or HTTP/2 has frames, also of a body that h2o
 // has not handed on yet: its connection is not idle.
-void RequestReader::noteBytes(ServerConnection &connection)
+void RequestReader::noteBytes(ServerConnection &connection, std::size_t size)
 {
     const TimePoint now = this->loop.now();
     connection.receivedAt = now;
+    const std::string_view input = inputOf(connection);
+    if (connection.http2) {
+        connection.http2->receive(input.substr(input.size() - size));
+    } else if (!connection.hasSentRequest && Http2Streams::isPreface(input)) {
+        connection.http2 = std::make_unique<Http2Streams>();
+        connection.http2->receive(input);
+    }
     if (connection.readCallback != connection.http1Callback) {
         connection.idleSince = now;
     } else if (!connection.receiving) {
@@ -173,8 +188,12 @@
 bool RequestReader::deliver(ServerConnection &connection, const char *error)
 {
     const std::shared_ptr<ServerConnection> keepAlive = connection.shared_from_this();
+    // A change of the protocol later on a connection would not be seen.
+    connection.reader->config.http1.upgrade_to_http2 = connection.http2 ? 1 : 0;
     connection.readCallback(connection.socket, error);
+    connection.reader->config.http1.upgrade_to_http2 = 0;
     if (takeOver(connection)) {
+        connection.reader->resizeHttp2(connection);
         return true;
     }
     // h2o may read again without the end of a request, such as after "100 Continue".
@@ -288,6 +307,25 @@
     }
 }
 
+// Lowers the reservation of an HTTP/2 connection to what its streams hold.
+void RequestReader::resizeHttp2(ServerConnection &connection)
+{
+    if (!connection.http2) {
+        return;
+    }
+    const std::size_t held = connection.http2->heldBytes();
+    // Each release looks for requests that can continue, so small ones are put off.
+    if (held + pieceBytes < connection.reservedBytes || held == 0) {
+        this->release(connection, held);
+    }
+}
+
+void RequestReader::onStreamEnded(ServerConnection &connection, std::uint32_t stream)
+{
+    connection.http2->end(stream);
+    this->onRequestEnded(connection);
+}
+
 void RequestReader::pause(ServerConnection &connection)
 {
     h2o_socket_read_stop(connection.socket);
@@ -322,7 +360,7 @@
     const Connections snapshot = this->waiting; // a refusal may let others continue
     for (const std::shared_ptr<ServerConnection> &connection : snapshot) {
         if (connection->socket != nullptr && connection->waitingSince
-            && connection->waitingSince < oldest) {
+            && connection->waitingSince < oldest && connection->openExchanges == 0) {
             this->waiting.remove(connection);
             this->handlers.refuse(*connection, unavailable);
         }
@@ -357,6 +395,10 @@
             continue;
         }
         const bool isRead = takeOver(*connection);
+        if (connection->http2) {
+            this->resizeHttp2(*connection);
+            continue;
+        }
         if (connection->openExchanges > 0) {
             continue; // a pipelined request, which ends later
         }
--- a/src/connection/requestreader.h
+++ b/src/connection/requestreader.h
@@ -8,14 +8,16 @@
 #include <list>
 #include <vector>
 
+typedef struct st_h2o_globalconf_t h2o_globalconf_t;
+
 namespace cassiaroad {
 
 /**
  * Reads the requests of a listener's connections for h2o, in bounded pieces and within a bound of
  * the bytes that all requests hold. A request that does not fit waits: its connection is not read.
- * One that has waited too long, that can never fit or whose head is too long is refused. Bodies of
- * HTTP/2 requests are not counted, since h2o takes them out of the socket's buffer. Loop thread
- * only.
+ * One that has waited too long, that can never fit or whose head is too long is refused. HTTP/2 is
+ * spoken on connections that begin with its preface; their requests count as Http2Streams
+ * estimates. Loop thread only.
  */
 class RequestReader
 {
@@ -41,8 +43,8 @@
         std::function<void()> onLargestEnded;
     };
 
-    /** @p loop must outlive the reader. */
-    RequestReader(EventLoop &loop, Limits limits, Handlers handlers);
+    /** @p loop and @p config, of h2o, must outlive the reader. */
+    RequestReader(EventLoop &loop, h2o_globalconf_t &config, Limits limits, Handlers handlers);
     RequestReader(const RequestReader &) = delete;
     RequestReader &operator=(const RequestReader &) = delete;
 
@@ -62,6 +64,9 @@
     /** A request of @p connection has ended, and h2o is about to read the next one. */
     void onRequestEnded(ServerConnection &connection);
 
+    /** A request of an HTTP/2 connection has ended. */
+    void onStreamEnded(ServerConnection &connection, std::uint32_t stream);
+
     /** Releases what @p connection holds. Its socket is closed. */
     void onClosed(ServerConnection &connection);
 
@@ -105,12 +110,14 @@
     void checkWaiting();
     void takeOverEnded();
     void noteHead(ServerConnection &connection);
-    void noteBytes(ServerConnection &connection);
+    void noteBytes(ServerConnection &connection, std::size_t size);
+    void resizeHttp2(ServerConnection &connection);
     void release(ServerConnection &connection, std::size_t size);
 
     using Connections = std::list<std::shared_ptr<ServerConnection>>;
 
     EventLoop &loop;
+    h2o_globalconf_t &config;
     Limits limits;
     Handlers handlers;
     RequestMemory memory;
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/http2streams.h"
 #include "process/clock.h"
 
 #include <atomic>
@@ -45,6 +46,7 @@
     // h2o's callback for input, and the one for HTTP/1.1.
     void (*readCallback)(h2o_socket_t *, const char *) = nullptr;
     void (*http1Callback)(h2o_socket_t *, const char *) = nullptr;
+    std::unique_ptr<Http2Streams> http2; // null for HTTP/1.1
     std::size_t reservedBytes = 0; // of the reader's memory
     bool isHeldApart = false; // its request is the one that is too large for the memory
     std::size_t expectedBytes = 0; // head and body of the request that arrives; 0 if not known
