connection, gateway: Bound the memory of listeners for readiness and metrics

Cause: each of these listeners could hold 80 MiB of requests and 20,000 connections, beside the bound for clients. Change: HttpServerLimits::withoutBodies(): no bodies, 8 MiB, 200 connections, of which 20 stay free for new ones.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -128,6 +128,17 @@
 
 } // namespace
 
+HttpServerLimits HttpServerLimits::withoutBodies()
+{
+    HttpServerLimits limits;
+    limits.maxBodyBytes = 0;
+    limits.maxConnections = 200;
+    limits.reservedConnections = 20;
+    // 200 heads, and responses of a megabyte, such as metrics.
+    limits.maxRequestBytes = std::size_t(8) * 1024 * 1024;
+    return limits;
+}
+
 // Outlives its HttpServer until its last connection is closed, because h2o connections cannot be
 // closed synchronously.
 struct HttpServer::Private
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -87,6 +87,10 @@
     // Requests of one HTTP/1.1 connection that are started before their turn.
     std::uint32_t maxRequestsAhead = 8;
 
+    /** Limits of a listener that answers small questions of a few hosts, such as readiness checks.
+     */
+    static HttpServerLimits withoutBodies();
+
     bool operator==(const HttpServerLimits &) const = default;
 };
 
--- a/src/connection/metricsserver.cpp
+++ b/src/connection/metricsserver.cpp
@@ -4,7 +4,7 @@
 
 MetricsServer::MetricsServer(EventLoop &loop, const Metrics &metrics, std::function<void()> update)
     : server(
-            loop, {},
+            loop, HttpServerLimits::withoutBodies(),
             [&metrics, update = std::move(update)](const std::shared_ptr<HttpExchange> &exchange) {
                 if (exchange->path() != "/metrics") {
                     exchange->answer(404, {}, {});
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -93,7 +93,7 @@
                   },
                   [this](std::string_view /*method*/, std::string_view host,
                          std::string_view path) { return runAheadOf(this->core, host, path); })
-        , readiness(loop, {},
+        , readiness(loop, HttpServerLimits::withoutBodies(),
                     [this](const std::shared_ptr<HttpExchange> &exchange) {
                         this->handleReadiness(*exchange);
                     })
