connection: Split timeouts, early refusals and socket calls out of HttpServer

Change: ConnectionTimeouts closes idle, slow and unread connections; earlyRefusal() is the response to a request that still arrives; notifyOfEnd() tells of ended HTTP/2 requests; calls on a connection's socket stand with ServerConnection. No behaviour changes.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -2,7 +2,10 @@
 
 #include "connection/clientroom.h"
 #include "connection/connectionroom.h"
+#include "connection/connectiontimeouts.h"
+#include "connection/earlyrefusal.h"
 #include "connection/h2oexchange.h"
+#include "connection/http2requestend.h"
 #include "connection/lingeringclose.h"
 #include "connection/pipeliner.h"
 #include "connection/requesthead.h"
@@ -10,14 +13,12 @@
 #include "connection/serverconnection.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <unordered_set>
 
 #include <h2o.h>
@@ -29,10 +30,6 @@
 constexpr int listenBacklog = 4096;
 constexpr int maxAcceptsPerIteration = 32;
 constexpr Milliseconds sweepInterval { 500 };
-constexpr std::int64_t minBytesPerSecond = 1024; // of a request, on average
-// How long a connection without a request stays open during a shutdown, so that a request that is
-// already in transit still gets a response.
-constexpr Milliseconds shutdownIdleTimeout { 500 };
 // So long that the sweep always closes a connection first: h2o's own timeouts follow the wall clock
 // and do not distinguish progress from silence, so the sweep enforces the timeouts instead.
 constexpr std::uint64_t h2oRequestTimeout = 24ULL * 3600 * 1000;
@@ -55,77 +52,6 @@
     return size;
 }
 
-// Whether the peer has closed its side, even if unread bytes are pending.
-bool isClosedByPeer(h2o_socket_t *socket)
-{
-    pollfd entry { h2o_socket_get_fd(socket), POLLRDHUP, 0 };
-    return poll(&entry, 1, 0) > 0;
-}
-
-// Shuts the socket down, so that h2o reads the end of the stream and closes the connection.
-void shutDownSocket(ServerConnection &connection)
-{
-    connection.closing = true;
-    shutdown(h2o_socket_get_fd(connection.socket), SHUT_RDWR);
-}
-
-// As above, for a connection without a request. A request that arrives just before h2o reads the
-// end of the stream still gets a response.
-void closeIdle(ServerConnection &connection)
-{
-    connection.closing = true;
-    shutdown(h2o_socket_get_fd(connection.socket), SHUT_RD);
-}
-
-// Whether bytes have arrived that h2o has not read yet.
-bool hasUnreadBytes(h2o_socket_t *socket)
-{
-    char byte = 0;
-    return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-std::uint32_t http2StreamId(h2o_req_t &request)
-{
-    const h2o_iovec_t text = request.conn->callbacks->log_.http2.stream_id(&request);
-    std::uint32_t id = 0;
-    std::from_chars(text.base, text.base + text.len, id);
-    return id;
-}
-
-/** An HTTP/2 request that the reader counts. */
-struct CountedStream
-{
-    std::shared_ptr<ServerConnection> connection;
-    std::uint32_t id;
-};
-
-// Tells the reader when h2o frees the memory of an HTTP/2 request.
-void notifyOfEnd(h2o_req_t &request)
-{
-    h2o_socket_t *socket = request.conn->callbacks->get_socket(request.conn);
-    auto *connection = static_cast<ServerConnection *>(socket->on_close.data);
-    void *memory = h2o_mem_alloc_shared(&request.pool, sizeof(CountedStream), [](void *pointer) {
-        auto *attached = static_cast<CountedStream *>(pointer);
-        const CountedStream stream = std::move(*attached);
-        attached->~CountedStream();
-        stream.connection->reader->onStreamEnded(*stream.connection, stream.id);
-    });
-    new (memory) CountedStream { connection->shared_from_this(), http2StreamId(request) };
-}
-
-// Response to a request that is still arriving, and that h2o has not handed on. The outcome is
-// known.
-std::string earlyRefusal(int status)
-{
-    const bool isBusy = status == serviceUnavailable;
-    const std::string phrase = isBusy                      ? "Service Unavailable"
-                               : status == payloadTooLarge ? "Content Too Large"
-                                                           : "Request Header Fields Too Large";
-    return "HTTP/1.1 " + std::to_string(status) + " " + phrase
-           + "\r\ncontent-length: 0\r\nconnection: close\r\ncassiaroad-outcome: not-run\r\n"
-           + (isBusy ? "retry-after: 1.000\r\n" : "") + "\r\n";
-}
-
 } // namespace
 
 HttpServerLimits HttpServerLimits::withoutBodies()
@@ -177,11 +103,6 @@
     void refuseEarly(ServerConnection &connection, int status);
     /** Checks all connections; deletes this if the server is destroyed and none is left. */
     void sweep();
-    /** Enforces the timeouts of @p connection, or detects that its client has disconnected. */
-    void sweepConnection(ServerConnection &connection, TimePoint now);
-    bool isHeadLate(const ServerConnection &connection, TimePoint now) const;
-    /** Ends a connection whose client does not read its response. */
-    void sweepUnread(ServerConnection &connection, TimePoint now);
     void closeListener();
     void finishShutDownIfEmpty();
 
@@ -198,9 +119,9 @@
     ClientRoom room;
     Pipeliner pipeliner;
     LingeringClose lingeringClose;
+    ConnectionTimeouts timeouts;
     EventLoop::Timer sweepTimer;
     bool closesAfterResponse = false; // of HTTP/1.1 connections
-    bool shuttingDown = false;
     bool serverDestroyed = false;
     std::function<void()> shutDownCallback;
     LargestRequestHandlers largestRequest;
@@ -249,6 +170,7 @@
                     this->handler(std::move(exchange));
                 })
     , lingeringClose(loop)
+    , timeouts(this->limits)
 {
     // Buffers of the reader have their final size, and none of them is to be a file.
     h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
@@ -475,7 +397,7 @@
     return connection.socket != nullptr && connection.openExchanges == 0
            && connection.socket->input->size == 0
            && (http1 || this->loop.now() - connection.idleSince > frameQuietPeriod)
-           && !hasUnreadBytes(connection.socket);
+           && !hasUnreadBytes(connection);
 }
 
 void HttpServer::Private::makeRoom()
@@ -528,7 +450,7 @@
     const auto snapshot = this->connections;
     for (const std::shared_ptr<ServerConnection> &connection : snapshot) {
         if (connection->socket != nullptr) {
-            this->sweepConnection(*connection, now);
+            this->timeouts.check(*connection, now);
         }
     }
     if (this->serverDestroyed && this->connections.empty()) {
@@ -536,58 +458,6 @@
     }
 }
 
-void HttpServer::Private::sweepConnection(ServerConnection &connection, TimePoint now)
-{
-    if (connection.openExchanges > 0) {
-        if (connection.watchedExchange != nullptr && connection.needsClosePolling
-            && isClosedByPeer(connection.socket)) {
-            connection.watchedExchange->abandon();
-        } else if (connection.unwrittenResponses > 0) {
-            this->sweepUnread(connection, now);
-        }
-        return;
-    }
-    connection.unreadSince.reset();
-    const auto buffered = static_cast<std::int64_t>(connection.socket->input->size);
-    if (buffered == 0) {
-        connection.receiving = false;
-        const Milliseconds limit
-                = this->shuttingDown ? shutdownIdleTimeout : this->limits.idleTimeout;
-        if (now - connection.idleSince > limit && !hasUnreadBytes(connection.socket)) {
-            closeIdle(connection);
-        }
-        return;
-    }
-    if (!connection.receiving) {
-        connection.receiving = true;
-        connection.receivingSince = now;
-    }
-    if (this->isHeadLate(connection, now)) {
-        shutDownSocket(connection);
-        return;
-    }
-    const Milliseconds maxReceiveDuration = this->limits.receiveGracePeriod
-                                            + Milliseconds { buffered * 1000 / minBytesPerSecond };
-    if (now - connection.receivingSince > maxReceiveDuration) {
-        shutDownSocket(connection);
-    }
-}
-
-// A request that waits for memory is not late by its client's fault.
-bool HttpServer::Private::isHeadLate(const ServerConnection &connection, TimePoint now) const
-{
-    return connection.readCallback == connection.http1Callback && !connection.headArrivedAt
-           && !connection.waitingSince
-           && now - connection.receivingSince > this->limits.headTimeout;
-}
-
-void HttpServer::Private::sweepUnread(ServerConnection &connection, TimePoint now)
-{
-    if (ClientRoom::unreadFor(connection, now) > this->limits.unreadTimeout) {
-        shutDownSocket(connection);
-    }
-}
-
 void HttpServer::Private::closeListener()
 {
     if (this->listener != nullptr) {
@@ -673,7 +543,7 @@
     }
     this->d->closeListener();
     this->closeAfterNextResponse();
-    this->d->shuttingDown = true;
+    this->d->timeouts.shutDown();
     this->d->shutDownCallback = std::move(done);
     const TimePoint now = this->d->loop.now();
     for (const std::shared_ptr<ServerConnection> &connection : this->d->connections) {
--- a/src/connection/serverconnection.h
+++ b/src/connection/serverconnection.h
@@ -64,6 +64,23 @@
     std::size_t peekedBytes = 0; // that stay unread; the socket only wakes for more. 0: for any
 };
 
+// Of connections whose socket is open:
+
+/** Whether the peer has closed its side, even if unread bytes are pending. */
+bool isClosedByPeer(const ServerConnection &connection);
+
+/** Whether bytes have arrived that h2o has not read yet. */
+bool hasUnreadBytes(const ServerConnection &connection);
+
+/** Shuts the socket down, so that h2o reads the end of the stream and closes the connection. */
+void shutDownSocket(ServerConnection &connection);
+
+/**
+ * As shutDownSocket(), for a connection without a request. A request that arrives just before h2o
+ * reads the end of the stream still gets a response.
+ */
+void closeIdle(ServerConnection &connection);
+
 /** Lets the socket wake the server when more than @p size unread bytes have arrived. */
 void wakeBeyond(ServerConnection &connection, std::size_t size);
 
