connection: Name the initial state of HTTP/2, and test that a connection stays with HTTP/1.1

Cause: h2o allows an upgrade by default; RequestReader sets the flag before each call, which the constructor hid. Change: The flag is off from the start; a test holds that neither Upgrade: h2c nor a late preface changes the protocol.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -177,6 +177,7 @@
     h2o_config_init(&this->config);
     this->config.server_name = h2o_iovec_init(H2O_STRLIT("cassiaroad"));
     this->config.http1.req_timeout = h2oRequestTimeout;
+    this->config.http1.upgrade_to_http2 = 0; // RequestReader allows it for new connections
     this->config.http2.idle_timeout = h2oRequestTimeout;
     this->setLimits(limits);
     h2o_hostconf_t *host
--- a/tests/connection/test_httpserver.cpp
+++ b/tests/connection/test_httpserver.cpp
@@ -315,6 +315,21 @@
     EXPECT_EQ(this->requests, (std::vector<std::string> { "GET / " }));
 }
 
+// Guards against a change to HTTP/2 amid a connection, whose requests would not be counted.
+TEST_F(HttpServerTest, staysWithHttp1AfterTheFirstRequest)
+{
+    this->start();
+    RawClient client(this->server->port());
+    client.write("GET /a HTTP/1.1\r\nhost: x\r\nconnection: upgrade, http2-settings\r\n"
+                 "upgrade: h2c\r\nhttp2-settings: AAMAAABkAAQAAP__\r\n\r\n");
+    ASSERT_TRUE(this->receives(client, "echo:"));
+    EXPECT_TRUE(client.received().starts_with("HTTP/1.1 200 "));
+    client.write(std::string_view("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0", 33));
+    client.write(std::string_view("\0\0\6\1\5\0\0\0\1\x82\x86\x84\x41\1x", 15));
+    EXPECT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); }));
+    EXPECT_EQ(this->requests, (std::vector<std::string> { "GET /a " }));
+}
+
 // Guards against open connections that keep the limits with which they were opened.
 TEST_F(HttpServerTest, appliesChangedLimitsToOpenConnections)
 {
