--- a/src/connection/http2streams.cpp
+++ b/src/connection/http2streams.cpp
@@ -17,7 +17,7 @@
 
 // What h2o allocates for a stream: its state and the first block of its memory pool.
 constexpr std::size_t streamBytes = 8192;
-// Header fields are decompressed, copied and listed; those of 10 KB took 34 KB.
+// Header fields are decompressed, copied and listed.
 constexpr std::size_t headFactor = 4;
 // A body that grows is copied to a buffer of twice the size.
 constexpr std::size_t bodyFactor = 2;
--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -591,6 +591,11 @@
     return this->d->reader.heldBytes();
 }
 
+std::uint64_t HttpServer::largestRequestCount() const
+{
+    return this->d->reader.largestRequestCount();
+}
+
 const ClientRoomCounts &HttpServer::roomCounts() const
 {
     return this->d->room.counts();
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -178,6 +178,9 @@
     /** Bytes of requests, without those below 4 KiB, and of unwritten responses. */
     std::size_t heldRequestBytes() const;
 
+    /** How many requests that are larger than the bound of all were read in calm. */
+    std::uint64_t largestRequestCount() const;
+
     /** How often the listener has acted because its memory was short. */
     const ClientRoomCounts &roomCounts() const;
     /** Returns how many requests are and were started before their turn. */
--- a/src/connection/requestreader.cpp
+++ b/src/connection/requestreader.cpp
@@ -289,6 +289,7 @@
     }
     connection.isHeldApart = true;
     this->largest = &connection;
+    ++this->largestCount;
     return true;
 }
 
--- a/src/connection/requestreader.h
+++ b/src/connection/requestreader.h
@@ -84,6 +84,9 @@
     /** The connection whose request is held apart; see RequestMemory. Null if there is none. */
     ServerConnection *largestRequest() const { return this->largest; }
 
+    /** How many requests were held apart since the start. */
+    std::uint64_t largestRequestCount() const { return this->largestCount; }
+
     /** Gives h2o the end of the stream, so that it closes @p connection. */
     static void end(ServerConnection &connection);
 
@@ -122,6 +125,7 @@
     Handlers handlers;
     RequestMemory memory;
     ServerConnection *largest = nullptr; // its request is held apart
+    std::uint64_t largestCount = 0;
     Connections waiting; // for memory
     Connections ended; // whose request has ended, and that are not taken over again
     EventLoop::Timer waitTimer;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -233,6 +233,10 @@
             .gauge("cassiaroad_gateway_memory_refusals",
                    "Requests refused before they ran, as their responses could not be held.")
             .Set(static_cast<double>(counts.refusedRequests));
+    this->metrics
+            .gauge("cassiaroad_gateway_largest_requests",
+                   "Requests larger than the bound of all that were read, as little else was held.")
+            .Set(static_cast<double>(this->callers.largestRequestCount()));
     this->metrics
             .gauge("cassiaroad_gateway_lost_responses",
                    "Responses replaced by 502, as they could not be held.")
