tests: Keep the port of an unreachable upstream bound

Cause: two tests of the entry host closed a fake upstream, so that its port refused connections, and started the entry host afterwards.

Change: ClosedPort keeps the port bound without listening. A test of RpcStream closed a port in the same way and uses it too. No check changed.

--- a/tests/cassiaroad/entrysite.h
+++ b/tests/cassiaroad/entrysite.h
@@ -2,6 +2,7 @@
 
 #include "cassiaroad/entryhost.h"
 #include "fakecontrol.h"
+#include "support/closedport.h"
 #include "support/fakepeer.h"
 #include "support/loopwait.h"
 #include "support/rawclient.h"
@@ -61,9 +62,9 @@
                          [&] { return this->group.seen == this->group.table.toRevision; });
     }
 
-    Upstream upstreamAt(const FakePeer &peer, const std::string &name) const
+    Upstream upstreamAt(std::uint16_t port, const std::string &name) const
     {
-        return { { "orders", name }, "etela-a", "127.0.0.1:" + std::to_string(peer.port),
+        return { { "orders", name }, "etela-a", "127.0.0.1:" + std::to_string(port),
                  this->slots,        120,       true,
                  "i-" + name,        false };
     }
@@ -72,11 +73,17 @@
     FakePeer &addOwner(const std::string &name, FakePeer::Script script, Epoch epoch = 1)
     {
         this->peers.push_back(std::make_unique<FakePeer>(this->loop, std::move(script)));
-        this->group.assign("orders", testShards, this->upstreamAt(*this->peers.back(), name),
+        this->group.assign("orders", testShards, this->upstreamAt(this->peers.back()->port, name),
                            epoch);
         return *this->peers.back();
     }
 
+    /** Adds an upstream that owns every shard and refuses connections. */
+    void addUnreachableOwner(const std::string &name)
+    {
+        this->group.assign("orders", testShards, this->upstreamAt(this->closedPort.port, name), 1);
+    }
+
     std::unique_ptr<RawClient> send(const std::string &method, const std::string &path,
                                     const std::string &headers = "", const std::string &body = "")
     {
@@ -154,6 +161,7 @@
     Settings settings;
     std::uint32_t slots = 6;
     std::vector<std::unique_ptr<FakePeer>> peers;
+    ClosedPort closedPort;
     std::unique_ptr<EntryHost> host;
 };
 
--- a/tests/cassiaroad/test_entryhost.cpp
+++ b/tests/cassiaroad/test_entryhost.cpp
@@ -140,10 +140,11 @@
     EXPECT_EQ(owner.connections.size(), 2U) << "a request with unknown outcome was sent again";
 }
 
+// Guards against a request that is reported with an unknown outcome although no connection to its
+// upstream opened (P4).
 TEST_F(EntrySite, P4_reportsNotRunOnlyForRequestsThatWereNotSent)
 {
-    this->addOwner("o1", [](FakePeer::Connection &) {});
-    this->peers.clear(); // its address refuses connections
+    this->addUnreachableOwner("o1");
     this->start();
     const CallerResponse refused = this->exchange("POST", "/orders/k", "", "order");
     EXPECT_EQ(refused.status, 503);
--- a/tests/cassiaroad/test_entrykeyed.cpp
+++ b/tests/cassiaroad/test_entrykeyed.cpp
@@ -59,8 +59,7 @@
 
 TEST_F(EntryKeyed, P5_runsARequestThatWasRefusedBefore)
 {
-    this->addOwner("gone", [](FakePeer::Connection &) {});
-    this->peers.clear();
+    this->addUnreachableOwner("gone");
     this->start();
     EXPECT_EQ(this->post().outcome, "not-run");
     EXPECT_EQ(this->group.ledger.size(), 0U);
--- a/tests/connection/test_rpcstream.cpp
+++ b/tests/connection/test_rpcstream.cpp
@@ -6,6 +6,7 @@
 #include "connection/silentpeer.h"
 #include "connection/socketaddress.h"
 
+#include "support/closedport.h"
 #include "support/fakepeer.h"
 #include "support/fastserver.h"
 #include "support/rawclient.h"
@@ -77,12 +78,8 @@
 TEST(RpcStream, rejectsARefusedConnection)
 {
     EventLoop loop;
-    std::uint16_t port = 0;
-    {
-        SilentPeer closed;
-        port = closed.port();
-    }
-    EXPECT_ANY_THROW(connectTo(loop, port, std::make_shared<ByteCounters>()));
+    const ClosedPort closed;
+    EXPECT_ANY_THROW(connectTo(loop, closed.port, std::make_shared<ByteCounters>()));
 }
 
 // Guards against a connection that is read as long as a fast peer sends, before the receiver looks
