tests: Crowds at the control listeners, fixed before the change

Cause to show: a document of 16 MiB at POST /-/Config.Put takes 688 MB at the leader when it consists of empty objects (one client, 1 of 1), 410 MB of numbers, 197 MB of one text, and 146 MB at a member that only redirects. A control host has 256 MB.

Change: 8 clients at each of five control hosts; every fourth completes its document, the others stop one byte short. Bounds: 256 MB, 400 descriptors, the process lives, an ordinary request and an operator's read are answered afterwards.

--- a/tools/soaklib/misbehaving.py
+++ b/tools/soaklib/misbehaving.py
@@ -1,6 +1,6 @@
 """Clients that no operator controls: uploads that stop short of their end, bodies over the limit,
-uploads that another request follows, streams of HTTP/2 that stop short, and lookups whose answers are
-not read. Each connects again when the gateway closes its connection."""
+uploads that another request follows, streams of HTTP/2 that stop short, documents of many values for
+control hosts, and lookups whose answers are not read. Each connects again when the gateway closes its connection."""
 import asyncio
 import itertools
 import select
@@ -187,6 +187,19 @@
                 await asyncio.sleep(0)
         return behave
 
+    def documents(self, size, every_complete):
+        """Clients that send operators' calls whose documents consist of many empty objects; each
+        `every_complete`th one completes it."""
+        count = (size - len("[{}]")) // len(",{}")
+        body = b"[{}" + b",{}" * count + b"]"
+        lines = f"X-Cassiaroad-Base-Version: 00000001\r\nContent-Length: {len(body)}\r\n"
+
+        async def behave(sock, number):
+            text = head(self.site.checks, self.gateway, "POST", "/-/Config.Put", lines) + body
+            end = len(text) if number % every_complete == 0 else len(text) - 1
+            await asyncio.get_running_loop().sock_sendall(sock, memoryview(text)[:end])
+        return behave
+
     def lookups(self):
         """Clients that pipeline lookups and read none of the answers."""
         async def behave(sock, _number):
