registry, platform: Bound what a document takes at a control host

One document of 16 MiB of empty objects took 688 MB at the leader, which has 256 MB, and would have ended it.

Cause: the bound of all requests counts bytes of bodies, not the parsed document (about 130 bytes for a value of three bytes) and not the copies of the text, which members made that only redirect.

The document is moved to the engine.

--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -10,12 +10,18 @@
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 412;
 constexpr int statusUnavailable = 503;
-constexpr std::size_t maxDocumentBytes = std::size_t(16) * 1024 * 1024;
+constexpr std::size_t megabyte = std::size_t(1024) * 1024;
+// Of a configuration. The leader holds several copies of one while it is accepted, and the history
+// of the latest eight. One of 16 MiB took more than the 256 MB of a control host.
+constexpr std::size_t maxDocumentBytes = 4 * megabyte;
+// Of all calls and unread answers.
+constexpr std::size_t maxBytesOfCalls = 32 * megabyte;
 
 HttpServerLimits limits()
 {
     HttpServerLimits result;
     result.maxBodyBytes = maxDocumentBytes;
+    result.maxRequestBytes = maxBytesOfCalls;
     result.maxConnections = 2000;
     return result;
 }
@@ -51,15 +57,15 @@
 void ControlService::handle(const Exchange &exchange)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::Heartbeats);
-    const ControlCall call = this->codec.decodeCall(
-            { exchange->method(), exchange->path(),
-              exchange->header(this->codec.headers().baseVersion), exchange->body() });
+    ControlCall call = this->codec.decodeCall({ exchange->method(), exchange->path(),
+                                                exchange->header(this->codec.headers().baseVersion),
+                                                exchange->body() });
     if (const auto *heartbeat = std::get_if<HeartbeatCall>(&call)) {
         this->handleHeartbeat(exchange, heartbeat->report);
     } else if (const auto *leave = std::get_if<LeaveCall>(&call)) {
         this->handleLeave(exchange, leave->incarnation);
-    } else if (const auto *put = std::get_if<PutConfigurationCall>(&call)) {
-        this->handlePut(exchange, *put);
+    } else if (auto *put = std::get_if<PutConfigurationCall>(&call)) {
+        this->handlePut(exchange, std::move(*put));
     } else if (const auto *evacuation = std::get_if<EvacuationCall>(&call)) {
         this->handleEvacuation(exchange, evacuation->order);
     } else if (std::holds_alternative<ReadConfigurationCall>(call)) {
@@ -118,9 +124,11 @@
     });
 }
 
-void ControlService::handlePut(const Exchange &exchange, const PutConfigurationCall &call)
+void ControlService::handlePut(const Exchange &exchange, PutConfigurationCall call)
 {
-    this->engine.put(call, [this, exchange, call](const PutResult &result) {
+    const auto base = std::int64_t(call.base);
+    const auto bytes = std::int64_t(call.document.size());
+    this->engine.put(std::move(call), [this, exchange, base, bytes](const PutResult &result) {
         int status = statusUnavailable;
         std::string reason;
         if (const auto *outcome = std::get_if<PutOutcome>(&result)) {
@@ -135,8 +143,8 @@
         this->log.write({ "order_answered",
                           Event::Weight::Important,
                           { { "status", std::int64_t(status) },
-                            { "base", std::int64_t(call.base) },
-                            { "bytes", std::int64_t(call.document.size()) },
+                            { "base", base },
+                            { "bytes", bytes },
                             { "reason", reason } } });
         answer(exchange, status);
     });
--- a/src/registry/controlservice.h
+++ b/src/registry/controlservice.h
@@ -28,7 +28,7 @@
     void handle(const Exchange &exchange);
     void handleHeartbeat(const Exchange &exchange, const UpstreamReport &report);
     void handleLeave(const Exchange &exchange, const UpstreamIncarnation &incarnation);
-    void handlePut(const Exchange &exchange, const PutConfigurationCall &call);
+    void handlePut(const Exchange &exchange, PutConfigurationCall call);
     void handleEvacuation(const Exchange &exchange, const EvacuationChange &order);
     void handleRead(const Exchange &exchange);
     void redirect(const Exchange &exchange, const NotLeading &notLeading);
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -367,10 +367,10 @@
     });
 }
 
-void RegistryEngine::put(const PutConfigurationCall &call,
-                         const std::function<void(PutResult)> &done)
+void RegistryEngine::put(PutConfigurationCall call, const std::function<void(PutResult)> &done)
 {
-    this->whenLeadershipIsCertain([this, call, done] { this->handleCertainPut(call, done); });
+    this->whenLeadershipIsCertain(
+            [this, call = std::move(call), done] { this->handleCertainPut(call, done); });
 }
 
 void RegistryEngine::handleCertainPut(const PutConfigurationCall &call,
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -83,7 +83,7 @@
     void leave(const UpstreamIncarnation &incarnation,
                const std::function<void(LeaveResult)> &done);
     /** Checks a configuration and puts it in effect; @p done is called once. */
-    void put(const PutConfigurationCall &call, const std::function<void(PutResult)> &done);
+    void put(PutConfigurationCall call, const std::function<void(PutResult)> &done);
     /** Starts or ends the evacuation of a zone; @p done is called once, after the commit. */
     void orderEvacuation(const EvacuationChange &order,
                          const std::function<void(EvacuationResult)> &done);
--- a/tests/platform/test_platformcodec.cpp
+++ b/tests/platform/test_platformcodec.cpp
@@ -106,6 +106,29 @@
     }
 }
 
+// Guards against a control host that takes 690 MB of memory to parse 16 MiB of empty objects.
+TEST(PlatformCodec, refusesDocumentsOfTooManyValues)
+{
+    const auto objects = [](std::size_t count) {
+        std::string text = "[{}";
+        for (std::size_t i = 1; i < count; ++i) {
+            text += ",{}";
+        }
+        return text + "]";
+    };
+    const auto withField = [](const std::string &value) {
+        return replaced(document, "{\"version\"", "{\"x\":" + value + ",\"version\"");
+    };
+    EXPECT_TRUE(std::holds_alternative<ConfigurationError>(
+            codec.decodeConfiguration(withField(objects(1'000'000)))));
+    EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(
+            codec.decodeConfiguration(withField(objects(200'000)))));
+    // Commas and brackets in a text are no values.
+    const std::string commas = "\"" + std::string(1'000'000, ',') + "\"";
+    EXPECT_TRUE(std::holds_alternative<SiteConfiguration>(
+            codec.decodeConfiguration(withField(commas))));
+}
+
 // Guards against fields that are cut to a narrower type or overflow, and so register an upstream
 // with another size, life or address than the sender has. A later start time than the real one
 // would also replace the real upstream.
