gateway, cassiaroad: Command that tells where a request would go

Cause: operators can read why a request failed (explain), not where one would go now. They asked for a command that explains it without sending the request.

Change: `cassiaroad route` asks a gateway at its readiness listener. previewRoute() uses the functions that route and select for real requests: matchRoute(), selectOwner(), readyUpstreams() and selectWithoutChoice() were taken out of these paths, and the reasons of refusals are constants of the selection results. Nothing is sent or counted, no share of a paced upstream is taken.

--- a/src/cassiaroad/main.cpp
+++ b/src/cassiaroad/main.cpp
@@ -3,6 +3,7 @@
 #include "cassiaroad/entryprocess.h"
 #include "cassiaroad/explaincommand.h"
 #include "cassiaroad/operatorcommands.h"
+#include "cassiaroad/routecommand.h"
 #include "cassiaroad/settingsfile.h"
 #include "gateway/gatewayprocess.h"
 #include "platform/platformcodec.h"
@@ -149,6 +150,12 @@
         "standard\n"
         "input)." },
       runExplainCommand },
+    { "route",
+      { "json", false, 3, 4, "route [--json] GATEWAY HOST PATH [KEY]",
+        "Asks a gateway (IP:PORT of its readiness listener) where a request would go now, and "
+        "why.\n"
+        "Sends no request." },
+      runRouteCommand },
     { "version", { "", false, 0, 0, "version", "Prints the version." }, runVersion },
 };
 
--- a/src/gateway/clientrequest.cpp
+++ b/src/gateway/clientrequest.cpp
@@ -14,6 +14,7 @@
 constexpr int statusUnavailable = 503;
 
 constexpr Milliseconds defaultClientTimeout { 10000 };
+constexpr Milliseconds durationWithoutRoute { 100 };
 
 // A configuration that the leader confirmed longer ago may lack routes that are in force. In calm
 // the leader confirms it within the watch timeout of at most a second and a round trip.
@@ -37,18 +38,12 @@
         request.clientTimeout = { std::max<std::int64_t>(*wait, 1) };
     }
     request.responseDeadline = request.arrivedAt + request.clientTimeout;
-    if (core.refusesNewRequests()) {
-        return RoutingRejection { statusUnavailable, request.defaultDuration(), "gateway stops" };
-    }
-    request.active = core.view().active;
-    if (!request.active) {
-        return RoutingRejection { statusUnavailable, outageRetryAfter, "no configuration yet" };
-    }
-    request.route = request.active->routes.find(request.exchange->header("host"),
-                                                request.exchange->path());
-    if (request.route == nullptr) {
-        return unknownRoute(core);
+    auto match = matchRoute(core, request.exchange->header("host"), request.exchange->path());
+    if (auto *rejection = std::get_if<RoutingRejection>(&match)) {
+        return std::move(*rejection);
     }
+    request.active = std::move(std::get<RouteMatch>(match).active);
+    request.route = std::get<RouteMatch>(match).route;
     request.responseDeadline
             = request.arrivedAt + std::min(request.clientTimeout, request.route->timeout);
     request.service = core.chooseService(*request.route);
@@ -84,7 +79,7 @@
 // Target latencies are set so that most responses arrive well within them.
 Milliseconds ClientRequest::defaultDuration() const
 {
-    return this->route != nullptr ? this->route->targetLatency / 3 : Milliseconds { 100 };
+    return this->route != nullptr ? this->route->targetLatency / 3 : durationWithoutRoute;
 }
 
 HomeRegions ClientRequest::homes(const std::shared_ptr<const ActiveConfiguration> &current) const
@@ -97,6 +92,23 @@
     return now == nullptr ? this->route->homes : this->route->homes.intersectedWith(now->homes);
 }
 
+std::variant<RouteMatch, RoutingRejection> matchRoute(const GatewayCore &core,
+                                                      std::string_view host, std::string_view path)
+{
+    if (core.refusesNewRequests()) {
+        return RoutingRejection { statusUnavailable, durationWithoutRoute, "gateway stops" };
+    }
+    const std::shared_ptr<const ActiveConfiguration> &active = core.view().active;
+    if (!active) {
+        return RoutingRejection { statusUnavailable, outageRetryAfter, "no configuration yet" };
+    }
+    const SiteRoute *route = active->routes.find(host, path);
+    if (route == nullptr) {
+        return unknownRoute(core);
+    }
+    return RouteMatch { active, route };
+}
+
 ClientRequest receivedRequest(GatewayCore &core, std::shared_ptr<HttpExchange> exchange)
 {
     ClientRequest request;
--- a/src/gateway/clientrequest.h
+++ b/src/gateway/clientrequest.h
@@ -3,6 +3,8 @@
 #include "connection/httpserver.h"
 #include "gateway/gatewaycore.h"
 
+#include <variant>
+
 namespace cassiaroad {
 
 /**
@@ -51,6 +53,17 @@
     std::string reason;
 };
 
+/** The route of a request, and the configuration that it belongs to. */
+struct RouteMatch
+{
+    std::shared_ptr<const ActiveConfiguration> active;
+    const SiteRoute *route = nullptr; // valid as long as `active`
+};
+
+/** Finds the route for @p host and @p path, or why there is none. Loop thread only. */
+std::variant<RouteMatch, RoutingRejection> matchRoute(const GatewayCore &core,
+                                                      std::string_view host, std::string_view path);
+
 /** Returns the request of @p exchange, which is not routed yet. Loop thread only. */
 ClientRequest receivedRequest(GatewayCore &core, std::shared_ptr<HttpExchange> exchange);
 
--- a/src/gateway/gatewaychoice.cpp
+++ b/src/gateway/gatewaychoice.cpp
@@ -71,14 +71,39 @@
                                                              const HomeRegions &homes,
                                                              const std::vector<std::string> &tried)
 {
-    GatewayUpstreams candidates = this->usableUpstreams(service, homes, tried);
+    return this->chooseAdmitted(service, homes, this->readyUpstreams(service, homes, tried));
+}
+
+GatewayUpstreams GatewayCore::readyUpstreams(const std::string &service, const HomeRegions &homes,
+                                             const std::vector<std::string> &tried) const
+{
+    GatewayUpstreams ready = this->usableUpstreams(service, homes, tried);
     const TimePoint now = this->loop.now();
-    std::erase_if(candidates, [now](const auto &upstream) {
+    std::erase_if(ready, [now](const auto &upstream) {
         return upstream->isPaused(now)
                || (upstream->pace().limit(now) != UpstreamPace::Limit::Recovering
                    && !upstream->pace().allows(now));
     });
-    return this->chooseAdmitted(service, homes, std::move(candidates));
+    return ready;
+}
+
+GatewayUpstreams GatewayCore::upstreamsOf(const std::string &service) const
+{
+    GatewayUpstreams found;
+    for (const auto &[id, upstream] : this->upstreams) {
+        if (upstream->upstream().service == service) {
+            found.push_back(upstream);
+        }
+    }
+    return found;
+}
+
+const UpstreamSubset *GatewayCore::subsetOf(const std::string &service, const HomeRegions &homes)
+{
+    if (comparesAllUpstreams(this->routing.gateways) || !this->subsets.placement()) {
+        return nullptr;
+    }
+    return &this->subsets.find(service, homes, this->upstreams);
 }
 
 // Chooses among @p candidates, whatever the share of a recovering one admits.
@@ -86,13 +111,13 @@
                                                           const HomeRegions &homes,
                                                           const GatewayUpstreams &candidates)
 {
-    if (comparesAllUpstreams(this->routing.gateways) || !this->subsets.placement()) {
+    const UpstreamSubset *subset = this->subsetOf(service, homes);
+    if (subset == nullptr) {
         return chooseBySample(candidates, this->routing.gateways, this->loop.now(), this->random);
     }
-    const UpstreamSubset &subset = this->subsets.find(service, homes, this->upstreams);
-    const UpstreamChoice choice = chooseFromSubset(subset, candidates, this->routing.gateways,
+    const UpstreamChoice choice = chooseFromSubset(*subset, candidates, this->routing.gateways,
                                                    this->loop.now(), this->random);
-    this->countChoice(service, choice.source, subset.members().size());
+    this->countChoice(service, choice.source, subset->members().size());
     return choice.upstream;
 }
 
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -64,6 +64,19 @@
     std::shared_ptr<GatewayUpstream> nextUpstream(const std::string &service,
                                                   const HomeRegions &homes,
                                                   const std::vector<std::string> &tried) const;
+    /** Returns all upstreams of @p service. */
+    GatewayUpstreams upstreamsOf(const std::string &service) const;
+    /**
+     * Returns the upstreams of a service without keys among which the next request chooses: those
+     * at home that may be given work, but for paused and paced ones and those in @p tried.
+     */
+    GatewayUpstreams readyUpstreams(const std::string &service, const HomeRegions &homes,
+                                    const std::vector<std::string> &tried) const;
+    /**
+     * Returns the subset of the upstreams of a service without keys that requests with @p homes
+     * use; null on sites with few gateways. It is valid until the next call.
+     */
+    const UpstreamSubset *subsetOf(const std::string &service, const HomeRegions &homes);
     /** Whether an upstream of @p service in a region of @p homes may be given work. */
     bool hasUpstream(const std::string &service, const HomeRegions &homes) const;
     /** Whether @p upstream is in a region of @p homes. */
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -5,8 +5,10 @@
 #include "gateway/gatewayrequest.h"
 #include "gateway/listenerlimits.h"
 #include "gateway/registrywatcher.h"
+#include "gateway/routepreview.h"
 #include "gateway/runahead.h"
 #include "gateway/stopschedule.h"
+#include "process/parsenumber.h"
 #include "process/settingswatcher.h"
 #include "process/siteprocess.h"
 
@@ -110,6 +112,7 @@
 private:
     bool isReady() const;
     void handleReadiness(HttpExchange &exchange);
+    void handleRoutePreview(HttpExchange &exchange);
     void applyLimits();
     bool mayHoldLargest();
     void updateMetrics();
@@ -184,8 +187,21 @@
             withClientLimits(clientLimits(this->settings), active->configuration.limits));
 }
 
+void GatewayProcess::handleRoutePreview(HttpExchange &exchange)
+{
+    const RoutePreview preview
+            = previewRoute(this->core, { std::string(exchange.header(routeHostHeader)),
+                                         std::string(exchange.header(routePathHeader)),
+                                         parseNumber<KeyNumber>(exchange.header(routeKeyHeader)) });
+    exchange.answer(statusOk, { { "content-type", "application/json" } }, toJson(preview));
+}
+
 void GatewayProcess::handleReadiness(HttpExchange &exchange)
 {
+    if (exchange.path() == routePreviewPath) {
+        this->handleRoutePreview(exchange);
+        return;
+    }
     if (exchange.path() != this->codec.readinessPath()) {
         exchange.answer(statusNotFound, {}, {});
         return;
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -23,7 +23,7 @@
     }
     void operator()(const PausedUpstream &paused) const
     {
-        this->request.waitForPause(paused.timeLeft, "upstream has asked for a pause");
+        this->request.waitForPause(paused.timeLeft, PausedUpstream::reason);
     }
     void operator()(const PacedUpstream &paced) const
     {
@@ -31,7 +31,7 @@
         UpstreamPace &pace = paced.upstream->pace();
         this->request.core.countPaced(*paced.upstream);
         const Milliseconds wait = pace.turnAway(now);
-        const std::string reason = "upstream has no capacity";
+        const std::string reason = PacedUpstream::reason;
         if (pace.isShared(now)) {
             this->request.refuseWithRetryAfter(wait, reason);
         } else {
@@ -41,24 +41,24 @@
     void operator()(const KeyWithoutOwner & /*none*/) const { this->request.waitForOwner(); }
     void operator()(const ServiceEvacuated & /*service*/) const
     {
-        this->request.refuseWithRetryAfter(outageRetryAfter, "all upstreams are evacuated");
+        this->request.refuseWithRetryAfter(outageRetryAfter, ServiceEvacuated::reason);
     }
     void operator()(const NoUpstreamAtHome & /*none*/) const
     {
-        this->request.refuseWithRetryAfter(outageRetryAfter, "no upstream in the home regions");
+        this->request.refuseWithRetryAfter(outageRetryAfter, NoUpstreamAtHome::reason);
     }
     void operator()(const SuspectedOwner & /*owner*/) const
     {
         this->request.refuseWithRetryAfter(this->request.core.ownerReplacementDelay(),
-                                           "owner does not answer");
+                                           SuspectedOwner::reason);
     }
     void operator()(const NoRoutingTable & /*none*/) const
     {
-        this->request.refuseWithRetryAfter(outageRetryAfter, "no routing table yet");
+        this->request.refuseWithRetryAfter(outageRetryAfter, NoRoutingTable::reason);
     }
     void operator()(const NoUpstream & /*none*/) const
     {
-        this->request.refuseWithRetryAfter(outageRetryAfter, "no upstream left");
+        this->request.refuseWithRetryAfter(outageRetryAfter, NoUpstream::reason);
     }
 };
 
@@ -187,7 +187,7 @@
     const Milliseconds maxWait = std::min(
             this->request.receivedAt + this->target.maxOwnerWait() - this->core.now(), spareTime);
     if (maxWait <= Milliseconds {}) {
-        this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "key has no owner");
+        this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), KeyWithoutOwner::reason);
         return;
     }
     this->wait.waitForTable(maxWait, this->callback(&GatewayRequest::dispatch),
@@ -197,7 +197,7 @@
 void GatewayRequest::onOwnerTimeout()
 {
     this->wait.stop();
-    this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), "key has no owner");
+    this->refuseWithRetryAfter(this->core.ownerReplacementDelay(), KeyWithoutOwner::reason);
 }
 
 // Sends the request to an upstream, or lets it wait for capacity there, or refuses it.
--- a/src/gateway/upstreamselection.cpp
+++ b/src/gateway/upstreamselection.cpp
@@ -23,6 +23,16 @@
     return query.homes.isRestricted() && !core.hasUpstream(query.service, query.homes);
 }
 
+UpstreamSelection selectAny(GatewayCore &core, const UpstreamQuery &query)
+{
+    if (auto chosen = core.chooseUpstream(query.service, query.homes, query.tried)) {
+        return SelectedUpstream { std::move(chosen) };
+    }
+    return selectWithoutChoice(core, query);
+}
+
+} // namespace
+
 UpstreamSelection selectOwner(const GatewayCore &core, const UpstreamQuery &query)
 {
     std::shared_ptr<GatewayUpstream> owner = findOwner(core, query);
@@ -51,11 +61,8 @@
     return SelectedUpstream { std::move(owner) };
 }
 
-UpstreamSelection selectAny(GatewayCore &core, const UpstreamQuery &query)
+UpstreamSelection selectWithoutChoice(const GatewayCore &core, const UpstreamQuery &query)
 {
-    if (auto chosen = core.chooseUpstream(query.service, query.homes, query.tried)) {
-        return SelectedUpstream { std::move(chosen) };
-    }
     if (auto next = core.nextUpstream(query.service, query.homes, query.tried)) {
         const Milliseconds pause = next->pauseLeft(core.now());
         return pause > Milliseconds {} ? UpstreamSelection(PausedUpstream { pause })
@@ -70,8 +77,6 @@
     return NoUpstream {};
 }
 
-} // namespace
-
 UpstreamSelection selectUpstream(GatewayCore &core, const UpstreamQuery &query)
 {
     if (!core.view().table) {
--- a/src/gateway/upstreamselection.h
+++ b/src/gateway/upstreamselection.h
@@ -24,39 +24,53 @@
 
 /** The gateway has not received a routing table. */
 struct NoRoutingTable
-{ };
+{
+    static constexpr const char *reason = "no routing table yet";
+};
 
 /** No upstream owns the key, or its owner may get no more requests. */
 struct KeyWithoutOwner
-{ };
+{
+    static constexpr const char *reason = "key has no owner";
+};
 
 /** All upstreams of the service are in evacuated zones. */
 struct ServiceEvacuated
-{ };
+{
+    static constexpr const char *reason = "all upstreams are evacuated";
+};
 
 /** No upstream that may be given work is in the home regions of the request. */
 struct NoUpstreamAtHome
-{ };
+{
+    static constexpr const char *reason = "no upstream in the home regions";
+};
 
 /** The owner of the key has stopped responding. */
 struct SuspectedOwner
-{ };
+{
+    static constexpr const char *reason = "owner does not answer";
+};
 
 /** The upstream that would be used has asked for a pause. */
 struct PausedUpstream
 {
+    static constexpr const char *reason = "upstream has asked for a pause";
     Milliseconds timeLeft;
 };
 
 /** The upstream that would be used is cold or full, and this gateway has used its share. */
 struct PacedUpstream
 {
+    static constexpr const char *reason = "upstream has no capacity";
     std::shared_ptr<GatewayUpstream> upstream;
 };
 
 /** No upstream without a key is left. */
 struct NoUpstream
-{ };
+{
+    static constexpr const char *reason = "no upstream left";
+};
 
 using UpstreamSelection
         = std::variant<SelectedUpstream, NoRoutingTable, KeyWithoutOwner, ServiceEvacuated,
@@ -65,6 +79,19 @@
 /** Selects the upstream for a request. Loop thread only. */
 UpstreamSelection selectUpstream(GatewayCore &core, const UpstreamQuery &query);
 
+/**
+ * Selects the owner of the key of a request. Changes nothing. Loop thread only. Preconditions: the
+ * request has a key, and there is a routing table.
+ */
+UpstreamSelection selectOwner(const GatewayCore &core, const UpstreamQuery &query);
+
+/**
+ * Returns why no upstream can be chosen for a request without a key: the selection if
+ * GatewayCore::chooseUpstream() finds none. Changes nothing. Loop thread only. Precondition: there
+ * is a routing table.
+ */
+UpstreamSelection selectWithoutChoice(const GatewayCore &core, const UpstreamQuery &query);
+
 /** Returns how long a request has to wait for its upstream, if it has one that is not to be used.
  */
 std::optional<Milliseconds> waitOf(const UpstreamSelection &selection, TimePoint now);
