cassiaroad: One function for commands that wait for an HTTP response

Cause: the route command repeated what the operators' client does to wait for a response. Change: sendAndWait() serves both. No change of behaviour.

--- a/src/cassiaroad/operatorclient.cpp
+++ b/src/cassiaroad/operatorclient.cpp
@@ -1,5 +1,6 @@
 #include "cassiaroad/operatorclient.h"
 
+#include "cassiaroad/httpwait.h"
 #include "connection/rpcdelay.h"
 #include "connection/socketaddress.h"
 
@@ -70,7 +71,8 @@
                 = redirectTarget ? *redirectTarget : this->members[next++ % this->members.size()];
         const bool wasRedirected = redirectTarget.has_value();
         redirectTarget.reset();
-        const HttpResult result = this->attempt(member, request);
+        const HttpResult result = sendAndWait(this->loop, this->client, member, request,
+                                              maxResponseBytes, attemptTimeout);
         const auto *response = std::get_if<HttpResponse>(&result);
         if (response == nullptr) {
             reason = member.toString() + ": " + std::get<HttpFailure>(result).reason;
@@ -95,17 +97,4 @@
     return OperatorFailure { reason };
 }
 
-HttpResult OperatorClient::attempt(const HostAddress &member, const HttpRequest &request)
-{
-    auto paf = kj::newPromiseAndFulfiller<HttpResult>();
-    const auto call = this->client.send(member, request, maxResponseBytes,
-                                        [&fulfiller = *paf.fulfiller](HttpResult result) {
-                                            fulfiller.fulfill(std::move(result));
-                                        });
-    auto timedOut = rpcDelay(this->loop, attemptTimeout).then([]() -> HttpResult {
-        return HttpFailure { HttpFailure::Stage::Sent, "no answer in time" };
-    });
-    return this->loop.wait(paf.promise.exclusiveJoin(kj::mv(timedOut)));
-}
-
 } // namespace cassiaroad
--- a/src/cassiaroad/operatorclient.h
+++ b/src/cassiaroad/operatorclient.h
@@ -45,8 +45,6 @@
                            const nlohmann::json &body);
 
 private:
-    HttpResult attempt(const HostAddress &member, const HttpRequest &request);
-
     EventLoop &loop;
     std::vector<HostAddress> members;
     std::string token;
--- a/src/cassiaroad/routecommand.cpp
+++ b/src/cassiaroad/routecommand.cpp
@@ -1,7 +1,6 @@
 #include "cassiaroad/routecommand.h"
 
-#include "connection/httpclient.h"
-#include "connection/rpcdelay.h"
+#include "cassiaroad/httpwait.h"
 #include "connection/socketaddress.h"
 #include "gateway/routepreviewnames.h"
 
@@ -18,21 +17,6 @@
 constexpr std::size_t maxResponseBytes = std::size_t(8) * 1024 * 1024;
 constexpr int statusOk = 200;
 
-HttpResult ask(const HostAddress &gateway, const HttpRequest &request)
-{
-    EventLoop loop;
-    HttpClient client(loop);
-    auto paf = kj::newPromiseAndFulfiller<HttpResult>();
-    const auto call = client.send(gateway, request, maxResponseBytes,
-                                  [&fulfiller = *paf.fulfiller](HttpResult result) {
-                                      fulfiller.fulfill(std::move(result));
-                                  });
-    auto timedOut = rpcDelay(loop, responseTimeout).then([]() -> HttpResult {
-        return HttpFailure { HttpFailure::Stage::Sent, "no answer in time" };
-    });
-    return loop.wait(paf.promise.exclusiveJoin(kj::mv(timedOut)));
-}
-
 void printCandidate(const nlohmann::json &candidate)
 {
     std::cout << "  " << std::left << std::setw(24) << candidate.at("upstream").get<std::string>()
@@ -89,7 +73,10 @@
     if (line.words.size() > 3) {
         request.headers.emplace_back(routeKeyHeader, line.words[3]);
     }
-    const HttpResult result = ask(gateway, request);
+    EventLoop loop;
+    HttpClient client(loop);
+    const HttpResult result
+            = sendAndWait(loop, client, gateway, request, maxResponseBytes, responseTimeout);
     const auto *response = std::get_if<HttpResponse>(&result);
     if (response == nullptr || response->status != statusOk) {
         std::cerr << "cassiaroad: " << line.words[0] << ": "
--- a/src/gateway/routepreview.cpp
+++ b/src/gateway/routepreview.cpp
@@ -39,7 +39,7 @@
     }
     void operator()(const PacedUpstream &paced) const
     {
-        UpstreamPace &pace = paced.upstream->pace();
+        const UpstreamPace &pace = paced.upstream->pace();
         this->set(pace.isShared(this->now) ? RouteVerdict::Refuse : RouteVerdict::Wait,
                   paced.reason);
     }
