gateway: Hold a recovering upstream back only while another can take the request

Callers saw: requests that waited for busy upstreams while recovering ones were idle.

Cause: where the share did not admit a request, the next choice got it even without room for it.

Change: the first choice gets the request if the next one would let it wait. The new test failed before the change: 14 of 20 requests waited.

--- a/src/gateway/gatewaypaces.cpp
+++ b/src/gateway/gatewaypaces.cpp
@@ -20,7 +20,9 @@
 } // namespace
 
 // Chooses among @p candidates, and again where the share of a recovering upstream does not admit
-// the request. If all recover, the first choice gets it: no other upstream can.
+// the request. The first choice gets it all the same if no other upstream can take it at once:
+// holding it back would only make it wait. Without this, recovering upstreams were idle while the
+// others were busy.
 std::shared_ptr<GatewayUpstream> GatewayCore::chooseAdmitted(const std::string &service,
                                                              const HomeRegions &homes,
                                                              GatewayUpstreams candidates)
@@ -29,7 +31,8 @@
     std::shared_ptr<GatewayUpstream> first;
     while (auto chosen = this->chooseAmong(service, homes, candidates)) {
         if (chosen->pace().allows(now)) {
-            return chosen;
+            const bool mustWait = !chosen->admission().hasCapacity();
+            return mustWait && first && first->admission().hasCapacity() ? first : chosen;
         }
         this->countPaced(*chosen);
         chosen->pace().turnAway(now);
--- a/tests/gateway/test_pacedupstreams.cpp
+++ b/tests/gateway/test_pacedupstreams.cpp
@@ -179,6 +179,26 @@
     EXPECT_EQ(atOther, 30);
 }
 
+// Guards against a recovering upstream that is left idle while requests wait for a busy one.
+TEST_F(PacedUpstreamTest, sendsARecoveringUpstreamWhatABusyOneCannotTake)
+{
+    FakePeer busy(this->loop, [](FakePeer::Connection &) {});
+    const SiteUpstream upstream {
+        { "i-other", 1 }, plainService, { "127.0.0.1", busy.port }, "b", 1, UpstreamPhase::Ready
+    };
+    this->others = { { upstream, false, false } };
+    this->admitted = 125;
+    this->serveAfterRefusals(0);
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 20; ++i) {
+        clients.push_back(this->request("POST", "/file/1", "2000", "r" + std::to_string(i)));
+        runFor(this->loop, { 20 });
+    }
+    EXPECT_EQ(this->core.upstream("i-other")->admission().waitingCount(), 0U);
+    EXPECT_EQ(static_cast<std::size_t>(this->reached) + busy.connections.size(), clients.size());
+    EXPECT_GT(static_cast<std::size_t>(this->reached), busy.connections.size());
+}
+
 // Guards against requests that are refused while all upstreams that may take them recover.
 TEST_F(PacedUpstreamTest, sendsAllRequestsIfAllUpstreamsRecover)
 {
