registry: Serve more upstreams than the control listener has connections

Cause: the control listener held 2,000 connections, closed each further one as it opened, and never let one go: all callers keep theirs, and none is idle for long.

Change: while more than nine tenths of the connections are open, each response closes its connection and says so, so that a caller knows it needs a new one. The limits of both listeners follow the descriptors of the process. New metrics: connections, those that were rejected.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -30,6 +30,9 @@
 constexpr int listenBacklog = 4096;
 constexpr int maxAcceptsPerIteration = 32;
 constexpr Milliseconds sweepInterval { 500 };
+// Shortest interval between two searches for idle connections to close. A search asks the system
+// about each idle one.
+constexpr Milliseconds roomInterval { 100 };
 // So long that the sweep always closes a connection first: h2o's own timeouts follow the wall clock
 // and do not distinguish progress from silence, so the sweep enforces the timeouts instead.
 constexpr std::uint64_t h2oRequestTimeout = 24ULL * 3600 * 1000;
@@ -86,6 +89,8 @@
     /** Accepts connections that wait, at most @p maxCount. */
     void acceptConnections(int maxCount);
     void acceptOne(h2o_socket_t *listener);
+    /** Whether each connection closes after its next response, which announces it. */
+    bool closesAfterNext() const;
     bool mayHoldLargest() const;
     /** Refuses a request that is larger than the bound of all when many connections are open. */
     void limitLargest();
@@ -121,6 +126,8 @@
     LingeringClose lingeringClose;
     ConnectionTimeouts timeouts;
     EventLoop::Timer sweepTimer;
+    std::uint64_t rejectedCount = 0; // connections
+    TimePoint roomMadeAt; // when makeRoom() last searched
     bool closesAfterResponse = false; // of HTTP/1.1 connections
     bool serverDestroyed = false;
     std::function<void()> shutDownCallback;
@@ -285,7 +292,7 @@
         && hasAmbiguousLength({ socket->input->bytes, socket->input->size })) {
         return d->refuse(request, 400, "Bad Request");
     }
-    if (d->closesAfterResponse) {
+    if (d->closesAfterNext()) {
         request->http1_is_persistent = 0;
     }
     connection->receiving = false;
@@ -359,6 +366,7 @@
 void HttpServer::Private::acceptOne(h2o_socket_t *socket)
 {
     if (this->connections.size() >= this->limits.maxConnections) {
+        ++this->rejectedCount;
         h2o_socket_close(socket);
         return;
     }
@@ -377,6 +385,12 @@
     this->limitLargest();
 }
 
+bool HttpServer::Private::closesAfterNext() const
+{
+    const std::uint32_t maxKept = this->limits.maxKeptConnections;
+    return this->closesAfterResponse || (maxKept > 0 && this->connections.size() > maxKept);
+}
+
 bool HttpServer::Private::mayHoldLargest() const
 {
     return this->connections.size() <= maxConnectionsBesideLargest
@@ -406,9 +420,11 @@
     const std::uint32_t reserved = this->limits.reservedConnections;
     std::size_t excess
             = excessConnections(this->connections.size(), this->limits.maxConnections, reserved);
-    if (reserved == 0 || excess == 0) {
+    const TimePoint now = this->loop.now();
+    if (reserved == 0 || excess == 0 || now - this->roomMadeAt < roomInterval) {
         return;
     }
+    this->roomMadeAt = now;
     std::vector<std::shared_ptr<ServerConnection>> closable;
     std::vector<IdleConnection> idle;
     for (const std::shared_ptr<ServerConnection> &connection : this->connections) {
@@ -419,7 +435,7 @@
             closable.push_back(connection);
         }
     }
-    for (const std::size_t index : chooseConnectionsToClose(idle, excess, this->loop.now())) {
+    for (const std::size_t index : chooseConnectionsToClose(idle, excess, now)) {
         closeIdle(*closable[index]);
     }
 }
@@ -454,6 +470,7 @@
             this->timeouts.check(*connection, now);
         }
     }
+    this->makeRoom();
     if (this->serverDestroyed && this->connections.empty()) {
         delete this;
     }
@@ -559,6 +576,11 @@
     return this->d->connections.size();
 }
 
+std::uint64_t HttpServer::rejectedConnectionCount() const
+{
+    return this->d->rejectedCount;
+}
+
 bool HttpServer::hasRoom() const
 {
     const auto &connections = this->d->connections;
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -84,6 +84,10 @@
     Milliseconds headTimeout { 60000 };
     // Connections that are kept free for new clients by closing idle ones. 0: none is closed.
     std::uint32_t reservedConnections = 0;
+    // While more connections are open, each response closes its HTTP/1.1 connection and announces
+    // it. Unlike a connection that is closed while it is idle, the client knows that its next
+    // request needs a new one. 0: connections are kept.
+    std::uint32_t maxKeptConnections = 0;
     // Requests of one HTTP/1.1 connection that are started before their turn.
     std::uint32_t maxRequestsAhead = 8;
 
@@ -166,6 +170,9 @@
 
     std::size_t connectionCount() const;
 
+    /** How many connections were closed when they opened, as too many were open. */
+    std::uint64_t rejectedConnectionCount() const;
+
     /**
      * Whether a new connection is accepted now, or will be once idle ones are closed, which takes
      * a second at most.
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -8,14 +8,13 @@
 #include "gateway/routepreview.h"
 #include "gateway/runahead.h"
 #include "gateway/stopschedule.h"
+#include "process/descriptorlimit.h"
 #include "process/parsenumber.h"
 #include "process/settingswatcher.h"
 #include "process/siteprocess.h"
 
 #include <algorithm>
 
-#include <sys/resource.h>
-
 namespace cassiaroad {
 
 namespace {
@@ -41,17 +40,6 @@
 constexpr std::size_t fewResponseBytes = std::size_t(1024) * 1024;
 constexpr std::size_t maxResponsesBesideLargest = std::size_t(8) * 1024 * 1024;
 
-// Connections that clients may open. Half of the descriptors stay for upstreams and the rest.
-std::uint32_t maxConnectionsOfClients()
-{
-    rlimit descriptors {};
-    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0) {
-        return maxClientConnections;
-    }
-    return static_cast<std::uint32_t>(
-            std::min<rlim_t>(maxClientConnections, descriptors.rlim_cur / 2));
-}
-
 // Limits of the listener for clients.
 HttpServerLimits clientLimits(const SiteSettings &settings)
 {
@@ -62,7 +50,8 @@
             = std::min((role.memoryMegabytes - reservedBesideLargestMegabytes) * megabyte,
                        maxBodyBytes + maxHeadBesideLargest);
     limits.maxBodyBytes = maxBodyBytes;
-    limits.maxConnections = maxConnectionsOfClients();
+    // Half of the descriptors stay for upstreams and the rest.
+    limits.maxConnections = std::min(maxClientConnections, descriptorLimit() / 2);
     limits.reservedConnections = limits.maxConnections / reservedConnectionShare;
     return limits;
 }
--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -10,21 +10,6 @@
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 412;
 constexpr int statusUnavailable = 503;
-constexpr std::size_t megabyte = std::size_t(1024) * 1024;
-// Of a configuration. The leader holds several copies of one while it is accepted, and the history
-// of the latest eight. One of 16 MiB took more than the 256 MB of a control host.
-constexpr std::size_t maxDocumentBytes = 4 * megabyte;
-// Of all calls and unread answers.
-constexpr std::size_t maxBytesOfCalls = 32 * megabyte;
-
-HttpServerLimits limits()
-{
-    HttpServerLimits result;
-    result.maxBodyBytes = maxDocumentBytes;
-    result.maxRequestBytes = maxBytesOfCalls;
-    result.maxConnections = 2000;
-    return result;
-}
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
@@ -40,12 +25,12 @@
 } // namespace
 
 ControlService::ControlService(EventLoop &loop, RegistryEngine &engine, const ExternalCodec &codec,
-                               EventLog &log)
+                               EventLog &log, const HttpServerLimits &limits)
     : loop(loop)
     , engine(engine)
     , codec(codec)
     , log(log)
-    , server(loop, limits(), [this](const Exchange &exchange) { this->handle(exchange); })
+    , server(loop, limits, [this](const Exchange &exchange) { this->handle(exchange); })
 { }
 
 std::string ControlService::listen(const HostAddress &ownAddress, const std::string &bindIp)
--- a/src/registry/controlservice.h
+++ b/src/registry/controlservice.h
@@ -9,9 +9,9 @@
 class ControlService
 {
 public:
-    /** The arguments must outlive the service. */
+    /** The arguments, except @p limits, must outlive the service. */
     ControlService(EventLoop &loop, RegistryEngine &engine, const ExternalCodec &codec,
-                   EventLog &log);
+                   EventLog &log, const HttpServerLimits &limits);
 
     /**
      * Listens on @p bindIp, at the port of @p address, which is where clients reach this host.
@@ -19,6 +19,11 @@
      */
     std::string listen(const HostAddress &address, const std::string &bindIp);
 
+    /** Connections of upstreams and operators that are open. */
+    std::size_t connectionCount() const { return this->server.connectionCount(); }
+    /** See HttpServer::rejectedConnectionCount(). */
+    std::uint64_t rejectedConnectionCount() const { return this->server.rejectedConnectionCount(); }
+
     /** See HttpServer::shutDown(). */
     void shutDown(std::function<void()> done) { this->server.shutDown(std::move(done)); }
 
--- a/src/registry/registryprocess.cpp
+++ b/src/registry/registryprocess.cpp
@@ -2,8 +2,10 @@
 
 #include "connection/metricsserver.h"
 #include "connection/rpcserver.h"
+#include "process/descriptorlimit.h"
 #include "process/settingswatcher.h"
 #include "process/siteprocess.h"
+#include "registry/connectionlimits.h"
 #include "registry/controlservice.h"
 #include "registry/registryservice.h"
 
@@ -15,7 +17,6 @@
 // without an election timeout.
 constexpr Milliseconds leadershipTransferTimeout { 1000 };
 constexpr Milliseconds leadershipCheckInterval { 20 };
-constexpr std::size_t maxInternalConnections = 1500;
 
 /** The components of a control host, and how they start and stop. Loop thread only. */
 class RegistryProcess
@@ -28,9 +29,8 @@
         , log(settings.host)
         , engine(loop, settings, codec, this->metrics, this->log,
                  [this](const std::string &reason) { this->fail(reason); })
-        , rpcServer(loop, { maxInternalConnections, RpcServerLimits().idleTimeout },
-                    kj::heap<RegistryService>(loop, this->engine))
-        , control(loop, this->engine, codec, this->log)
+        , rpcServer(loop, this->limits.internal, kj::heap<RegistryService>(loop, this->engine))
+        , control(loop, this->engine, codec, this->log, this->limits.control)
         , metricsServer(loop, this->metrics, [this] { this->updateMetrics(); })
         , watcher(loop, settingsFile, this->log, [this](const SiteSettings &changed) {
             this->engine.member().setSeeds(changed.seeds);
@@ -52,6 +52,7 @@
     const SiteSettings &settings;
     EventLog log;
     Metrics metrics;
+    const RegistryListenerLimits limits = registryListenerLimits(descriptorLimit());
     RegistryEngine engine;
     RpcServer rpcServer;
     ControlService control;
@@ -127,6 +128,19 @@
             .gauge("cassiaroad_registry_configuration",
                    "Version of the newest committed configuration that this host knows.")
             .Set(static_cast<double>(this->engine.configurationVersion()));
+    this->metrics
+            .gauge("cassiaroad_registry_control_connections",
+                   "Open connections of upstreams and operators.")
+            .Set(static_cast<double>(this->control.connectionCount()));
+    this->metrics
+            .gauge("cassiaroad_registry_control_connections_rejected",
+                   "Connections of upstreams and operators that were closed when they opened, as "
+                   "too many were open, since the start.")
+            .Set(static_cast<double>(this->control.rejectedConnectionCount()));
+    this->metrics
+            .gauge("cassiaroad_registry_internal_connections",
+                   "Open connections of gateways and control hosts.")
+            .Set(static_cast<double>(this->rpcServer.connectionCount()));
     updateLogGauges(this->metrics, this->log);
     updateWorkGauges(this->metrics, this->loop.workMeter());
 }
--- a/tests/connection/test_connectionroom.cpp
+++ b/tests/connection/test_connectionroom.cpp
@@ -14,10 +14,11 @@
 {
 protected:
     /** Starts a server with room for @p maxConnections, one of which is kept free. */
-    void start(std::uint32_t maxConnections)
+    void start(std::uint32_t maxConnections, std::uint32_t maxKept = 0)
     {
         HttpServerLimits limits { 1024, maxConnections };
         limits.reservedConnections = 1;
+        limits.maxKeptConnections = maxKept;
         this->server = std::make_unique<HttpServer>(
                 this->loop, limits, [this](std::shared_ptr<HttpExchange> exchange) {
                     if (this->answersAtOnce) {
@@ -65,6 +66,30 @@
     EXPECT_FALSE(fourth.isClosedByServer());
 }
 
+// Guards against clients that keep their connections and send a request now and then: together they
+// hold all of them, and no other client is served (CONFIG). None of them is idle for long enough to
+// be closed, so those beyond the bound learn with their response that they need a new connection.
+TEST_F(ConnectionRoomTest, servesNewClientsThoughAllKeepTheirConnections)
+{
+    this->start(4, 2);
+    const std::string request = "GET /a HTTP/1.1\r\nhost: x\r\n\r\n";
+    std::vector<std::unique_ptr<RawClient>> clients;
+    for (int i = 0; i < 12; ++i) {
+        clients.push_back(std::make_unique<RawClient>(this->server->port()));
+        RawClient &client = *clients.back();
+        client.write(request);
+        ASSERT_TRUE(this->receives(client, "echo:")) << i;
+        const bool announced = client.received().find("onnection: close") != std::string::npos;
+        EXPECT_EQ(announced, i >= 2) << i;
+        EXPECT_TRUE(!announced || waitUntil(this->loop, [&] { return client.isClosedByServer(); }))
+                << i;
+    }
+    EXPECT_EQ(this->server->rejectedConnectionCount(), 0U);
+    EXPECT_EQ(this->server->connectionCount(), 2U);
+    EXPECT_FALSE(clients[0]->isClosedByServer());
+    EXPECT_FALSE(clients[1]->isClosedByServer());
+}
+
 // Guards against closing connections with requests for new ones, and against a full server that
 // says that it has room.
 TEST_F(ConnectionRoomTest, hasNoRoomOnceAllConnectionsHaveRequests)
