gateway: Promise "not run" only if the upstream has told so

Cause: AttemptResult told "not run" by the upstream's header, but forwarded any other answer whatever its status promises.

The gateway logs them as `upstream failed`, status 503: forwarded, neither refused nor repeated.

Change: for a request that must not run twice, 408, 421, 429 and 503 are forwarded only if the upstream has told that it did not run it; otherwise the client gets 502.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -1,5 +1,6 @@
 #include "connection/httpcall.h"
 
+#include "connection/refusalstatus.h"
 #include "connection/socketaddress.h"
 
 #include <algorithm>
@@ -23,7 +24,6 @@
 constexpr std::size_t maxReadBytes = std::size_t(256) * 1024;
 constexpr std::size_t readBytes = std::size_t(64) * 1024; // of one system call
 constexpr int statusBadRequest = 400;
-constexpr int statusMisdirected = 421;
 
 // Returns the value of the first header @p name; empty if there is none.
 std::string_view findHeader(const std::vector<std::pair<std::string, std::string>> &headers,
--- a/src/gateway/attemptresult.cpp
+++ b/src/gateway/attemptresult.cpp
@@ -1,5 +1,6 @@
 #include "gateway/attemptresult.h"
 
+#include "connection/refusalstatus.h"
 #include "gateway/requestdigest.h"
 #include "request/hopheaders.h"
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr int statusMisdirected = 421;
 constexpr int statusServerError = 500;
 
 // Delay before a request is repeated that the upstream refused as sent to the wrong owner (421). A
@@ -91,6 +91,11 @@
         this->hasUnknownAttempt = true;
         return RepeatRequest { {}, "upstream failed" };
     }
+    if (!isIdempotent(this->request.route->kind) && promisesNotRun(response.status)) {
+        // The client would believe that the request has not run, and send it again.
+        return OutcomeUnknown { "upstream answered " + std::to_string(response.status)
+                                + " without telling that the request has not run" };
+    }
     return ForwardResponse { std::move(response), hasFailed ? "upstream failed" : "answered" };
 }
 
--- a/src/gateway/attemptresult.h
+++ b/src/gateway/attemptresult.h
@@ -4,7 +4,10 @@
 
 namespace cassiaroad {
 
-/** The client gets the response of the upstream. */
+/**
+ * The client gets the response of the upstream. Its status does not promise more than the upstream
+ * has told: see promisesNotRun().
+ */
 struct ForwardResponse
 {
     HttpResponse response;
--- a/src/gateway/clientrequest.cpp
+++ b/src/gateway/clientrequest.cpp
@@ -1,5 +1,6 @@
 #include "gateway/clientrequest.h"
 
+#include "connection/refusalstatus.h"
 #include "gateway/requestdigest.h"
 #include "process/parsenumber.h"
 
@@ -11,7 +12,6 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 
 constexpr Milliseconds defaultClientTimeout { 10000 };
 constexpr Milliseconds durationWithoutRoute { 100 };
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -2,6 +2,7 @@
 
 #include "connection/clientroom.h"
 #include "connection/metricsserver.h"
+#include "connection/refusalstatus.h"
 #include "gateway/gatewayrequest.h"
 #include "gateway/listenerlimits.h"
 #include "gateway/registrywatcher.h"
@@ -21,7 +22,6 @@
 
 constexpr int statusOk = 200;
 constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
 // Upper bound of the body of a request.
 constexpr std::size_t maxBodyBytes = std::size_t(64) * 1024 * 1024;
 constexpr std::uint32_t maxClientConnections = 2500;
--- a/src/gateway/requestanswer.cpp
+++ b/src/gateway/requestanswer.cpp
@@ -1,5 +1,7 @@
 #include "gateway/requestanswer.h"
 
+#include "connection/refusalstatus.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,7 +11,6 @@
 
 constexpr int statusBadRequest = 400;
 constexpr int statusBadGateway = 502;
-constexpr int statusUnavailable = 503;
 constexpr int statusGatewayTimeout = 504;
 
 // Formats a duration as seconds with three decimals, for Retry-After.
--- a/src/gateway/upstreamnotice.cpp
+++ b/src/gateway/upstreamnotice.cpp
@@ -1,5 +1,6 @@
 #include "gateway/upstreamnotice.h"
 
+#include "connection/refusalstatus.h"
 #include "process/parsenumber.h"
 #include "request/hopheaders.h"
 
@@ -10,7 +11,6 @@
 
 namespace {
 
-constexpr int statusUnavailable = 503;
 // An upstream that asks for more is treated as if it had asked for so long.
 constexpr Milliseconds maxPause { 3600 * 1000 };
 
--- a/src/registry/controlservice.cpp
+++ b/src/registry/controlservice.cpp
@@ -1,5 +1,7 @@
 #include "registry/controlservice.h"
 
+#include "connection/refusalstatus.h"
+
 namespace cassiaroad {
 
 namespace {
@@ -9,7 +11,6 @@
 constexpr int statusBadRequest = 400;
 constexpr int statusNotFound = 404;
 constexpr int statusConflict = 412;
-constexpr int statusUnavailable = 503;
 
 using Headers = std::vector<std::pair<std::string, std::string>>;
 
--- a/tests/gateway/test_foreignresponses.cpp
+++ b/tests/gateway/test_foreignresponses.cpp
@@ -98,6 +98,50 @@
     }
 }
 
+// Guards against an order that is placed twice: its upstream ran it and answered with a status by
+// which the client believes that it has not run (REFUSED).
+TEST_F(GatewayRequestTest, forwardsNoPromiseThatTheUpstreamHasNotMade)
+{
+    for (const std::string path : { "/order/", "/file/" }) {
+        for (const std::string status : { "503 Down", "429 Many", "408 Slow" }) {
+            ++this->born;
+            int requests = 0;
+            this->serve([&](FakePeer::Connection &connection) {
+                ++requests;
+                const std::string received = std::exchange(connection.received, {});
+                connection.write(withRequestId(received, "HTTP/1.1 " + status + "\r\n")
+                                 + "retry-after: 1\r\ncontent-length: 5\r\n\r\nsorry");
+            });
+            const auto client = this->request("POST", path + std::to_string(this->born));
+            EXPECT_TRUE(this->waitForResponse(*client, "HTTP/1.1 502", { 2000 })) << path << status;
+            EXPECT_EQ(client->received().find("sorry"), std::string::npos) << path << status;
+            EXPECT_EQ(requests, 1) << path << status;
+        }
+    }
+}
+
+// Guards against hiding what an upstream answers to a request that promises nothing to its client,
+// or that may run twice.
+TEST_F(GatewayRequestTest, forwardsFailuresThatPromiseNothing)
+{
+    for (const auto &[method, path, status] :
+         { std::tuple("POST", "/order/", "500 Down"), std::tuple("POST", "/order/", "504 Late"),
+           std::tuple("GET", "/read/", "503 Down"), std::tuple("GET", "/read/", "429 Many") }) {
+        ++this->born;
+        this->serve([&, text = std::string(status)](FakePeer::Connection &connection) {
+            const std::string received = std::exchange(connection.received, {});
+            connection.write(withRequestId(received, "HTTP/1.1 " + text + "\r\n")
+                             + "content-length: 4\r\n\r\ndown");
+        });
+        const auto client = this->request(method, path + std::to_string(this->born));
+        EXPECT_TRUE(this->waitForResponse(*client, "down", { 2000 })) << path << status;
+        EXPECT_EQ(client->received().find(std::string("HTTP/1.1 ")
+                                          + std::string(status).substr(0, 3)),
+                  0U)
+                << path << status;
+    }
+}
+
 // Guards against taking the second copy of a refusal for the response to the repetition of the
 // request, which has the same id, or for the response to a request that ran in between.
 TEST_F(GatewayRequestTest, sendsNoRequestOnAConnectionThatCarriedARefusal)
