gateway, registry: Try a request again that is refused since upstreams crashed

The two look the same at the crash, and a blocked request gets no answer that could tell them apart.

Change: the leader lets one gateway at a time send a blocked request once, three times at most, some time apart. An answer clears it at all gateways; a request that does crash upstreams stays within the three retries of the term. A gateway asks while it has such a request and an upstream for it. Trials are in the list for all gateways, from which a new leader learns them. New event: request_tried.

--- a/src/gateway/crashguard.cpp
+++ b/src/gateway/crashguard.cpp
@@ -110,25 +110,27 @@
 {
     report.broken.clear();
     for (const PendingAttempt &pending : this->pendingBroken.report()) {
-        report.broken.push_back({ pending.request, pending.attempt, now - pending.brokenAt });
+        report.broken.push_back({ pending.request, pending.attempt, now - pending.brokenAt,
+                                  this->crashes.trialsOf(pending.request).count });
     }
+    report.trials = this->trialRequests.takeReport();
     report.answered = this->pendingAnswers.report();
     report.suspectsTag = this->leaderTag;
 }
 
-void CrashGuard::applyUpdate(const GatewayUpdate &update, TimePoint now)
+bool CrashGuard::applyUpdate(const GatewayUpdate &update, TimePoint now)
 {
     // The reply shows that the leader has received the report.
     this->pendingBroken.confirm();
     this->pendingAnswers.confirm();
-    this->applyLateUpdate(update, now);
+    return this->applyLateUpdate(update, now);
 }
 
-void CrashGuard::applyLateUpdate(const GatewayUpdate &update, TimePoint now)
+bool CrashGuard::applyLateUpdate(const GatewayUpdate &update, TimePoint now)
 {
     this->leaderTag = update.suspectsTag;
     if (!update.suspects) {
-        return;
+        return false;
     }
     this->crashes.expire(now);
     this->crashes.merge(*update.suspects, now);
@@ -137,6 +139,7 @@
     for (const BrokenAttempt &broken : this->crashes.unknownTo(*update.suspects, now)) {
         this->addPending(broken, now);
     }
+    return this->trialRequests.update(this->crashes);
 }
 
 } // namespace cassiaroad
--- a/src/gateway/crashguard.h
+++ b/src/gateway/crashguard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/trialrequests.h"
 #include "version/crashledger.h"
 #include "version/sitewatch.h"
 
@@ -17,6 +18,11 @@
 class CrashGuard
 {
 public:
+    /** @p gateway is the name under which this gateway reports to the leader. */
+    explicit CrashGuard(std::string gateway = {})
+        : trialRequests(std::move(gateway))
+    { }
+
     /** The connection of an attempt broke before its upstream answered. Returns whether it counts.
      */
     bool recordBroken(const BrokenAttempt &broken, TimePoint now);
@@ -25,14 +31,19 @@
     void recordAnswered(RequestDigest request, TimePoint now);
 
     const CrashLedger &ledger() const { return this->crashes; }
+    /** Trials of the requests that the ledger blocks. */
+    TrialRequests &trials() { return this->trialRequests; }
 
     /** Adds to @p report what the leader does not know yet. */
     void fillReport(GatewayReport &report, TimePoint now);
 
-    /** Applies the leader's reply to the previous report. */
-    void applyUpdate(const GatewayUpdate &update, TimePoint now);
-    /** Applies the leader's reply to an earlier report; the previous one may be lost. */
-    void applyLateUpdate(const GatewayUpdate &update, TimePoint now);
+    /**
+     * Applies the leader's reply to the previous report. Returns whether the leader has decided
+     * about a trial that this gateway has asked for.
+     */
+    bool applyUpdate(const GatewayUpdate &update, TimePoint now);
+    /** As applyUpdate(), for the reply to an earlier report; the previous one may be lost. */
+    bool applyLateUpdate(const GatewayUpdate &update, TimePoint now);
 
 private:
     /** Values that wait for the confirmation of the leader. */
@@ -82,6 +93,7 @@
 
     CrashLedger crashes;
     AnsweredRequests answered;
+    TrialRequests trialRequests;
     PendingReports<PendingAttempt> pendingBroken;
     PendingReports<RequestDigest> pendingAnswers;
     std::uint64_t leaderTag = 0; // of the leader's list that was received last
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -75,6 +75,7 @@
     , metrics(metrics)
     , log(log)
     , httpClient(loop)
+    , crashes(settings.host)
     , random(XXH3_64bits(settings.host.data(), settings.host.size()))
     , subsets(settings.zone, settings.regions)
 {
@@ -91,18 +92,18 @@
 void GatewayCore::update(const GatewayUpdate &update, TimePoint confirmedAt)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::Updates);
-    this->crashes.applyUpdate(update, this->loop.now());
-    this->apply(update, confirmedAt);
+    const bool hasDecidedTrial = this->crashes.applyUpdate(update, this->loop.now());
+    this->apply(update, confirmedAt, hasDecidedTrial);
 }
 
 void GatewayCore::lateUpdate(const GatewayUpdate &update, TimePoint confirmedAt)
 {
     const WorkMeter::Scope scope(this->loop.workMeter(), Work::Updates);
-    this->crashes.applyLateUpdate(update, this->loop.now());
-    this->apply(update, confirmedAt);
+    const bool hasDecidedTrial = this->crashes.applyLateUpdate(update, this->loop.now());
+    this->apply(update, confirmedAt, hasDecidedTrial);
 }
 
-void GatewayCore::apply(const GatewayUpdate &update, TimePoint confirmedAt)
+void GatewayCore::apply(const GatewayUpdate &update, TimePoint confirmedAt, bool hasDecidedTrial)
 {
     if (update.document && update.version > this->routing.version()) {
         this->updateConfiguration(update);
@@ -139,6 +140,8 @@
     }
     if (hasNewTable) {
         this->applyEvacuations(evacuatedBefore);
+    }
+    if (hasNewTable || hasDecidedTrial) {
         this->resumeTableWaits();
     }
 }
@@ -359,6 +362,13 @@
     return this->lastTableWait;
 }
 
+void GatewayCore::reportSoon() const
+{
+    if (this->reportHandler) {
+        this->reportHandler();
+    }
+}
+
 void GatewayCore::resumeTableWaits()
 {
     for (const auto &[number, resume] : std::exchange(this->tableWaits, {})) {
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -90,8 +90,17 @@
     void countRequest(const std::string &service, const HomeRegions &homes,
                       std::optional<KeyNumber> key);
 
+    /** Sets what sends a report to the leader at once, see reportSoon(). */
+    void setReportHandler(std::function<void()> handler)
+    {
+        this->reportHandler = std::move(handler);
+    }
+    /** Lets the leader know at once what takeReport() tells it, if it can be reached. */
+    void reportSoon() const;
+
     /**
-     * Calls @p resume once, when the routing table changes. Returns a number for cancelTableWait().
+     * Calls @p resume once, when the routing table changes or the leader decides about a trial; see
+     * TrialRequests. Returns a number for cancelTableWait().
      */
     std::uint64_t waitForTableChange(std::function<void()> resume);
     void cancelTableWait(std::uint64_t number) { this->tableWaits.erase(number); }
@@ -169,7 +178,7 @@
                       Milliseconds queuedDuration);
 
 private:
-    void apply(const GatewayUpdate &update, TimePoint confirmedAt);
+    void apply(const GatewayUpdate &update, TimePoint confirmedAt, bool hasDecidedTrial);
     bool updateRoutingTable(const GatewayUpdate &update);
     std::optional<std::string> fullDocument(const GatewayUpdate &update) const;
     void updateConfiguration(const GatewayUpdate &update);
@@ -218,6 +227,7 @@
     std::map<std::string, WeightedRotation> rotations; // by host and prefix
     std::map<std::pair<std::string, KeyNumber>, std::uint32_t> keyRequests; // since the last report
     std::uint32_t requestCount = 0; // since the last report
+    std::function<void()> reportHandler; // may be empty
     std::map<std::uint64_t, std::function<void()>> tableWaits;
     std::map<GatewayRequestId, CapacityWait> capacityWaits;
     std::map<GatewayRequestId, std::function<void(StopStage)>> openRequests;
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -152,6 +152,7 @@
     if (reason.empty() && this->settings.metricsPort != 0) {
         reason = this->metricsServer.listen({ this->settings.bindIp, this->settings.metricsPort });
     }
+    this->core.setReportHandler([this] { this->watcher.reportSoon(); });
     if (reason.empty()) {
         this->watcher.start();
     }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -9,6 +9,9 @@
 
 constexpr int statusGatewayTimeout = 504;
 constexpr Milliseconds minRetryAfter { 50 };
+// How long a blocked request waits for the decision of the leader whether it may be tried. The
+// leader of a large site tells its gateways of changes less often.
+constexpr Milliseconds maxTrialWait { 1000 };
 
 } // namespace
 
@@ -160,8 +163,8 @@
 {
     this->wait.stop();
     this->target.clear();
-    if (this->isBlocked()) {
-        this->refuseBlocked();
+    if (this->isBlocked() && !this->takeTrial()) {
+        this->onBlocked();
         return;
     }
     std::visit(SelectionVisitor { *this }, this->target.select());
@@ -308,16 +311,69 @@
 // Whether upstreams have crashed under requests like this one, so that it must not be sent.
 bool GatewayRequest::isBlocked() const
 {
-    return this->core.crashGuard().ledger().isBlocked(this->request.digest);
+    return !this->isTrial && this->core.crashGuard().ledger().isBlocked(this->request.digest);
+}
+
+// Takes the trial that the leader has granted, if there is one: then this request is sent once.
+bool GatewayRequest::takeTrial()
+{
+    this->isTrial = this->core.crashGuard().trials().take(this->request.digest);
+    if (this->isTrial) {
+        this->core.events().write(
+                { "request_tried",
+                  Event::Weight::Important,
+                  { { "request", std::string(this->request.exchange->header(
+                                         this->core.externalCodec().headers().requestId)) },
+                    { "digest", std::to_string(this->request.digest) },
+                    { "trials", std::int64_t(this->core.crashGuard()
+                                                     .ledger()
+                                                     .trialsOf(this->request.digest)
+                                                     .count) } } });
+    }
+    return this->isTrial;
+}
+
+void GatewayRequest::onBlocked()
+{
+    if (!this->awaitsTrial()) {
+        this->refuseBlocked();
+        return;
+    }
+    this->wait.waitForTable(*this->trialDeadline - this->core.now(),
+                            this->callback(&GatewayRequest::dispatch),
+                            this->callback(&GatewayRequest::refuseBlocked));
+}
+
+// Whether the leader may still decide that this request is tried. Asks it, if a trial is due and an
+// upstream could take the request.
+bool GatewayRequest::awaitsTrial()
+{
+    CrashGuard &guard = this->core.crashGuard();
+    const TimePoint now = this->core.now();
+    if (this->trialDeadline) {
+        return guard.trials().isAsked(this->request.digest) && now < *this->trialDeadline;
+    }
+    if (!std::holds_alternative<SelectedUpstream>(this->target.select())
+        || !guard.trials().ask(this->request.digest, guard.ledger(), now)) {
+        return false;
+    }
+    this->trialDeadline = now + std::min(maxTrialWait, this->timeLeft());
+    this->core.reportSoon();
+    return true;
 }
 
-// The client need not come back while the request is blocked.
+// The client need not come back before the next trial, or at all while the request is blocked.
 void GatewayRequest::refuseBlocked()
 {
-    const Milliseconds duration
-            = this->core.crashGuard().ledger().blockedFor(this->request.digest, this->core.now());
+    const TimePoint now = this->core.now();
+    const CrashLedger &ledger = this->core.crashGuard().ledger();
     const std::string reason = "upstreams have crashed under this request";
-    this->refuseUnlessRun(reason, refusalOfBlocked(duration, reason));
+    if (const std::optional<Milliseconds> trial = ledger.trialDueIn(this->request.digest, now)) {
+        this->refuseWithRetryAfter(std::max(*trial, outageRetryAfter), reason);
+        return;
+    }
+    this->refuseUnlessRun(reason,
+                          refusalOfBlocked(ledger.blockedFor(this->request.digest, now), reason));
 }
 
 void GatewayRequest::onDeadline()
@@ -354,6 +410,10 @@
 void GatewayRequest::end()
 {
     this->ended = true;
+    if (this->isTrial && !this->mayHaveRun()) {
+        CrashGuard &guard = this->core.crashGuard();
+        guard.trials().giveBack(this->request.digest, guard.ledger());
+    }
     this->core.removeOpenRequest(this->request.id);
     this->wait.stop();
     this->sender.stop();
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -57,6 +57,9 @@
     void repeatAfter(Milliseconds delay, const std::string &reason);
     void waitForSlowCall();
     bool isBlocked() const;
+    bool takeTrial();
+    void onBlocked();
+    bool awaitsTrial();
     void refuseBlocked();
     void onDeadline();
     void onClientGone();
@@ -82,6 +85,8 @@
     AttemptResult results;
     AttemptSender sender;
     RequestWait wait;
+    bool isTrial = false; // may be sent although requests like it are blocked
+    std::optional<TimePoint> trialDeadline; // until which it waits for a trial that it asked for
     bool isRepetitionGivenUp = false; // only the slow attempt is left
     bool ended = false;
     EventLoop::Timer deadlineTimer;
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -107,6 +107,13 @@
             [this, number](const std::string &reason) { this->onFailure(number, reason); });
 }
 
+void RegistryWatcher::reportSoon()
+{
+    if (this->calls.size() == 1 && !this->search.hasBegun()) {
+        this->callLeader();
+    }
+}
+
 void RegistryWatcher::onReply(std::uint64_t number, const GatewayWatchReply &reply)
 {
     const std::optional<Call> call = this->takeCall(number);
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -42,6 +42,11 @@
 
     /** Starts the search for the leader. */
     void start();
+    /**
+     * Sends the leader a report at once, beside the call that waits for its reply. Does nothing if
+     * the next call is due soon, or several wait already, or the leader is not known.
+     */
+    void reportSoon();
     /** Sets the seeds after a change of the settings. */
     void setSeeds(const std::vector<HostAddress> &seeds);
 
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -489,7 +489,7 @@
     if (!commands.empty()) {
         this->commit(commands, [](bool, PutOutcome) {});
     }
-    if (!report.broken.empty() || !report.answered.empty()) {
+    if (!report.broken.empty() || !report.answered.empty() || !report.trials.empty()) {
         this->updates.notify();
     }
     if (!this->updates.isCurrent(report)) {
--- a/src/version/crashledger.cpp
+++ b/src/version/crashledger.cpp
@@ -1,6 +1,7 @@
 #include "version/crashledger.h"
 
 #include <algorithm>
+#include <array>
 
 namespace cassiaroad {
 
@@ -18,6 +19,20 @@
 // the same moment, and would keep them for each other.
 constexpr Milliseconds minTimeLeftToReport { 30 * 1000 };
 constexpr std::size_t maxEntries = 2048;
+// Time from the block, or from the trial before, to each trial. The last one comes after a time in
+// which upstreams that crashed for another reason should be back.
+constexpr std::array<Milliseconds, 3> trialDelays { Milliseconds { 1000 }, Milliseconds { 1500 },
+                                                    Milliseconds { 15 * 1000 } };
+
+// Whether a host that knows @p there does not know @p attempt of @p suspect, or its trials.
+bool isUnknown(const SuspectRequest &suspect, AttemptId attempt, const SuspectRequest &there)
+{
+    const std::vector<AttemptId> &attempts = there.attempts;
+    const bool isBlockedThere = attempts.size() >= maxBroken;
+    const bool isKnown = isBlockedThere
+                         || std::find(attempts.begin(), attempts.end(), attempt) != attempts.end();
+    return !isKnown || there.trials.count < suspect.trials.count;
+}
 
 } // namespace
 
@@ -31,6 +46,7 @@
     if (brokenAt <= entry.clearedAt) {
         return false;
     }
+    addTrials(entry, { broken.trials, {} }, now);
     if (entry.attempts.size() >= maxBroken || !entry.attempts.insert(broken.attempt).second) {
         return false;
     }
@@ -50,6 +66,7 @@
         return true;
     }
     found->second.attempts.clear();
+    found->second.trials = {};
     found->second.changedAt = answeredAt;
     found->second.clearedAt = answeredAt;
     return true;
@@ -64,6 +81,18 @@
         for (const AttemptId attempt : suspect.attempts) {
             this->record({ suspect.request, attempt, suspect.age }, now);
         }
+        const auto entry = this->entries.find(suspect.request);
+        if (entry != this->entries.end() && now - suspect.age > entry->second.clearedAt) {
+            addTrials(entry->second, suspect.trials, now);
+        }
+    }
+}
+
+void CrashLedger::addTrials(Entry &entry, const RequestTrials &trials, TimePoint now)
+{
+    if (trials.count > entry.trials.count) {
+        entry.trials = trials;
+        entry.triedAt = now;
     }
 }
 
@@ -107,6 +136,35 @@
     return std::max(this->entries.at(request).changedAt + brokenRetention - now, Milliseconds {});
 }
 
+std::optional<Milliseconds> CrashLedger::trialDueIn(RequestDigest request, TimePoint now) const
+{
+    if (!this->isBlocked(request)) {
+        return std::nullopt;
+    }
+    const Entry &entry = this->entries.at(request);
+    if (entry.trials.count >= trialDelays.size()) {
+        return std::nullopt;
+    }
+    const TimePoint since = std::max(entry.changedAt, entry.triedAt);
+    return std::max(since + trialDelays.at(entry.trials.count) - now, Milliseconds {});
+}
+
+bool CrashLedger::grantTrial(RequestDigest request, const std::string &gateway, TimePoint now)
+{
+    if (this->trialDueIn(request, now) != Milliseconds {}) {
+        return false;
+    }
+    Entry &entry = this->entries.at(request);
+    addTrials(entry, { entry.trials.count + 1, gateway }, now);
+    return true;
+}
+
+RequestTrials CrashLedger::trialsOf(RequestDigest request) const
+{
+    const auto found = this->entries.find(request);
+    return found == this->entries.end() ? RequestTrials() : found->second.trials;
+}
+
 std::vector<SuspectRequest> CrashLedger::suspects(TimePoint now) const
 {
     std::vector<SuspectRequest> result;
@@ -116,7 +174,8 @@
         if (wasClearedLately || entry.attempts.size() >= minShared) {
             result.push_back({ request,
                                { entry.attempts.begin(), entry.attempts.end() },
-                               now - entry.changedAt });
+                               now - entry.changedAt,
+                               entry.trials });
         }
     }
     return result;
@@ -125,20 +184,19 @@
 std::vector<BrokenAttempt> CrashLedger::unknownTo(const std::vector<SuspectRequest> &suspects,
                                                   TimePoint now) const
 {
-    std::map<RequestDigest, std::set<AttemptId>> known;
+    std::map<RequestDigest, const SuspectRequest *> known;
     for (const SuspectRequest &suspect : suspects) {
-        known[suspect.request] = { suspect.attempts.begin(), suspect.attempts.end() };
+        known[suspect.request] = &suspect;
     }
     std::vector<BrokenAttempt> result;
     for (const SuspectRequest &suspect : this->suspects(now)) {
-        const std::set<AttemptId> &knownAttempts = known[suspect.request];
-        if (knownAttempts.size() >= maxBroken
-            || suspect.age > brokenRetention - minTimeLeftToReport) {
+        if (suspect.age > brokenRetention - minTimeLeftToReport) {
             continue;
         }
+        const SuspectRequest *there = known[suspect.request];
         for (const AttemptId attempt : suspect.attempts) {
-            if (!knownAttempts.contains(attempt)) {
-                result.push_back({ suspect.request, attempt, suspect.age });
+            if (there == nullptr || isUnknown(suspect, attempt, *there)) {
+                result.push_back({ suspect.request, attempt, suspect.age, suspect.trials.count });
             }
         }
     }
--- a/src/version/registrygateways.cpp
+++ b/src/version/registrygateways.cpp
@@ -39,6 +39,12 @@
     for (const RequestDigest request : report.answered) {
         this->crashes.clear(request, now);
     }
+    // Until then a new leader may not know how many trials an earlier one has granted.
+    if (now - this->termStart >= allReportedAfter) {
+        for (const RequestDigest request : report.trials) {
+            this->crashes.grantTrial(request, report.gateway, now);
+        }
+    }
     const auto [entry, isNew] = this->gateways.try_emplace(report.gateway);
     if (isNew) {
         this->earlierGateways = std::max(this->earlierGateways, report.gateways);
--- a/src/version/sitewatch.cpp
+++ b/src/version/sitewatch.cpp
@@ -34,22 +34,30 @@
 
 static void to_json(json &value, const BrokenAttempt &broken)
 {
-    value = json::array({ broken.request, broken.attempt, broken.age.count });
+    value = json::array({ broken.request, broken.attempt, broken.age.count, broken.trials });
 }
 
 static void from_json(const json &value, BrokenAttempt &broken)
 {
     broken = { value.at(0), value.at(1), { value.at(2).get<std::int64_t>() } };
+    // Earlier versions know no trials.
+    if (value.size() > 3) {
+        broken.trials = value.at(3);
+    }
 }
 
 static void to_json(json &value, const SuspectRequest &suspect)
 {
-    value = json::array({ suspect.request, suspect.attempts, suspect.age.count });
+    value = json::array({ suspect.request, suspect.attempts, suspect.age.count,
+                          suspect.trials.count, suspect.trials.gateway });
 }
 
 static void from_json(const json &value, SuspectRequest &suspect)
 {
-    suspect = { value.at(0), value.at(1), { value.at(2).get<std::int64_t>() } };
+    suspect = { value.at(0), value.at(1), { value.at(2).get<std::int64_t>() }, {} };
+    if (value.size() > 4) {
+        suspect.trials = { value.at(3), value.at(4) };
+    }
 }
 
 static void to_json(json &value, const GatewayPlacement &placement)
@@ -77,6 +85,9 @@
     if (!report.answered.empty()) {
         value["answered"] = report.answered;
     }
+    if (!report.trials.empty()) {
+        value["trials"] = report.trials;
+    }
     if (report.suspectsTag != 0) {
         value["suspectsTag"] = report.suspectsTag;
     }
@@ -104,6 +115,7 @@
     report.leaving = value.value("leaving", std::vector<UpstreamIncarnation>());
     report.broken = value.value("broken", std::vector<BrokenAttempt>());
     report.answered = value.value("answered", std::vector<RequestDigest>());
+    report.trials = value.value("trials", std::vector<RequestDigest>());
     report.suspectsTag = value.value("suspectsTag", std::uint64_t(0));
     if (value.contains("membersRevision")) {
         report.membersRevision = value.at("membersRevision").get<std::uint64_t>();
--- a/src/version/sitewatch.h
+++ b/src/version/sitewatch.h
@@ -66,6 +66,9 @@
     // that has no changes, and takes nothing from the report.
     bool isSearch = false;
     std::uint32_t placementTag = 0; // tagOf() the last placement that it received
+    // Blocked requests of which the gateway has one that it could try; see
+    // CrashLedger::grantTrial().
+    std::vector<RequestDigest> trials;
 
     bool operator==(const GatewayReport &) const = default;
 };
--- a/tests/gateway/test_crashguard.cpp
+++ b/tests/gateway/test_crashguard.cpp
@@ -28,6 +28,9 @@
         for (const RequestDigest request : report.answered) {
             this->ledger.clear(request, now);
         }
+        for (const RequestDigest request : report.trials) {
+            this->ledger.grantTrial(request, report.gateway, this->decidesAt);
+        }
     }
 
     GatewayUpdate replyTo(const GatewayReport &report) const
@@ -41,10 +44,71 @@
     }
 
     CrashLedger ledger;
+    TimePoint decidesAt = now; // about trials
 };
 
+/** Lets @p guard, of the gateway @p name, and @p leader exchange a report and its reply. */
+bool exchange(TestLeader &leader, CrashGuard &guard, const std::string &name, TimePoint at)
+{
+    GatewayReport report;
+    report.gateway = name;
+    guard.fillReport(report, at);
+    leader.decidesAt = at;
+    leader.take(report);
+    return guard.applyUpdate(leader.replyTo(report), at);
+}
+
+/** Lets @p guard know of three broken attempts. */
+void block(CrashGuard &guard)
+{
+    for (AttemptId attempt = 1; attempt <= 3; ++attempt) {
+        guard.recordBroken({ deadly, attempt, {} }, now);
+    }
+}
+
 } // namespace
 
+// Guards against a blocked request that several gateways try at once, each of which crashes an
+// upstream, and against one that none tries.
+TEST(CrashGuard, triesABlockedRequestAtOneGateway)
+{
+    TestLeader leader;
+    CrashGuard first("front-1");
+    CrashGuard second("front-2");
+    block(first);
+    exchange(leader, first, "front-1", now);
+    exchange(leader, second, "front-2", now);
+    EXPECT_FALSE(first.trials().ask(deadly, first.ledger(), now));
+    const TimePoint due = now + Milliseconds { 1000 };
+    EXPECT_TRUE(first.trials().ask(deadly, first.ledger(), due));
+    EXPECT_TRUE(second.trials().ask(deadly, second.ledger(), due));
+    EXPECT_FALSE(second.trials().ask(deadly, second.ledger(), due));
+    EXPECT_TRUE(exchange(leader, first, "front-1", due));
+    EXPECT_TRUE(exchange(leader, second, "front-2", due));
+    EXPECT_TRUE(first.trials().take(deadly));
+    EXPECT_FALSE(first.trials().take(deadly));
+    EXPECT_FALSE(second.trials().take(deadly));
+}
+
+// Guards against a trial that is lost because the request which took it reached no upstream, and
+// against one that outlives the block.
+TEST(CrashGuard, keepsATrialThatWasNotMade)
+{
+    TestLeader leader;
+    CrashGuard guard("front-1");
+    block(guard);
+    exchange(leader, guard, "front-1", now);
+    const TimePoint due = now + Milliseconds { 1000 };
+    ASSERT_TRUE(guard.trials().ask(deadly, guard.ledger(), due));
+    exchange(leader, guard, "front-1", due);
+    ASSERT_TRUE(guard.trials().take(deadly));
+    guard.trials().giveBack(deadly, guard.ledger());
+    EXPECT_TRUE(guard.trials().take(deadly));
+    guard.recordAnswered(deadly, due);
+    guard.trials().giveBack(deadly, guard.ledger());
+    EXPECT_FALSE(guard.trials().take(deadly));
+}
+
 // Guards against gateways that each send a request on until three attempts of their own are broken,
 // since none learns of the attempts of the others.
 TEST(CrashGuard, learnsOfBrokenAttemptsAtOtherGateways)
--- a/tests/version/test_crashledger.cpp
+++ b/tests/version/test_crashledger.cpp
@@ -124,6 +124,63 @@
     EXPECT_TRUE(gateway.unknownTo(leader.suspects(start), start).empty());
 }
 
+// Guards against a popular request that stays refused for minutes, since an upstream had several
+// copies of it when it crashed for another reason; and against a request that crashes upstreams
+// and goes on to many more of them.
+TEST(CrashLedger, grantsABlockedRequestFewTrials)
+{
+    CrashLedger ledger = ledgerOf(2);
+    EXPECT_FALSE(ledger.trialDueIn(deadly, start));
+    EXPECT_FALSE(ledger.grantTrial(deadly, "front-1", start));
+    ledger.record(brokenAttempt(2), start);
+    EXPECT_EQ(ledger.trialDueIn(deadly, start), Milliseconds { 1000 });
+    std::uint32_t granted = 0;
+    for (int second = 0; second < 300; ++second) {
+        const TimePoint now = start + Milliseconds { second * 1000 };
+        granted += ledger.grantTrial(deadly, "front-1", now) ? 1 : 0;
+        EXPECT_FALSE(ledger.grantTrial(deadly, "front-2", now)) << second;
+        EXPECT_EQ(ledger.trialsOf(deadly).count, granted);
+    }
+    EXPECT_EQ(granted, 3U);
+    EXPECT_EQ(ledger.trialsOf(deadly).gateway, "front-1");
+    EXPECT_TRUE(ledger.isBlocked(deadly));
+}
+
+// Guards against a request that gets no trial when it is blocked a second time.
+TEST(CrashLedger, forgetsTrialsAfterAnAnswer)
+{
+    CrashLedger ledger = ledgerOf(3);
+    const TimePoint later = start + Milliseconds { 1000 };
+    ASSERT_TRUE(ledger.grantTrial(deadly, "front-1", later));
+    const std::vector<SuspectRequest> before = ledger.suspects(later);
+    ledger.clear(deadly, later);
+    ledger.merge(before, later + Milliseconds { 10 });
+    EXPECT_EQ(ledger.trialsOf(deadly), RequestTrials());
+    EXPECT_FALSE(ledger.isBlocked(deadly));
+}
+
+// Guards against a new leader that grants the trials once more which an earlier one has granted: it
+// may learn of the broken attempts first from a gateway that knows of no trial.
+TEST(CrashLedger, tellsANewLeaderOfTrials)
+{
+    CrashLedger earlier = ledgerOf(3);
+    CrashLedger uninformed;
+    uninformed.merge(earlier.suspects(start), start);
+    const TimePoint later = start + Milliseconds { 1000 };
+    ASSERT_TRUE(earlier.grantTrial(deadly, "front-1", later));
+    CrashLedger informed;
+    informed.merge(earlier.suspects(later), later);
+    CrashLedger leader;
+    for (const CrashLedger *gateway : { &uninformed, &informed }) {
+        for (const BrokenAttempt &broken : gateway->unknownTo(leader.suspects(later), later)) {
+            leader.record(broken, later);
+        }
+    }
+    EXPECT_TRUE(leader.isBlocked(deadly));
+    EXPECT_EQ(leader.trialsOf(deadly).count, 1U);
+    EXPECT_TRUE(informed.unknownTo(leader.suspects(later), later).empty());
+}
+
 // Guards against memory that grows with the crashes, and against losing the requests with the most
 // crashes when the ledger is full.
 TEST(CrashLedger, keepsTheWorstRequestsWhenItIsFull)
--- a/tests/version/test_registrystate.cpp
+++ b/tests/version/test_registrystate.cpp
@@ -126,7 +126,8 @@
     update.trafficShare = 0.25;
     update.gateways = 8;
     update.suspectsTag = 77;
-    update.suspects = { { 5, { 3, ~AttemptId(0) }, { 250 } }, { 6, {}, { 10 } } };
+    update.suspects
+            = { { 5, { 3, ~AttemptId(0) }, { 250 }, { 2, "front-1" } }, { 6, {}, { 10 }, {} } };
     update.members = { 31, { { 1, "10.0.0.1" }, { 2, "10.0.0.2" } } };
     EXPECT_EQ(decodeGatewayWatchReply(encode(GatewayWatchReply(update))),
               GatewayWatchReply(update));
@@ -145,12 +146,13 @@
                                  { { "ledger", 7, 3 } },
                                  { { "i-1", 3, 90 } },
                                  { { "i-2", 60 } },
-                                 { { 5, 3, { 20 } } },
+                                 { { 5, 3, { 20 }, 2 } },
                                  { 6, ~RequestDigest(0) },
                                  77,
                                  31,
                                  true,
-                                 2864434397 };
+                                 2864434397,
+                                 { 5, ~RequestDigest(0) } };
     EXPECT_EQ(decodeGatewayReport(encode(report)), report);
     const JoinRequest request { "10.0.0.1", true };
     EXPECT_EQ(decodeJoinRequest(encode(request)), request);
