connection: Answer all lookups that were started before a stopping gateway closes

Cause: the stop let the next response of each connection close it and cancelled what came behind, though requests are started before their turn. 2.3 s later, when the listener closes, h2o_context_request_shutdown() did the same again.

Change: a response closes its connection only if no request behind it was started; the shutdown of the listener asks h2o for that of HTTP/2 alone. Nothing is started any more, and requests behind the last started one count as not read.

Two of these tests demanded the fault: that lookups which were started are cancelled. They now demand an answer to each, the announcement of the close in the last response only, and as before that nothing starts late.

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -89,8 +89,8 @@
     /** Accepts connections that wait, at most @p maxCount. */
     void acceptConnections(int maxCount);
     void acceptOne(h2o_socket_t *listener);
-    /** Whether each connection closes after its next response, which announces it. */
-    bool closesAfterNext() const;
+    /** Whether @p connection closes after its next response, which announces it. */
+    bool closesAfterNext(const ServerConnection &connection) const;
     bool mayHoldLargest() const;
     /** Refuses a request that is larger than the bound of all when many connections are open. */
     void limitLargest();
@@ -218,7 +218,7 @@
 
 HttpServer::Private::~Private()
 {
-    // h2o_context_request_shutdown leaves this timer linked for a second, and h2o_context_dispose
+    // The shutdown of HTTP/2 leaves this timer linked for a second, and h2o_context_dispose
     // requires that it is not linked.
     h2o_timeout_unlink(&this->context.http2._graceful_shutdown_timeout);
     h2o_context_dispose(&this->context);
@@ -292,7 +292,7 @@
         && hasAmbiguousLength({ socket->input->bytes, socket->input->size })) {
         return d->refuse(request, 400, "Bad Request");
     }
-    if (d->closesAfterNext()) {
+    if (d->closesAfterNext(*connection)) {
         request->http1_is_persistent = 0;
     }
     connection->receiving = false;
@@ -385,8 +385,11 @@
     this->limitLargest();
 }
 
-bool HttpServer::Private::closesAfterNext() const
+bool HttpServer::Private::closesAfterNext(const ServerConnection &connection) const
 {
+    if (Pipeliner::hasStartedBehindNext(connection)) {
+        return false;
+    }
     const std::uint32_t maxKept = this->limits.maxKeptConnections;
     return this->closesAfterResponse || (maxKept > 0 && this->connections.size() > maxKept);
 }
@@ -546,10 +549,7 @@
 void HttpServer::closeAfterNextResponse()
 {
     this->d->closesAfterResponse = true;
-    const auto connections = this->d->connections;
-    for (const std::shared_ptr<ServerConnection> &connection : connections) {
-        this->d->pipeliner.stop(*connection);
-    }
+    this->d->pipeliner.stop();
 }
 
 void HttpServer::shutDown(std::function<void()> done)
@@ -567,7 +567,9 @@
     for (const std::shared_ptr<ServerConnection> &connection : this->d->connections) {
         connection->idleSince = now;
     }
-    h2o_context_request_shutdown(&this->d->context);
+    // h2o_context_request_shutdown() would also close each HTTP/1.1 connection with its next
+    // response, though requests behind it were started: closeAfterNextResponse() does that.
+    this->d->config.http2.callbacks.request_shutdown(&this->d->context);
     this->d->finishShutDownIfEmpty();
 }
 
--- a/src/connection/httpserver.h
+++ b/src/connection/httpserver.h
@@ -159,7 +159,11 @@
      */
     void setLimits(const HttpServerLimits &limits);
 
-    /** From now on, closes each HTTP/1.1 connection after its next response, which announces it. */
+    /**
+     * From now on, closes each HTTP/1.1 connection after its next response, which announces it. If
+     * requests behind that response were started before their turn, the last one of them is the one
+     * that closes. No further request is started before its turn.
+     */
     void closeAfterNextResponse();
 
     /**
--- a/src/connection/pipeliner.cpp
+++ b/src/connection/pipeliner.cpp
@@ -138,33 +138,23 @@
     return watchesOn;
 }
 
-void Pipeliner::truncate(ServerConnection &connection, std::size_t count)
+void Pipeliner::cancel(ServerConnection &connection)
 {
     const std::shared_ptr<ConnectionPipeline> pipeline = connection.pipeline;
-    if (!pipeline || pipeline->exchanges.size() <= count) {
+    if (!pipeline) {
         return;
     }
-    pipeline->window.truncate(count);
-    std::deque<std::shared_ptr<PipelinedExchange>> cancelled;
-    while (pipeline->exchanges.size() > count) {
-        cancelled.push_front(std::move(pipeline->exchanges.back()));
-        pipeline->exchanges.pop_back();
-    }
+    pipeline->window.truncate(0);
+    const auto cancelled = std::exchange(pipeline->exchanges, {});
     this->openCount -= cancelled.size();
     for (const std::shared_ptr<PipelinedExchange> &exchange : cancelled) {
         exchange->cancel();
     }
 }
 
-void Pipeliner::cancel(ServerConnection &connection)
-{
-    this->truncate(connection, 0);
-}
-
-void Pipeliner::stop(ServerConnection &connection)
+bool Pipeliner::hasStartedBehindNext(const ServerConnection &connection)
 {
-    this->stopped = true;
-    this->truncate(connection, 1);
+    return connection.pipeline && connection.pipeline->exchanges.size() > 1;
 }
 
 RequestsAhead Pipeliner::requestsAhead() const
--- a/src/connection/pipeliner.h
+++ b/src/connection/pipeliner.h
@@ -61,11 +61,14 @@
     /** Cancels the requests of @p connection that were started and have not had their turn. */
     void cancel(ServerConnection &connection);
 
-    /** Starts nothing from now on. */
+    /** Starts nothing from now on. Requests that were started get their turn. */
     void stop() { this->stopped = true; }
 
-    /** As above; the next response on @p connection closes it, so those behind it are cancelled. */
-    void stop(ServerConnection &connection);
+    /**
+     * Whether requests of @p connection were started that come behind the next one to have its
+     * turn. The connection must stay open until they are answered: they may have run.
+     */
+    static bool hasStartedBehindNext(const ServerConnection &connection);
 
     RequestsAhead requestsAhead() const;
 
@@ -74,7 +77,6 @@
     /** Starts what may start. Returns whether more bytes may let further requests start. */
     bool startFrom(ServerConnection &connection, std::string_view bytes, std::size_t peekedBytes);
     RunAhead kindOf(const PipelinedHead &head) const;
-    void truncate(ServerConnection &connection, std::size_t count);
 
     EventLoop &loop;
     RequestReader &reader;
--- a/tests/connection/test_pipelining.cpp
+++ b/tests/connection/test_pipelining.cpp
@@ -314,9 +314,9 @@
     EXPECT_EQ(this->open.size(), 2U);
 }
 
-// Guards against a stop that answers requests behind the response that closes the connection, or
-// that starts requests which it cannot answer.
-TEST_F(PipeliningTest, cancelsRequestsBehindTheLastResponse)
+// Guards against a stop that cuts off requests which an upstream has got already (LOST), that
+// announces the close before their responses, or that starts requests which it cannot answer.
+TEST_F(PipeliningTest, answersAllRequestsAheadBeforeItCloses)
 {
     this->start();
     RawClient client(this->server->port());
@@ -327,13 +327,43 @@
     client.write(lookup("/read/3"));
     runFor(this->loop, { 50 });
     EXPECT_EQ(this->open.size(), 3U);
-    EXPECT_EQ(this->server->requestsAhead().open, 1U);
+    EXPECT_TRUE(this->gone.empty());
+    EXPECT_EQ(this->server->requestsAhead().open, 2U);
     this->answer(0);
     this->answer(1);
     ASSERT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); }));
-    EXPECT_EQ(bodies(client), (Texts { "/read/0", "/read/1" }));
-    EXPECT_NE(client.received().find("onnection: close"), std::string::npos);
+    EXPECT_EQ(bodies(client), (Texts { "/read/0", "/read/1", "/read/2" }));
+    const std::string &text = client.received();
+    const std::size_t close = text.find("onnection: close");
+    ASSERT_NE(close, std::string::npos);
+    EXPECT_GT(close, text.find("</read/1>"));
+    EXPECT_LT(close, text.find("</read/2>"));
     EXPECT_EQ(this->open.size(), 3U);
+    EXPECT_TRUE(this->releasesItsMemory());
+}
+
+// As above, for the most requests ahead that a connection may have, which become ready in another
+// order, while others behind them count as not read.
+TEST_F(PipeliningTest, answersAsManyRequestsAheadAsItHasStarted)
+{
+    this->start();
+    RawClient client(this->server->port());
+    Texts expected;
+    std::string text;
+    for (int i = 0; i < 12; ++i) {
+        text += lookup("/read/" + std::to_string(i));
+    }
+    client.write(text);
+    const std::size_t started = HttpServerLimits().maxRequestsAhead + 1;
+    ASSERT_TRUE(this->waitForRequests(started));
+    this->server->closeAfterNextResponse();
+    for (std::size_t i = started; i > 0; --i) {
+        this->answer(i - 1);
+        expected.insert(expected.begin(), "/read/" + std::to_string(i - 1));
+    }
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return client.isClosedByServer(); }));
+    EXPECT_EQ(bodies(client), expected);
+    EXPECT_EQ(this->open.size(), started);
 }
 
 // As above, while no response has been written and the listener shuts down.
@@ -345,13 +375,16 @@
     ASSERT_TRUE(this->waitForRequests(3));
     bool done = false;
     this->server->shutDown([&] { done = true; });
-    EXPECT_EQ(this->gone, (std::vector<std::size_t> { 2 }));
+    EXPECT_TRUE(this->gone.empty());
     this->answer(0);
     this->answer(1);
+    runFor(this->loop, { 50 });
+    EXPECT_FALSE(done);
+    this->answer(2);
     ASSERT_TRUE(waitUntil(this->loop, [&] { return done; }));
     EXPECT_EQ(this->open.size(), 3U);
     const Texts received = bodies(client);
-    EXPECT_EQ(received, (Texts { "/read/0", "/read/1" }));
+    EXPECT_EQ(received, (Texts { "/read/0", "/read/1", "/read/2" }));
 }
 
 // Guards against a listener that ends while requests are ahead, and against their late responses.
