registry: Grant a trial to a gateway that asks a little too early

A gateway knows the attempts that broke at itself and those that the leader has told it of; the leader may know of one that broke some milliseconds later. Its trial was then not due yet, and the request waited for a decision until its second was over. The leader now grants a trial that is due within 250 ms.

CrashLedger.grantsATrialThatIsNearlyDue; and a property for what the trials promise: whatever reports and changes of the leader come in between, three are granted at most, each once (CrashLedger.grantsNoMoreTrialsInAnyOrderOfReports).

--- a/src/version/crashledger.cpp
+++ b/src/version/crashledger.cpp
@@ -23,6 +23,8 @@
 // which upstreams that crashed for another reason should be back.
 constexpr std::array<Milliseconds, 3> trialDelays { Milliseconds { 1000 }, Milliseconds { 1500 },
                                                     Milliseconds { 15 * 1000 } };
+// A gateway that has not heard yet of the last broken attempt asks a little too early.
+constexpr Milliseconds maxEarliness { 250 };
 
 // Whether a host that knows @p there does not know @p attempt of @p suspect, or its trials.
 bool isUnknown(const SuspectRequest &suspect, AttemptId attempt, const SuspectRequest &there)
@@ -151,7 +153,8 @@
 
 bool CrashLedger::grantTrial(RequestDigest request, const std::string &gateway, TimePoint now)
 {
-    if (this->trialDueIn(request, now) != Milliseconds {}) {
+    const std::optional<Milliseconds> wait = this->trialDueIn(request, now);
+    if (!wait || *wait > maxEarliness) {
         return false;
     }
     Entry &entry = this->entries.at(request);
--- a/src/version/crashledger.h
+++ b/src/version/crashledger.h
@@ -94,8 +94,8 @@
     std::optional<Milliseconds> trialDueIn(RequestDigest request, TimePoint now) const;
 
     /**
-     * Allows @p gateway to send a blocked request to one upstream, if a trial is due. Only for the
-     * leader, so that a trial is granted once. Returns whether it was granted.
+     * Allows @p gateway to send a blocked request to one upstream, if a trial is due or nearly so.
+     * Only for the leader, so that a trial is granted once. Returns whether it was granted.
      */
     bool grantTrial(RequestDigest request, const std::string &gateway, TimePoint now);
 
--- a/tests/version/test_crashledger.cpp
+++ b/tests/version/test_crashledger.cpp
@@ -146,6 +146,50 @@
     EXPECT_TRUE(ledger.isBlocked(deadly));
 }
 
+// Guards against gateways that ask in vain, and wait for the decision, since the leader knows of an
+// attempt that broke some milliseconds after the ones they know.
+TEST(CrashLedger, grantsATrialThatIsNearlyDue)
+{
+    CrashLedger ledger = ledgerOf(3);
+    EXPECT_FALSE(ledger.grantTrial(deadly, "front-1", start + Milliseconds { 700 }));
+    EXPECT_TRUE(ledger.grantTrial(deadly, "front-1", start + Milliseconds { 800 }));
+    EXPECT_FALSE(ledger.grantTrial(deadly, "front-2", start + Milliseconds { 801 }));
+}
+
+// Guards against trials beyond those that the term allows, and against a trial for two gateways,
+// whatever reports and changes of the leader come in between: a new leader learns from gateways
+// that know different lists.
+RC_GTEST_PROP(CrashLedger, grantsNoMoreTrialsInAnyOrderOfReports, ())
+{
+    constexpr std::size_t gateways = 4;
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, std::size_t>>>(
+            rc::gen::pair(rc::gen::inRange(0, 3), rc::gen::inRange<std::size_t>(0, gateways)));
+    CrashLedger leader = ledgerOf(3);
+    std::vector<CrashLedger> known(gateways, leader);
+    TimePoint now = start;
+    std::uint32_t granted = 0;
+    for (const auto &[kind, gateway] : steps) {
+        now = now + Milliseconds { 700 };
+        if (kind == 0) {
+            granted += leader.grantTrial(deadly, std::to_string(gateway), now) ? 1 : 0;
+        } else if (kind == 1) {
+            known[gateway].merge(leader.suspects(now), now);
+        } else {
+            // The leader has told the gateways of its grants before it is lost; see
+            // allReportedAfter.
+            known[gateway].merge(leader.suspects(now), now);
+            leader = CrashLedger();
+            for (const CrashLedger &reporter : known) {
+                for (const BrokenAttempt &broken : reporter.unknownTo(leader.suspects(now), now)) {
+                    leader.record(broken, now);
+                }
+            }
+        }
+    }
+    RC_ASSERT(granted <= 3U);
+    RC_ASSERT(leader.trialsOf(deadly).count == granted);
+}
+
 // Guards against a request that gets no trial when it is blocked a second time.
 TEST(CrashLedger, forgetsTrialsAfterAnAnswer)
 {
