connection: One function opens the sockets of both listeners

HttpServer::listen() and RpcServer::listen() had a copy each, with different texts of their errors. No change of what is listened on; the sizes of the queues stay (4,096 and 128).

--- a/src/connection/httpserver.cpp
+++ b/src/connection/httpserver.cpp
@@ -7,6 +7,7 @@
 #include "connection/h2oexchange.h"
 #include "connection/http2requestend.h"
 #include "connection/lingeringclose.h"
+#include "connection/listensocket.h"
 #include "connection/pipeliner.h"
 #include "connection/requesthead.h"
 #include "connection/requestreader.h"
@@ -14,11 +15,8 @@
 
 #include <algorithm>
 
-#include <arpa/inet.h>
-#include <cerrno>
-#include <cstring>
-#include <fcntl.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unordered_set>
 
 #include <h2o.h>
@@ -514,26 +512,15 @@
 
 std::string HttpServer::listen(const HostAddress &address)
 {
-    sockaddr_in target {};
-    target.sin_family = AF_INET;
-    target.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.ip.c_str(), &target.sin_addr) != 1) {
-        return "address " + address.toString() + " is not an IPv4 address";
-    }
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    socklen_t length = sizeof(target);
-    auto *generic = reinterpret_cast<sockaddr *>(&target);
-    if (fd < 0 || bind(fd, generic, length) != 0 || ::listen(fd, listenBacklog) != 0
-        || getsockname(fd, generic, &length) != 0) {
-        const std::string reason = std::strerror(errno);
-        if (fd >= 0) {
-            close(fd);
-        }
-        return "cannot listen on " + address.toString() + ": " + reason;
+    const std::variant<int, ListenError> opened = openListener(address, listenBacklog);
+    if (const auto *error = std::get_if<ListenError>(&opened)) {
+        return error->reason;
     }
-    this->d->port = ntohs(target.sin_port);
+    const int fd = std::get<int>(opened);
+    sockaddr_in bound {};
+    socklen_t length = sizeof(bound);
+    getsockname(fd, reinterpret_cast<sockaddr *>(&bound), &length);
+    this->d->port = ntohs(bound.sin_port);
     this->d->listener
             = h2o_evloop_socket_create(this->d->loop.h2oLoop(), fd, H2O_SOCKET_FLAG_DONT_READ);
     this->d->listener->data = this->d;
--- a/src/connection/rpcserver.cpp
+++ b/src/connection/rpcserver.cpp
@@ -1,12 +1,8 @@
 #include "connection/rpcserver.h"
 
-#include "connection/socketaddress.h"
-
-#include <cerrno>
-#include <cstring>
+#include "connection/listensocket.h"
 
 #include <netinet/in.h>
-#include <unistd.h>
 
 #include <capnp/rpc-twoparty.h>
 #include <h2o.h>
@@ -18,26 +14,6 @@
 constexpr Milliseconds cleanUpInterval { 200 };
 constexpr int backlog = 128;
 
-/** Returns a bound and listening descriptor, or -1 with errno set. */
-int openListener(const HostAddress &address)
-{
-    SocketAddress socketAddress = toSocketAddress(address);
-    const int fd = ::socket(socketAddress.storage.ss_family,
-                            SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return -1;
-    }
-    const int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    if (bind(fd, socketAddress.data(), socketAddress.length) != 0 || ::listen(fd, backlog) != 0) {
-        const int error = errno;
-        close(fd);
-        errno = error;
-        return -1;
-    }
-    return fd;
-}
-
 } // namespace
 
 /** Connection of one client. Destroying it ends the RPC session and closes the socket. */
@@ -84,11 +60,12 @@
 
 std::string RpcServer::listen(const HostAddress &address)
 {
-    const int fd = openListener(address);
-    if (fd < 0) {
-        return address.toString() + ": " + std::strerror(errno);
+    const std::variant<int, ListenError> opened = openListener(address, backlog);
+    if (const auto *error = std::get_if<ListenError>(&opened)) {
+        return error->reason;
     }
-    this->listener = h2o_evloop_socket_create(this->loop.h2oLoop(), fd, H2O_SOCKET_FLAG_DONT_READ);
+    this->listener = h2o_evloop_socket_create(this->loop.h2oLoop(), std::get<int>(opened),
+                                              H2O_SOCKET_FLAG_DONT_READ);
     this->listener->data = this;
     h2o_socket_read_start(this->listener, &RpcServer::onAcceptable);
     return {};
