gateway, registry: Tell what is known of cold upstreams in the logs

The leader tells at the start of a term and each second how many upstreams it has not heard in this term and how many warm up; a gateway tells which upstreams a table marks as warming up or no longer does, and each line of a request what limited its upstream when it was started.

--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -39,20 +39,6 @@
     return "unknown";
 }
 
-const char *limitName(UpstreamPace::Limit limit)
-{
-    switch (limit) {
-    case UpstreamPace::Limit::Cold:
-        return "cold";
-    case UpstreamPace::Limit::Recovering:
-        return "recovering";
-    case UpstreamPace::Limit::Full:
-    case UpstreamPace::Limit::None: // it has ended since the request was turned away
-        return "full";
-    }
-    return "unknown";
-}
-
 // Returns a number from 0 to 1 that is the same for the same text.
 double spreadOf(const std::string &text)
 {
@@ -60,6 +46,17 @@
     return static_cast<double>(XXH3_64bits(text.data(), text.size()) % steps) / steps;
 }
 
+// Returns the first of @p ids, separated by spaces, for a line of the log.
+std::string firstNames(const std::vector<std::string> &ids)
+{
+    constexpr std::size_t maxNames = 8;
+    std::string names;
+    for (std::size_t i = 0; i < std::min(ids.size(), maxNames); ++i) {
+        names += (i == 0 ? "" : " ") + ids[i];
+    }
+    return names;
+}
+
 double toSeconds(Milliseconds span)
 {
     return static_cast<double>(span.count) / 1000.0;
@@ -159,8 +156,10 @@
         return false;
     }
     const bool isFullTable = update.fromTag == 0 || !this->routing.table;
-    this->setRoutingTable(
-            applyChange(isFullTable ? RoutingTable() : *this->routing.table, *change));
+    const RoutingTable table
+            = applyChange(isFullTable ? RoutingTable() : *this->routing.table, *change);
+    this->logWarming(table, update.tableTag);
+    this->setRoutingTable(table);
     this->routing.tableTag = update.tableTag;
     return true;
 }
@@ -231,6 +230,34 @@
     this->logLeaving(leaving);
 }
 
+// Logs which known upstreams the next table marks as warming up, or no longer does. A tag of a
+// later term with upstreams that no longer warm up tells that its leader may not know of their
+// warm-up.
+void GatewayCore::logWarming(const RoutingTable &next, std::uint64_t nextTag)
+{
+    std::vector<std::string> began;
+    std::vector<std::string> ended;
+    for (const RoutedUpstream &routed : next.upstreams) {
+        const std::shared_ptr<GatewayUpstream> known
+                = this->upstream(routed.upstream.incarnation.id);
+        const bool wasWarming = known && known->isWarming();
+        if (routed.warming != wasWarming) {
+            (routed.warming ? began : ended).push_back(routed.upstream.incarnation.id);
+        }
+    }
+    if (began.empty() && ended.empty()) {
+        return;
+    }
+    this->log.write({ "upstreams_warming",
+                      Event::Weight::Important,
+                      { { "began", static_cast<std::int64_t>(began.size()) },
+                        { "began_upstreams", firstNames(began) },
+                        { "ended", static_cast<std::int64_t>(ended.size()) },
+                        { "ended_upstreams", firstNames(ended) },
+                        { "previous_table", static_cast<std::int64_t>(this->routing.tableTag) },
+                        { "table", static_cast<std::int64_t>(nextTag) } } });
+}
+
 // Logs which upstreams leave by the present table and not by the previous one, and how long ago the
 // leader confirmed that one.
 void GatewayCore::logLeaving(const std::vector<std::string> &ids)
@@ -238,16 +265,11 @@
     if (ids.empty()) {
         return;
     }
-    constexpr std::size_t maxNames = 8;
-    std::string names;
-    for (std::size_t i = 0; i < std::min(ids.size(), maxNames); ++i) {
-        names += (i == 0 ? "" : " ") + ids[i];
-    }
     const Milliseconds age = this->loop.now() - this->routing.tableConfirmedAt;
     this->log.write({ "upstreams_leave",
                       Event::Weight::Important,
                       { { "count", static_cast<std::int64_t>(ids.size()) },
-                        { "upstreams", names },
+                        { "upstreams", firstNames(ids) },
                         { "previous_table_age_ms", age.count } } });
 }
 
@@ -476,7 +498,10 @@
 
 void GatewayCore::countPaced(const GatewayUpstream &upstream)
 {
-    const UpstreamPace::Limit limit = upstream.pace().limit(this->loop.now());
+    UpstreamPace::Limit limit = upstream.pace().limit(this->loop.now());
+    if (limit == UpstreamPace::Limit::None) {
+        limit = UpstreamPace::Limit::Full; // it has ended since the request was turned away
+    }
     this->metrics
             .counter("cassiaroad_gateway_paced_total",
                      "Requests that the pace of a cold, recovering or full upstream did not let "
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -184,6 +184,7 @@
     void updateConfiguration(const GatewayUpdate &update);
     void setRoutingTable(const RoutingTable &table);
     void logLeaving(const std::vector<std::string> &ids);
+    void logWarming(const RoutingTable &next, std::uint64_t nextTag);
     std::shared_ptr<GatewayUpstream> upstreamOf(const RoutedUpstream &routed);
     void keepUnlisted(const std::shared_ptr<GatewayUpstream> &upstream);
     Distance distanceTo(const std::string &zone) const;
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -260,6 +260,7 @@
 void GatewayRequest::send()
 {
     this->results.begin(this->core.now());
+    this->limitAtStart = this->target.upstream()->pace().limit(this->core.now());
     this->target.upstream()->pace().take(this->core.now());
     this->sender.send(this->target.upstream());
 }
@@ -470,6 +471,7 @@
     told.queuedDuration = this->wait.queuedDuration();
     told.ownerWaitDuration = this->wait.tableDuration();
     told.target = this->target.upstream().get();
+    told.limit = this->limitAtStart;
     told.attempts = this->attempts.count();
     told.isSent = this->sender.isSent();
     return told;
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -85,6 +85,7 @@
     AttemptResult results;
     AttemptSender sender;
     RequestWait wait;
+    UpstreamPace::Limit limitAtStart = UpstreamPace::Limit::None; // of the last attempt's target
     bool isTrial = false; // may be sent although requests like it are blocked
     std::optional<TimePoint> trialDeadline; // until which it waits for a trial that it asked for
     bool isRepetitionGivenUp = false; // only the slow attempt is left
--- a/src/gateway/routepreview.cpp
+++ b/src/gateway/routepreview.cpp
@@ -56,21 +56,6 @@
     }
 };
 
-const char *limitName(UpstreamPace::Limit limit)
-{
-    switch (limit) {
-    case UpstreamPace::Limit::None:
-        return "ready";
-    case UpstreamPace::Limit::Cold:
-        return "cold";
-    case UpstreamPace::Limit::Recovering:
-        return "recovering";
-    case UpstreamPace::Limit::Full:
-        return "full";
-    }
-    return "unknown";
-}
-
 // Returns "ready", or why @p upstream would not get the request. Reasons that last come first.
 std::string stateOf(const GatewayCore &core, const GatewayUpstream &upstream,
                     const UpstreamQuery &query)
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -214,6 +214,7 @@
         this->manager.startTerm(this->loop.now());
         this->group.startTerm();
         this->updates.startTerm(this->leadingTerm);
+        this->logUpstreams();
         if (this->state.members().empty()) {
             this->commit({ AssignSlot { bootstrapSlot, this->settings.ip, "" } },
                          [](bool, PutOutcome) {});
@@ -602,6 +603,18 @@
         waiting.oldestProposal = this->loop.now() - oldest.proposedAt;
     }
     this->updates.load().write(this->log, this->loop.workMeter(), waiting);
+    this->logUpstreams();
+}
+
+// Writes what this leader knows of the upstreams, which a new one learns from their heartbeats.
+void RegistryEngine::logUpstreams()
+{
+    const RegistryManager::UpstreamCounts counts = this->manager.upstreamCounts(this->loop.now());
+    this->log.write({ "upstreams_known",
+                      Event::Weight::Always,
+                      { { "registered", counts.registered },
+                        { "unheard", counts.unheard },
+                        { "warming", counts.warming } } });
 }
 
 } // namespace cassiaroad
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -162,6 +162,7 @@
     GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
     void tick();
     void logWatchLoad();
+    void logUpstreams();
 
     EventLoop &loop;
     const SiteSettings &settings;
--- a/src/request/upstreampace.cpp
+++ b/src/request/upstreampace.cpp
@@ -39,6 +39,21 @@
 
 } // namespace
 
+const char *limitName(UpstreamPace::Limit limit)
+{
+    switch (limit) {
+    case UpstreamPace::Limit::None:
+        return "none";
+    case UpstreamPace::Limit::Cold:
+        return "cold";
+    case UpstreamPace::Limit::Recovering:
+        return "recovering";
+    case UpstreamPace::Limit::Full:
+        return "full";
+    }
+    return "unknown";
+}
+
 UpstreamPace::UpstreamPace(double phase)
     : phase(phase)
     , credit(phase)
--- a/src/request/upstreampace.h
+++ b/src/request/upstreampace.h
@@ -104,4 +104,7 @@
     std::uint32_t turnedAway = 0; // since the last token was used
 };
 
+/** Returns the name of @p limit in logs, metrics and the route preview. Thread-safe. */
+const char *limitName(UpstreamPace::Limit limit);
+
 } // namespace cassiaroad
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -337,6 +337,17 @@
     }
 }
 
+RegistryManager::UpstreamCounts RegistryManager::upstreamCounts(TimePoint now) const
+{
+    UpstreamCounts counts;
+    for (const auto &[id, upstream] : this->state.upstreams()) {
+        ++counts.registered;
+        counts.unheard += this->monitor.hasReported(upstream.incarnation) ? 0 : 1;
+        counts.warming += this->monitor.isWarmingUp(upstream.incarnation, now) ? 1 : 0;
+    }
+    return counts;
+}
+
 RoutingTable RegistryManager::routingTable(TimePoint now) const
 {
     RoutingTable table;
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -108,6 +108,15 @@
     /** Handles the end of a command of dueCommands(): it was committed, or never will be. */
     void onCommandEnded(const RegistryCommand &command);
 
+    /** What the leader knows of the registered upstreams. */
+    struct UpstreamCounts
+    {
+        std::int64_t registered = 0;
+        std::int64_t unheard = 0; // no heartbeat has arrived in this term
+        std::int64_t warming = 0; // have reported that they still warm up
+    };
+    UpstreamCounts upstreamCounts(TimePoint now) const;
+
     /** Returns the routing table for gateways. */
     RoutingTable routingTable(TimePoint now) const;
 
