tests: Show that cold upstreams are flooded (FAILBACK)

Real processes on loopback: 6 gateways, 5 control hosts, 5 upstreams without keys that state 5.5 requests/s while they are cold, so that 16 are allowed in any second. Upstreams of the simulation tell for how long they are cold, in heartbeats and at their health path, and the checks count what reaches them meanwhile.

--- a/tools/soaklib/checks.py
+++ b/tools/soaklib/checks.py
@@ -12,6 +12,11 @@
 RETRY_SLACK = 50
 RETRY_WINDOW_S = 10.0
 STEP_S = 0.5  # by which the window slides
+# What a cold upstream may get in any second. Bounds of the settings and the stated rate.
+COLD_RATE = 5.5
+COLD_OVER = 1.5
+COLD_SLACK = 8
+COLD_LIMIT = COLD_RATE * COLD_OVER + COLD_SLACK
 
 
 class Checks:
@@ -26,6 +31,7 @@
         self.leaving = {}  # (gateway, upstream) -> time of the first response that said so
         self.pauses = {}  # (gateway, upstream) -> [start, end, arrivals] of the latest pause
         self.arrivals = []  # (time, request id) of every request that reached an upstream
+        self.cold_arrivals = {}  # upstream -> times of requests that reached it while it was cold
         self.crashes = {}  # body of a request -> times at which upstreams crashed under it
 
     def record_sent(self, request_id, gateway):
@@ -68,6 +74,17 @@
                 self.violations.append(f"{upstream} got {request_id} of {gateway}, the request "
                                        f"number {pause[2]} in its pause")
 
+    def record_cold_arrival(self, upstream):
+        """Records that a request has reached a cold upstream, and checks how many have in the second
+        that ends now."""
+        now = time.monotonic()
+        arrivals = self.cold_arrivals.setdefault(upstream, [])
+        arrivals.append(now)
+        recent = sum(at > now - 1.0 for at in arrivals)
+        if recent > COLD_LIMIT:
+            self.violations.append(f"{upstream} is cold and got {recent} requests in a second, "
+                                   f"{COLD_LIMIT:.1f} are allowed")
+
     def record_pause(self, request_id, upstream, seconds):
         """Records that an upstream has asked a gateway for a pause."""
         now = time.monotonic()
--- a/tools/soaklib/site.py
+++ b/tools/soaklib/site.py
@@ -9,7 +9,7 @@
 from soaklib.caller import KeptConnection
 from soaklib.checks import Checks
 from soaklib.hosts import Host
-from soaklib.upstreams import Upstream, http
+from soaklib.upstreams import HEALTH_PATH, Upstream, http
 
 CONTROLS, UPSTREAMS = 5, 5
 DISTANT_CONTROLS = 2  # the last ones, in the region that is `distant_s` away
@@ -50,6 +50,8 @@
         self.crashes_under = None  # bytes in the body of a request under which upstreams crash
         self.route_timeout_s = 1.5
         self.is_keyed = True  # the service has keys
+        self.cold_rate = 0.0  # requests/s that its upstreams can handle while they are cold; 0: any
+        self.cold_s = 0.0  # how long its upstreams are cold after their start
         self.attempts = 2  # most upstreams that a request without a key may reach
         self.version = 0  # last acknowledged configuration
         self.is_version_unknown = False  # an accepted configuration may have had no response
@@ -124,6 +126,7 @@
         upstream.is_keyed = self.is_keyed
         upstream.zone = self.zones.get(name, upstream.zone)
         upstream.crashes_under = self.crashes_under
+        upstream.warm_at = time.monotonic() + self.cold_s
         self.checks.forget_upstream(name)
         await upstream.start()
         self.upstreams[:] = [u for u in self.upstreams if u.address != address] + [upstream]
@@ -138,11 +141,17 @@
                 "timeoutS": self.route_timeout_s, "targetLatencyS": 0.5, "priority": 1,
                 "service": "orders", "attempts": self.attempts}
                 for prefix, kind in route_types.items()},
-            "services": {"orders": {"healthPath": "/health", "maxConnections": 100,
-                                    "sharded": self.is_keyed, "warmS": 0,
-                                    "grants": "call" if self.calls else "heartbeat"},
+            "services": {"orders": self.service_settings(),
                          **self.extra_services}})
 
+    def service_settings(self):
+        """The service in a configuration."""
+        settings = {"healthPath": HEALTH_PATH, "maxConnections": 100, "sharded": self.is_keyed,
+                    "warmS": 0, "grants": "call" if self.calls else "heartbeat"}
+        if self.cold_rate:
+            settings |= {"warmupPerS": self.cold_rate, "warmupS": self.cold_s}
+        return settings
+
     async def put_configuration(self, max_wait):
         """Sends the next configuration until it is acknowledged, at most `max_wait` seconds."""
         if self.is_version_unknown and not await self.learn_version(max_wait):
--- a/tools/soaklib/upstreams.py
+++ b/tools/soaklib/upstreams.py
@@ -11,6 +11,7 @@
 from soaklib import endless
 
 HEARTBEAT_S = 0.5
+HEALTH_PATH = "/health"
 
 
 class Upstream:
@@ -51,6 +52,11 @@
         self.arrived_at = 0.0  # time at which the last request reached it
         self.accepted_at = 0.0  # time at which it last got a request for a key that it had a lease on
         self.writers = set()  # of the open connections
+        self.warm_at = 0.0  # time until which it is cold
+
+    def warmup_left_s(self):
+        """Time until the upstream is no longer cold."""
+        return max(self.warm_at - time.monotonic(), 0.0)
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -100,6 +106,10 @@
                                for line in head.decode().split("\r\n")[1:] if ": " in line)
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 method, path = head.decode().split(" ", 2)[:2]
+                if path == HEALTH_PATH:
+                    writer.write(self.health())
+                    await writer.drain()
+                    continue
                 if path in ("/-/grant", "/-/release"):
                     if not await self.answer_call(path, json.loads(body), writer):
                         return
@@ -122,6 +132,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    def health(self):
+        """Response to a health check."""
+        return (f"HTTP/1.1 200 OK\r\nX-Cassiaroad-Instance-Id: {self.name}\r\n"
+                f"X-Cassiaroad-Warmup-Ms: {round(self.warmup_left_s() * 1000)}\r\n"
+                "Content-Length: 0\r\n\r\n").encode()
+
     def head(self, status, headers):
         """Head of the response to a request with these headers, without its length and end."""
         extra = "" if status == 200 else "X-Cassiaroad-Not-Executed: 1\r\n"
@@ -198,6 +214,8 @@
         self.checks.record_arrival(request_id, self.name, is_misdirected)
         if is_misdirected:
             return 421, ""
+        if self.warmup_left_s() > 0:
+            self.checks.record_cold_arrival(self.name)
         self.accepted_at = time.monotonic()
         if self.resets:
             return 0, ""
@@ -235,7 +253,7 @@
                 "info": {"service": self.service, "version": "v1", "zone": self.zone,
                          "maxConcurrency": 6},
                 "status": {"state": "draining" if self.draining else "ready",
-                           "sequence": self.sequence, "warmupLeftS": 0}}
+                           "sequence": self.sequence, "warmupLeftS": self.warmup_left_s()}}
             if not self.takes_calls:
                 report["holds"] = [row[:3] for row in self.leases]
                 report["freed"] = self.freed
