--- a/schema/cassiaroad.capnp
+++ b/schema/cassiaroad.capnp
@@ -214,7 +214,8 @@
 
 interface Registry extends(ReplicaPeer) {
   # Interface of a member of a control group whose upstreams own key ranges. The parameters and
-  # results are CBOR, encoded by version/sitewatch.h.
+  # results are CBOR, encoded by version/sitewatch.h and version/permitcall.h.
   watch @0 (report :Data) -> (answer :Data);
   join @1 (request :Data) -> (hint :Data);
+  permit @2 (request :Data) -> (reply :Data);
 }
--- a/schema/cassiaroad.capnp.c++
+++ b/schema/cassiaroad.capnp.c++
@@ -3123,7 +3123,7 @@
   2, 0, nullptr, nullptr, nullptr, { &s_d33628a636cc1f36, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<42> b_e25188a5b86ecd1b = {
+static const ::capnp::_::AlignedData<52> b_e25188a5b86ecd1b = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      27, 205, 110, 184, 165, 136,  81, 226,
      24,   0,   0,   0,   3,   0,   0,   0,
@@ -3133,8 +3133,8 @@
      21,   0,   0,   0,  10,   1,   0,   0,
      37,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     33,   0,   0,   0, 135,   0,   0,   0,
-    113,   0,   0,   0,  23,   0,   0,   0,
+     33,   0,   0,   0, 199,   0,   0,   0,
+    153,   0,   0,   0,  23,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     115,  99, 104, 101, 109,  97,  47,  99,
      97, 115, 115, 105,  97, 114, 111,  97,
@@ -3142,27 +3142,37 @@
      82, 101, 103, 105, 115, 116, 114, 121,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-      8,   0,   0,   0,   3,   0,   5,   0,
+     12,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
     219, 154,  95,   7, 198, 236, 225, 190,
     183, 161, 219, 224,  87, 150,  58, 169,
-     49,   0,   0,   0,  50,   0,   0,   0,
+     81,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     196,  70,  21,  43,  89, 140,  92, 150,
      58, 110, 108,  36,  30, 122, 169, 197,
-     25,   0,   0,   0,  42,   0,   0,   0,
+     57,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,   7,   0,   0,   0,
+      2,   0,   0,   0,   0,   0,   0,   0,
+    103,  57, 105,   2, 149, 228,  73, 152,
+     59, 228,  90, 182, 126,  81,  59, 143,
+     33,   0,   0,   0,  58,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     13,   0,   0,   0,   7,   0,   0,   0,
+     21,   0,   0,   0,   7,   0,   0,   0,
     119,  97, 116,  99, 104,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
     106, 111, 105, 110,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    112, 101, 114, 109, 105, 116,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   1,   0,
     130, 177,  80,  69, 199, 247,  38, 160,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -3170,16 +3180,18 @@
 ::capnp::word const* const bp_e25188a5b86ecd1b = b_e25188a5b86ecd1b.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_e25188a5b86ecd1b[] = {
+  &s_8f3b517eb65ae43b,
   &s_965c8c592b1546c4,
+  &s_9849e49502693967,
   &s_a026f7c74550b182,
   &s_a93a9657e0dba1b7,
   &s_bee1ecc6075f9adb,
   &s_c5a97a1e246c6e3a,
 };
-static const uint16_t m_e25188a5b86ecd1b[] = {1, 0};
+static const uint16_t m_e25188a5b86ecd1b[] = {1, 2, 0};
 const ::capnp::_::RawSchema s_e25188a5b86ecd1b = {
-  0xe25188a5b86ecd1b, b_e25188a5b86ecd1b.words, 42, d_e25188a5b86ecd1b, m_e25188a5b86ecd1b,
-  5, 2, nullptr, nullptr, nullptr, { &s_e25188a5b86ecd1b, nullptr, nullptr, 0, 0, nullptr }
+  0xe25188a5b86ecd1b, b_e25188a5b86ecd1b.words, 52, d_e25188a5b86ecd1b, m_e25188a5b86ecd1b,
+  7, 3, nullptr, nullptr, nullptr, { &s_e25188a5b86ecd1b, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<34> b_bee1ecc6075f9adb = {
@@ -3362,6 +3374,96 @@
   0, 1, i_c5a97a1e246c6e3a, nullptr, nullptr, { &s_c5a97a1e246c6e3a, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_9849e49502693967 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    103,  57, 105,   2, 149, 228,  73, 152,
+     33,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 122,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115,  99, 104, 101, 109,  97,  47,  99,
+     97, 115, 115, 105,  97, 114, 111,  97,
+    100,  46,  99,  97, 112, 110, 112,  58,
+     82, 101, 103, 105, 115, 116, 114, 121,
+     46, 112, 101, 114, 109, 105, 116,  36,
+     80,  97, 114,  97, 109, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 113, 117, 101, 115, 116,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9849e49502693967 = b_9849e49502693967.words;
+#if !CAPNP_LITE
+static const uint16_t m_9849e49502693967[] = {0};
+static const uint16_t i_9849e49502693967[] = {0};
+const ::capnp::_::RawSchema s_9849e49502693967 = {
+  0x9849e49502693967, b_9849e49502693967.words, 34, nullptr, m_9849e49502693967,
+  0, 1, i_9849e49502693967, nullptr, nullptr, { &s_9849e49502693967, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<34> b_8f3b517eb65ae43b = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     59, 228,  90, 182, 126,  81,  59, 143,
+     33,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 130,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115,  99, 104, 101, 109,  97,  47,  99,
+     97, 115, 115, 105,  97, 114, 111,  97,
+    100,  46,  99,  97, 112, 110, 112,  58,
+     82, 101, 103, 105, 115, 116, 114, 121,
+     46, 112, 101, 114, 109, 105, 116,  36,
+     82, 101, 115, 117, 108, 116, 115,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    114, 101, 112, 108, 121,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_8f3b517eb65ae43b = b_8f3b517eb65ae43b.words;
+#if !CAPNP_LITE
+static const uint16_t m_8f3b517eb65ae43b[] = {0};
+static const uint16_t i_8f3b517eb65ae43b[] = {0};
+const ::capnp::_::RawSchema s_8f3b517eb65ae43b = {
+  0x8f3b517eb65ae43b, b_8f3b517eb65ae43b.words, 34, nullptr, m_8f3b517eb65ae43b,
+  0, 1, i_8f3b517eb65ae43b, nullptr, nullptr, { &s_8f3b517eb65ae43b, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3829,6 +3931,16 @@
       "schema/cassiaroad.capnp:Registry", "join",
       0xe25188a5b86ecd1bull, 1);
 }
+::capnp::Request< ::cassiaroad::rpc::Registry::PermitParams,  ::cassiaroad::rpc::Registry::PermitResults>
+Registry::Client::permitRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::cassiaroad::rpc::Registry::PermitParams,  ::cassiaroad::rpc::Registry::PermitResults>(
+      0xe25188a5b86ecd1bull, 2, sizeHint);
+}
+::kj::Promise<void> Registry::Server::permit(PermitContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "schema/cassiaroad.capnp:Registry", "permit",
+      0xe25188a5b86ecd1bull, 2);
+}
 ::capnp::Capability::Server::DispatchCallResult Registry::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3857,6 +3969,12 @@
              ::cassiaroad::rpc::Registry::JoinParams,  ::cassiaroad::rpc::Registry::JoinResults>(context)),
         false
       };
+    case 2:
+      return {
+        permit(::capnp::Capability::Server::internalGetTypedContext<
+             ::cassiaroad::rpc::Registry::PermitParams,  ::cassiaroad::rpc::Registry::PermitResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3904,6 +4022,22 @@
 constexpr ::capnp::_::RawSchema const* Registry::JoinResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Registry::PermitParams
+constexpr uint16_t Registry::PermitParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Registry::PermitParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Registry::PermitParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Registry::PermitParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Registry::PermitResults
+constexpr uint16_t Registry::PermitResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Registry::PermitResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Registry::PermitResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Registry::PermitResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/schema/cassiaroad.capnp.h
+++ b/schema/cassiaroad.capnp.h
@@ -73,6 +73,8 @@
 CAPNP_DECLARE_SCHEMA(a93a9657e0dba1b7);
 CAPNP_DECLARE_SCHEMA(965c8c592b1546c4);
 CAPNP_DECLARE_SCHEMA(c5a97a1e246c6e3a);
+CAPNP_DECLARE_SCHEMA(9849e49502693967);
+CAPNP_DECLARE_SCHEMA(8f3b517eb65ae43b);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -682,6 +684,8 @@
   struct WatchResults;
   struct JoinParams;
   struct JoinResults;
+  struct PermitParams;
+  struct PermitResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -751,6 +755,36 @@
   };
 };
 
+struct Registry::PermitParams {
+  PermitParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9849e49502693967, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Registry::PermitResults {
+  PermitResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8f3b517eb65ae43b, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class Upstream::Reader {
@@ -4269,6 +4303,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::cassiaroad::rpc::Registry::JoinParams,  ::cassiaroad::rpc::Registry::JoinResults> joinRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::cassiaroad::rpc::Registry::PermitParams,  ::cassiaroad::rpc::Registry::PermitResults> permitRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -4294,6 +4330,10 @@
   typedef  ::cassiaroad::rpc::Registry::JoinResults JoinResults;
   typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
   virtual ::kj::Promise<void> join(JoinContext context);
+  typedef  ::cassiaroad::rpc::Registry::PermitParams PermitParams;
+  typedef  ::cassiaroad::rpc::Registry::PermitResults PermitResults;
+  typedef ::capnp::CallContext<PermitParams, PermitResults> PermitContext;
+  virtual ::kj::Promise<void> permit(PermitContext context);
 
   inline  ::cassiaroad::rpc::Registry::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -4630,6 +4670,168 @@
 };
 #endif  // !CAPNP_LITE
 
+class Registry::PermitParams::Reader {
+public:
+  typedef PermitParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest() const;
+  inline  ::capnp::Data::Reader getRequest() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Registry::PermitParams::Builder {
+public:
+  typedef PermitParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequest();
+  inline  ::capnp::Data::Builder getRequest();
+  inline void setRequest( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRequest(unsigned int size);
+  inline void adoptRequest(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRequest();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Registry::PermitParams::Pipeline {
+public:
+  typedef PermitParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Registry::PermitResults::Reader {
+public:
+  typedef PermitResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply() const;
+  inline  ::capnp::Data::Reader getReply() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Registry::PermitResults::Builder {
+public:
+  typedef PermitResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasReply();
+  inline  ::capnp::Data::Builder getReply();
+  inline void setReply( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initReply(unsigned int size);
+  inline void adoptReply(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownReply();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Registry::PermitResults::Pipeline {
+public:
+  typedef PermitResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline bool Upstream::Reader::hasService() const {
@@ -8213,6 +8415,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Registry::PermitParams::Reader::hasRequest() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Registry::PermitParams::Builder::hasRequest() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Registry::PermitParams::Reader::getRequest() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Registry::PermitParams::Builder::getRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Registry::PermitParams::Builder::setRequest( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Registry::PermitParams::Builder::initRequest(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Registry::PermitParams::Builder::adoptRequest(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Registry::PermitParams::Builder::disownRequest() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Registry::PermitResults::Reader::hasReply() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Registry::PermitResults::Builder::hasReply() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader Registry::PermitResults::Reader::getReply() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder Registry::PermitResults::Builder::getReply() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Registry::PermitResults::Builder::setReply( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder Registry::PermitResults::Builder::initReply(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Registry::PermitResults::Builder::adoptReply(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> Registry::PermitResults::Builder::disownReply() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -24,6 +24,8 @@
 constexpr std::size_t maxReadBytes = std::size_t(256) * 1024;
 constexpr std::size_t readBytes = std::size_t(64) * 1024; // of one system call
 constexpr int statusBadRequest = 400;
+// A server may close a connection with its response to a probe. The call asks on so many.
+constexpr std::uint32_t maxProbes = 3;
 
 // Returns the value of the first header @p name; empty if there is none.
 std::string_view findHeader(const std::vector<std::pair<std::string, std::string>> &headers,
@@ -136,6 +138,7 @@
 
 void HttpCall::closeSocket()
 {
+    this->probe.reset();
     if (this->socket != nullptr) {
         if (this->request.deliveryTimeout) {
             resetOnClose(this->socket);
@@ -144,16 +147,18 @@
     }
 }
 
-void HttpCall::start(std::function<void(HttpResult)> done, std::function<bool()> canWrite,
+void HttpCall::start(std::function<void(HttpResult)> done, HttpClient::DecideWrite decide,
                      Reuse reuse)
 {
     this->done = std::move(done);
-    this->canWrite = std::move(canWrite);
+    this->decide = std::move(decide);
     this->head = this->buildHead();
-    this->openedAt = this->idleConnections->eventLoop().now();
+    this->state.openedAt = this->idleConnections->eventLoop().now();
     this->starting = true;
     if (reuse == Reuse::Allowed) {
-        this->socket = this->idleConnections->take(this->server, this->openedAt);
+        const OpenConnection idle = this->idleConnections->take(this->server);
+        this->socket = idle.socket;
+        this->state = idle.socket != nullptr ? idle.state : this->state;
     }
     // What has arrived since the loop last read belongs to an earlier request.
     if (this->socket != nullptr && hasUnexpectedInput(this->socket)) {
@@ -161,6 +166,7 @@
     }
     if (this->socket != nullptr) {
         this->reused = true;
+        this->hasResponded = true;
         this->socket->data = this;
         this->write();
     } else {
@@ -224,7 +230,11 @@
                    number != 0 ? errorText(number) : error);
         return;
     }
-    this->openedAt = this->idleConnections->eventLoop().now();
+    this->state = { this->idleConnections->eventLoop().now(), std::nullopt };
+    if (this->request.probe) {
+        this->probeServer();
+        return;
+    }
     if (this->request.confirmsConnection) {
         this->confirmConnection();
         return;
@@ -232,10 +242,42 @@
     this->write();
 }
 
+void HttpCall::probeServer()
+{
+    ++this->probes;
+    this->probe = std::make_unique<ServerProbe>(
+            this->socket, *this->request.probe,
+            [this](const ProbeResult &result) { this->onProbed(result); });
+}
+
+// A server that is full resets the connection instead of responding.
+void HttpCall::onProbed(const ProbeResult &result)
+{
+    this->probe.reset();
+    if (const auto *failure = std::get_if<ProbeFailure>(&result)) {
+        this->fail(HttpFailure::Stage::Refused, failure->reason);
+        return;
+    }
+    const ProbeResponse &response = std::get<ProbeResponse>(result);
+    if (!response.isReusable) {
+        this->closeSocket();
+        if (this->probes < maxProbes) {
+            this->connect();
+        } else {
+            this->fail(HttpFailure::Stage::Connect, "the server closes each connection");
+        }
+        return;
+    }
+    this->state.warmAt = this->idleConnections->eventLoop().now() + response.warmupLeft;
+    this->socket->data = this;
+    this->hasResponded = true;
+    this->write();
+}
+
 // Waits until a reset by a server that is full would have arrived.
 void HttpCall::confirmConnection()
 {
-    const Milliseconds roundTrip = this->openedAt - this->connectStartedAt;
+    const Milliseconds roundTrip = this->state.openedAt - this->connectStartedAt;
     h2o_socket_read_start(this->socket, &Callbacks::onEarlyInput);
     this->confirmTimer = this->idleConnections->eventLoop().callAfter(
             roundTrip + acceptDuration, [this] { this->onConfirmed(); });
@@ -268,7 +310,12 @@
         setUserTimeout(this->socket, *this->request.deliveryTimeout);
     }
     this->progressAt = this->idleConnections->eventLoop().now();
-    if (this->canWrite && !this->canWrite()) {
+    const WriteDecision decision = this->decide ? this->decide(this->state) : WriteDecision::Write;
+    if (decision != WriteDecision::Write) {
+        if (decision == WriteDecision::KeepConnection && this->hasResponded) {
+            this->idleConnections->add(this->server,
+                                       { std::exchange(this->socket, nullptr), this->state });
+        }
         this->fail(HttpFailure::Stage::Cancelled, "withdrawn before the first byte was written");
         return;
     }
@@ -388,7 +435,7 @@
     h2o_socket_t *used = std::exchange(this->socket, nullptr);
     h2o_socket_read_stop(used);
     if (isReusable) {
-        this->idleConnections->add(this->server, used, this->openedAt);
+        this->idleConnections->add(this->server, { used, this->state });
     } else {
         h2o_socket_close(used);
     }
--- a/src/connection/httpcall.h
+++ b/src/connection/httpcall.h
@@ -3,6 +3,7 @@
 #include "connection/idleconnectionpool.h"
 #include "connection/responsememory.h"
 #include "connection/responseparser.h"
+#include "connection/serverprobe.h"
 
 #include <string_view>
 
@@ -23,17 +24,19 @@
     HttpCall &operator=(const HttpCall &) = delete;
 
     /** Starts the call; see HttpClient::send() for the callbacks. Precondition: not started. */
-    void start(std::function<void(HttpResult)> done, std::function<bool()> canWrite, Reuse reuse);
+    void start(std::function<void(HttpResult)> done, HttpClient::DecideWrite decide, Reuse reuse);
 
     TimePoint lastProgress() const override;
     bool isSent() const override { return this->sent; }
-    TimePoint connectionOpenedAt() const override { return this->openedAt; }
+    TimePoint connectionOpenedAt() const override { return this->state.openedAt; }
 
 private:
     struct Callbacks;
 
     void connect();
     void onConnected(const char *error);
+    void probeServer();
+    void onProbed(const ProbeResult &result);
     void confirmConnection();
     void onConfirmed();
     void onEarlyInput(const char *error);
@@ -59,17 +62,20 @@
     HttpRequest request;
     ResponseParser parser;
     std::function<void(HttpResult)> done;
-    std::function<bool()> canWrite;
+    HttpClient::DecideWrite decide;
     std::string head;
     h2o_socket_t *socket = nullptr;
+    ConnectionState state; // of the connection
+    std::unique_ptr<ServerProbe> probe; // while it is in progress
+    std::uint32_t probes = 0; // connections on which the server was asked
     TimePoint connectStartedAt;
     EventLoop::Timer confirmTimer; // until the connection counts as accepted
     EventLoop::Timer deferred; // delivers a result that was known within start()
-    TimePoint openedAt;
     mutable TimePoint progressAt; // of the last progress that was seen
     mutable std::uint64_t lastBytesTransferred = 0; // at progressAt
     bool starting = false; // start() has not returned
     bool reused = false; // the connection had carried an earlier request
+    bool hasResponded = false; // the server has, on this connection
     bool sent = false; // a byte of the request may have been written
     bool fullyWritten = false; // the complete request was written
     bool responseBegan = false; // a part of the response has arrived
--- a/src/connection/httpclient.cpp
+++ b/src/connection/httpclient.cpp
@@ -24,11 +24,11 @@
 std::unique_ptr<HttpClient::Call> HttpClient::send(const HostAddress &server, HttpRequest request,
                                                    std::size_t maxResponseBytes,
                                                    std::function<void(HttpResult)> done,
-                                                   std::function<bool()> canWrite)
+                                                   DecideWrite decide)
 {
     auto call = std::make_unique<HttpCall>(this->d->idleConnections, server, this->d->memory,
                                            std::move(request), maxResponseBytes);
-    call->start(std::move(done), std::move(canWrite), HttpCall::Reuse::Allowed);
+    call->start(std::move(done), std::move(decide), HttpCall::Reuse::Allowed);
     return call;
 }
 
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -44,6 +44,19 @@
     std::string_view bytes;
 };
 
+/**
+ * GET request with which a server is asked for how long it is still cold after its start. The
+ * response belongs to the process at the other end of its connection, like all that follow on it.
+ */
+struct ConnectionProbe
+{
+    std::string path;
+    std::string host; // value of the Host header
+    std::string warmupHeader; // of the response, in lower case: milliseconds until it is warm
+
+    bool operator==(const ConnectionProbe &) const = default;
+};
+
 /** An HTTP request to send. */
 struct HttpRequest
 {
@@ -72,6 +85,9 @@
     // too many connections accepts the new one and then resets it; within this time the reset is
     // seen while the request is certainly not sent.
     bool confirmsConnection = false;
+    // If set, the server is asked on a new connection before the request is written. Its response
+    // also shows that it has accepted the connection.
+    std::optional<ConnectionProbe> probe;
 
     bool operator==(const HttpRequest &) const = default;
 };
@@ -86,13 +102,31 @@
     bool operator==(const HttpResponse &) const = default;
 };
 
+/** What is known of a connection before a request is written on it. */
+struct ConnectionState
+{
+    TimePoint openedAt;
+    // When the server at its other end is no longer cold, as its response to a ConnectionProbe has
+    // told; nothing: it was not asked.
+    std::optional<TimePoint> warmAt;
+
+    bool operator==(const ConnectionState &) const = default;
+};
+
+/** What happens to a request whose first byte is about to be written. */
+enum class WriteDecision {
+    Write,
+    KeepConnection, // not written; others may use the connection, if it has carried a response
+    CloseConnection, // not written
+};
+
 /** Why a request got no complete response. */
 struct HttpFailure
 {
     enum class Stage {
         Connect, // the connection could not be opened; no byte of the request was written
         Refused, // the server closed the new connection; no byte of the request was written
-        Cancelled, // canWrite returned false; no byte of the request was written
+        Cancelled, // it was decided not to write; no byte of the request was written
         Sent, // bytes may have reached the server; no response arrived
         ResponseTruncated, // the response was incomplete, invalid, too large or to another request
     };
@@ -129,6 +163,9 @@
      */
     static constexpr std::size_t maxBufferedBytes = std::size_t(32) * 1024 * 1024;
 
+    /** Decides whether the first byte of a request is written on a connection now. */
+    using DecideWrite = std::function<WriteDecision(const ConnectionState &)>;
+
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
@@ -136,9 +173,9 @@
 
     /**
      * Sends @p request to @p server; @p done is called once, unless the call is destroyed before.
-     * It is never called before send() returns. @p canWrite, if given, is called in the iteration
-     * of the event loop in which the first byte is about to be written; if it returns false, the
-     * call fails at stage Cancelled. Responses whose body exceeds @p maxResponseBytes, or the
+     * It is never called before send() returns. @p decide, if given, is called in the iteration of
+     * the event loop in which the first byte is about to be written; unless it decides to write,
+     * the call fails at stage Cancelled. Responses whose body exceeds @p maxResponseBytes, or the
      * memory that is free for incomplete responses, fail with ResponseTruncated, as do responses
      * whose end is unknown (neither Content-Length nor chunked). There is no timeout: the owner of
      * the call sets one and destroys the call.
@@ -146,7 +183,7 @@
     [[nodiscard]] std::unique_ptr<Call> send(const HostAddress &server, HttpRequest request,
                                              std::size_t maxResponseBytes,
                                              std::function<void(HttpResult)> done,
-                                             std::function<bool()> canWrite = nullptr);
+                                             DecideWrite decide = nullptr);
 
     /** Like send(), but always opens a new connection, to check that the server responds. */
     [[nodiscard]] std::unique_ptr<Call> sendOnNewConnection(const HostAddress &server,
--- a/src/connection/idleconnectionpool.cpp
+++ b/src/connection/idleconnectionpool.cpp
@@ -21,8 +21,7 @@
 struct IdleConnectionPool::IdleConnection
 {
     Server *server;
-    h2o_socket_t *socket;
-    TimePoint openedAt;
+    OpenConnection connection;
     TimePoint idleSince;
 };
 
@@ -38,7 +37,7 @@
             if (!predicate(*entry)) {
                 return false;
             }
-            h2o_socket_close(entry->socket);
+            h2o_socket_close(entry->connection.socket);
             return true;
         });
     }
@@ -64,7 +63,7 @@
     return *server;
 }
 
-h2o_socket_t *IdleConnectionPool::take(const HostAddress &server, TimePoint &openedAt)
+OpenConnection IdleConnectionPool::take(const HostAddress &server)
 {
     Server &entry = this->serverOf(server);
     const TimePoint latestIdleSince = this->loop.now() - reuseDelay;
@@ -73,20 +72,20 @@
                                         return idle->idleSince <= latestIdleSince;
                                     });
     if (found == entry.idle.rend()) {
-        return nullptr;
+        return {};
     }
     const std::unique_ptr<IdleConnection> idle = std::move(*found);
     entry.idle.erase(std::next(found).base());
-    h2o_socket_read_stop(idle->socket);
-    openedAt = idle->openedAt;
-    return idle->socket;
+    h2o_socket_read_stop(idle->connection.socket);
+    return idle->connection;
 }
 
-void IdleConnectionPool::add(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt)
+void IdleConnectionPool::add(const HostAddress &server, const OpenConnection &connection)
 {
     Server &entry = this->serverOf(server);
     auto idle = std::make_unique<IdleConnection>(
-            IdleConnection { &entry, socket, openedAt, this->loop.now() });
+            IdleConnection { &entry, connection, this->loop.now() });
+    h2o_socket_t *const socket = connection.socket;
     socket->data = idle.get();
     const int on = 1; // acknowledges the response at once, so that reuseDelay can be this short
     setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_QUICKACK, &on, sizeof(on));
@@ -105,8 +104,9 @@
 {
     const auto found = this->servers.find(server);
     if (found != this->servers.end()) {
-        found->second->closeIf(
-                [&](const IdleConnection &idle) { return idle.openedAt < openedBefore; });
+        found->second->closeIf([&](const IdleConnection &idle) {
+            return idle.connection.state.openedAt < openedBefore;
+        });
     }
 }
 
--- a/src/connection/idleconnectionpool.h
+++ b/src/connection/idleconnectionpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connection/httpclient.h"
 #include "process/eventloop.h"
 #include "process/settings.h"
 
@@ -12,6 +13,13 @@
 
 namespace cassiaroad {
 
+/** An open connection and what is known of it. The owner of this value closes the socket. */
+struct OpenConnection
+{
+    h2o_socket_t *socket = nullptr; // null: none
+    ConnectionState state;
+};
+
 /**
  * Idle client connections by server address, for reuse by later requests. A connection on which
  * bytes arrive while it is idle is closed, so that bytes of an earlier response are never read as
@@ -29,16 +37,15 @@
 
     /**
      * Removes and returns the most recently used connection to @p server that has been idle long
-     * enough to be used again; null if there is none. @p openedAt receives the time at which it was
-     * opened.
+     * enough to be used again; one without a socket if there is none.
      */
-    h2o_socket_t *take(const HostAddress &server, TimePoint &openedAt);
+    OpenConnection take(const HostAddress &server);
 
     /**
      * Adds a connection and takes over its socket. Precondition: it has carried a complete response
      * and nothing after it.
      */
-    void add(const HostAddress &server, h2o_socket_t *socket, TimePoint openedAt);
+    void add(const HostAddress &server, const OpenConnection &connection);
 
     /** Closes the connections to @p server that were opened before @p openedBefore. */
     void closeIdle(const HostAddress &server, TimePoint openedBefore);
--- a/src/connection/upstreampool.cpp
+++ b/src/connection/upstreampool.cpp
@@ -12,6 +12,17 @@
 constexpr Milliseconds probeTimeout { 1000 };
 constexpr std::size_t maxProbeResponseBytes = 65536;
 
+// Returns a function that asks @p canWrite, whatever is known of the connection.
+HttpClient::DecideWrite onAnyConnection(std::function<bool()> canWrite)
+{
+    if (!canWrite) {
+        return nullptr;
+    }
+    return [canWrite = std::move(canWrite)](const ConnectionState &) {
+        return canWrite() ? WriteDecision::Write : WriteDecision::CloseConnection;
+    };
+}
+
 } // namespace
 
 struct UpstreamPool::Private : public std::enable_shared_from_this<UpstreamPool::Private>
@@ -72,7 +83,7 @@
         this->call = this->pool->client.send(
                 this->pool->address, std::move(request), maxResponseBytes,
                 [this](HttpResult result) { this->finish(std::move(result)); },
-                std::move(canWrite));
+                onAnyConnection(std::move(canWrite)));
     }
 
     bool isSent() const override { return this->sent || (this->call && this->call->isSent()); }
--- a/src/gateway/attemptresult.cpp
+++ b/src/gateway/attemptresult.cpp
@@ -141,6 +141,7 @@
     }
     this->target.release();
     if (failure.stage == HttpFailure::Stage::Cancelled) {
+        this->attempts.cancelLast();
         return SelectAgain {};
     }
     this->target.upstream()->recordFailure(this->beganAt, this->core.now());
--- a/src/gateway/attemptsender.cpp
+++ b/src/gateway/attemptsender.cpp
@@ -35,6 +35,7 @@
     built.refusalHeader = names.notExecuted;
     built.refusalValue.clear();
     built.confirmsConnection = true;
+    built.probe = this->core.probeOf(*this->target);
     built.headers = HopHeaders::endToEnd(exchange->headers()).value_or(Headers {});
     std::erase_if(built.headers, [&](const auto &header) {
         return header.first == names.deadline || header.first == names.expectedUpstream;
@@ -59,23 +60,27 @@
                     this->onCallResult(number, upstream, std::move(result));
                 }
             },
-            [this] { return this->canWrite(); });
+            [this](const ConnectionState &connection) { return this->decideWrite(connection); });
     this->scheduleCheck();
 }
 
-// Called when the first byte of an attempt is about to be written; returns whether it may be.
-bool AttemptSender::canWrite()
+// Called when the first byte of an attempt is about to be written.
+WriteDecision AttemptSender::decideWrite(const ConnectionState &connection)
 {
     const auto owner = this->observer.lock();
-    if (!owner || !owner->maySend()) {
-        return false;
+    const WriteDecision decision
+            = owner ? owner->decideWrite(connection) : WriteDecision::CloseConnection;
+    if (decision != WriteDecision::Write) {
+        return decision;
     }
     this->slowCall.reset();
-    if (this->call && this->call->connectionOpenedAt() >= this->beganAt) {
-        this->core.connectMonitor().recordOpened(this->beganAt, this->call->connectionOpenedAt());
+    if (connection.openedAt >= this->beganAt) {
+        // A probe takes part of the time that a connection may take.
+        this->core.connectMonitor().recordOpened(
+                this->beganAt, connection.warmAt ? this->core.now() : connection.openedAt);
     }
     this->attempts.recordWritten(this->target->upstream().incarnation.id);
-    return true;
+    return WriteDecision::Write;
 }
 
 void AttemptSender::onCallResult(std::uint32_t attempt,
--- a/src/gateway/attemptsender.h
+++ b/src/gateway/attemptsender.h
@@ -19,8 +19,8 @@
     public:
         virtual ~Observer() = default;
 
-        /** Whether the first byte of the attempt may be written now. */
-        virtual bool maySend() = 0;
+        /** Whether the first byte of the attempt is written on @p connection now. */
+        virtual WriteDecision decideWrite(const ConnectionState &connection) = 0;
         /** Whether the attempt, which was written @p elapsed ago, is to be repeated as slow. */
         virtual bool isTooSlow(Milliseconds elapsed) = 0;
         /** The attempt goes on as slow; the next send() is its repetition. */
@@ -66,7 +66,7 @@
 
 private:
     HttpRequest buildRequest() const;
-    bool canWrite();
+    WriteDecision decideWrite(const ConnectionState &connection);
     void onCallResult(std::uint32_t attempt, const std::shared_ptr<GatewayUpstream> &upstream,
                       HttpResult result);
     void scheduleCheck();
--- a/src/gateway/gatewaychoice.cpp
+++ b/src/gateway/gatewaychoice.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaycore.h"
 
+#include "gateway/spread.h"
+
 #include <algorithm>
 
 // Choice of upstreams for requests that no key binds to one: a part of GatewayCore.
@@ -57,13 +59,17 @@
 {
     const TimePoint now = this->loop.now();
     GatewayUpstreams waiting = this->usableUpstreams(service, homes, tried);
-    std::erase_if(waiting, [now](const auto &upstream) {
-        return upstream->timeLeft(now) == Milliseconds {};
+    std::erase_if(waiting, [this, now](const auto &upstream) {
+        return upstream->timeLeft(now) == Milliseconds {} && this->cold.admits(*upstream);
     });
+    // Of several cold ones, gateways ask for permits of different ones.
+    const auto order = [this](const std::shared_ptr<GatewayUpstream> &upstream) {
+        const std::string &id = upstream->upstream().incarnation.id;
+        return std::pair(this->startsAfter(*upstream), spreadOf(this->settings.host + id));
+    };
     const auto first
-            = std::min_element(waiting.begin(), waiting.end(), [now](const auto &a, const auto &b) {
-                  return a->timeLeft(now) < b->timeLeft(now);
-              });
+            = std::min_element(waiting.begin(), waiting.end(),
+                               [&](const auto &a, const auto &b) { return order(a) < order(b); });
     return first == waiting.end() ? nullptr : *first;
 }
 
@@ -79,8 +85,8 @@
 {
     GatewayUpstreams ready = this->usableUpstreams(service, homes, tried);
     const TimePoint now = this->loop.now();
-    std::erase_if(ready, [now](const auto &upstream) {
-        return upstream->isPaused(now)
+    std::erase_if(ready, [this, now](const auto &upstream) {
+        return upstream->isPaused(now) || !this->cold.admits(*upstream)
                || (upstream->pace().limit(now) != UpstreamPace::Limit::Recovering
                    && !upstream->pace().allows(now));
     });
--- a/src/gateway/gatewaycore.cpp
+++ b/src/gateway/gatewaycore.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gatewaycore.h"
 
+#include "gateway/spread.h"
 #include "process/textdelta.h"
 #include "process/textpack.h"
 #include "version/routingchange.h"
@@ -20,32 +21,6 @@
 constexpr std::size_t maxIdleConnections = 4;
 constexpr std::size_t maxUnlistedUpstreams = 1024;
 constexpr Milliseconds clockResolution { 1 };
-// Buckets of the histograms of durations.
-const std::vector<double> secondsBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4,
-                                           0.6,  0.8,   1.0,  1.5, 2.0, 3.0, 5.0 };
-
-const char *kindName(RouteKind kind)
-{
-    switch (kind) {
-    case RouteKind::Safe:
-        return "safe";
-    case RouteKind::Unsafe:
-        return "unsafe";
-    case RouteKind::Upload:
-        return "upload";
-    case RouteKind::Download:
-        return "download";
-    }
-    return "unknown";
-}
-
-// Returns a number from 0 to 1 that is the same for the same text.
-double spreadOf(const std::string &text)
-{
-    constexpr std::uint64_t steps = 1024;
-    return static_cast<double>(XXH3_64bits(text.data(), text.size()) % steps) / steps;
-}
-
 // Returns the first of @p ids, separated by spaces, for a line of the log.
 std::string firstNames(const std::vector<std::string> &ids)
 {
@@ -57,11 +32,6 @@
     return names;
 }
 
-double toSeconds(Milliseconds span)
-{
-    return static_cast<double>(span.count) / 1000.0;
-}
-
 } // namespace
 
 GatewayCore::GatewayCore(EventLoop &loop, const SiteSettings &settings, const ExternalCodec &codec,
@@ -72,6 +42,7 @@
     , metrics(metrics)
     , log(log)
     , httpClient(loop)
+    , cold(loop, settings.host)
     , crashes(settings.host)
     , random(XXH3_64bits(settings.host.data(), settings.host.size()))
     , subsets(settings.zone, settings.regions)
@@ -130,7 +101,7 @@
     for (const auto &[id, upstream] : this->upstreams) {
         upstream->setShare(this->routing.trafficShare, spreadOf(this->settings.host + id));
     }
-    this->siteShare.setGateways(this->routing.gateways, this->routing.gatewaysConfirmedAt);
+    this->cold.setGateways(this->routing.gateways);
     this->applyPaces();
     for (auto &[service, budget] : this->budgets) {
         budget.setGateways(update.gateways, this->routing.gatewaysConfirmedAt);
@@ -486,69 +457,4 @@
     }
 }
 
-void GatewayCore::countRepeat(const std::string &service, bool isAllowed)
-{
-    this->metrics
-            .counter("cassiaroad_gateway_repeats_total",
-                     "Repetitions of requests that may have reached an upstream, by service and "
-                     "whether the retry budget allowed them.",
-                     { { "service", service }, { "allowed", isAllowed ? "yes" : "no" } })
-            .Increment();
-}
-
-void GatewayCore::countPaced(const GatewayUpstream &upstream)
-{
-    UpstreamPace::Limit limit = upstream.pace().limit(this->loop.now());
-    if (limit == UpstreamPace::Limit::None) {
-        limit = UpstreamPace::Limit::Full; // it has ended since the request was turned away
-    }
-    this->metrics
-            .counter("cassiaroad_gateway_paced_total",
-                     "Requests that the pace of a cold, recovering or full upstream did not let "
-                     "start "
-                     "at once.",
-                     { { "service", upstream.upstream().service },
-                       { "upstream", limitName(limit) } })
-            .Increment();
-}
-
-void GatewayCore::countQueueRefusal(const std::string &service)
-{
-    this->metrics
-            .counter("cassiaroad_gateway_queue_refusals_total",
-                     "Requests that were refused while they waited for capacity of an upstream, "
-                     "since "
-                     "no time was left for them, by service.",
-                     { { "service", service } })
-            .Increment();
-}
-
-void GatewayCore::countReturning(const std::string &service)
-{
-    this->metrics
-            .counter("cassiaroad_gateway_returning_total",
-                     "Requests that returned after a refusal for lack of capacity, by service.",
-                     { { "service", service } })
-            .Increment();
-}
-
-void GatewayCore::countOutcome(RouteKind kind, const std::string &outcome, Milliseconds total,
-                               Milliseconds queuedDuration)
-{
-    const std::string name = kindName(kind);
-    this->metrics
-            .counter("cassiaroad_gateway_requests_total", "Requests by kind of route and outcome.",
-                     { { "kind", name }, { "outcome", outcome } })
-            .Increment();
-    this->metrics
-            .histogram("cassiaroad_gateway_seconds", "Time from a request's arrival to its answer.",
-                       secondsBuckets, { { "kind", name } })
-            .Observe(toSeconds(total));
-    this->metrics
-            .histogram("cassiaroad_gateway_queue_seconds",
-                       "Time that a request waited in the gateway.", secondsBuckets,
-                       { { "kind", name } })
-            .Observe(toSeconds(queuedDuration));
-}
-
 } // namespace cassiaroad
--- a/src/gateway/gatewaycore.h
+++ b/src/gateway/gatewaycore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "connection/httpclient.h"
+#include "gateway/coldadmission.h"
 #include "gateway/connectmonitor.h"
 #include "gateway/crashguard.h"
 #include "gateway/routingview.h"
@@ -84,6 +85,27 @@
     /** Returns the service of the next request on @p route, by the weights of its services. */
     const std::string &chooseService(const SiteRoute &route);
 
+    /** Returns the service of @p upstream in the present configuration, or null. */
+    const SiteService *serviceOf(const GatewayUpstream &upstream) const;
+
+    /** Permits for requests to cold upstreams. */
+    ColdAdmission &coldAdmission() { return this->cold; }
+    const ColdAdmission &coldAdmission() const { return this->cold; }
+    /** Whether a request may be started at @p upstream now, by its pace and if it is cold. */
+    bool mayStart(const GatewayUpstream &upstream) const;
+    /** Returns the time until a request may be started at @p upstream, or asked for. */
+    Milliseconds startsAfter(const GatewayUpstream &upstream) const;
+    /** Returns what @p upstream is asked on each new connection; nothing if it is never cold. */
+    std::optional<ConnectionProbe> probeOf(const GatewayUpstream &upstream) const;
+    /**
+     * Whether the first byte of a request is written to @p upstream on @p connection now, with a
+     * permit until @p permitUntil or without one. Records that the upstream is cold, if the
+     * connection has told so.
+     */
+    WriteDecision decideWrite(GatewayUpstream &upstream,
+                              const std::optional<TimePoint> &permitUntil,
+                              const ConnectionState &connection) const;
+
     /** Returns the retry budget of a service. */
     SiteRetryBudget &budget(const std::string &service);
     /** Counts a request that has arrived, for the retry budget and for the report to the leader. */
@@ -167,7 +189,10 @@
 
     /** Counts a repetition of a request in the metrics, or one that the budget did not allow. */
     void countRepeat(const std::string &service, bool isAllowed);
-    /** Counts a request that the pace of @p upstream did not let start at once, in the metrics. */
+    /**
+     * Counts in the metrics a request that could not start at once, by the pace of @p upstream or
+     * since it is cold.
+     */
     void countPaced(const GatewayUpstream &upstream);
     /** Counts in the metrics that a request was refused while it waited for capacity. */
     void countQueueRefusal(const std::string &service);
@@ -197,10 +222,11 @@
                                                     const HomeRegions &homes,
                                                     GatewayUpstreams candidates);
     void applyPaces();
-    std::optional<ColdLimit> coldLimitOf(const SiteService &service) const;
+    TimePoint trustedConnectionsFrom(const GatewayUpstream &upstream) const;
+    std::optional<TimePoint> coldByTableUntil(const GatewayUpstream &upstream,
+                                              const SiteService &service) const;
     void countChoice(const std::string &service, ChoiceSource source, std::size_t subsetSize);
-    const SiteService *serviceOf(const GatewayUpstream &upstream) const;
-    AdmittedShare admittedShareOf(const SiteService &service, std::uint16_t thousandths) const;
+    std::optional<AdmittedShare> admittedShareOf(const GatewayUpstream &upstream) const;
     void resumeTableWaits();
     void applyEvacuations(const std::set<std::string> &before);
     void applyEvacuation(const EvacuationChange &change);
@@ -213,7 +239,7 @@
     EventLog &log;
     HttpClient httpClient;
     RoutingView routing;
-    SiteShare siteShare;
+    ColdAdmission cold;
     std::string document; // text of the configuration in use; see packText()
     bool needsFullDocument = false; // the last delta could not be applied
     std::map<std::string, std::shared_ptr<GatewayUpstream>> upstreams; // by id
--- a/src/gateway/gatewayevacuations.cpp
+++ b/src/gateway/gatewayevacuations.cpp
@@ -47,6 +47,8 @@
         if (change.started) {
             this->httpClient.trimIdle(upstream->upstream().address, 0);
             redirected += this->redirectWaiting(*upstream);
+        } else {
+            upstream->distrustConnections(this->loop.now()); // it may have become cold
         }
     }
     this->metrics
--- a/src/gateway/gatewaypaces.cpp
+++ b/src/gateway/gatewaypaces.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gatewaycore.h"
 
+#include "version/routingtablehistory.h"
+
 #include <algorithm>
 
 namespace cassiaroad {
@@ -9,13 +11,8 @@
 // An upstream that the routing table shows as cold is taken as cold for so long without a newer
 // table, if its service states a rate and no duration.
 constexpr Milliseconds assumedColdDuration { 60000 };
-
-// Whether the leader's share replaces the token bucket of this gateway. Without keys a gateway uses
-// all its tokens, so that dividing a stated rate among the gateways loses nothing.
-bool usesAdmittedShare(const GatewayUpstream &upstream, const SiteService &service)
-{
-    return service.keyed || service.coldRate <= 0.0 || !upstream.isWarming();
-}
+// While the routing table is older, connections must be newer than this.
+constexpr Milliseconds maxTrustedTableAge { 2000 };
 
 } // namespace
 
@@ -42,33 +39,19 @@
     return first;
 }
 
-// Sets the limits of cold and recovering upstreams, by the configuration, the routing table and the
-// number of gateways.
+// Sets the limits of cold and recovering upstreams, by the configuration and the routing table.
 void GatewayCore::applyPaces()
 {
     const TimePoint now = this->loop.now();
-    std::map<std::string, std::optional<ColdLimit>> limits; // by service
     for (const auto &[id, upstream] : this->upstreams) {
         const SiteService *service = this->serviceOf(*upstream);
-        if (!upstream->isWarming() || !this->routing.active) {
-            upstream->pace().setCold(std::nullopt, now);
+        upstream->setColdByTable(service != nullptr ? this->coldByTableUntil(*upstream, *service)
+                                                    : std::nullopt,
+                                 now);
+        if (upstream->isWarming()) {
+            upstream->setColdTerm(termOfTable(this->routing.tableTag));
         }
-        if (service == nullptr) {
-            upstream->pace().setAdmitted(std::nullopt);
-            continue;
-        }
-        const bool isShared = upstream->admitted() && usesAdmittedShare(*upstream, *service);
-        upstream->pace().setAdmitted(
-                isShared ? std::optional(this->admittedShareOf(*service, *upstream->admitted()))
-                         : std::nullopt);
-        if (!upstream->isWarming()) {
-            continue;
-        }
-        const auto [limit, isNew] = limits.try_emplace(upstream->upstream().service);
-        if (isNew) {
-            limit->second = this->coldLimitOf(*service);
-        }
-        upstream->pace().setCold(limit->second, now);
+        upstream->pace().setAdmitted(this->admittedShareOf(*upstream));
     }
 }
 
@@ -84,38 +67,90 @@
     return found == services.end() ? nullptr : &found->second;
 }
 
-// Returns the limit of the service's cold upstreams; nothing if it states none.
-std::optional<ColdLimit> GatewayCore::coldLimitOf(const SiteService &service) const
+// Returns until when @p upstream is cold by the routing table; nothing if @p service does not state
+// what a cold upstream can handle.
+std::optional<TimePoint> GatewayCore::coldByTableUntil(const GatewayUpstream &upstream,
+                                                       const SiteService &service) const
 {
     if (service.coldRate <= 0.0) {
         return std::nullopt;
     }
-    const SiteBounds &bounds = this->settings.bounds;
+    if (!upstream.isWarming()) {
+        // A leader of a later term may not have heard of the warm-up yet.
+        const bool isMarked = upstream.coldByTable()
+                              && upstream.coldTerm() != termOfTable(this->routing.tableTag);
+        return isMarked ? upstream.coldByTable() : TimePoint {};
+    }
     const Milliseconds duration
             = service.coldDuration > Milliseconds {} ? service.coldDuration : assumedColdDuration;
-    return ColdLimit { coldSiteRate(service.coldRate, bounds.coldOver, bounds.coldSlack),
-                       this->siteShare, this->routing.tableConfirmedAt + duration };
+    return this->routing.tableConfirmedAt + duration;
+}
+
+// Returns the share of its usual requests that the leader admits at a recovering upstream.
+std::optional<AdmittedShare> GatewayCore::admittedShareOf(const GatewayUpstream &upstream) const
+{
+    if (!upstream.admitted()) {
+        return std::nullopt;
+    }
+    return AdmittedShare { static_cast<double>(*upstream.admitted()) / wholeShare,
+                           this->routing.tableConfirmedAt + gatewayCountLease };
+}
+
+bool GatewayCore::mayStart(const GatewayUpstream &upstream) const
+{
+    return upstream.pace().allows(this->loop.now()) && this->cold.admits(upstream);
 }
 
-// Returns what the leader's decision means for this gateway. The share of a cold owner is made of
-// the demand, so it holds while the leader counts the requests of this gateway. The bound for each
-// second limits what a sudden rise of the demand can cause before the leader has measured it.
-AdmittedShare GatewayCore::admittedShareOf(const SiteService &service,
-                                           std::uint16_t thousandths) const
+Milliseconds GatewayCore::startsAfter(const GatewayUpstream &upstream) const
 {
-    AdmittedShare result;
-    result.share = static_cast<double>(thousandths) / wholeShare;
-    result.until = this->routing.tableConfirmedAt + gatewayCountLease;
-    if (service.coldRate > 0.0) {
-        result.from = this->siteShare.countedSince();
-        result.until = std::min(this->siteShare.leaseEnd(), result.until);
-        const SiteBounds &bounds = this->settings.bounds;
-        const double limit = service.coldRate * bounds.coldOver + bounds.coldSlack;
-        const double gateways = std::max<double>(this->routing.gateways, 1.0);
-        result.maxPerSecond
-                = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(limit / gateways));
+    const Milliseconds left = upstream.timeLeft(this->loop.now());
+    return this->cold.admits(upstream) ? left : std::max(left, this->cold.refusedFor(upstream));
+}
+
+// The upstream may have restarted without the leader's knowledge.
+std::optional<ConnectionProbe> GatewayCore::probeOf(const GatewayUpstream &upstream) const
+{
+    const std::string &header = this->codec.headers().warmupLeft;
+    const SiteService *service = this->serviceOf(upstream);
+    if (service == nullptr || service->coldRate <= 0.0 || service->healthPath.empty()
+        || header.empty()) {
+        return std::nullopt;
+    }
+    return ConnectionProbe { service->healthPath, upstream.upstream().address.toString(), header };
+}
+
+// Returns since when a connection must be open, so that what it has told of its server holds: a
+// zone may have been evacuated since, and its upstreams cold again, without the knowledge of a
+// gateway whose table is old.
+TimePoint GatewayCore::trustedConnectionsFrom(const GatewayUpstream &upstream) const
+{
+    const TimePoint recent = this->loop.now() - maxTrustedTableAge;
+    return this->routing.tableConfirmedAt >= recent
+                   ? upstream.trustedConnectionsFrom()
+                   : std::max(upstream.trustedConnectionsFrom(), recent);
+}
+
+// A connection tells what the process at its other end has said of itself, so that it holds
+// whatever the routing table knows of a restart.
+WriteDecision GatewayCore::decideWrite(GatewayUpstream &upstream,
+                                       const std::optional<TimePoint> &permitUntil,
+                                       const ConnectionState &connection) const
+{
+    const TimePoint now = this->loop.now();
+    if (permitUntil) {
+        return now < *permitUntil ? WriteDecision::Write : WriteDecision::KeepConnection;
+    }
+    if (!upstream.hasColdLimit()) {
+        return WriteDecision::Write;
+    }
+    const bool isUnknown = !connection.warmAt && this->probeOf(upstream);
+    if (isUnknown || connection.openedAt < this->trustedConnectionsFrom(upstream)) {
+        return WriteDecision::CloseConnection;
+    }
+    if (connection.warmAt && now < *connection.warmAt) {
+        upstream.recordCold(*connection.warmAt);
     }
-    return result;
+    return upstream.isCold(now) ? WriteDecision::KeepConnection : WriteDecision::Write;
 }
 
 } // namespace cassiaroad
--- a/src/gateway/gatewayprocess.cpp
+++ b/src/gateway/gatewayprocess.cpp
@@ -153,6 +153,10 @@
         reason = this->metricsServer.listen({ this->settings.bindIp, this->settings.metricsPort });
     }
     this->core.setReportHandler([this] { this->watcher.reportSoon(); });
+    this->core.coldAdmission().setCaller(
+            [this](const PermitRequest &request, const ColdAdmission::Done &done) {
+                return this->watcher.askPermits(request, done);
+            });
     if (reason.empty()) {
         this->watcher.start();
     }
--- a/src/gateway/gatewayrequest.cpp
+++ b/src/gateway/gatewayrequest.cpp
@@ -41,6 +41,7 @@
             this->request.waitForPause(wait, reason);
         }
     }
+    void operator()(const ColdUpstream &cold) const { this->request.waitForPermit(*cold.upstream); }
     void operator()(const KeyWithoutOwner & /*none*/) const { this->request.waitForOwner(); }
     void operator()(const ServiceEvacuated & /*service*/) const
     {
@@ -183,6 +184,32 @@
                             this->callback(&GatewayRequest::dispatch));
 }
 
+// Asks the leader for a permit and waits for its decision. If the leader has lately told a time to
+// another request, this one waits until then, once.
+void GatewayRequest::waitForPermit(const GatewayUpstream &upstream)
+{
+    this->core.countPaced(upstream);
+    const bool mayWait = !std::exchange(this->hasWaitedForPermit, true);
+    if (const std::optional<PermitRefusal> refusal = this->core.coldAdmission().ask(upstream)) {
+        if (mayWait && refusal->isPromising && this->target.canWaitFor(refusal->retryAfter)) {
+            this->wait.waitFor(refusal->retryAfter, this->callback(&GatewayRequest::dispatch));
+        } else {
+            this->refuseWithRetryAfter(refusal->retryAfter, ColdUpstream::reason);
+        }
+        return;
+    }
+    const Milliseconds spareTime = this->timeLeft() - this->target.typicalDuration();
+    this->wait.waitForPermit(upstream, std::max(spareTime, Milliseconds {}),
+                             this->callback(&GatewayRequest::dispatch),
+                             this->callback(&GatewayRequest::onPermitTimeout));
+}
+
+void GatewayRequest::onPermitTimeout()
+{
+    this->wait.stop();
+    this->refuse(ColdUpstream::reason);
+}
+
 // Waits until the routing table changes; refuses the request if that takes too long.
 void GatewayRequest::waitForOwner()
 {
@@ -247,8 +274,8 @@
 // Called when the target has capacity for the waiting request, which counts as in flight.
 void GatewayRequest::startFromQueue()
 {
-    const bool isPaced = !this->target.upstream()->pace().allows(this->core.now());
-    if (isPaced || !this->maySend()) {
+    const bool mayStart = this->core.mayStart(*this->target.upstream());
+    if (!mayStart || this->isBlocked() || !this->target.maySend()) {
         this->target.declineStart();
         this->dispatch();
         return;
@@ -260,16 +287,22 @@
 void GatewayRequest::send()
 {
     this->results.begin(this->core.now());
-    this->limitAtStart = this->target.upstream()->pace().limit(this->core.now());
-    this->target.upstream()->pace().take(this->core.now());
+    GatewayUpstream &upstream = *this->target.upstream();
+    this->permitUntil = this->core.coldAdmission().take(upstream);
+    this->limitAtStart
+            = this->permitUntil ? "cold" : limitName(upstream.pace().limit(this->core.now()));
+    upstream.pace().take(this->core.now());
     this->sender.send(this->target.upstream());
 }
 
 // Whether the request, which has waited for capacity of its target or a connection, can still be
 // sent there.
-bool GatewayRequest::maySend()
+WriteDecision GatewayRequest::decideWrite(const ConnectionState &connection)
 {
-    return !this->isBlocked() && this->target.maySend();
+    if (this->isBlocked() || !this->target.maySend()) {
+        return WriteDecision::CloseConnection;
+    }
+    return this->core.decideWrite(*this->target.upstream(), this->permitUntil, connection);
 }
 
 void GatewayRequest::onEvacuated()
--- a/src/gateway/gatewayrequest.h
+++ b/src/gateway/gatewayrequest.h
@@ -24,7 +24,7 @@
 
     GatewayRequest(GatewayCore &core, std::shared_ptr<HttpExchange> exchange);
 
-    bool maySend() override;
+    WriteDecision decideWrite(const ConnectionState &connection) override;
     bool isTooSlow(Milliseconds elapsed) override { return this->results.isTooSlow(elapsed); }
     void onSlowAttempt() override { this->continueWith(this->results.onSlowAttempt()); }
     void onResult(HttpResult result) override
@@ -48,6 +48,7 @@
     void start();
     void dispatch();
     void waitForPause(Milliseconds pause, const std::string &reason);
+    void waitForPermit(const GatewayUpstream &upstream);
     void waitForOwner();
     void submit(std::shared_ptr<GatewayUpstream> chosen);
     void waitForCapacity();
@@ -65,6 +66,7 @@
     void onClientGone();
     void onStop(StopStage stage);
     void onOwnerTimeout();
+    void onPermitTimeout();
     void onCapacityTimeout();
     void onLate();
     void end();
@@ -85,7 +87,9 @@
     AttemptResult results;
     AttemptSender sender;
     RequestWait wait;
-    UpstreamPace::Limit limitAtStart = UpstreamPace::Limit::None; // of the last attempt's target
+    std::string limitAtStart = "none"; // of the last attempt's target, for the log
+    std::optional<TimePoint> permitUntil; // of the last attempt; nothing: it has none
+    bool hasWaitedForPermit = false;
     bool isTrial = false; // may be sent although requests like it are blocked
     std::optional<TimePoint> trialDeadline; // until which it waits for a trial that it asked for
     bool isRepetitionGivenUp = false; // only the slow attempt is left
--- a/src/gateway/gatewayupstream.cpp
+++ b/src/gateway/gatewayupstream.cpp
@@ -95,6 +95,15 @@
     this->routed = value;
 }
 
+// Connections that were opened while no rate was stated have told nothing.
+void GatewayUpstream::setColdByTable(std::optional<TimePoint> until, TimePoint now)
+{
+    if (until && !this->coldByTableUntil) {
+        this->distrustConnections(now);
+    }
+    this->coldByTableUntil = until;
+}
+
 bool GatewayUpstream::hasLeft(TimePoint now, Milliseconds drainPeriod,
                               Milliseconds connectTime) const
 {
--- a/src/gateway/gatewayupstream.h
+++ b/src/gateway/gatewayupstream.h
@@ -81,6 +81,33 @@
      */
     void setShare(double value, double roundingOffset);
     bool isWarming() const { return this->routed.warming; }
+    /**
+     * Sets until when it is cold by the routing table, if its service states what a cold upstream
+     * can handle. Nothing: the service does not state it.
+     */
+    void setColdByTable(std::optional<TimePoint> until, TimePoint now);
+    /** See setColdByTable(). */
+    std::optional<TimePoint> coldByTable() const { return this->coldByTableUntil; }
+    /** Term of the last table that has marked it as warming up. */
+    std::uint64_t coldTerm() const { return this->coldMarkTerm; }
+    void setColdTerm(std::uint64_t term) { this->coldMarkTerm = term; }
+    /** Records that it is cold until @p until, as it has said on a connection. */
+    void recordCold(TimePoint until) { this->saidColdUntil = std::max(this->saidColdUntil, until); }
+    /** Whether its service states what a cold upstream can handle, and it is cold. */
+    bool isCold(TimePoint now) const
+    {
+        return this->coldByTableUntil
+               && (now < *this->coldByTableUntil || now < this->saidColdUntil);
+    }
+    /** Whether its service states what a cold upstream can handle. */
+    bool hasColdLimit() const { return this->coldByTableUntil.has_value(); }
+    /**
+     * What connections that were opened before @p now have told no longer holds: it may have become
+     * cold since.
+     */
+    void distrustConnections(TimePoint now) { this->connectionsFrom = now; }
+    /** When connections were opened that may be used. */
+    TimePoint trustedConnectionsFrom() const { return this->connectionsFrom; }
     /** See RoutedUpstream::admitted. */
     std::optional<std::uint16_t> admitted() const { return this->routed.admitted; }
 
@@ -150,6 +177,10 @@
     std::uint32_t failuresInRow = 0;
     TimePoint lastFailureAt;
     TimePoint suspectedUntil;
+    std::optional<TimePoint> coldByTableUntil; // nothing: its service states no rate
+    std::uint64_t coldMarkTerm = 0;
+    TimePoint saidColdUntil; // on a connection
+    TimePoint connectionsFrom; // earlier ones are not used while its service states a rate
     bool replaced = false;
     bool evacuated = false; // its zone is
     std::optional<TimePoint> leavingSince; // it announced its shutdown then or later
--- a/src/gateway/registrywatcher.cpp
+++ b/src/gateway/registrywatcher.cpp
@@ -107,6 +107,31 @@
             [this, number](const std::string &reason) { this->onFailure(number, reason); });
 }
 
+// The reply timeout ends the connection, which the watch calls share, so it is that of these calls.
+bool RegistryWatcher::askPermits(
+        const PermitRequest &request,
+        const std::function<void(const std::optional<PermitReply> &)> &done)
+{
+    if (!this->leader.connection) {
+        return false;
+    }
+    auto call = [bytes = encode(request)](rpc::Member::Client client) {
+        auto built = client.castAs<rpc::Registry>().permitRequest();
+        built.setRequest(
+                kj::arrayPtr(reinterpret_cast<const kj::byte *>(bytes.data()), bytes.size()));
+        return built.send().then([](capnp::Response<rpc::Registry::PermitResults> &&results) {
+            const auto reply = results.getReply().asChars();
+            return std::string(reply.begin(), reply.size());
+        });
+    };
+    const RpcConnection::Timeouts timeouts { reconnectWait, replyTimeout };
+    this->tasks.add(
+            this->leader.connection->call<std::string>(timeouts, std::move(call))
+                    .then([done](const std::string &bytes) { done(decodePermitReply(bytes)); },
+                          [done](const kj::Exception &) { done(std::nullopt); }));
+    return true;
+}
+
 void RegistryWatcher::reportSoon()
 {
     if (this->calls.size() == 1 && !this->search.hasBegun()) {
--- a/src/gateway/registrywatcher.h
+++ b/src/gateway/registrywatcher.h
@@ -5,6 +5,7 @@
 #include "gateway/leadersearch.h"
 #include "process/eventlog.h"
 #include "process/sitesettings.h"
+#include "version/permitcall.h"
 #include "version/searchreport.h"
 #include "version/sitewatch.h"
 
@@ -47,6 +48,12 @@
      * the next call is due soon, or several wait already, or the leader is not known.
      */
     void reportSoon();
+    /**
+     * Asks the leader for permits; @p done is called once, unless the watcher is destroyed before,
+     * without a reply if there is none. Returns false, and does not call it, if no leader is known.
+     */
+    bool askPermits(const PermitRequest &request,
+                    const std::function<void(const std::optional<PermitReply> &)> &done);
     /** Sets the seeds after a change of the settings. */
     void setSeeds(const std::vector<HostAddress> &seeds);
 
--- a/src/gateway/requestattempts.cpp
+++ b/src/gateway/requestattempts.cpp
@@ -1,6 +1,7 @@
 #include "gateway/requestattempts.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cassiaroad {
 
@@ -21,10 +22,20 @@
 
 std::uint32_t RequestAttempts::begin(const std::string &upstream)
 {
+    const std::size_t before = this->chosenIds.size();
     addOnce(this->chosenIds, upstream);
+    this->lastIsNew = this->chosenIds.size() > before;
     return ++this->attempts;
 }
 
+void RequestAttempts::cancelLast()
+{
+    --this->attempts;
+    if (std::exchange(this->lastIsNew, false)) {
+        this->chosenIds.pop_back();
+    }
+}
+
 void RequestAttempts::recordWritten(const std::string &upstream)
 {
     addOnce(this->reachedIds, upstream);
--- a/src/gateway/requestattempts.h
+++ b/src/gateway/requestattempts.h
@@ -18,6 +18,9 @@
     /** Begins an attempt at @p upstream and returns its number, from 1 on. */
     std::uint32_t begin(const std::string &upstream);
 
+    /** The last attempt was cancelled before a byte was written, so that it counts as not begun. */
+    void cancelLast();
+
     /** Records that a byte of the request is about to be written to @p upstream. */
     void recordWritten(const std::string &upstream);
 
@@ -40,6 +43,7 @@
 private:
     std::vector<std::string> chosenIds;
     std::vector<std::string> reachedIds;
+    bool lastIsNew = false; // the upstream of the last attempt was not chosen before
     std::uint32_t attempts = 0;
     std::uint32_t refusedConnections = 0;
 };
--- a/src/gateway/requestlog.cpp
+++ b/src/gateway/requestlog.cpp
@@ -46,7 +46,7 @@
         { "upstream", target != nullptr ? target->upstream().incarnation.id : std::string() },
         { "in_flight",
           target != nullptr ? std::int64_t(target->admission().inFlight()) : std::int64_t(0) },
-        { "limit", std::string(limitName(facts.limit)) },
+        { "limit", facts.limit },
         { "sends", std::int64_t(facts.attempts) },
         { "sent", facts.isSent },
         { "configuration", std::int64_t(facts.configuration) },
--- a/src/gateway/requestlog.h
+++ b/src/gateway/requestlog.h
@@ -22,7 +22,7 @@
     std::string service;
     std::optional<KeyNumber> key;
     const GatewayUpstream *target = nullptr;
-    UpstreamPace::Limit limit = UpstreamPace::Limit::None; // of the target, at the last attempt
+    std::string limit; // what limited the target when the last attempt was begun
     std::uint32_t attempts = 0;
     bool isSent = false; // an attempt without a result may run at an upstream
     ConfigurationVersion configuration = 0;
--- a/src/gateway/requesttarget.cpp
+++ b/src/gateway/requesttarget.cpp
@@ -142,7 +142,7 @@
     if (!this->request.key) {
         return std::nullopt;
     }
-    const std::optional<Milliseconds> wait = waitOf(this->select(), this->core.now());
+    const std::optional<Milliseconds> wait = waitOf(this->core, this->select());
     return wait && !this->canWaitFor(*wait) ? wait : std::nullopt;
 }
 
--- a/src/gateway/requestwait.cpp
+++ b/src/gateway/requestwait.cpp
@@ -16,6 +16,13 @@
     this->timer = this->core.eventLoop().callAfter(maxWait, std::move(timeout));
 }
 
+void RequestWait::waitForPermit(const GatewayUpstream &upstream, Milliseconds maxWait,
+                                Action resume, Action timeout)
+{
+    this->permitWait = this->core.coldAdmission().wait(upstream, std::move(resume));
+    this->timer = this->core.eventLoop().callAfter(maxWait, std::move(timeout));
+}
+
 void RequestWait::waitForCapacity(std::shared_ptr<GatewayUpstream> upstream, Milliseconds maxWait,
                                   GatewayCore::CapacityWait next, Action timeout)
 {
@@ -51,6 +58,9 @@
         this->core.cancelTableWait(std::exchange(this->tableWait, 0));
         this->tableWaited = this->tableWaited + (this->core.now() - this->startedAt);
     }
+    if (this->permitWait != 0) {
+        this->core.coldAdmission().cancelWait(std::exchange(this->permitWait, 0));
+    }
     this->core.cancelCapacityWait(this->id);
     if (const std::shared_ptr<GatewayUpstream> upstream = std::exchange(this->queuedAt, nullptr)) {
         upstream->admission().remove(this->id);
--- a/src/gateway/requestwait.h
+++ b/src/gateway/requestwait.h
@@ -5,9 +5,9 @@
 namespace cassiaroad {
 
 /**
- * The wait of one request: for a change of the routing table, for capacity of an upstream, or for
- * the time of its repetition. At most one is in progress. Each function that is passed in is called
- * once at most, and not after stop(). Loop thread only.
+ * The wait of one request: for a change of the routing table, for a permit, for capacity of an
+ * upstream, or for the time of its repetition. At most one is in progress. Each function that is
+ * passed in is called once at most, and not after stop(). Loop thread only.
  */
 class RequestWait
 {
@@ -23,6 +23,13 @@
     /** Calls @p resume when the routing table changes, or @p timeout after @p maxWait. */
     void waitForTable(Milliseconds maxWait, Action resume, Action timeout);
 
+    /**
+     * Calls @p resume when the leader has decided about the permit for @p upstream that was asked
+     * for just now, or @p timeout after @p maxWait.
+     */
+    void waitForPermit(const GatewayUpstream &upstream, Milliseconds maxWait, Action resume,
+                       Action timeout);
+
     /**
      * Calls one of the functions of @p next as GatewayCore::waitForCapacity() does, for a request
      * that @p upstream has queued, or @p timeout after @p maxWait.
@@ -50,6 +57,7 @@
     Milliseconds queued { 0 };
     Milliseconds tableWaited { 0 };
     std::uint64_t tableWait = 0; // see GatewayCore::waitForTableChange(); 0: none
+    std::uint64_t permitWait = 0; // see ColdAdmission::wait(); 0: none
     std::shared_ptr<GatewayUpstream> queuedAt; // null: does not wait for capacity
     EventLoop::Timer timer;
 };
--- a/src/gateway/routepreview.cpp
+++ b/src/gateway/routepreview.cpp
@@ -43,6 +43,7 @@
         this->set(pace.isShared(this->now) ? RouteVerdict::Refuse : RouteVerdict::Wait,
                   paced.reason);
     }
+    void operator()(const ColdUpstream &cold) const { this->set(RouteVerdict::Wait, cold.reason); }
     template <typename Result>
     void operator()(const Result &result) const
     {
@@ -79,6 +80,9 @@
     if (!upstream.pace().allows(now)) {
         return limitName(upstream.pace().limit(now));
     }
+    if (!core.coldAdmission().admits(upstream)) {
+        return "cold";
+    }
     return upstream.isSuspected(now) ? "suspected" : "ready";
 }
 
@@ -91,7 +95,7 @@
     candidate.state = stateOf(core, upstream, query);
     candidate.cost = upstream.cost(core.now(), usualMilliseconds);
     candidate.waiting = upstream.admission().waitingCount();
-    candidate.startsAfter = upstream.timeLeft(core.now());
+    candidate.startsAfter = core.startsAfter(upstream);
     candidate.admitted = upstream.admitted();
     return candidate;
 }
--- a/src/gateway/upstreamselection.cpp
+++ b/src/gateway/upstreamselection.cpp
@@ -58,6 +58,9 @@
     if (!owner->pace().allows(now)) {
         return PacedUpstream { std::move(owner) };
     }
+    if (!core.coldAdmission().admits(*owner)) {
+        return ColdUpstream { std::move(owner) };
+    }
     return SelectedUpstream { std::move(owner) };
 }
 
@@ -65,8 +68,11 @@
 {
     if (auto next = core.nextUpstream(query.service, query.homes, query.tried)) {
         const Milliseconds pause = next->pauseLeft(core.now());
-        return pause > Milliseconds {} ? UpstreamSelection(PausedUpstream { pause })
-                                       : PacedUpstream { std::move(next) };
+        if (pause > Milliseconds {}) {
+            return PausedUpstream { pause };
+        }
+        return core.coldAdmission().admits(*next) ? UpstreamSelection(PacedUpstream { next })
+                                                  : ColdUpstream { next };
     }
     if (core.view().table->isEvacuated(query.service)) {
         return ServiceEvacuated {};
@@ -85,14 +91,18 @@
     return query.key ? selectOwner(core, query) : selectAny(core, query);
 }
 
-std::optional<Milliseconds> waitOf(const UpstreamSelection &selection, TimePoint now)
+std::optional<Milliseconds> waitOf(const GatewayCore &core, const UpstreamSelection &selection)
 {
+    const TimePoint now = core.now();
     if (const auto *paused = std::get_if<PausedUpstream>(&selection)) {
         return paused->timeLeft;
     }
     if (const auto *paced = std::get_if<PacedUpstream>(&selection)) {
         return paced->upstream->pace().timeLeft(now);
     }
+    if (const auto *cold = std::get_if<ColdUpstream>(&selection)) {
+        return core.coldAdmission().refusedFor(*cold->upstream);
+    }
     return std::nullopt;
 }
 
--- a/src/gateway/upstreamselection.h
+++ b/src/gateway/upstreamselection.h
@@ -59,22 +59,29 @@
     Milliseconds timeLeft;
 };
 
-/** The upstream that would be used is cold or full, and this gateway has used its share. */
+/** The upstream that would be used is full, and this gateway has used its share. */
 struct PacedUpstream
 {
     static constexpr const char *reason = "upstream has no capacity";
     std::shared_ptr<GatewayUpstream> upstream;
 };
 
+/** The upstream that would be used is cold, and there is no permit for a request to it. */
+struct ColdUpstream
+{
+    static constexpr const char *reason = "upstream has no capacity";
+    std::shared_ptr<GatewayUpstream> upstream;
+};
+
 /** No upstream without a key is left. */
 struct NoUpstream
 {
     static constexpr const char *reason = "no upstream left";
 };
 
-using UpstreamSelection
-        = std::variant<SelectedUpstream, NoRoutingTable, KeyWithoutOwner, ServiceEvacuated,
-                       NoUpstreamAtHome, SuspectedOwner, PausedUpstream, PacedUpstream, NoUpstream>;
+using UpstreamSelection = std::variant<SelectedUpstream, NoRoutingTable, KeyWithoutOwner,
+                                       ServiceEvacuated, NoUpstreamAtHome, SuspectedOwner,
+                                       PausedUpstream, PacedUpstream, ColdUpstream, NoUpstream>;
 
 /** Selects the upstream for a request. Loop thread only. */
 UpstreamSelection selectUpstream(GatewayCore &core, const UpstreamQuery &query);
@@ -94,7 +101,7 @@
 
 /** Returns how long a request has to wait for its upstream, if it has one that is not to be used.
  */
-std::optional<Milliseconds> waitOf(const UpstreamSelection &selection, TimePoint now);
+std::optional<Milliseconds> waitOf(const GatewayCore &core, const UpstreamSelection &selection);
 
 /**
  * Whether @p upstream, which was selected for the request earlier, may still get it. Must be asked
--- a/src/registry/leasecaller.cpp
+++ b/src/registry/leasecaller.cpp
@@ -57,11 +57,16 @@
     entry.timeout = this->loop.callAfter(call.timeout, [this, number] { this->onTimeout(number); });
     // A second copy of an earlier response on a kept connection must not be taken for the end of
     // the requests in progress.
-    entry.http = std::holds_alternative<ReleaseCall>(call.body)
-                         ? this->client.sendOnNewConnection(call.address, this->buildRequest(call),
-                                                            maxResponseBytes, onResult)
-                         : this->client.send(call.address, this->buildRequest(call),
-                                             maxResponseBytes, onResult, this->mayCall);
+    entry.http
+            = std::holds_alternative<ReleaseCall>(call.body)
+                      ? this->client.sendOnNewConnection(call.address, this->buildRequest(call),
+                                                         maxResponseBytes, onResult)
+                      : this->client.send(call.address, this->buildRequest(call), maxResponseBytes,
+                                          onResult, [this](const ConnectionState &) {
+                                              return this->mayCall()
+                                                             ? WriteDecision::Write
+                                                             : WriteDecision::CloseConnection;
+                                          });
 }
 
 LeaseCallResult LeaseCaller::decode(const HttpResult &result) const
--- a/src/registry/registryengine.cpp
+++ b/src/registry/registryengine.cpp
@@ -70,6 +70,14 @@
                                     "Key ranges that changed their owner."))
     , putCount(metrics.counter("cassiaroad_registry_configurations_total",
                                "Configurations that were put in force."))
+    , askedPermits(metrics.counter("cassiaroad_registry_permits_total",
+                                   "Permits for requests to cold upstreams that gateways have "
+                                   "asked for, and those that were granted.",
+                                   { { "state", "asked" } }))
+    , grantedPermits(metrics.counter("cassiaroad_registry_permits_total",
+                                     "Permits for requests to cold upstreams that gateways have "
+                                     "asked for, and those that were granted.",
+                                     { { "state", "granted" } }))
     , evacuatedZones(metrics.gauge("cassiaroad_registry_evacuated_zones",
                                    "Availability zones whose upstreams get no work."))
     , manager(this->state, timingOf(settings))
@@ -441,69 +449,6 @@
     });
 }
 
-// Returns the reply to a watch call that arrived at @p calledAt: what the gateway does not have
-// yet, or a hint to the leader.
-GatewayWatchReply RegistryEngine::update(const GatewayReport &report, TimePoint calledAt)
-{
-    const WorkMeter::Scope scope(this->loop.workMeter(), Work::WatchReplies);
-    if (!this->canAnswer()) {
-        return this->group.hint();
-    }
-    return this->updates.updateFor(report, calledAt);
-}
-
-// Resolves when whenLeadershipIsCertain() would run an action.
-kj::Promise<void> RegistryEngine::certainLeadership()
-{
-    if (!this->isLeadershipUncertain()) {
-        return kj::READY_NOW;
-    }
-    auto paf = kj::newPromiseAndFulfiller<void>();
-    const auto fulfiller
-            = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(kj::mv(paf.fulfiller));
-    this->whenLeadershipIsCertain([fulfiller] { (*fulfiller)->fulfill(); });
-    return kj::mv(paf.promise);
-}
-
-kj::Promise<GatewayWatchReply> RegistryEngine::watch(GatewayReport report)
-{
-    const TimePoint calledAt = this->loop.now();
-    return this->certainLeadership().then([this, calledAt, report = std::move(report)]() mutable {
-        return this->handleCertainWatch(std::move(report), calledAt);
-    });
-}
-
-kj::Promise<GatewayWatchReply> RegistryEngine::handleCertainWatch(GatewayReport report,
-                                                                  TimePoint calledAt)
-{
-    if (!this->canAnswer()) {
-        return GatewayWatchReply(this->group.hint());
-    }
-    this->updates.load().countCall();
-    if (report.isSearch) {
-        GatewayUpdate update;
-        update.watchTimeout = this->updates.watchTimeout();
-        return GatewayWatchReply(update);
-    }
-    const std::vector<RegistryCommand> commands
-            = this->manager.onGatewayReport(report, this->loop.now());
-    if (!commands.empty()) {
-        this->commit(commands, [](bool, PutOutcome) {});
-    }
-    if (!report.broken.empty() || !report.answered.empty() || !report.trials.empty()) {
-        this->updates.notify();
-    }
-    if (!this->updates.isCurrent(report)) {
-        return this->update(report, calledAt);
-    }
-    return this->updates.wait()
-            .exclusiveJoin(rpcDelay(this->loop, this->updates.watchTimeout()))
-            .then([this] { return this->certainLeadership(); })
-            .then([this, calledAt, report = std::move(report)] {
-                return this->update(report, calledAt);
-            });
-}
-
 kj::Promise<GroupHint> RegistryEngine::join(const JoinRequest &request)
 {
     GroupHint hint = this->group.hint();
--- a/src/registry/registryengine.h
+++ b/src/registry/registryengine.h
@@ -95,6 +95,8 @@
      * after the watch timeout at the latest; at once and without changes if the report is a search.
      */
     kj::Promise<GatewayWatchReply> watch(GatewayReport report);
+    /** Resolves with what the leader grants; fails on a host that does not lead. */
+    kj::Promise<PermitReply> grantPermits(PermitRequest request);
     /**
      * Resolves with what this host knows of the group, and with a slot if this host is the leader
      * and assigns one.
@@ -160,6 +162,7 @@
     void updateEvacuatedZones();
     kj::Promise<GatewayWatchReply> handleCertainWatch(GatewayReport report, TimePoint calledAt);
     GatewayWatchReply update(const GatewayReport &report, TimePoint calledAt);
+    PermitReply grantCertainPermits(const PermitRequest &request);
     void tick();
     void logWatchLoad();
     void logUpstreams();
@@ -171,6 +174,8 @@
     prometheus::Counter &heartbeatCount;
     prometheus::Counter &transferCount;
     prometheus::Counter &putCount;
+    prometheus::Counter &askedPermits;
+    prometheus::Counter &grantedPermits;
     prometheus::Gauge &evacuatedZones;
 
     RegistryState state;
--- a/src/registry/registryservice.cpp
+++ b/src/registry/registryservice.cpp
@@ -46,6 +46,17 @@
             });
 }
 
+kj::Promise<void> RegistryService::permit(PermitContext context)
+{
+    auto request = decodePermitRequest(view(context.getParams().getRequest()));
+    KJ_REQUIRE(request.has_value(), "the request for permits cannot be decoded");
+    context.releaseParams();
+    return this->engine.grantPermits(std::move(*request))
+            .then([context](const PermitReply &reply) mutable {
+                context.getResults().setReply(toData(encode(reply)));
+            });
+}
+
 kj::Promise<void> RegistryService::join(JoinContext context)
 {
     const std::string_view bytes = view(context.getParams().getRequest());
--- a/src/registry/registryservice.h
+++ b/src/registry/registryservice.h
@@ -15,6 +15,7 @@
     kj::Promise<void> deliver(DeliverContext context) override;
     kj::Promise<void> watch(WatchContext context) override;
     kj::Promise<void> join(JoinContext context) override;
+    kj::Promise<void> permit(PermitContext context) override;
 
 private:
     EventLoop &loop;
--- a/src/request/tokenbucket.cpp
+++ b/src/request/tokenbucket.cpp
@@ -9,6 +9,8 @@
 
 constexpr double millisecondsPerSecond = 1000.0;
 constexpr double maxWaitMilliseconds = 60000.0;
+// While a token waits to be used, the next one arises by what is due in so much time.
+constexpr double earlyTokenSeconds = 0.2;
 // Errors of rounding must not make a request wait for one more millisecond.
 constexpr double tolerance = 1e-6;
 
@@ -22,26 +24,18 @@
 
 } // namespace
 
-TokenBucket::TokenBucket(double phase, double perSecond, Unused unused, TimePoint now)
+TokenBucket::TokenBucket(double phase, double perSecond, TimePoint now)
     : credit(phase)
     , perSecond(perSecond)
-    , unused(unused)
     , updatedAt(now)
 { }
 
-// The lifetime of tokens bounds the credit: a token that arises while the credit is 1 is there
-// until the credit exceeds 1 by what arises in a lifetime.
 double TokenBucket::creditAt(TimePoint now) const
 {
     const auto elapsed = static_cast<double>((now - this->updatedAt).count);
-    const double lifetime = static_cast<double>(tokenLifetime.count) / millisecondsPerSecond;
-    const double most = 1.0 + this->perSecond * lifetime;
-    const double value
-            = this->credit + std::max(elapsed, 0.0) * this->perSecond / millisecondsPerSecond;
-    if (value <= most) {
-        return value;
-    }
-    return this->unused == Unused::Stays ? most : value - std::ceil(value - most);
+    const double arisen = std::max(elapsed, 0.0) * this->perSecond / millisecondsPerSecond;
+    const double most = 1.0 + this->perSecond * earlyTokenSeconds;
+    return std::min(this->credit + arisen, most);
 }
 
 void TokenBucket::setRate(double value, TimePoint now)
@@ -51,13 +45,6 @@
     this->perSecond = value;
 }
 
-TokenBucket TokenBucket::withRate(double value) const
-{
-    TokenBucket changed = *this;
-    changed.perSecond = value;
-    return changed;
-}
-
 bool TokenBucket::hasToken(TimePoint now) const
 {
     return this->perSecond > 0.0 && this->creditAt(now) >= 1.0 - tolerance;
--- a/src/request/upstreampace.cpp
+++ b/src/request/upstreampace.cpp
@@ -33,7 +33,6 @@
 // spread over the interval after it.
 constexpr Milliseconds sharedRetryDelay { 500 };
 constexpr Milliseconds sharedRetryInterval { 1000 };
-constexpr Milliseconds second { 1000 };
 // Errors of rounding must not turn a request away.
 constexpr double tolerance = 1e-6;
 
@@ -44,8 +43,6 @@
     switch (limit) {
     case UpstreamPace::Limit::None:
         return "none";
-    case UpstreamPace::Limit::Cold:
-        return "cold";
     case UpstreamPace::Limit::Recovering:
         return "recovering";
     case UpstreamPace::Limit::Full:
@@ -59,31 +56,6 @@
     , credit(phase)
 { }
 
-void UpstreamPace::setCold(const std::optional<ColdLimit> &value, TimePoint now)
-{
-    if (!value) {
-        this->coldTokens.reset();
-        return;
-    }
-    const bool wasCold = this->isCold(now);
-    if (wasCold) {
-        this->coldTokens = this->coldTokensAt(now);
-    }
-    this->cold = *value;
-    const double rate = value->sitePerSecond * value->share.at(now);
-    if (wasCold) {
-        this->coldTokens->setRate(rate, now);
-    } else {
-        this->coldTokens = TokenBucket(this->phase, rate, TokenBucket::Unused::Expires, now);
-    }
-}
-
-// Returns the tokens with the present rate: the share of the gateway changes as its lease ends.
-TokenBucket UpstreamPace::coldTokensAt(TimePoint now) const
-{
-    return this->coldTokens->withRate(this->cold.sitePerSecond * this->cold.share.at(now));
-}
-
 void UpstreamPace::setFullRate(double perSecond, TimePoint now)
 {
     this->fullPerSecond = perSecond;
@@ -102,8 +74,7 @@
         if (now >= this->fullUntil + correctionLifetime) {
             this->correction = 1.0;
         }
-        this->fullTokens = TokenBucket(this->phase, this->fullPerSecond * this->correction,
-                                       TokenBucket::Unused::Stays, now);
+        this->fullTokens = TokenBucket(this->phase, this->fullPerSecond * this->correction, now);
         this->nextDecrease = now + minDecreaseInterval;
     } else if (now >= this->nextDecrease) {
         this->correction = std::max(this->correction * decreaseFactor, minCorrection);
@@ -131,9 +102,6 @@
 
 UpstreamPace::Limit UpstreamPace::limit(TimePoint now) const
 {
-    if (this->isCold(now)) {
-        return Limit::Cold;
-    }
     if (this->isFull(now)) {
         return Limit::Full;
     }
@@ -143,10 +111,8 @@
 Milliseconds UpstreamPace::timeLeft(TimePoint now) const
 {
     Milliseconds left;
-    if (this->isShared(now)) {
-        left = this->shareTimeLeft(now);
-    } else if (this->isCold(now)) {
-        left = std::min(this->coldTokensAt(now).timeToToken(now), this->cold.until - now);
+    if (this->isShared(now) && !this->hasCredit()) {
+        left = sharedRetryDelay;
     }
     if (this->isFull(now)) {
         left = std::max(left, this->fullTokens->timeToToken(now));
@@ -159,36 +125,17 @@
     return this->credit + this->admitted->share >= 1.0 - tolerance;
 }
 
-Milliseconds UpstreamPace::shareTimeLeft(TimePoint now) const
-{
-    const std::size_t most = this->admitted->maxPerSecond;
-    const bool isBounded = most > 0 && this->started.size() >= most
-                           && now - this->started[this->started.size() - most] < second;
-    return this->hasCredit() && !isBounded ? Milliseconds {} : sharedRetryDelay;
-}
-
 // A request that had to be started without credit must not leave a debt for more than one other.
-void UpstreamPace::takeShared(TimePoint now)
+void UpstreamPace::takeShared()
 {
     this->credit = std::max(this->credit + this->admitted->share - 1.0, -1.0);
-    if (this->admitted->maxPerSecond > 0) {
-        this->started.push_back(now);
-        if (this->started.size() > this->admitted->maxPerSecond) {
-            const auto excess = this->started.size() - this->admitted->maxPerSecond;
-            this->started.erase(this->started.begin(),
-                                this->started.begin() + static_cast<std::ptrdiff_t>(excess));
-        }
-    }
 }
 
 void UpstreamPace::take(TimePoint now)
 {
     this->turnedAway = 0;
     if (this->isShared(now)) {
-        this->takeShared(now);
-    } else if (this->isCold(now)) {
-        this->coldTokens = this->coldTokensAt(now);
-        this->coldTokens->take(now);
+        this->takeShared();
     }
     if (this->isFull(now)) {
         this->fullTokens->take(now);
@@ -201,14 +148,12 @@
 {
     const Milliseconds left = this->timeLeft(now);
     Milliseconds interval;
-    if (this->isShared(now) && left > Milliseconds {}) {
-        this->credit += this->hasCredit() ? 0.0 : this->admitted->share;
+    if (this->isShared(now) && !this->hasCredit()) {
+        this->credit += this->admitted->share;
         interval = sharedRetryInterval;
     } else if (this->isFull(now)) {
         this->extendFull(now);
         interval = this->fullTokens->interval();
-    } else if (this->isCold(now)) {
-        interval = this->coldTokensAt(now).interval();
     }
     double whole = 0.0;
     const double part = std::modf(goldenRatio * this->turnedAway++, &whole);
--- a/src/request/upstreampace.h
+++ b/src/request/upstreampace.h
@@ -1,50 +1,34 @@
 #pragma once
 
-#include "request/siteshare.h"
 #include "request/tokenbucket.h"
 
-#include <vector>
+#include <optional>
 
 namespace cassiaroad {
 
-/** Rate limit of a cold upstream. */
-struct ColdLimit
-{
-    double sitePerSecond = 0.0; // of all gateways together; see coldSiteRate()
-    SiteShare share; // of this gateway
-    TimePoint until; // when the upstream is no longer cold
-};
-
 /** Decision of the leader which share of its requests for an upstream a gateway starts there. */
 struct AdmittedShare
 {
     double share = 1.0;
-    std::uint32_t maxPerSecond = 0; // of this gateway, in any second; 0: no bound
-    TimePoint from;
     TimePoint until;
 };
 
 /**
- * Decides when one gateway may start requests at one upstream that is cold, recovering or full.
- * Otherwise there is no limit. Gateways do not see each other's requests, so each uses its share of
- * the rate of a cold or full upstream, without a minimum, and at times that differ between
- * gateways. Pure; not thread-safe.
+ * Decides when one gateway may start requests at one upstream that is recovering or full. Otherwise
+ * there is no limit. Gateways do not see each other's requests, so each uses its share of the rate
+ * of a full upstream, without a minimum, and at times that differ between gateways. Pure; not
+ * thread-safe.
  */
 class UpstreamPace
 {
 public:
     /** What limits the requests. */
-    enum class Limit { None, Cold, Recovering, Full };
+    enum class Limit { None, Recovering, Full };
 
     /** @p phase, from 0 to 1, spreads the first tokens over the gateways. */
     explicit UpstreamPace(double phase);
 
-    /** Applies the limit of a cold upstream; nothing: it is not cold. */
-    void setCold(const std::optional<ColdLimit> &value, TimePoint now);
-    /**
-     * Sets the share of requests that the leader admits. While it holds, the rate of a cold
-     * upstream is not divided between the gateways. Nothing: no decision.
-     */
+    /** Sets the share of requests that the leader admits. Nothing: no decision. */
     void setAdmitted(const std::optional<AdmittedShare> &value) { this->admitted = value; }
     /** Sets how many requests per second this gateway may start at the upstream while it is full.
      */
@@ -66,10 +50,7 @@
      * Whether the leader's share decides about each request once: one that is turned away would be
      * counted twice if it tried again.
      */
-    bool isShared(TimePoint now) const
-    {
-        return this->admitted && this->admitted->from <= now && now < this->admitted->until;
-    }
+    bool isShared(TimePoint now) const { return this->admitted && now < this->admitted->until; }
     /** Returns the time until a request may be started; 0: at once. */
     Milliseconds timeLeft(TimePoint now) const;
     /** Records that a request is started. */
@@ -81,20 +62,14 @@
     Milliseconds turnAway(TimePoint now);
 
 private:
-    bool isCold(TimePoint now) const { return this->coldTokens && now < this->cold.until; }
     bool isFull(TimePoint now) const { return this->fullTokens && now < this->fullUntil; }
     void extendFull(TimePoint now);
-    TokenBucket coldTokensAt(TimePoint now) const;
     bool hasCredit() const;
-    Milliseconds shareTimeLeft(TimePoint now) const;
-    void takeShared(TimePoint now);
+    void takeShared();
 
     double phase;
-    ColdLimit cold;
-    std::optional<TokenBucket> coldTokens; // while the upstream is cold
     std::optional<AdmittedShare> admitted;
     double credit; // sum of the shares of requests, less those started; error diffusion
-    std::vector<TimePoint> started; // with a bound per second: the last requests
     std::uint32_t refusalsInRow = 0; // without a response in between
     double fullPerSecond = 1.0; // without `correction`
     double correction = 1.0; // of the rate while the upstream is full
--- a/src/version/externalcodec.h
+++ b/src/version/externalcodec.h
@@ -24,6 +24,9 @@
     std::string baseVersion; // configuration version that a new configuration is based on
     std::string handover; // of a released range; empty: calls deliver no leases
     std::string upstreamLeaving; // "1" in each response of an upstream that shuts down soon
+    // In responses at the health path of a service: milliseconds until the upstream is no longer
+    // cold. Empty: upstreams do not tell it.
+    std::string warmupLeft;
 
     bool operator==(const ExternalHeaders &) const = default;
 };
--- a/src/version/rangesupervisor.cpp
+++ b/src/version/rangesupervisor.cpp
@@ -449,23 +449,4 @@
     return result;
 }
 
-std::map<UpstreamIncarnation, double> RangeSupervisor::demandByOwner(
-        const RangeContext &context) const
-{
-    std::map<UpstreamIncarnation, double> demand;
-    const RangeTable *ranges = this->table(context);
-    if (ranges != nullptr) {
-        for (const RangeOwner &entry : ranges->owners()) {
-            demand[entry.owner] += this->load.rate(entry.range);
-        }
-    }
-    return demand;
-}
-
-FencingToken RangeSupervisor::lastFence(const RangeContext &context) const
-{
-    const RangeTable *ranges = this->table(context);
-    return ranges == nullptr ? FencingToken(0) : ranges->lastFence();
-}
-
 } // namespace cassiaroad
--- a/src/version/rangesupervisor.h
+++ b/src/version/rangesupervisor.h
@@ -123,11 +123,6 @@
         return this->moving.isReleasingFrom(incarnation);
     }
 
-    /** Returns the requests per second for the keys of each owner, of all gateways. */
-    std::map<UpstreamIncarnation, double> demandByOwner(const RangeContext &context) const;
-    /** Returns the last fencing token; it differs after each change of owners. */
-    FencingToken lastFence(const RangeContext &context) const;
-
     /** Returns the ranges of the service for the routing table, ascending. */
     std::vector<RoutedRange> routedRanges(const RangeContext &context) const;
 
--- a/src/version/registryheartbeats.cpp
+++ b/src/version/registryheartbeats.cpp
@@ -216,6 +216,7 @@
     };
     this->rangeLeases.forgetOthers(isRegistered, now);
     this->monitor.forgetOthers(isRegistered, now - this->timing.registrationTimeout);
+    this->permits.forgetIdle(now);
 }
 
 } // namespace cassiaroad
--- a/src/version/registrymanager.cpp
+++ b/src/version/registrymanager.cpp
@@ -39,7 +39,7 @@
     , timing(timing)
     , monitor(timing.ranges.heartbeatInterval)
     , rangeLeases(timing.leases)
-    , coldShares(timing.cold)
+    , permits(timing.cold)
 { }
 
 void RegistryManager::startTerm(TimePoint now)
@@ -66,7 +66,7 @@
     this->placements = GatewayPlacements();
     this->placementsAt = now;
     this->termStart = now;
-    this->coldShares.startTerm(now);
+    this->permits.startTerm(now);
     this->recoveries.startTerm(now);
     this->crashes = CrashLedger(); // gateways report again what an earlier leader knew
     this->removing.clear();
@@ -291,7 +291,6 @@
             commands.emplace_back(TransferRanges { service, std::move(transfers) });
         }
     }
-    this->coldShares.update(this->coldOwners(now), now);
     if (this->recoveries.isDue(now)) {
         this->recoveries.update(this->recoveryCandidates(now), now);
     }
@@ -355,7 +354,7 @@
     for (const auto &[id, upstream] : this->state.upstreams()) {
         table.upstreams.push_back({ upstream, this->monitor.isSilent(upstream.incarnation, now),
                                     this->monitor.isWarmingUp(upstream.incarnation, now),
-                                    this->admittedShare(upstream, now) });
+                                    this->recoveries.share(upstream.incarnation) });
     }
     for (const auto &[service, supervisor] : this->supervisors) {
         table.ranges[service] = supervisor.routedRanges(this->context(now));
--- a/src/version/registrymanager.h
+++ b/src/version/registrymanager.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "version/coldownershares.h"
+#include "version/coldpermits.h"
 #include "version/leasecalls.h"
 #include "version/rangesupervisor.h"
 #include "version/recoverypace.h"
@@ -99,6 +99,9 @@
      */
     std::vector<RegistryCommand> onGatewayReport(const GatewayReport &report, TimePoint now);
 
+    /** Grants permits for requests to cold upstreams. Precondition: the leader's lease is valid. */
+    PermitReply grantPermits(const PermitRequest &request, TimePoint now);
+
     /** Returns the requests under which upstreams may have crashed; see CrashLedger::suspects(). */
     std::vector<SuspectRequest> suspects(TimePoint now);
 
@@ -163,9 +166,7 @@
     void wakeLeaseCalls(const std::string &zone);
     void suspendLeaseCalls(const UpstreamReport &report);
     void forgetOthers(TimePoint now);
-    std::vector<ColdOwner> coldOwners(TimePoint now) const;
     std::vector<RecoveryCandidate> recoveryCandidates(TimePoint now) const;
-    std::optional<std::uint16_t> admittedShare(const SiteUpstream &upstream, TimePoint now) const;
     void addRemovals(TimePoint now, std::vector<RegistryCommand> &commands);
     void eraseOwners(std::set<UpstreamIncarnation> &incarnations) const;
     bool isCounted(const GatewayLoad &load, TimePoint now) const;
@@ -190,7 +191,7 @@
     CrashLedger crashes;
     std::set<UpstreamIncarnation> removing; // their removal is proposed and not committed yet
     std::set<UpstreamIncarnation> leaving; // as above, that they leave; reported by gateways
-    ColdOwnerShares coldShares;
+    ColdPermits permits;
     RecoveryPace recoveries;
     TimePoint removalsCheckedAt; // when addRemovals() was last done
     TimePoint forgottenAt; // when forgetOthers() was last done
--- a/src/version/registryshares.cpp
+++ b/src/version/registryshares.cpp
@@ -2,30 +2,23 @@
 
 namespace cassiaroad {
 
-// Returns the cold upstreams of keyed services that state what a cold upstream can handle.
-std::vector<ColdOwner> RegistryManager::coldOwners(TimePoint now) const
+PermitReply RegistryManager::grantPermits(const PermitRequest &request, TimePoint now)
 {
-    std::vector<ColdOwner> owners;
-    for (const auto &[service, supervisor] : this->supervisors) {
-        const auto configured = this->configuration->services.find(service);
-        if (configured == this->configuration->services.end()
-            || configured->second.coldRate <= 0.0) {
+    PermitReply reply;
+    if (!this->configuration) {
+        return reply;
+    }
+    for (const PermitAsk &ask : request.asks) {
+        const auto service = this->configuration->services.find(ask.service);
+        if (service == this->configuration->services.end()) {
             continue;
         }
-        std::map<UpstreamIncarnation, double> demand; // adding it up takes time
-        for (const auto &[id, upstream] : this->state.upstreams()) {
-            if (upstream.service != service
-                || !this->monitor.isWarmingUp(upstream.incarnation, now)) {
-                continue;
-            }
-            if (demand.empty()) {
-                demand = supervisor.demandByOwner(this->context(now));
-            }
-            owners.push_back({ upstream.incarnation, supervisor.lastFence(this->context(now)),
-                               configured->second.coldRate, demand[upstream.incarnation] });
-        }
+        // A gateway with an older configuration may ask though no rate is stated any more.
+        const double statedRate = service->second.coldRate;
+        reply.grants.push_back(statedRate > 0.0 ? this->permits.grant(ask, statedRate, now)
+                                                : PermitGrant { ask.address, ask.count, {} });
     }
-    return owners;
+    return reply;
 }
 
 // Returns the upstreams of services without keys that do not state what a cold one can handle. None
@@ -48,19 +41,4 @@
     return candidates;
 }
 
-// Returns the share of the requests for @p upstream that gateways send to it, in thousandths.
-std::optional<std::uint16_t> RegistryManager::admittedShare(const SiteUpstream &upstream,
-                                                            TimePoint now) const
-{
-    const auto supervisor = this->supervisors.find(upstream.service);
-    if (supervisor == this->supervisors.end()) {
-        return this->recoveries.share(upstream.incarnation);
-    }
-    if (!this->monitor.isWarmingUp(upstream.incarnation, now)) {
-        return std::nullopt;
-    }
-    return this->coldShares.share(upstream.incarnation,
-                                  supervisor->second.lastFence(this->context(now)));
-}
-
 } // namespace cassiaroad
--- a/src/version/routingtablehistory.cpp
+++ b/src/version/routingtablehistory.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+std::uint64_t termOfTable(std::uint64_t tag)
+{
+    return tag >> changeCountBits;
+}
+
 void RoutingTableHistory::startTerm(std::uint64_t term)
 {
     this->table = {};
--- a/src/version/routingtablehistory.h
+++ b/src/version/routingtablehistory.h
@@ -8,6 +8,9 @@
 
 namespace cassiaroad {
 
+/** Returns the term of the leader that has made the table with @p tag. Thread-safe. */
+std::uint64_t termOfTable(std::uint64_t tag);
+
 /**
  * Present routing table, the former tables that gateways may still have, and the encoded changes
  * from these to the present one. Pure; not thread-safe.
