connection: Tell an upstream the time that is left when its request is written

Cause: the header was built when an attempt began. The request is written when its connection is open and, since the last change, the probe is answered, which takes long on a busy site. The time that is left is now taken when the first byte is written.

ServerProbeTest.tellsTheTimeThatIsLeftWhenTheRequestIsWritten, new with this change.

--- a/src/connection/httpcall.cpp
+++ b/src/connection/httpcall.cpp
@@ -152,7 +152,6 @@
 {
     this->done = std::move(done);
     this->decide = std::move(decide);
-    this->head = this->buildHead();
     this->state.openedAt = this->idleConnections->eventLoop().now();
     this->starting = true;
     if (reuse == Reuse::Allowed) {
@@ -211,6 +210,11 @@
     for (const auto &[name, value] : this->request.headers) {
         text.append(name).append(": ").append(value).append("\r\n");
     }
+    if (this->request.deadline) {
+        const TimePoint now = this->idleConnections->eventLoop().now();
+        const Milliseconds left = std::max(this->request.deadline->at - now, Milliseconds {});
+        text += this->request.deadline->header + ": " + std::to_string(left.count) + "\r\n";
+    }
     const bool methodHasBody = this->request.method != "GET" && this->request.method != "HEAD";
     if (methodHasBody || !this->request.body.empty()) {
         text += "content-length: " + std::to_string(this->request.body.size()) + "\r\n";
@@ -320,6 +324,7 @@
         return;
     }
     this->sent = true;
+    this->head = this->buildHead();
     h2o_iovec_t parts[2] = { h2o_iovec_init(this->head.data(), this->head.size()),
                              h2o_iovec_init(const_cast<char *>(this->request.body.data()),
                                             this->request.body.size()) };
--- a/src/connection/httpclient.h
+++ b/src/connection/httpclient.h
@@ -44,6 +44,15 @@
     std::string_view bytes;
 };
 
+/** End of the time in which a response is of use. */
+struct RequestDeadline
+{
+    std::string header; // for the milliseconds that are left when the first byte is written
+    TimePoint at;
+
+    bool operator==(const RequestDeadline &) const = default;
+};
+
 /**
  * GET request with which a server is asked for how long it is still cold after its start. The
  * response belongs to the process at the other end of its connection, like all that follow on it.
@@ -85,6 +94,8 @@
     // too many connections accepts the new one and then resets it; within this time the reset is
     // seen while the request is certainly not sent.
     bool confirmsConnection = false;
+    // If set, the request tells in a header how long its client still waits.
+    std::optional<RequestDeadline> deadline;
     // If set, the server is asked on a new connection before the request is written. Its response
     // also shows that it has accepted the connection.
     std::optional<ConnectionProbe> probe;
--- a/src/gateway/attemptsender.cpp
+++ b/src/gateway/attemptsender.cpp
@@ -41,8 +41,7 @@
         return header.first == names.deadline || header.first == names.expectedUpstream;
     });
     built.headers.emplace_back("host", exchange->header("host"));
-    built.headers.emplace_back(names.deadline,
-                               std::to_string(this->request.timeLeft(this->core.now()).count));
+    built.deadline = { names.deadline, this->request.responseDeadline };
     built.headers.emplace_back(names.expectedUpstream, this->target->upstream().incarnation.id);
     return built;
 }
--- a/tests/connection/test_serverprobe.cpp
+++ b/tests/connection/test_serverprobe.cpp
@@ -22,7 +22,8 @@
             if (connection.received.find("\r\n\r\n") == std::string::npos) {
                 return;
             }
-            const std::string received = std::exchange(connection.received, {});
+            this->last = std::exchange(connection.received, {});
+            const std::string &received = this->last;
             const bool isProbe = received.find("GET /health ") == 0;
             this->log += isProbe ? "probe " : "request ";
             if (isProbe && this->health.empty()) {
@@ -70,6 +71,7 @@
     HttpClient client { loop };
     std::string health = okHead + noBody; // response to probes; empty: closes the connection
     std::string log; // what has reached the server
+    std::string last; // the bytes that have reached it last
     WriteDecision decision = WriteDecision::Write;
     ConnectionState state; // of the connection that was asked about last
     FakePeer peer;
@@ -174,6 +176,25 @@
             waitUntil(this->loop, [this] { return this->peer.connections[0]->closedByClient; }));
 }
 
+// Guards against a server that takes a request for longer than its client waits, since time has
+// passed between the beginning of the call and its first byte.
+TEST_F(ServerProbeTest, tellsTheTimeThatIsLeftWhenTheRequestIsWritten)
+{
+    const std::string response = std::exchange(this->health, "HTTP/1.1 100 Continue\r\n\r\n");
+    HttpRequest request = this->request();
+    request.deadline = { "x-left", this->loop.now() + Milliseconds { 1000 } };
+    bool isDone = false;
+    const auto call = this->client.send({ "127.0.0.1", this->peer.port }, request, maxResponseBytes,
+                                        [&](const HttpResult &) { isDone = true; });
+    runFor(this->loop, { 300 });
+    this->peer.connections.at(0)->write(response);
+    ASSERT_TRUE(waitUntil(this->loop, [&] { return isDone; }));
+    const std::size_t at = this->last.find("x-left: ");
+    ASSERT_NE(at, std::string::npos);
+    EXPECT_LE(std::stoi(this->last.substr(at + 8)), 700);
+    EXPECT_GT(std::stoi(this->last.substr(at + 8)), 0);
+}
+
 // Guards against probes of servers that are never cold.
 TEST_F(ServerProbeTest, asksOnlyIfARequestDemandsIt)
 {
