--- a/tests/cassiaroad/controlgroup.cpp
+++ b/tests/cassiaroad/controlgroup.cpp
@@ -8,11 +8,19 @@
 
 namespace {
 
-HostAddress freeAddress()
-{
-    const SilentPeer peer; // its port is free again after its destruction
-    return { "127.0.0.1", peer.port() };
-}
+/** Draws addresses that differ. Their ports are free again after its destruction. */
+class FreeAddresses
+{
+public:
+    HostAddress draw()
+    {
+        this->holders.push_back(std::make_unique<SilentPeer>());
+        return { "127.0.0.1", this->holders.back()->port() };
+    }
+
+private:
+    std::vector<std::unique_ptr<SilentPeer>> holders; // a port that is held is not drawn again
+};
 
 Settings commonSettings()
 {
@@ -23,9 +31,10 @@
     settings.regions = { { "etela", { "etela-a", "etela-b" }, {} },
                          { "pohjoinen", { "pohjoinen-a", "pohjoinen-b" }, {} } };
     settings.services = { { "orders", 64 } };
-    settings.members = { { 1, "etela", "etela-a", freeAddress(), freeAddress() },
-                         { 2, "etela", "etela-b", freeAddress(), freeAddress() },
-                         { 3, "pohjoinen", "pohjoinen-a", freeAddress(), freeAddress() } };
+    FreeAddresses addresses;
+    settings.members = { { 1, "etela", "etela-a", addresses.draw(), addresses.draw() },
+                         { 2, "etela", "etela-b", addresses.draw(), addresses.draw() },
+                         { 3, "pohjoinen", "pohjoinen-a", addresses.draw(), addresses.draw() } };
     return settings;
 }
 
